--- /dev/null
+++ b/mimosabench/src/main.rs
@@ -0,0 +1,3 @@
+//! The load tool and policy benchmarks.
+
+fn main() {}
--- /dev/null
+++ b/mimosactl/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' client.
+
+fn main() {}
--- /dev/null
+++ b/mimosashift/src/resource/spec.rs
@@ -0,0 +1,192 @@
+//! What an operator declares, one struct per kind of resource.
+//!
+//! Field units and defaults are documented in `docs/API.md`.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+
+use super::{Layers, Name};
+
+/// A model under the name that callers use, and who may call it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+    /// The `model` field of a caller's request.
+    pub model: String,
+    /// The pipeline that answers.
+    pub pipeline: Name,
+    /// Teams that may call; empty means every team.
+    #[serde(default)]
+    pub teams: Vec<Name>,
+    /// Deadline of a request that names none, in milliseconds.
+    #[serde(default = "default_deadline_ms")]
+    pub deadline_ms: u64,
+    /// Most tokens one request may generate.
+    #[serde(default = "default_max_tokens")]
+    pub max_tokens: u32,
+}
+
+/// A model: its layers and the version in service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Pipeline {
+    /// Number of layers.
+    pub layers: u16,
+    /// Version that new requests use.
+    pub version: u32,
+    /// Adapters that a request may name.
+    #[serde(default)]
+    pub adapters: Vec<Name>,
+    /// Live copies wanted of every layer.
+    #[serde(default = "default_copies")]
+    pub copies: u16,
+    /// Bytes of activation passed between two stages for one token.
+    #[serde(default = "default_hidden_bytes")]
+    pub hidden_bytes: u32,
+    /// Bytes of KV cache that one layer keeps for one token.
+    #[serde(default = "default_kv_bytes")]
+    pub kv_bytes: u32,
+}
+
+/// A tenant: its credentials, its priority and its limits.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Team {
+    /// Priority of the team's requests.
+    pub priority: Name,
+    /// SHA-256 digests of the team's bearer tokens, in hexadecimal.
+    #[serde(default)]
+    pub token_digests: Vec<String>,
+    /// Whether the team's tokens may change resources.
+    #[serde(default)]
+    pub operator: bool,
+    /// Share of capacity among teams of the same priority.
+    #[serde(default = "default_weight")]
+    pub weight: u32,
+    /// Requests admitted a second over all routers; 0 means no limit.
+    #[serde(default)]
+    pub requests_per_second: u32,
+    /// Tokens generated a second over all routers; 0 means no limit.
+    #[serde(default)]
+    pub tokens_per_second: u32,
+}
+
+/// A class of requests; a lower level is served first and shed last.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Priority {
+    /// 0 is served first.
+    pub level: u8,
+}
+
+/// A plain service behind the router.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// Methods that may be repeated; every other method runs at most once.
+    #[serde(default = "default_idempotent")]
+    pub idempotent: Vec<String>,
+    /// Time allowed for one exchange, in milliseconds.
+    #[serde(default = "default_service_timeout_ms")]
+    pub timeout_ms: u64,
+}
+
+/// A back end: a model engine that holds layers, or an instance of a service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Endpoint {
+    /// Address it listens on.
+    pub address: SocketAddr,
+    /// Failure domain it runs in.
+    pub domain: Name,
+    /// What it does.
+    pub role: Role,
+}
+
+/// What an endpoint does.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Role {
+    /// Runs a range of layers of one or more models.
+    Engine(Engine),
+    /// Answers calls of a plain service.
+    Service(Name),
+}
+
+/// The accelerator, link and layers of a model engine.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Engine {
+    /// Kind of accelerator.
+    pub accelerator: Name,
+    /// Microseconds to run one layer for a batch of one token.
+    pub layer_us: u32,
+    /// Sequences that one iteration can batch.
+    #[serde(default = "default_slots")]
+    pub slots: u16,
+    /// One-way link latency to a router of the same domain, in microseconds.
+    #[serde(default)]
+    pub link_us: u32,
+    /// Link bandwidth in bytes a second.
+    #[serde(default = "default_link_bytes")]
+    pub link_bytes_per_second: u64,
+    /// Layers it holds, one entry per model and version.
+    pub holds: SmallVec<[Holding; 2]>,
+    /// Whether it refuses an order with an old fencing number.
+    #[serde(default)]
+    pub checks_fencing: bool,
+}
+
+/// Layers of one version of a model, held by an engine.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Holding {
+    /// The model.
+    pub pipeline: Name,
+    /// Its version.
+    pub version: u32,
+    /// The layers.
+    pub layers: Layers,
+}
+
+fn default_deadline_ms() -> u64 {
+    60_000
+}
+
+fn default_max_tokens() -> u32 {
+    4_096
+}
+
+fn default_copies() -> u16 {
+    2
+}
+
+fn default_hidden_bytes() -> u32 {
+    8_192
+}
+
+fn default_kv_bytes() -> u32 {
+    4_096
+}
+
+fn default_weight() -> u32 {
+    1
+}
+
+fn default_idempotent() -> Vec<String> {
+    ["GET", "HEAD", "OPTIONS"].map(str::to_owned).to_vec()
+}
+
+fn default_service_timeout_ms() -> u64 {
+    5_000
+}
+
+fn default_slots() -> u16 {
+    16
+}
+
+fn default_link_bytes() -> u64 {
+    1_250_000_000
+}
--- /dev/null
+++ b/mimosashiftd/src/main.rs
@@ -0,0 +1,3 @@
+//! The router daemon.
+
+fn main() {}
--- /dev/null
+++ b/mimosastandin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the systems around a router.
--- /dev/null
+++ b/mimosastandin/src/main.rs
@@ -0,0 +1,3 @@
+//! The stand-ins as processes.
+
+fn main() {}
