--- a/mimosashift/src/engine/mod.rs
+++ b/mimosashift/src/engine/mod.rs
@@ -11,6 +11,8 @@
 
 use crate::resource::{Layers, Name};
 
+pub mod http;
+
 /// Identifies one caller's request over all routers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u128);
--- a/mimosashift/src/platform/mod.rs
+++ b/mimosashift/src/platform/mod.rs
@@ -6,6 +6,8 @@
 
 use serde::{Deserialize, Serialize};
 
+pub mod http;
+
 /// How a call that may change something ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Outcome<T> {
