Serve a completion over staged engines end to end

Cause: nothing could be measured before a request passed through. Change: a router shell with caller and operator surface, the first chain found, one exchange per stage and token, in a test over real sockets.

--- a/mimosashift/src/http/mod.rs
+++ b/mimosashift/src/http/mod.rs
@@ -5,6 +5,7 @@
 //! serves here and not `oxhttp`.
 
 pub mod client;
+pub mod completion;
 pub mod pool;
 pub mod problem;
 mod server;
--- a/mimosashift/src/lib.rs
+++ b/mimosashift/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod engine;
 pub mod http;
+pub mod node;
 pub mod platform;
 pub mod resource;
 pub mod route;
--- /dev/null
+++ b/mimosashift/src/node/auth.rs
@@ -0,0 +1,44 @@
+//! Who is calling.
+
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+use crate::http::Request;
+use crate::http::problem::Problem;
+use crate::resource::{Name, Snapshot};
+
+/// The team whose token a request carries.
+pub fn team(request: &Request, snapshot: &Snapshot) -> Result<Name, Problem> {
+    let digest = hex::encode(token_digest(request)?);
+    let found = snapshot.teams().find(|(_, team)| team.token_digests.contains(&digest));
+    found.map(|(name, _)| name.clone()).ok_or_else(unauthorized)
+}
+
+/// Checks that a request may change resources, and names who makes it.
+pub fn operator(
+    request: &Request,
+    snapshot: &Snapshot,
+    bootstrap: &[u8; 32],
+) -> Result<String, Problem> {
+    let digest = token_digest(request)?;
+    if bool::from(digest.ct_eq(bootstrap)) {
+        return Ok("bootstrap".to_owned());
+    }
+    let team = team(request, snapshot)?;
+    if snapshot.team(&team).is_some_and(|spec| spec.operator) {
+        return Ok(team.as_str().to_owned());
+    }
+    let detail = format!("team {:?} may not change resources", team.as_str());
+    Err(Problem::not_run(hyper::StatusCode::FORBIDDEN, "forbidden", detail))
+}
+
+fn token_digest(request: &Request) -> Result<[u8; 32], Problem> {
+    let value = request.header("authorization").ok_or_else(unauthorized)?;
+    let token = value.strip_prefix("Bearer ").ok_or_else(unauthorized)?;
+    Ok(Sha256::digest(token.trim().as_bytes()).into())
+}
+
+fn unauthorized() -> Problem {
+    let detail = "the request carries no token of a known team";
+    Problem::not_run(hyper::StatusCode::UNAUTHORIZED, "unauthorized", detail)
+}
--- /dev/null
+++ b/mimosastandin/tests/path.rs
@@ -0,0 +1,132 @@
+//! The whole path: caller, router, staged engines, over real sockets.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use mimosashift::http::client::{Answer, Call, Client};
+use mimosashift::http::completion::{decode_token, encode_text};
+use mimosashift::node::{Running, Settings};
+use mimosashift::resource::{Engine, Name};
+use mimosastandin::{engine, oracle, platform};
+use sha2::{Digest, Sha256};
+use ureq::http::Method;
+
+const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+const OPERATOR: &str = "operator-token";
+const CALLER: &str = "caller-token";
+const LAYERS: u16 = 8;
+
+struct Path {
+    client: Client,
+    router: Running,
+    engines: Vec<engine::Instance>,
+}
+
+impl Path {
+    fn start() -> Self {
+        let platform = platform::Instance::start(ANY, platform::Rates::default()).unwrap();
+        let settings = Settings {
+            listen: ANY,
+            operate: ANY,
+            domain: name("a"),
+            operator_digest: Sha256::digest(OPERATOR).into(),
+            table: Arc::new(platform),
+        };
+        let router = Running::start(settings).unwrap();
+        let mut path =
+            Self { client: Client::new(Default::default()), router, engines: Vec::new() };
+        let digest = hex::encode(Sha256::digest(CALLER));
+        path.apply("priority", "urgent", r#"{"level":0}"#);
+        let team = format!(r#"{{"priority":"urgent","token_digests":["{digest}"]}}"#);
+        path.apply("team", "counter", &team);
+        path.apply("pipeline", "advisor", r#"{"layers":8,"version":1}"#);
+        path.apply("route", "advisor", r#"{"model":"advisor","pipeline":"advisor"}"#);
+        path.engine("head", "[0,3]");
+        path.engine("tail", "[3,8]");
+        path
+    }
+
+    fn engine(&mut self, endpoint: &str, layers: &str) {
+        let spec = format!(
+            r#"{{"accelerator":"small","layer_us":10,
+                "holds":[{{"pipeline":"advisor","version":1,"layers":{layers}}}]}}"#
+        );
+        let engine: Engine = serde_json::from_str(&spec).unwrap();
+        let models = HashMap::from([(name("advisor"), LAYERS)]);
+        let instance = engine::Instance::start(ANY, engine, models).unwrap();
+        let address = instance.address();
+        let body = format!(r#"{{"address":"{address}","domain":"a","role":{{"engine":{spec}}}}}"#);
+        self.apply("endpoint", endpoint, &body);
+        self.engines.push(instance);
+    }
+
+    fn apply(&self, kind: &str, name: &str, spec: &str) {
+        let path = format!("/api/v1/{kind}/{name}");
+        let answer = self.call(self.router.operators(), Method::PUT, &path, OPERATOR, spec);
+        assert!(answer.status.is_success(), "{}", String::from_utf8_lossy(&answer.body));
+    }
+
+    fn complete(&self, path: &str, body: &str) -> Answer {
+        self.call(self.router.callers(), Method::POST, path, CALLER, body)
+    }
+
+    fn call(&self, to: SocketAddr, method: Method, path: &str, token: &str, body: &str) -> Answer {
+        let authorization = format!("Bearer {token}");
+        let call = Call {
+            address: to,
+            method,
+            path,
+            headers: &[("authorization", &authorization), ("content-type", "application/json")],
+            body: body.as_bytes(),
+            timeout: Duration::from_secs(20),
+            fresh: false,
+        };
+        self.client.call(&call).unwrap()
+    }
+}
+
+#[test]
+fn whole_answer_runs_every_layer_once() {
+    let path = Path::start();
+    let body = r#"{"model":"advisor","prompt":"which shade","max_tokens":12}"#;
+    let answer = path.complete("/v1/completions", body);
+    let json: serde_json::Value = serde_json::from_slice(&answer.body).unwrap();
+    assert_eq!(json["choices"][0]["text"], expected("which shade", 12));
+    assert_eq!(path.engines.iter().map(|e| e.steps()).sum::<u64>(), 2 * 12);
+}
+
+#[test]
+fn streamed_answer_equals_the_whole_one() {
+    let path = Path::start();
+    let body = r#"{"model":"advisor","prompt":"restock","max_tokens":9,"stream":true}"#;
+    let answer = path.complete("/v1/completions", body);
+    let text = String::from_utf8(answer.body).unwrap();
+    let events: Vec<&str> = text.split("\n\n").filter_map(|e| e.strip_prefix("data: ")).collect();
+    assert_eq!(events.last(), Some(&"[DONE]"));
+    let piece = |event: &&str| {
+        let json: serde_json::Value = serde_json::from_str(event).unwrap();
+        json["choices"][0]["text"].as_str().unwrap().to_owned()
+    };
+    let joined: String = events[..events.len() - 1].iter().map(piece).collect();
+    assert_eq!(joined, expected("restock", 9));
+}
+
+#[test]
+fn wrong_token_is_refused_as_not_run() {
+    let path = Path::start();
+    let body = r#"{"model":"advisor","prompt":"x"}"#;
+    let to = path.router.callers();
+    let answer = path.call(to, Method::POST, "/v1/completions", "wrong", body);
+    let json: serde_json::Value = serde_json::from_slice(&answer.body).unwrap();
+    assert_eq!((answer.status.as_u16(), &json["effect"]), (401, &"not-run".into()));
+}
+
+fn expected(prompt: &str, tokens: u32) -> String {
+    oracle::answer(LAYERS, 1, &encode_text(prompt), tokens).into_iter().map(decode_token).collect()
+}
+
+fn name(text: &str) -> Name {
+    Name::try_from(text).unwrap()
+}
