--- /dev/null
+++ b/mimosactl/src/commands.rs
@@ -0,0 +1,212 @@
+//! What each command does.
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use oxhttp::model::Method;
+use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
+use serde_json::{Value, json};
+
+use crate::client::{Error, Server};
+use crate::files;
+use crate::flags::{self, MimosactlCmd};
+use crate::output::Form;
+
+/// Wait of `apply --wait` and of `wait` unless another is given.
+const DEFAULT_WAIT: Duration = Duration::from_secs(30);
+
+/// Time between two looks while waiting.
+const WAIT_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Where commands go and how their answers are printed.
+pub struct Context {
+    /// The router.
+    pub server: Server,
+    /// The output form.
+    pub form: Form,
+}
+
+impl Context {
+    /// Runs a command.
+    pub fn run(&self, command: &MimosactlCmd) -> Result<(), Error> {
+        match command {
+            MimosactlCmd::Apply(apply) => self.apply(apply),
+            MimosactlCmd::Get(get) => {
+                self.one(&format!("/api/v1/{}/{}", segment(&get.kind), segment(&get.name)))
+            }
+            MimosactlCmd::List(list) => {
+                let answer = self.server.get(&format!("/api/v1/{}", segment(&list.kind)))?;
+                self.items(&answer, &["name", "revision", "spec"])
+            }
+            MimosactlCmd::Delete(delete) => self.delete(delete),
+            MimosactlCmd::Watch(watch) => self.watch(watch),
+            MimosactlCmd::Wait(wait) => {
+                let limit = wait.timeout.map_or(DEFAULT_WAIT, Duration::from_secs);
+                self.wait(wait.revision, limit)
+            }
+            MimosactlCmd::Audit(audit) => self.audit(audit),
+            MimosactlCmd::Explain(explain) => {
+                let tokens = explain.prompt_tokens.unwrap_or(100);
+                let model = segment(&explain.model);
+                self.one(&format!("/api/v1/explain?model={model}&prompt_tokens={tokens}"))
+            }
+            MimosactlCmd::Status(_) => self.one("/api/v1/status"),
+            MimosactlCmd::Postings(_) => {
+                let answer = self.server.get("/api/v1/postings?state=unknown")?;
+                self.items(&answer, &["key", "since", "router"])
+            }
+            MimosactlCmd::Resolve(resolve) => self.resolve(resolve),
+            MimosactlCmd::Drain(_) => {
+                let answer = self.server.call(Method::POST, "/api/v1/drain", None, None)?;
+                self.print_one(&answer)
+            }
+            MimosactlCmd::Completions(_) => {
+                self.print_text(crate::completion_script());
+                Ok(())
+            }
+        }
+    }
+
+    fn apply(&self, apply: &flags::Apply) -> Result<(), Error> {
+        if apply.file.is_empty() {
+            return Err(Error::Usage("apply needs at least one --file".to_owned()));
+        }
+        let mut last = 0;
+        for declared in files::read(&apply.file)? {
+            let query = if apply.dry_run { "?dry_run=true" } else { "" };
+            let path = format!("/api/v1/{}/{}{query}", declared.kind, declared.name);
+            let body = declared.spec.to_json();
+            let answer = self
+                .server
+                .call(Method::PUT, &path, None, Some(&body))
+                .map_err(|error| named(&declared.source, error))?;
+            last = answer["revision"].as_u64().unwrap_or(last);
+            let done = json!({
+                "kind": declared.kind, "name": declared.name,
+                "revision": answer["revision"], "change": answer["change"],
+                "dry_run": apply.dry_run,
+            });
+            self.print_one(&done)?;
+        }
+        if apply.wait && !apply.dry_run {
+            return self.wait(last, DEFAULT_WAIT);
+        }
+        Ok(())
+    }
+
+    fn delete(&self, delete: &flags::Delete) -> Result<(), Error> {
+        let path = format!("/api/v1/{}/{}", segment(&delete.kind), segment(&delete.name));
+        let condition = delete.revision.map(|r| ("if-match", format!("\"{r}\"")));
+        let answer = self.server.call(Method::DELETE, &path, condition, None)?;
+        self.print_one(&answer)
+    }
+
+    fn watch(&self, watch: &flags::Watch) -> Result<(), Error> {
+        let after = match watch.after {
+            Some(after) => after,
+            None => self.server.get("/api/v1/status")?["revision"].as_u64().unwrap_or(0),
+        };
+        self.server.stream(&format!("/api/v1/watch?after={after}"), |change| {
+            let line = match self.form {
+                Form::Json => change.to_string(),
+                Form::Table => {
+                    let action = if change["spec"].is_null() { "delete" } else { "put" };
+                    let field = |name: &str| change[name].as_str().unwrap_or("-").to_owned();
+                    format!("{} {action} {} {}", change["revision"], field("kind"), field("name"))
+                }
+            };
+            self.print_text(&line);
+        })
+    }
+
+    fn wait(&self, revision: u64, limit: Duration) -> Result<(), Error> {
+        let start = Instant::now();
+        loop {
+            let answer = self.server.get(&format!("/api/v1/in-force?revision={revision}"))?;
+            if everywhere(&answer["domains"]) {
+                let waited = start.elapsed().as_millis() as u64;
+                let done = json!({"in_force": revision, "waited_ms": waited});
+                return self.print_one(&done);
+            }
+            if start.elapsed() > limit {
+                return Err(Error::TimedOut(format!(
+                    "revision {revision} is in force on {} only",
+                    answer["domains"]
+                )));
+            }
+            thread::sleep(WAIT_INTERVAL);
+        }
+    }
+
+    fn audit(&self, audit: &flags::Audit) -> Result<(), Error> {
+        let mut path = format!("/api/v1/audit?limit={}", audit.limit.unwrap_or(100));
+        let filters = [("kind", &audit.kind), ("name", &audit.name), ("operator", &audit.operator)];
+        for (name, value) in filters {
+            if let Some(value) = value {
+                path.push_str(&format!("&{name}={}", segment(value)));
+            }
+        }
+        if let Some(after) = audit.after {
+            path.push_str(&format!("&after={after}"));
+        }
+        let answer = self.server.get(&path)?;
+        let columns = ["revision", "time", "operator", "origin", "kind", "name", "change"];
+        self.items(&answer, &columns)
+    }
+
+    fn resolve(&self, resolve: &flags::Resolve) -> Result<(), Error> {
+        if resolve.ran == resolve.not_run {
+            return Err(Error::Usage("resolve needs one of --ran and --not-run".to_owned()));
+        }
+        let body = json!({"key": resolve.key, "ran": resolve.ran});
+        let path = "/api/v1/postings/resolve";
+        let answer = self.server.call(Method::POST, path, None, Some(&body))?;
+        self.print_one(&answer)
+    }
+
+    fn one(&self, path: &str) -> Result<(), Error> {
+        let answer = self.server.get(path)?;
+        self.print_one(&answer)
+    }
+
+    fn items(&self, answer: &Value, columns: &[&str]) -> Result<(), Error> {
+        let items = answer["items"].as_array().map_or(&[][..], Vec::as_slice);
+        self.form.print(answer, items, columns).map_err(unprinted)
+    }
+
+    fn print_one(&self, value: &Value) -> Result<(), Error> {
+        self.form.print_one(value).map_err(unprinted)
+    }
+
+    #[allow(clippy::print_stdout)] // Printing is what a command is for.
+    fn print_text(&self, text: &str) {
+        println!("{text}");
+    }
+}
+
+/// Whether every live router of every failure domain has the revision.
+fn everywhere(domains: &Value) -> bool {
+    let Some(domains) = domains.as_object() else { return false };
+    !domains.is_empty()
+        && domains.values().all(|d| d["live"].is_u64() && d["installed"] == d["live"])
+}
+
+/// Percent-encodes a path segment or query value.
+fn segment(text: &str) -> String {
+    utf8_percent_encode(text, NON_ALPHANUMERIC).to_string()
+}
+
+fn named(source: &str, error: Error) -> Error {
+    match error {
+        Error::Refused { code, detail } => {
+            Error::Refused { code, detail: format!("{source}: {detail}") }
+        }
+        Error::Conflict(detail) => Error::Conflict(format!("{source}: {detail}")),
+        Error::Unknown(detail) => Error::Unknown(format!("{source}: {detail}")),
+        other => other,
+    }
+}
+
+fn unprinted(error: std::io::Error) -> Error {
+    Error::Usage(format!("cannot print: {error}"))
+}
