Add numbered events and checked settings

Events are declared once in a table with id, level, message and meaning, and logged through slog. Settings come from flags or environment variables and are checked together.

--- /dev/null
+++ b/mimosashift/src/event/table.rs
@@ -0,0 +1,102 @@
+//! The table of events.
+
+use slog::Level;
+
+/// Declares the events: variant, id, level, message, meaning.
+macro_rules! events {
+    ($($event:ident $id:literal $level:ident $message:literal, $meaning:literal;)*) => {
+        /// What happened; `docs/EVENTS.md` says what an operator does about it.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+        pub enum Event {
+            $(#[doc = $meaning] $event,)*
+        }
+
+        impl Event {
+            /// Every event, in order of id.
+            pub const ALL: &[Self] = &[$(Self::$event,)*];
+
+            /// The id, stable over releases, for example `MS0101`.
+            pub const fn id(self) -> &'static str {
+                match self { $(Self::$event => $id,)* }
+            }
+
+            /// The level at which it is logged.
+            pub const fn level(self) -> Level {
+                match self { $(Self::$event => Level::$level,)* }
+            }
+
+            /// The fixed text of the log line.
+            pub const fn message(self) -> &'static str {
+                match self { $(Self::$event => $message,)* }
+            }
+
+            /// What it tells the operator, as in the catalogue.
+            pub const fn meaning(self) -> &'static str {
+                match self { $(Self::$event => $meaning,)* }
+            }
+        }
+    };
+}
+
+events! {
+    NodeStarted "MS0101" Info "node started", "The router started and is fetching its configuration.";
+    NodeReady "MS0102" Info "node ready", "The router has a configuration and accepts requests.";
+    NodeDraining "MS0103" Info "node draining", "The router reports not ready and finishes what it has accepted.";
+    NodeStopped "MS0104" Info "node stopped", "The router stopped; `cut_off` counts requests that it could not finish.";
+    NodeCutOff "MS0105" Error "requests cut off at shutdown", "The drain time ended before all requests were answered.";
+    NodeFault "MS0106" Critical "broken invariant", "A worker stopped on a state that the code rules out.";
+
+    HttpListening "MS0201" Info "listening", "A caller or operator address is open.";
+    HttpMalformed "MS0202" Debug "malformed request", "A request did not follow HTTP or the API and was refused.";
+    HttpTooLarge "MS0203" Warning "request too large", "A request exceeded a size limit and was refused.";
+    HttpUnauthorized "MS0204" Warning "unauthorized", "A request carried no valid bearer token.";
+    HttpConnectionLimit "MS0205" Warning "connection limit reached", "New connections wait because the limit is reached.";
+
+    ConfigInstalled "MS0301" Info "configuration installed", "A higher configuration revision is in force on this router.";
+    ConfigOlder "MS0302" Critical "older configuration revision seen", "The table answered with a revision lower than the one in force; it was not followed.";
+    ConfigDiffers "MS0303" Critical "equal configuration revision differs", "Two sources hold different content under one revision.";
+    ConfigAccepted "MS0304" Info "configuration change accepted", "A change was committed and recorded in the audit trail.";
+    ConfigRefused "MS0305" Info "configuration change refused", "A change was not committed and has no effect.";
+    ConfigUnknown "MS0306" Warning "configuration change unknown", "The table's answer was lost and the change could not be read back.";
+    ConfigStale "MS0307" Warning "configuration stale", "The configuration source has not been reached for a while; the installed revision stays in force.";
+
+    MemberJoined "MS0401" Info "member joined", "A heartbeat of a new router arrived.";
+    MemberSuspect "MS0402" Warning "member suspect", "Heartbeats of a router are overdue.";
+    MemberDead "MS0403" Error "member dead", "A router has been silent too long and is no longer counted.";
+    MemberLeaving "MS0404" Info "member leaving", "A router announced its shutdown.";
+    MemberRestarted "MS0405" Info "member restarted", "A router returned with a higher incarnation number.";
+    MemberUnauthenticated "MS0406" Warning "bad authentication", "A datagram or frame carried no valid authentication code.";
+    MemberReplayed "MS0407" Warning "replayed message", "A message repeated an earlier sequence number and was dropped.";
+
+    EndpointEjected "MS0501" Warning "endpoint ejected", "An endpoint failed too often and gets no new work.";
+    EndpointReturned "MS0502" Info "endpoint returned", "An ejected endpoint answers again and gets work step by step.";
+    EndpointLeaving "MS0503" Info "endpoint leaving", "An endpoint is shutting down and gets no new work.";
+    EndpointRecovered "MS0504" Info "endpoint recovered", "A returned endpoint gets its full share of work.";
+    EndpointSilent "MS0505" Warning "silent connections retired", "A connection went silent, and all of its age to that endpoint were closed.";
+    EndpointEjectionCapped "MS0506" Error "ejection cap reached", "An endpoint stays in use because too many others are ejected.";
+
+    StageMoved "MS0601" Warning "stage moved", "A request lost a stage and continued on another endpoint.";
+    RequestRefused "MS0602" Info "request refused", "A request was refused before any of it ran.";
+    RequestShed "MS0603" Warning "request shed", "A queued request was dropped, not run, to make room.";
+    RequestGaveUp "MS0604" Error "request gave up", "A request failed after its retries or deadline were used up.";
+    RequestCutShort "MS0605" Warning "request cut short", "The caller went away, and the rest of the work was cancelled.";
+    ReplyDropped "MS0606" Debug "reply dropped", "A reply was late, duplicate or for another step and was not used.";
+    RetryBudgetExhausted "MS0607" Warning "retry budget exhausted", "Failures exceed what retries may add to the load.";
+
+    PostingClaimed "MS0701" Debug "posting claimed", "The idempotency key of a posting was claimed.";
+    PostingRecorded "MS0702" Debug "posting recorded", "The outcome of a posting was recorded.";
+    PostingUnknown "MS0703" Error "posting unknown", "It cannot be told whether a posting ran.";
+    PostingWithdrawn "MS0704" Info "posting withdrawn", "A claim was withdrawn because nothing had been sent.";
+    PostingMismatch "MS0705" Warning "posting mismatch", "An idempotency key was used again with a different request.";
+
+    LeaseTaken "MS0801" Info "lease taken", "This router holds the lease of a group of endpoints.";
+    LeaseLost "MS0802" Warning "lease lost", "This router no longer holds a lease and sends no more orders for it.";
+    OrderSent "MS0803" Info "order sent", "An order was sent to an endpoint.";
+    OrderObserved "MS0804" Info "order observed", "The endpoint reports the state that was ordered.";
+    OrderRefused "MS0805" Warning "order refused", "An endpoint refused an order, for example for an old fencing number.";
+    OrderUnknown "MS0806" Warning "order unknown", "The answer to an order was lost; the endpoint is observed before any repeat.";
+
+    BreakerOpened "MS0901" Error "platform breaker opened", "Calls to the platform fail and are stopped for a while.";
+    BreakerClosed "MS0902" Info "platform breaker closed", "The platform answers again.";
+    OverBudget "MS0903" Warning "platform budget used up", "This router's share of the platform's rate is used up; calls were held back.";
+}
--- a/mimosashift/src/lib.rs
+++ b/mimosashift/src/lib.rs
@@ -5,7 +5,9 @@
 //! `docs/DESIGN.md` gives the reasons and a picture of the modules.
 
 pub mod engine;
+pub mod event;
 pub mod platform;
 pub mod resource;
 pub mod route;
+pub mod settings;
 pub mod time;
--- /dev/null
+++ b/mimosashift/src/settings/table.rs
@@ -0,0 +1,131 @@
+//! The table of settings, from which flags, variables, help text and the
+//! documentation are made.
+
+use std::fmt::Write;
+
+/// Start of each environment variable's name.
+const ENV_PREFIX: &str = "MIMOSASHIFT_";
+
+/// One setting of the daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Setting {
+    /// Flag, without the two dashes.
+    pub flag: &'static str,
+    /// Value when neither flag nor variable is given.
+    pub default: Option<&'static str>,
+    /// What is allowed, with the unit.
+    pub rule: &'static str,
+    /// What it is for.
+    pub help: &'static str,
+    /// Whether the value must not be repeated in messages.
+    pub secret: bool,
+}
+
+/// Declares the settings: field, flag, default, rule, help.
+macro_rules! settings {
+    ($($field:ident $flag:literal $default:expr, $secret:literal, $rule:literal, $help:literal;)*) => {
+        /// Every setting, in the order of the documentation.
+        pub const SETTINGS: &[Setting] = &[$(Setting {
+            flag: $flag,
+            default: $default,
+            rule: $rule,
+            help: $help,
+            secret: $secret,
+        },)*];
+
+        /// The text of each setting as given, not yet checked.
+        #[derive(Clone, Default)]
+        pub struct Raw {
+            $(#[doc = $help] pub $field: Option<String>,)*
+        }
+
+        impl Raw {
+            /// Sets the value of a flag and returns the one before, or hands
+            /// the value back when no such flag exists.
+            pub fn set(&mut self, flag: &str, value: String) -> Result<Option<String>, String> {
+                match flag {
+                    $($flag => Ok(self.$field.replace(value)),)*
+                    _ => Err(value),
+                }
+            }
+
+            /// Fills each setting that has no value yet from its variable.
+            pub fn fill(mut self, env: impl Fn(&str) -> Option<String>) -> Self {
+                $(if self.$field.is_none() {
+                    self.$field = env(&env_name($flag));
+                })*
+                self
+            }
+        }
+    };
+}
+
+settings! {
+    node "node" None, false, "a resource name, unique among routers", "Name of this router.";
+    domain "domain" None, false, "a resource name", "Failure domain of this router.";
+    region "region" None, false, "a resource name", "Region of this router.";
+    listen "listen" Some("0.0.0.0:8080"), false, "an IP address and port", "Address for callers.";
+    operator_listen "operator-listen" Some("127.0.0.1:8081"), false, "an IP address and port", "Address for operators, health checks and metrics.";
+    peer_address "peer-address" Some("127.0.0.1:8082"), false, "an IP address and port that peers can reach", "Address for peers, UDP and TCP.";
+    peers "peers" Some(""), false, "IP addresses and ports, separated by commas", "Peers to greet first.";
+    peer_keys "peer-keys" Some(""), true, "id:key pairs separated by commas, each id 0 to 255 and used once, each key 64 hexadecimal digits; at least one with --peers", "Keys that authenticate peers, the current one first.";
+    cross_domain_latency_us "cross-domain-latency-us" Some("500"), false, "0 to 1000000 microseconds", "One-way latency to another failure domain.";
+    platform_url "platform-url" None, false, "an http:// URL", "Base URL of the platform's services.";
+    bootstrap_token_digest "bootstrap-token-digest" Some(""), true, "empty or 64 hexadecimal digits", "SHA-256 digest of an operator token that is valid before any team exists.";
+    log_form "log-form" Some("terminal"), false, "terminal or json", "Form of log lines.";
+    log_level "log-level" Some("info"), false, "critical, error, warning, info, debug or trace", "Least severe level that is logged.";
+    drain_ms "drain-ms" Some("120000"), false, "1 to 3600000 milliseconds", "Longest time to finish accepted requests at shutdown.";
+    max_concurrent "max-concurrent" Some("4096"), false, "1 to 1000000 requests", "Most requests in progress.";
+    max_body_bytes "max-body-bytes" Some("1048576"), false, "1 to 1073741824 bytes", "Largest request body.";
+    queue_bytes "queue-bytes" Some("8388608"), false, "1 to 1073741824 bytes, at least --max-body-bytes", "Most bytes of queued requests.";
+}
+
+impl Setting {
+    /// The environment variable that gives the value.
+    pub fn env(&self) -> String {
+        env_name(self.flag)
+    }
+
+    /// The setting of a flag.
+    pub fn of(flag: &str) -> Option<&'static Self> {
+        SETTINGS.iter().find(|setting| setting.flag == flag)
+    }
+
+    /// The text that `--help` prints.
+    pub fn help_text() -> String {
+        let mut text = String::from("Settings, each by flag or environment variable:\n");
+        for setting in SETTINGS {
+            let default = setting.default.map_or("required".into(), |d| format!("default {d:?}"));
+            let (flag, env, help, rule) = (setting.flag, setting.env(), setting.help, setting.rule);
+            write!(
+                text,
+                "\n  --{flag} <VALUE>  [{env}]\n      {help} Must be {rule}; {default}.\n"
+            )
+            .expect("a string takes every write");
+        }
+        text
+    }
+
+    /// The table of `docs/SETTINGS.md`.
+    pub fn markdown() -> String {
+        let mut text = String::from(
+            "| Flag | Variable | Default | Allowed | Purpose |\n| --- | --- | --- | --- | --- |\n",
+        );
+        for setting in SETTINGS {
+            let default = match setting.default {
+                None => "required".to_owned(),
+                Some("") => "empty".to_owned(),
+                Some(value) => format!("`{value}`"),
+            };
+            let (flag, env, help, rule) = (setting.flag, setting.env(), setting.help, setting.rule);
+            writeln!(text, "| `--{flag}` | `{env}` | {default} | {rule} | {help} |")
+                .expect("a string takes every write");
+        }
+        text
+    }
+}
+
+/// The environment variable of a flag.
+pub(super) fn env_name(flag: &str) -> String {
+    format!("{ENV_PREFIX}{}", flag.replace('-', "_").to_ascii_uppercase())
+}
