--- a/mimosashift/src/http/server.rs
+++ b/mimosashift/src/http/server.rs
@@ -94,7 +94,7 @@
 pub struct Server {
     address: SocketAddr,
     pool: Pool,
-    shutdown: watch::Sender<bool>,
+    shutdown: watch::Sender<Option<Duration>>,
     thread: thread::JoinHandle<()>,
 }
 
@@ -214,7 +214,7 @@
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
         let pool = Pool::new(name, settings.max_requests);
-        let (shutdown, stopped) = watch::channel(false);
+        let (shutdown, stopped) = watch::channel(None);
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(1)
             .thread_name(format!("{name}-front"))
@@ -237,15 +237,21 @@
         self.pool.pending()
     }
 
-    /// Stops accepting, lets every request in flight finish and returns.
-    pub fn shutdown(self) {
-        let _ = self.shutdown.send(true);
+    /// Stops accepting, lets requests in flight finish for up to `limit`, and
+    /// returns how many were cut off.
+    pub fn shutdown(self, limit: Duration) -> usize {
+        let _ = self.shutdown.send(Some(limit));
         self.thread.join().expect("the listening thread does not panic");
+        self.pool.pending()
     }
 }
 
 impl Front {
-    async fn listen(self: Arc<Self>, listener: TcpListener, mut stopped: watch::Receiver<bool>) {
+    async fn listen(
+        self: Arc<Self>,
+        listener: TcpListener,
+        mut stopped: watch::Receiver<Option<Duration>>,
+    ) {
         let listener =
             tokio::net::TcpListener::from_std(listener).expect("the runtime has I/O enabled");
         let graceful = GracefulShutdown::new();
@@ -277,7 +283,9 @@
             tokio::spawn(graceful.watch(connection));
         }
         drop(listener);
-        graceful.shutdown().await;
+        let limit = stopped.borrow().unwrap_or_default();
+        // Requests that are not done by then are cut off with the runtime.
+        let _ = tokio::time::timeout(limit, graceful.shutdown()).await;
     }
 
     async fn serve(
--- a/mimosashift/src/node/auth.rs
+++ b/mimosashift/src/node/auth.rs
@@ -1,11 +1,12 @@
 //! Who is calling.
 
-use sha2::{Digest, Sha256};
+use sha2::{Digest as _, Sha256};
 use subtle::ConstantTimeEq;
 
 use crate::http::Request;
 use crate::http::problem::Problem;
 use crate::resource::{Name, Snapshot};
+use crate::settings::Digest;
 
 /// The team whose token a request carries.
 pub fn team(request: &Request, snapshot: &Snapshot) -> Result<Name, Problem> {
@@ -18,10 +19,10 @@
 pub fn operator(
     request: &Request,
     snapshot: &Snapshot,
-    bootstrap: &[u8; 32],
+    bootstrap: Option<&Digest>,
 ) -> Result<String, Problem> {
     let digest = token_digest(request)?;
-    if bool::from(digest.ct_eq(bootstrap)) {
+    if bootstrap.is_some_and(|known| bool::from(digest.ct_eq(&known.0))) {
         return Ok("bootstrap".to_owned());
     }
     let team = team(request, snapshot)?;
--- a/mimosashift/src/node/callers.rs
+++ b/mimosashift/src/node/callers.rs
@@ -18,6 +18,7 @@
     fn handle(&self, request: Request, responder: Responder) {
         match (&request.method, request.uri.path()) {
             (&Method::GET, "/healthz") => responder.json(StatusCode::OK, b"{}".to_vec()),
+            (&Method::GET, "/readyz") => self.ready(responder),
             (&Method::POST, "/v1/completions") => self.complete(Form::Text, request, responder),
             (&Method::POST, "/v1/chat/completions") => {
                 self.complete(Form::Chat, request, responder);
@@ -31,8 +32,18 @@
 }
 
 impl Surface {
+    fn ready(&self, responder: Responder) {
+        if self.0.drain.is_requested() {
+            let detail = "the router is shutting down";
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            return responder.problem(&Problem::not_run(status, "not-ready", detail));
+        }
+        responder.json(StatusCode::OK, b"{}".to_vec());
+    }
+
     fn complete(&self, form: Form, request: Request, responder: Responder) {
         let node = &self.0;
+        node.drain.note_arrival();
         let snapshot = node.snapshot();
         let checked = auth::team(&request, &snapshot).and_then(|_| {
             Completion::decode(form, &request.body)
--- /dev/null
+++ b/mimosashift/src/node/drain.rs
@@ -0,0 +1,94 @@
+//! Graceful shutdown.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crossbeam::sync::{Parker, Unparker};
+
+/// Least time between not being ready and no longer accepting, so that the
+/// balancer has looked in between.
+const BALANCER_TIME: Duration = Duration::from_secs(2);
+
+/// Time without a new request after which the balancer has turned away.
+const QUIET_TIME: Duration = Duration::from_millis(500);
+
+/// Time between two looks at the arrivals.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Asks a router to shut down gracefully.
+#[derive(Clone)]
+pub struct Handle {
+    requested: Arc<AtomicBool>,
+    unparker: Unparker,
+}
+
+/// Whether a shutdown was asked for, and what still arrives.
+pub struct Drain {
+    handle: Handle,
+    arrivals: AtomicU64,
+}
+
+impl Handle {
+    /// Starts the shutdown; further calls do nothing.
+    pub fn request(&self) {
+        self.requested.store(true, Ordering::Release);
+        self.unparker.unpark();
+    }
+
+    /// Whether the shutdown has started.
+    pub fn is_requested(&self) -> bool {
+        self.requested.load(Ordering::Acquire)
+    }
+}
+
+impl Drain {
+    /// A drain that was not asked for, and what waits for it.
+    pub fn new() -> (Self, Parker) {
+        let parker = Parker::new();
+        let requested = Arc::new(AtomicBool::new(false));
+        let handle = Handle { requested, unparker: parker.unparker().clone() };
+        (Self { handle, arrivals: AtomicU64::new(0) }, parker)
+    }
+
+    /// Lets others ask for the shutdown.
+    pub fn handle(&self) -> Handle {
+        self.handle.clone()
+    }
+
+    /// Whether the shutdown has started.
+    pub fn is_requested(&self) -> bool {
+        self.handle.is_requested()
+    }
+
+    /// Notes that a request arrived.
+    pub fn note_arrival(&self) {
+        self.arrivals.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Waits until the shutdown is asked for.
+    pub fn wait_requested(&self, parker: &Parker) {
+        while !self.is_requested() {
+            parker.park();
+        }
+    }
+
+    /// Waits until the balancer has turned away, or for `limit`.
+    pub fn wait_quiet(&self, limit: Duration) {
+        let start = Instant::now();
+        let mut quiet_since = start;
+        let mut seen = self.arrivals.load(Ordering::Relaxed);
+        while start.elapsed() < limit {
+            thread::sleep(LOOK_INTERVAL);
+            let arrivals = self.arrivals.load(Ordering::Relaxed);
+            if arrivals != seen {
+                seen = arrivals;
+                quiet_since = Instant::now();
+            }
+            if start.elapsed() >= BALANCER_TIME && quiet_since.elapsed() >= QUIET_TIME {
+                return;
+            }
+        }
+    }
+}
--- a/mimosashift/src/node/operators.rs
+++ b/mimosashift/src/node/operators.rs
@@ -24,7 +24,7 @@
 impl Surface {
     fn answer(&self, request: &Request) -> Result<(StatusCode, serde_json::Value), Problem> {
         let snapshot = self.0.snapshot();
-        auth::operator(request, &snapshot, &self.0.operator_digest)?;
+        auth::operator(request, &snapshot, self.0.settings.bootstrap_digest.as_ref())?;
         let path = request.uri.path();
         let mut parts = path.trim_start_matches("/api/v1/").split('/');
         let kind = parts.next().unwrap_or_default();
--- /dev/null
+++ b/mimosashift/src/node/settings.rs
@@ -0,0 +1,88 @@
+//! What a router needs to start.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use quick_error::quick_error;
+
+use crate::http;
+use crate::http::client::Client;
+use crate::platform::{self, Table};
+use crate::resource::Name;
+use crate::settings;
+
+/// Time for one call to the platform.
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(1);
+
+quick_error! {
+    /// Why a router cannot start.
+    #[derive(Debug)]
+    #[allow(missing_docs)] // The macro takes no comments on fields.
+    pub enum Error {
+        /// An address cannot be listened on.
+        Listen { surface: &'static str, address: SocketAddr, error: std::io::Error } {
+            display("cannot listen for {} on {}: {}", surface, address, error)
+        }
+        /// A thread cannot be started.
+        Thread(error: std::io::Error) {
+            from()
+            display("cannot start a thread: {}", error)
+        }
+        /// The platform's address is no IP address and port.
+        Platform(url: String) {
+            display("platform {:?} must be http:// with an IP address and port", url)
+        }
+    }
+}
+
+/// What a router needs to start.
+#[derive(Clone)]
+pub struct Settings {
+    /// Who and where it is, and its drain time.
+    pub node: settings::Node,
+    /// Callers' address; port 0 takes any free port.
+    pub callers: SocketAddr,
+    /// Limits of the callers' surface.
+    pub limits: http::Settings,
+    /// Operators' address; port 0 takes any free port.
+    pub operators: SocketAddr,
+    /// Digest of the token that is valid before any team exists.
+    pub bootstrap_digest: Option<settings::Digest>,
+    /// Other routers.
+    pub peer: settings::Peer,
+    /// The platform's tables.
+    pub table: Arc<dyn Table>,
+}
+
+impl Settings {
+    /// The failure domain.
+    pub const fn domain(&self) -> &Name {
+        &self.node.domain
+    }
+}
+
+impl TryFrom<&settings::Settings> for Settings {
+    type Error = Error;
+
+    fn try_from(settings: &settings::Settings) -> Result<Self, Error> {
+        let url = &settings.platform.url;
+        let address = url.trim_start_matches("http://").parse();
+        let address = address.map_err(|_| Error::Platform(url.clone()))?;
+        let client = Arc::new(Client::new(http::client::Settings::default()));
+        let table = platform::http::Adapter::new(client, address, PLATFORM_TIMEOUT);
+        Ok(Self {
+            node: settings.node.clone(),
+            callers: settings.caller.listen,
+            limits: http::Settings {
+                max_requests: settings.caller.max_concurrent,
+                max_body_bytes: settings.caller.max_body_bytes,
+                ..http::Settings::default()
+            },
+            operators: settings.operator.listen,
+            bootstrap_digest: settings.operator.bootstrap_digest,
+            peer: settings.peer.clone(),
+            table: Arc::new(table),
+        })
+    }
+}
--- a/mimosastandin/tests/path.rs
+++ b/mimosastandin/tests/path.rs
@@ -9,8 +9,10 @@
 use mimosashift::http::completion::{decode_token, encode_text};
 use mimosashift::node::{Running, Settings};
 use mimosashift::resource::{Engine, Name};
+use mimosashift::settings;
 use mimosastandin::{engine, oracle, platform};
 use sha2::{Digest, Sha256};
+use slog::{Discard, Logger, o};
 use ureq::http::Method;
 
 const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
@@ -27,14 +29,28 @@
 impl Path {
     fn start() -> Self {
         let platform = platform::Instance::start(ANY, platform::Rates::default()).unwrap();
-        let settings = Settings {
-            listen: ANY,
-            operate: ANY,
+        let node = settings::Node {
+            name: name("r1"),
             domain: name("a"),
-            operator_digest: Sha256::digest(OPERATOR).into(),
+            region: name("lk-west"),
+            drain: Duration::from_secs(5),
+        };
+        let peer = settings::Peer {
+            address: ANY,
+            peers: Vec::new(),
+            keys: Vec::new(),
+            cross_domain_latency: Duration::ZERO,
+        };
+        let settings = Settings {
+            node,
+            callers: ANY,
+            limits: Default::default(),
+            operators: ANY,
+            bootstrap_digest: Some(settings::Digest(Sha256::digest(OPERATOR).into())),
+            peer,
             table: Arc::new(platform),
         };
-        let router = Running::start(settings).unwrap();
+        let router = Running::start(settings, Logger::root(Discard, o!())).unwrap();
         let mut path =
             Self { client: Client::new(Default::default()), router, engines: Vec::new() };
         let digest = hex::encode(Sha256::digest(CALLER));
