--- a/mimosashift/src/lib.rs
+++ b/mimosashift/src/lib.rs
@@ -5,6 +5,7 @@
 //! `docs/DESIGN.md` gives the reasons and a picture of the modules.
 
 pub mod engine;
+pub mod pipeline;
 pub mod platform;
 pub mod resource;
 pub mod route;
--- /dev/null
+++ b/mimosashift/src/pipeline/recovery.rs
@@ -0,0 +1,140 @@
+//! How the state of a lost stage is had again: copied or computed anew.
+
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use crate::resource::{Layers, Name};
+use crate::route::{Chain, Stage};
+
+/// What the ways of recovery cost on a chain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Cost {
+    /// Bytes of KV cache that one layer keeps for one token.
+    pub kv_bytes: u32,
+    /// Bandwidth between the holder of a cache and its new endpoint.
+    pub link_bytes_per_second: u64,
+    /// Fixed time of one transfer.
+    pub link_latency: Duration,
+    /// Time to run a prompt through the whole chain, whatever its length.
+    pub prefill_base: Duration,
+    /// Time that each token of a prompt adds.
+    pub prefill_token: Duration,
+}
+
+impl Cost {
+    /// Expected time to copy the caches one after the other.
+    pub fn import_time(&self, transfers: &[Transfer]) -> Duration {
+        transfers.iter().map(|transfer| self.transfer_time(transfer)).sum()
+    }
+
+    /// Expected time to copy one cache.
+    pub fn transfer_time(&self, transfer: &Transfer) -> Duration {
+        let cells = u64::from(transfer.tokens) * u64::from(transfer.layers.count());
+        let bytes = cells.saturating_mul(u64::from(self.kv_bytes));
+        let micros = u128::from(bytes) * 1_000_000 / u128::from(self.link_bytes_per_second.max(1));
+        let micros = u64::try_from(micros).unwrap_or(u64::MAX);
+        self.link_latency.saturating_add(Duration::from_micros(micros))
+    }
+
+    /// Expected time to run `tokens` tokens through the whole chain.
+    pub fn prefill_time(&self, tokens: u32) -> Duration {
+        self.prefill_base.saturating_add(self.prefill_token.saturating_mul(tokens))
+    }
+}
+
+/// KV cache to be copied to the new endpoint of a layer range.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Transfer {
+    /// Endpoint that holds it.
+    pub from: Name,
+    /// Endpoint that takes the layers over.
+    pub to: Name,
+    /// The layers.
+    pub layers: Layers,
+    /// Number of tokens from position 0.
+    pub tokens: u32,
+}
+
+/// The step at which a chain was interrupted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Point {
+    /// First layer that has not run for the step.
+    pub layer: u16,
+    /// Position of the step.
+    pub position: u32,
+    /// Its number of tokens.
+    pub count: u32,
+}
+
+impl Point {
+    /// Tokens of which `stage` must hold the cache for the step to go on.
+    fn cached(self, stage: &Stage) -> u32 {
+        if stage.layers.end() <= self.layer { self.position + self.count } else { self.position }
+    }
+}
+
+/// How a request goes on over a new chain.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Plan {
+    /// Copy these caches, then repeat the interrupted step.
+    Resume(SmallVec<[Transfer; 2]>),
+    /// Run prompt and accepted tokens through the whole chain.
+    Rebuild,
+}
+
+/// Whether an endpoint may serve a part in a recovery.
+#[derive(Clone, Copy)]
+pub struct Endpoints<'a> {
+    /// Endpoints whose cache can be read.
+    pub holders: &'a [Name],
+    /// Endpoints that were used in the current attempt and so may hold state
+    /// of it that no longer fits.
+    pub used: &'a [Name],
+}
+
+/// Chooses the cheaper way from `old` to `new`.
+pub fn plan(old: &Chain, new: &Chain, at: Point, endpoints: Endpoints<'_>, cost: &Cost) -> Plan {
+    let Some(transfers) = transfers(old, new, at, endpoints) else { return Plan::Rebuild };
+    let rebuild = cost.prefill_time(at.position + at.count);
+    if cost.import_time(&transfers) > rebuild { Plan::Rebuild } else { Plan::Resume(transfers) }
+}
+
+/// The copies that bring every stage of `new` to the interrupted step, or
+/// `None` when copies cannot.
+fn transfers(
+    old: &Chain,
+    new: &Chain,
+    at: Point,
+    endpoints: Endpoints<'_>,
+) -> Option<SmallVec<[Transfer; 2]>> {
+    let resumable = new.stages().iter().any(|stage| stage.layers.start() == at.layer);
+    if !resumable {
+        return None;
+    }
+    let mut transfers = SmallVec::new();
+    for stage in new.stages() {
+        let interrupted = stage.layers.start() == at.layer;
+        if old.stages().contains(stage) && !interrupted {
+            continue;
+        }
+        if endpoints.used.contains(&stage.endpoint) {
+            return None;
+        }
+        let tokens = at.cached(stage);
+        if tokens > 0 {
+            transfers.push(transfer(old, stage, tokens, endpoints.holders)?);
+        }
+    }
+    Some(transfers)
+}
+
+fn transfer(old: &Chain, stage: &Stage, tokens: u32, holders: &[Name]) -> Option<Transfer> {
+    let holder = old.stages().iter().find(|held| held.layers.contains(stage.layers))?;
+    holders.contains(&holder.endpoint).then(|| Transfer {
+        from: holder.endpoint.clone(),
+        to: stage.endpoint.clone(),
+        layers: stage.layers,
+        tokens,
+    })
+}
