--- a/mimosashift/src/lib.rs
+++ b/mimosashift/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod event;
 pub mod http;
 pub mod node;
+pub mod pipeline;
 pub mod platform;
 pub mod resource;
 pub mod route;
