Add the claim protocol for calls that may not be repeated

A withdrawn claim stays as a released row instead of being deleted: a delayed copy of an absent-row write could otherwise land after the delete and block the key.

--- a/mimosashift/src/lib.rs
+++ b/mimosashift/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod engine;
 pub mod platform;
+pub mod posting;
 pub mod resource;
 pub mod route;
 pub mod time;
--- /dev/null
+++ b/mimosashift/src/posting/resolve.rs
@@ -0,0 +1,104 @@
+//! Claims that an operator settles, and rows that have expired.
+
+use std::time::Duration;
+
+use quick_error::quick_error;
+
+use super::{Entry, State};
+use crate::platform::{Check, Row, Transaction, Write};
+
+/// Shortest age of a claim that may be resolved as not run; far above the
+/// time in which its router may still send the call.
+pub const MIN_RESOLVE_AGE: Duration = Duration::from_secs(600);
+
+/// How an operator settles a claim whose outcome is unknown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The call ran; its key stays used.
+    Ran,
+    /// The call did not run; its key may be used again.
+    NotRun,
+}
+
+quick_error! {
+    /// Why a claim cannot be resolved.
+    #[derive(Clone, Debug, PartialEq, Eq)]
+    #[allow(missing_docs)] // The macro takes no comments on fields.
+    pub enum Error {
+        /// The row does not hold a claim.
+        Entry(e: super::Error) {
+            from()
+            display("{}", e)
+        }
+        /// The outcome is known already.
+        Settled(key: String) {
+            display("claim {:?} is settled already", key)
+        }
+        /// Its router may still send the call.
+        TooYoung(key: String, age: Duration) {
+            display("claim {:?} is {} s old, must be {} s", key, age.as_secs(), MIN_RESOLVE_AGE.as_secs())
+        }
+    }
+}
+
+/// The transaction that resolves the claim in `row` at `unix_ms` and appends
+/// the `audit` record.
+pub fn resolve(
+    row: &Row,
+    verdict: Verdict,
+    audit: Write,
+    unix_ms: u64,
+) -> Result<Transaction, Error> {
+    let entry = Entry::try_from(row)?;
+    if entry.state != State::Claimed {
+        return Err(Error::Settled(row.key.key.clone()));
+    }
+    let age = age(&entry, unix_ms);
+    if age < MIN_RESOLVE_AGE {
+        return Err(Error::TooYoung(row.key.key.clone(), age));
+    }
+    let state = match verdict {
+        Verdict::Ran => State::Ran,
+        Verdict::NotRun => State::Released,
+    };
+    let value = Entry { state, ..entry }.encode();
+    Ok(Transaction {
+        checks: vec![Check::Revision(row.key.clone(), row.revision)],
+        writes: vec![Write::Put(row.key.clone(), value), audit],
+    })
+}
+
+/// The claims among `rows` that wait for an operator at `unix_ms`.
+pub fn unresolved(rows: &[Row], unix_ms: u64) -> impl Iterator<Item = (&Row, Entry)> {
+    rows.iter().filter_map(move |row| {
+        let entry = Entry::try_from(row).ok()?;
+        let waits = entry.state == State::Claimed && age(&entry, unix_ms) >= MIN_RESOLVE_AGE;
+        waits.then_some((row, entry))
+    })
+}
+
+/// The transaction that deletes the settled claims among `rows` that are
+/// older than `retention` at `unix_ms`, at most `limit`; `None` without any.
+///
+/// A claim whose outcome is unknown never expires.
+pub fn expire(
+    rows: &[Row],
+    unix_ms: u64,
+    retention: Duration,
+    limit: usize,
+) -> Option<Transaction> {
+    let expired = |row: &&Row| {
+        Entry::try_from(*row)
+            .is_ok_and(|entry| entry.state != State::Claimed && age(&entry, unix_ms) >= retention)
+    };
+    let mut transaction = Transaction::default();
+    for row in rows.iter().filter(expired).take(limit) {
+        transaction.checks.push(Check::Revision(row.key.clone(), row.revision));
+        transaction.writes.push(Write::Delete(row.key.clone()));
+    }
+    (!transaction.writes.is_empty()).then_some(transaction)
+}
+
+const fn age(entry: &Entry, unix_ms: u64) -> Duration {
+    Duration::from_millis(unix_ms.saturating_sub(entry.unix_ms))
+}
