--- a/mimosashift/src/lib.rs
+++ b/mimosashift/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod node;
 pub mod pipeline;
 pub mod platform;
+pub mod posting;
 pub mod resource;
 pub mod route;
 pub mod settings;
