--- /dev/null
+++ b/mimosashift/src/health/registry.rs
@@ -0,0 +1,279 @@
+//! The state of all endpoints: commands that take in what was observed, and
+//! queries apart from them.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+
+use super::state::{Declared, State};
+use super::{Condition, Error, Report, Settings, Share, Standing, View};
+use crate::engine::{Failure, Load};
+use crate::resource::{Endpoint, Name, Role, Snapshot};
+use crate::route::Distances;
+use crate::time::Instant;
+
+/// A step or probe that an endpoint answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Exchange {
+    /// Number of layers run; 0 for a probe, which observes only the link.
+    pub layers: u16,
+    /// Tokens in the step.
+    pub tokens: u32,
+    /// Bytes of request and answer.
+    pub bytes: u64,
+    /// Time from sending to the whole answer.
+    pub total: Duration,
+    /// Time that the engine says it took, without the link.
+    pub service: Option<Duration>,
+}
+
+/// State of all configured endpoints as one router sees it.
+#[derive(Debug, Default)]
+pub struct Registry {
+    settings: Settings,
+    states: HashMap<Name, State>,
+}
+
+/// Commands.
+impl Registry {
+    /// An empty registry.
+    pub fn new(settings: Settings) -> Self {
+        Self { settings, states: HashMap::new() }
+    }
+
+    /// Follows a configuration: new endpoints start live, removed ones are
+    /// forgotten, the others keep their state.
+    pub fn install(&mut self, snapshot: &Snapshot, distances: &Distances) {
+        let mut groups = HashMap::new();
+        let mut old = std::mem::take(&mut self.states);
+        for (name, endpoint) in snapshot.endpoints() {
+            let next = groups.len() as u32;
+            let group = *groups.entry(group_key(endpoint)).or_insert(next);
+            let declared = declare(endpoint, distances);
+            let mut state = old.remove(name).unwrap_or_else(|| State::new(group, declared));
+            state.group = group;
+            state.declared = declared;
+            self.states.insert(name.clone(), state);
+        }
+    }
+
+    /// Notes that this router began work at `endpoint`.
+    pub fn begin(&mut self, endpoint: &Name, now: Instant) {
+        if let Some(state) = self.states.get_mut(endpoint) {
+            state.begin(now);
+        }
+    }
+
+    /// Notes that the work begun at `started` ended in any way.
+    pub fn end(&mut self, endpoint: &Name, started: Instant) {
+        if let Some(state) = self.states.get_mut(endpoint) {
+            state.end(started);
+        }
+    }
+
+    /// Takes in an answered step or probe.
+    pub fn succeed(&mut self, endpoint: &Name, exchange: &Exchange, now: Instant) {
+        let Some(state) = self.states.get_mut(endpoint) else { return };
+        state.failures = 0;
+        state.samples = state.samples.saturating_add(1);
+        let total = micros(exchange.total);
+        let link = match exchange.service {
+            Some(service) => (total - micros(service)).max(0.0),
+            None if exchange.layers == 0 => total,
+            None => state.expected_link_us(exchange.bytes).min(total),
+        };
+        if exchange.service.is_some() || exchange.layers == 0 {
+            state.observe_link(link, exchange.bytes, now);
+        }
+        if exchange.layers > 0 {
+            state.observe_service(total - link, exchange.layers, exchange.tokens, now);
+        }
+    }
+
+    /// Takes in a failed step or probe that was sent at `started`.
+    ///
+    /// A refusal to work sent before the present incarnation was first seen
+    /// says nothing about it.
+    pub fn fail(
+        &mut self,
+        endpoint: &Name,
+        failure: &Failure,
+        started: Instant,
+        now: Instant,
+        rng: &mut Pcg64Mcg,
+    ) {
+        let Some(state) = self.states.get_mut(endpoint) else { return };
+        match failure {
+            Failure::Leaving if started < state.incarnated => {}
+            Failure::Leaving => state.marks.refuse(),
+            Failure::Overloaded => {
+                let pause = self.settings.overload_pause.mul_f64(rng.random_range(0.5..1.5));
+                state.paused_until = now + pause;
+            }
+            Failure::NoCache | Failure::Refused(_) => {}
+            Failure::Unreachable(_) | Failure::Silent(_) | Failure::Malformed(_) => {
+                state.failures = state.failures.saturating_add(1);
+                let limit = self.settings.consecutive_failures;
+                if state.failures >= limit && state.standing(now) < Standing::Unreachable {
+                    state.ejection.eject(Standing::Unreachable, &self.settings, now, rng);
+                }
+            }
+        }
+    }
+
+    /// Takes in the load that this router polled itself.
+    pub fn poll(
+        &mut self,
+        endpoint: &Name,
+        incarnation: u64,
+        load: &Load,
+        sequence: u64,
+        now: Instant,
+    ) {
+        let Some(state) = self.states.get_mut(endpoint) else { return };
+        if incarnation > state.marks.incarnation() {
+            state.incarnated = now;
+            state.failures = 0;
+            state.ejection.lift(now);
+        }
+        state.marks.report(incarnation, load.leaving);
+        let marks = state.marks;
+        let endpoint = endpoint.clone();
+        state.report(&Report { endpoint, taken: now, sequence, load: load.clone(), marks });
+    }
+
+    /// Takes in a whole VM list: `leaving` says which endpoints' VMs leave.
+    pub fn list(&mut self, generation: u64, leaving: impl Fn(&Name) -> bool) {
+        for (name, state) in &mut self.states {
+            state.marks.list(generation, leaving(name));
+        }
+    }
+
+    /// Takes in reports of another router, in any order and any number of
+    /// times; returns those that were not used.
+    pub fn merge(&mut self, share: &Share, now: Instant) -> Vec<Error> {
+        share.reports.iter().filter_map(|report| self.merge_one(report, now).err()).collect()
+    }
+
+    /// Ejects slow outliers; to be called about once a second.
+    pub fn sweep(&mut self, now: Instant, rng: &mut Pcg64Mcg) {
+        let mut groups: HashMap<u32, Vec<(f32, &Name)>> = HashMap::new();
+        for (name, state) in &self.states {
+            let slowness = state.slowness(now);
+            groups.entry(state.group).or_default().push((slowness, name));
+        }
+        let mut outliers = Vec::new();
+        for members in groups.values_mut() {
+            members.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(b.1)));
+            outliers.extend(self.outliers(members, now).into_iter().cloned());
+        }
+        outliers.sort();
+        for name in &outliers {
+            let state = self.states.get_mut(name).expect("outliers are taken from the states");
+            state.ejection.eject(Standing::Slow, &self.settings, now, rng);
+        }
+    }
+
+    fn merge_one(&mut self, report: &Report, now: Instant) -> Result<(), Error> {
+        let endpoint = &report.endpoint;
+        let lead = report.taken.since(now);
+        if lead > self.settings.max_clock_skew {
+            return Err(Error::Future { endpoint: endpoint.clone(), lead });
+        }
+        let state = self
+            .states
+            .get_mut(endpoint)
+            .ok_or_else(|| Error::Unknown { endpoint: endpoint.clone() })?;
+        state.report(report);
+        Ok(())
+    }
+}
+
+/// Queries.
+impl Registry {
+    /// Reports taken after `since`, and every mark of leaving, for other
+    /// routers.
+    pub fn share(&self, since: Instant) -> Share {
+        let shared = |state: &State| state.taken > since || state.marks.is_leaving();
+        let states = self.states.iter().filter(|(_, state)| shared(state));
+        let mut reports: Vec<Report> = states.map(|(name, state)| report(name, state)).collect();
+        reports.sort_by(|a, b| a.endpoint.cmp(&b.endpoint));
+        Share { reports }
+    }
+
+    /// Number of endpoints with a state.
+    pub fn len(&self) -> usize {
+        self.states.len()
+    }
+
+    /// Whether no endpoint is configured.
+    pub fn is_empty(&self) -> bool {
+        self.states.is_empty()
+    }
+
+    /// Members that may be ejected as outliers, of a group in order of
+    /// falling slowness.
+    fn outliers<'a>(&self, members: &[(f32, &'a Name)], now: Instant) -> Vec<&'a Name> {
+        let standing = |name: &Name| self.states[name].standing(now);
+        let ejected = members.iter().filter(|(_, name)| standing(name) != Standing::Live).count();
+        let allowed = (members.len() as f64 * self.settings.max_ejected_share) as usize;
+        let median = members[members.len() / 2].0;
+        let limit = median.max(1.0) * self.settings.outlier_ratio;
+        members
+            .iter()
+            .take_while(|(slowness, _)| *slowness >= limit)
+            .map(|(_, name)| *name)
+            .filter(|name| standing(name) == Standing::Live)
+            .filter(|name| self.states[*name].samples >= self.settings.outlier_samples)
+            .take(allowed.saturating_sub(ejected))
+            .collect()
+    }
+}
+
+impl View for Registry {
+    fn condition(&self, endpoint: &Name, now: Instant) -> Condition {
+        let state = self.states.get(endpoint);
+        state.map_or(Condition::IDLE, |state| state.condition(&self.settings, now))
+    }
+}
+
+fn report(endpoint: &Name, state: &State) -> Report {
+    Report {
+        endpoint: endpoint.clone(),
+        taken: state.taken,
+        sequence: state.sequence,
+        load: state.load.clone(),
+        marks: state.marks,
+    }
+}
+
+/// Endpoints with the same key can replace each other.
+fn group_key(endpoint: &Endpoint) -> (Option<&Name>, u32, u16) {
+    match &endpoint.role {
+        Role::Service(service) => (Some(service), 0, 0),
+        Role::Engine(engine) => match engine.holds.first() {
+            Some(held) => (Some(&held.pipeline), held.version, held.layers.start()),
+            None => (None, 0, 0),
+        },
+    }
+}
+
+fn declare(endpoint: &Endpoint, distances: &Distances) -> Declared {
+    let crossing_us = micros(distances.to(&endpoint.domain));
+    match &endpoint.role {
+        Role::Engine(engine) => Declared {
+            layer_us: engine.layer_us as f32,
+            one_way_us: engine.link_us as f32 + crossing_us,
+            bytes_per_second: engine.link_bytes_per_second as f32,
+        },
+        Role::Service(_) => {
+            Declared { layer_us: 1.0, one_way_us: crossing_us, bytes_per_second: 1e9 }
+        }
+    }
+}
+
+fn micros(time: Duration) -> f32 {
+    time.as_secs_f32() * 1e6
+}
--- /dev/null
+++ b/mimosashift/src/health/report.rs
@@ -0,0 +1,52 @@
+//! Load reports as routers share them.
+
+use std::time::Duration;
+
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
+
+use super::leaving::Marks;
+use crate::engine::Load;
+use crate::resource::Name;
+use crate::time::Instant;
+
+quick_error! {
+    /// Why a report from another router was not used.
+    #[derive(Clone, Debug, PartialEq, Eq)]
+    #[allow(missing_docs)] // The macro takes no comments on fields.
+    pub enum Error {
+        /// It would outlive every honest report.
+        Future { endpoint: Name, lead: Duration } {
+            display("report on endpoint {:?} lies {} ms in the future", endpoint.as_str(), lead.as_millis())
+        }
+        /// It is about an endpoint that is not configured.
+        Unknown { endpoint: Name } {
+            display("report names endpoint {:?}, which is not configured", endpoint.as_str())
+        }
+    }
+}
+
+/// One endpoint's load as polled by one router.
+///
+/// Of two reports the one with the later `taken`, then the higher `sequence`,
+/// replaces the other.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// The endpoint.
+    pub endpoint: Name,
+    /// When the poll was answered, on the polling router's clock.
+    pub taken: Instant,
+    /// Number of the poll, rising within one router.
+    pub sequence: u64,
+    /// The engine's answer.
+    pub load: Load,
+    /// What is known about the endpoint leaving.
+    pub marks: Marks,
+}
+
+/// Reports for other routers.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Share {
+    /// At most one report per endpoint.
+    pub reports: Vec<Report>,
+}
--- a/mimosashift/src/lib.rs
+++ b/mimosashift/src/lib.rs
@@ -5,6 +5,7 @@
 //! `docs/DESIGN.md` gives the reasons and a picture of the modules.
 
 pub mod engine;
+pub mod health;
 pub mod platform;
 pub mod resource;
 pub mod route;
--- /dev/null
+++ b/mimosashift/src/route/affinity.rs
@@ -0,0 +1,189 @@
+//! Which endpoints cache which prompt prefixes, as far as events tell.
+//!
+//! Engines publish cache events late and with gaps, so every entry expires and
+//! counts for less as it ages. Memory is bounded by construction.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use crate::resource::Name;
+use crate::time::Instant;
+
+/// Most endpoints remembered for one prefix.
+pub const MAX_HOLDERS: usize = 8;
+
+/// Confidence kept by what was known before a gap in the events.
+const GAP_CONFIDENCE: f32 = 0.5;
+
+/// Limits of an [`Affinity`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Most prefixes remembered.
+    pub prefixes: usize,
+    /// Time after which an entry without a new event is forgotten.
+    pub expiry: Duration,
+}
+
+/// A change of one endpoint's prefix cache.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Event<'a> {
+    /// These prefixes are cached now.
+    Stored(&'a [u64]),
+    /// These prefixes were evicted.
+    Removed(&'a [u64]),
+    /// The whole cache was dropped.
+    Cleared,
+}
+
+/// An endpoint that caches a prefix.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Match {
+    /// The endpoint.
+    pub endpoint: Name,
+    /// How far the entry is trusted, above 0 and up to 1.
+    pub confidence: f32,
+}
+
+/// Prefixes by hash.
+///
+/// Two generations bound the memory: when the young one is full it becomes the
+/// old one, and the old one is dropped.
+#[derive(Debug)]
+pub struct Affinity {
+    settings: Settings,
+    young: Prefixes,
+    old: Prefixes,
+    endpoints: HashMap<Name, Cache>,
+}
+
+type Prefixes = HashMap<u64, SmallVec<[Holder; 4]>>;
+
+#[derive(Clone, Debug)]
+struct Holder {
+    endpoint: Name,
+    at: Instant,
+}
+
+/// The event stream of one endpoint.
+#[derive(Clone, Copy, Debug, Default)]
+struct Cache {
+    sequence: u64,
+    /// When a gap was last noticed.
+    gap: Option<Instant>,
+    /// Entries up to this time are void.
+    cleared: Option<Instant>,
+}
+
+/// Commands.
+impl Affinity {
+    /// Nothing known yet.
+    pub fn new(settings: Settings) -> Self {
+        Self { settings, young: HashMap::new(), old: HashMap::new(), endpoints: HashMap::new() }
+    }
+
+    /// Takes in event number `sequence` of an endpoint's stream. One that was
+    /// overtaken is ignored; a gap lowers the trust in all that came before.
+    pub fn event(&mut self, endpoint: &Name, sequence: u64, event: Event<'_>, now: Instant) {
+        let cache = self.endpoints.entry(endpoint.clone()).or_default();
+        if sequence <= cache.sequence {
+            return;
+        }
+        if cache.sequence > 0 && sequence > cache.sequence + 1 {
+            cache.gap = Some(now);
+        }
+        cache.sequence = sequence;
+        match event {
+            Event::Stored(hashes) => self.store(endpoint, hashes, now),
+            Event::Removed(hashes) => self.remove(endpoint, hashes),
+            Event::Cleared => cache.cleared = Some(now),
+        }
+    }
+
+    /// Notes that a request with these prefixes ran at `endpoint`.
+    pub fn store(&mut self, endpoint: &Name, hashes: &[u64], now: Instant) {
+        for &hash in hashes {
+            self.store_one(endpoint, hash, now);
+        }
+    }
+
+    /// Forgets an endpoint that restarted or left the configuration.
+    pub fn forget(&mut self, endpoint: &Name) {
+        self.endpoints.remove(endpoint);
+        for prefixes in [&mut self.young, &mut self.old] {
+            prefixes.retain(|_, holders| {
+                holders.retain(|holder| holder.endpoint != *endpoint);
+                !holders.is_empty()
+            });
+        }
+    }
+
+    fn store_one(&mut self, endpoint: &Name, hash: u64, now: Instant) {
+        if !self.young.contains_key(&hash) {
+            if self.young.len() >= (self.settings.prefixes / 2).max(1) {
+                self.old = std::mem::take(&mut self.young);
+            }
+            let known = self.old.remove(&hash).unwrap_or_default();
+            self.young.insert(hash, known);
+        }
+        let holders = self.young.entry(hash).or_default();
+        holders.retain(|holder| holder.endpoint != *endpoint);
+        if holders.len() >= MAX_HOLDERS {
+            holders.remove(0);
+        }
+        holders.push(Holder { endpoint: endpoint.clone(), at: now });
+    }
+
+    fn remove(&mut self, endpoint: &Name, hashes: &[u64]) {
+        for hash in hashes {
+            for prefixes in [&mut self.young, &mut self.old] {
+                if let Some(holders) = prefixes.get_mut(hash) {
+                    holders.retain(|holder| holder.endpoint != *endpoint);
+                }
+            }
+        }
+    }
+}
+
+/// Queries.
+impl Affinity {
+    /// The endpoints that probably cache the prefix with this hash.
+    pub fn holders(&self, hash: u64, now: Instant) -> SmallVec<[Match; 4]> {
+        let holders = self.young.get(&hash).or_else(|| self.old.get(&hash));
+        let matches = holders.into_iter().flatten().map(|holder| Match {
+            endpoint: holder.endpoint.clone(),
+            confidence: self.confidence(holder, now),
+        });
+        matches.filter(|found| found.confidence > 0.0).collect()
+    }
+
+    /// Number of prefixes remembered.
+    pub fn len(&self) -> usize {
+        self.young.len() + self.old.len()
+    }
+
+    /// Whether no prefix is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn confidence(&self, holder: &Holder, now: Instant) -> f32 {
+        let cache = self.endpoints.get(&holder.endpoint).copied().unwrap_or_default();
+        if cache.cleared.is_some_and(|cleared| holder.at <= cleared) {
+            return 0.0;
+        }
+        let age = now.since(holder.at).as_secs_f32() / self.settings.expiry.as_secs_f32();
+        let fresh = (1.0 - age).max(0.0);
+        match cache.gap {
+            Some(gap) if holder.at < gap => fresh * GAP_CONFIDENCE,
+            _ => fresh,
+        }
+    }
+}
+
+impl Default for Affinity {
+    fn default() -> Self {
+        Self::new(Settings { prefixes: 16_384, expiry: Duration::from_secs(600) })
+    }
+}
--- /dev/null
+++ b/mimosashift/src/route/cost.rs
@@ -0,0 +1,128 @@
+//! Estimated time that one endpoint adds to a request.
+
+use std::time::Duration;
+
+use super::{Ask, Settings};
+use crate::health::{Condition, Standing, model};
+use crate::resource::Engine;
+
+/// Added to the cost of a returning endpoint that sits this choice out; more
+/// than any estimate, less than the next penalty.
+const RETURNING_PENALTY_US: f64 = 1e10;
+
+/// Added to the cost of an endpoint ejected as a slow outlier.
+const SLOW_PENALTY_US: f64 = 1e12;
+
+/// Added to the cost of an endpoint ejected as unreachable.
+const UNREACHABLE_PENALTY_US: f64 = 1e14;
+
+/// Declared speed of an endpoint and its link.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Speed {
+    layer_us: f32,
+    slots: u32,
+    one_way_us: f32,
+    bytes_per_second: f32,
+}
+
+/// The work of one request, in units that every endpoint shares.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Work {
+    layers: f32,
+    /// Compute in one-token steps through one layer.
+    steps: f32,
+    decode_steps: f32,
+    prompt_bytes: f32,
+    decode_bytes: f32,
+}
+
+/// What an endpoint adds to a request's completion time, in microseconds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Estimate {
+    /// Wait for a slot.
+    pub wait_us: f64,
+    /// Time on the link over all tokens.
+    pub link_us: f64,
+    /// Compute for each layer over all tokens.
+    pub layer_us: f64,
+    /// Added so that an avoided endpoint is the last resort; 0 for a live one.
+    pub penalty_us: f64,
+}
+
+impl Speed {
+    pub(super) fn new(engine: &Engine, crossing: Duration) -> Self {
+        Self {
+            layer_us: engine.layer_us as f32,
+            slots: u32::from(engine.slots),
+            one_way_us: engine.link_us as f32 + crossing.as_secs_f32() * 1e6,
+            bytes_per_second: engine.link_bytes_per_second as f32,
+        }
+    }
+
+    /// Estimates `work` in `condition`; `None` when the endpoint may not or
+    /// cannot take it.
+    pub(super) fn estimate(
+        &self,
+        work: &Work,
+        condition: &Condition,
+        settings: &Settings,
+    ) -> Option<Estimate> {
+        if condition.standing == Standing::Leaving || condition.overloaded {
+            return None;
+        }
+        let batched = (condition.sequences + 1).min(self.slots);
+        let slowed = self.layer_us * condition.service_factor * model::batch_weight(batched);
+        let layer_us = f64::from(slowed * work.steps);
+        let ahead = (condition.sequences + 1).saturating_sub(self.slots);
+        let turns = f64::from(ahead) / f64::from(self.slots);
+        let wait_us = turns * layer_us * f64::from(work.layers);
+        if wait_us > settings.max_wait.as_secs_f64() * 1e6 {
+            return None;
+        }
+        let link_us = f64::from(self.link_us(work) * condition.link_factor);
+        let penalty_us = match condition.standing {
+            Standing::Slow => SLOW_PENALTY_US,
+            Standing::Unreachable => UNREACHABLE_PENALTY_US,
+            Standing::Live | Standing::Leaving => 0.0,
+        };
+        Some(Estimate { wait_us, link_us, layer_us, penalty_us })
+    }
+
+    /// Time to run `layers` layers of `work` on the idle endpoint.
+    pub(super) fn idle_us(&self, work: &Work, layers: u16) -> u64 {
+        let compute = self.layer_us * work.steps * f32::from(layers);
+        (compute + self.link_us(work)) as u64
+    }
+
+    fn link_us(&self, work: &Work) -> f32 {
+        let exchange = |bytes| model::link_us(self.one_way_us, bytes, self.bytes_per_second);
+        exchange(work.prompt_bytes) + work.decode_steps * exchange(work.decode_bytes)
+    }
+}
+
+impl Work {
+    /// Work of `ask` when the engines have `cached` tokens of its prompt.
+    pub(super) fn new(ask: &Ask<'_>, layers: u16, hidden_bytes: u32, cached: f32) -> Self {
+        let prompt = (ask.prompt_tokens as f32 - cached).max(1.0);
+        let decode_steps = ask.output_tokens.saturating_sub(1) as f32;
+        let token_bytes = 2.0 * hidden_bytes as f32;
+        Self {
+            layers: f32::from(layers),
+            steps: model::step_weight(prompt) + decode_steps,
+            decode_steps,
+            prompt_bytes: prompt * token_bytes,
+            decode_bytes: token_bytes,
+        }
+    }
+}
+
+impl Estimate {
+    /// Completion time added when the endpoint runs `layers` layers.
+    pub fn total_us(&self, layers: u16) -> f64 {
+        self.wait_us + self.link_us + self.layer_us * f64::from(layers)
+    }
+
+    pub(super) const fn returning(self) -> Self {
+        Self { penalty_us: self.penalty_us + RETURNING_PENALTY_US, ..self }
+    }
+}
--- /dev/null
+++ b/mimosashift/tests/health.rs
@@ -0,0 +1,313 @@
+//! Endpoint state: load, ejection, return, leaving, sharing and polling.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use mimosashift::engine::{Failure, Load};
+use mimosashift::health::probe::{Router, poller};
+use mimosashift::health::{Exchange, Registry, Report, Settings, Share, Standing, View};
+use mimosashift::resource::{Kind, Name, Resource, Snapshot, Spec};
+use mimosashift::route::Distances;
+use mimosashift::time::Instant;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use serde_json::json;
+use test_case::test_case;
+
+fn name(text: &str) -> Name {
+    Name::try_from(text).unwrap()
+}
+
+fn at(seconds: u64) -> Instant {
+    Instant::from_millis(seconds * 1_000)
+}
+
+fn rng() -> Pcg64Mcg {
+    Pcg64Mcg::seed_from_u64(7)
+}
+
+fn endpoints(count: usize) -> Vec<Name> {
+    (0..count).map(|place| name(&format!("e{place}"))).collect()
+}
+
+/// A registry of `count` equal endpoints, one group.
+fn registry(count: usize) -> Registry {
+    let body = json!({
+        "address": "127.0.0.1:9000", "domain": "a",
+        "role": {"engine": {"accelerator": "x", "layer_us": 100, "link_us": 200,
+            "holds": [{"pipeline": "p", "version": 1, "layers": [0, 4]}]}},
+    });
+    let spec = Spec::decode(Kind::Endpoint, body.to_string().as_bytes()).unwrap();
+    let resources =
+        endpoints(count).into_iter().map(|name| Resource { name, revision: 1, spec: spec.clone() });
+    let mut registry = Registry::new(Settings::default());
+    let distances = Distances::new(name("a"), Duration::ZERO, BTreeMap::new());
+    registry.install(&Snapshot::new(1, resources), &distances);
+    registry
+}
+
+fn running(running: u32) -> Load {
+    Load { running, ..Load::default() }
+}
+
+fn silent() -> Failure {
+    Failure::Silent(Duration::from_secs(1))
+}
+
+fn step(link_us: u64) -> Exchange {
+    let service = Duration::from_micros(400);
+    let total = service + Duration::from_micros(link_us);
+    Exchange { layers: 4, tokens: 1, bytes: 0, total, service: Some(service) }
+}
+
+#[test]
+fn own_work_since_the_report_is_added() {
+    let (mut registry, e) = (registry(1), name("e0"));
+    registry.begin(&e, at(1));
+    registry.poll(&e, 1, &running(5), 1, at(2));
+    registry.begin(&e, at(3));
+    assert_eq!(registry.condition(&e, at(3)).sequences, 6);
+    registry.end(&e, at(1));
+    assert_eq!(registry.condition(&e, at(3)).sequences, 5);
+    registry.end(&e, at(3));
+    assert_eq!(registry.condition(&e, at(3)).sequences, 4);
+}
+
+#[test]
+fn link_degraded_a_hundredfold_shows_within_three_exchanges() {
+    let (mut registry, e) = (registry(1), name("e0"));
+    for _ in 0..20 {
+        registry.succeed(&e, &step(400), at(1));
+    }
+    let before = registry.condition(&e, at(1));
+    for _ in 0..3 {
+        registry.succeed(&e, &step(40_000), at(1));
+    }
+    let after = registry.condition(&e, at(1));
+    assert!((before.link_factor - 1.0).abs() < 0.01, "{before:?}");
+    assert!(after.link_factor > 50.0, "{after:?}");
+    assert!((after.service_factor - 1.0).abs() < 0.01, "{after:?}");
+}
+
+#[test]
+fn unconfirmed_slowness_is_forgotten() {
+    let (mut registry, e) = (registry(1), name("e0"));
+    registry.succeed(&e, &step(40_000), at(1));
+    assert!(registry.condition(&e, at(1)).link_factor > 20.0);
+    assert!(registry.condition(&e, at(121)).link_factor < 1.1);
+}
+
+#[test_case(&silent(), true; "silent")]
+#[test_case(&Failure::Unreachable("refused".to_owned()), true; "unreachable")]
+#[test_case(&Failure::Malformed("label".to_owned()), true; "malformed")]
+#[test_case(&Failure::NoCache, false; "no cache")]
+#[test_case(&Failure::Refused("adapter".to_owned()), false; "refused")]
+#[test_case(&Failure::Overloaded, false; "overloaded")]
+fn third_failure_in_a_row_ejects(failure: &Failure, ejects: bool) {
+    let (mut registry, e, mut rng) = (registry(1), name("e0"), rng());
+    for _ in 0..2 {
+        registry.fail(&e, failure, at(1), at(1), &mut rng);
+    }
+    assert_eq!(registry.condition(&e, at(1)).standing, Standing::Live);
+    registry.fail(&e, failure, at(1), at(1), &mut rng);
+    assert_eq!(registry.condition(&e, at(1)).standing == Standing::Unreachable, ejects);
+}
+
+#[test]
+fn success_between_failures_prevents_ejection() {
+    let (mut registry, e, mut rng) = (registry(1), name("e0"), rng());
+    for _ in 0..10 {
+        registry.fail(&e, &silent(), at(1), at(1), &mut rng);
+        registry.fail(&e, &silent(), at(1), at(1), &mut rng);
+        registry.succeed(&e, &step(400), at(1));
+    }
+    assert_eq!(registry.condition(&e, at(1)).standing, Standing::Live);
+}
+
+#[test]
+fn ejection_backs_off_and_return_is_slow() {
+    let (mut registry, e, mut rng) = (registry(1), name("e0"), rng());
+    let mut now = at(1);
+    let mut lengths = Vec::new();
+    for _ in 0..4 {
+        for _ in 0..3 {
+            registry.fail(&e, &silent(), now, now, &mut rng);
+        }
+        let start = now;
+        while registry.condition(&e, now).standing != Standing::Live {
+            now = now + Duration::from_millis(10);
+        }
+        lengths.push(now.since(start));
+    }
+    assert!(lengths.windows(2).all(|pair| pair[1] > pair[0]), "{lengths:?}");
+    assert!(lengths[3] >= lengths[0] * 4, "{lengths:?}");
+    let weight = |later| registry.condition(&e, now + Duration::from_secs(later)).weight;
+    assert!(weight(0) < 0.15, "{}", weight(0));
+    assert!(weight(0) < weight(10) && weight(10) < weight(20));
+    assert_eq!(weight(30), 1.0);
+}
+
+#[test]
+fn slow_outliers_are_ejected_up_to_the_cap() {
+    let (mut registry, mut rng) = (registry(20), rng());
+    for (place, e) in endpoints(20).iter().enumerate() {
+        for _ in 0..10 {
+            registry.succeed(e, &step(if place < 9 { 40_000 } else { 400 }), at(1));
+        }
+    }
+    for second in 1..4 {
+        registry.sweep(at(second), &mut rng);
+    }
+    let standing = |e: &Name| registry.condition(e, at(3)).standing;
+    let slow = endpoints(20).iter().filter(|e| standing(e) == Standing::Slow).count();
+    assert_eq!(slow, 6, "30% of 20");
+    assert!(endpoints(20)[9..].iter().all(|e| standing(e) == Standing::Live));
+}
+
+#[test]
+fn beyond_the_cap_only_unreachable_endpoints_are_ejected() {
+    let (mut registry, mut rng) = (registry(10), rng());
+    for e in &endpoints(10)[..5] {
+        for _ in 0..3 {
+            registry.fail(e, &silent(), at(1), at(1), &mut rng);
+        }
+    }
+    for _ in 0..10 {
+        registry.succeed(&name("e9"), &step(40_000), at(1));
+    }
+    registry.sweep(at(1), &mut rng);
+    let standing = |e: &Name| registry.condition(e, at(1)).standing;
+    assert!(endpoints(10)[..5].iter().all(|e| standing(e) == Standing::Unreachable));
+    assert_eq!(standing(&name("e9")), Standing::Live);
+}
+
+/// Ways to learn that `e0`, polled at incarnation 1, is leaving.
+#[derive(Clone, Copy, Debug)]
+enum Source {
+    List,
+    Own,
+    Refusal,
+    Peer,
+}
+
+fn leave(registry: &mut Registry, source: Source) {
+    let e = name("e0");
+    let leaving = Load { leaving: true, ..Load::default() };
+    match source {
+        Source::List => registry.list(5, |_| true),
+        Source::Own => registry.poll(&e, 1, &leaving, 2, at(2)),
+        Source::Refusal => registry.fail(&e, &Failure::Leaving, at(2), at(2), &mut rng()),
+        Source::Peer => {
+            let mut peer = self::registry(1);
+            peer.poll(&e, 1, &leaving, 2, at(2));
+            assert!(registry.merge(&peer.share(at(0)), at(2)).is_empty());
+        }
+    }
+}
+
+#[test_case(Source::List)]
+#[test_case(Source::Own)]
+#[test_case(Source::Refusal)]
+#[test_case(Source::Peer)]
+fn leaving_stands_until_a_newer_incarnation(source: Source) {
+    let (mut registry, e) = (registry(1), name("e0"));
+    registry.poll(&e, 1, &running(0), 1, at(1));
+    leave(&mut registry, source);
+    assert_eq!(registry.condition(&e, at(2)).standing, Standing::Leaving);
+    registry.poll(&e, 1, &running(0), 3, at(3));
+    registry.list(4, |_| false);
+    registry.succeed(&e, &step(400), at(3));
+    assert_eq!(registry.condition(&e, at(3)).standing, Standing::Leaving);
+    registry.poll(&e, 2, &running(0), 4, at(4));
+    assert_eq!(registry.condition(&e, at(4)).standing, Standing::Live);
+}
+
+#[test]
+fn newer_list_withdraws_its_mark() {
+    let (mut registry, e) = (registry(1), name("e0"));
+    registry.list(5, |_| true);
+    registry.list(6, |_| false);
+    registry.list(5, |_| true);
+    assert_eq!(registry.condition(&e, at(1)).standing, Standing::Live);
+}
+
+#[test]
+fn refusal_of_the_incarnation_before_is_not_held_against_the_next() {
+    let (mut registry, e) = (registry(1), name("e0"));
+    registry.poll(&e, 1, &running(0), 1, at(1));
+    registry.poll(&e, 2, &running(0), 2, at(5));
+    registry.fail(&e, &Failure::Leaving, at(2), at(6), &mut rng());
+    assert_eq!(registry.condition(&e, at(6)).standing, Standing::Live);
+}
+
+#[test]
+fn report_from_the_future_is_refused() {
+    let mut registry = registry(1);
+    let mut peer = self::registry(1);
+    peer.poll(&name("e0"), 1, &running(9), 1, at(100));
+    assert_eq!(registry.merge(&peer.share(at(0)), at(1)).len(), 1);
+    assert_eq!(registry.condition(&name("e0"), at(1)).sequences, 0);
+}
+
+#[test]
+fn each_endpoint_has_one_poller_and_a_lost_router_moves_only_its_own() {
+    let (a, b) = (name("a"), name("b"));
+    let names: Vec<String> = (0..8).map(|place| format!("r{place}")).collect();
+    let domain = |place| if place < 4 { &a } else { &b };
+    let routers: Vec<Router<'_>> = names
+        .iter()
+        .enumerate()
+        .map(|(place, name)| Router { name, domain: domain(place) })
+        .collect();
+    let mut shares = BTreeMap::new();
+    for e in endpoints(400) {
+        let before = poller(&e, &a, &routers).unwrap().name;
+        let after = poller(&e, &a, &routers[1..]).unwrap().name;
+        assert!(before == "r0" || before == after);
+        assert!(["r0", "r1", "r2", "r3"].contains(&before));
+        *shares.entry(before).or_insert(0) += 1;
+    }
+    assert!(shares.values().all(|&share| (50..200).contains(&share)), "{shares:?}");
+    assert!(poller(&name("e0"), &name("c"), &routers).is_some());
+    assert!(poller(&name("e0"), &a, &[]).is_none());
+}
+
+fn reports() -> impl Strategy<Value = Vec<Report>> {
+    let report = (0..3_usize, 0..5_u64, 0..3_u64, 0..4_u64, any::<bool>());
+    let reports = proptest::collection::vec(report, 1..12);
+    reports.prop_map(|parts| {
+        let build =
+            |(place, second, sequence, incarnation, leaving): (usize, u64, u64, u64, bool)| {
+                let mut source = registry(3);
+                let e = &endpoints(3)[place];
+                // One poll has one answer, so the load follows from its number.
+                let running = (second * 10 + sequence) as u32;
+                let load = Load { running, leaving, ..Load::default() };
+                source.poll(e, incarnation, &load, sequence + 1, at(second + 1));
+                let mut shared = source.share(at(0));
+                shared.reports[0].load.leaving = false;
+                shared.reports.remove(0)
+            };
+        parts.into_iter().map(build).collect()
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None, rng_seed: RngSeed::Fixed(11), ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn merge_is_the_same_in_any_order_and_any_number_of_times(reports in reports()) {
+        let mut forward = registry(3);
+        let mut backward = registry(3);
+        forward.merge(&Share { reports: reports.clone() }, at(9));
+        for _ in 0..2 {
+            let reversed = reports.iter().rev().cloned().collect();
+            backward.merge(&Share { reports: reversed }, at(9));
+        }
+        prop_assert_eq!(forward.share(at(0)), backward.share(at(0)));
+    }
+}
--- /dev/null
+++ b/mimosashift/tests/route.rs
@@ -0,0 +1,478 @@
+//! Choice of chains: against the reference, invariants, bounds on the work.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use mimosashift::health::{Condition, Standing, View};
+use mimosashift::resource::{Kind, Layers, Name, Resource, Snapshot, Spec};
+use mimosashift::route::affinity::{self, Affinity, Event};
+use mimosashift::route::{
+    Ask, Choice, Distances, Prefix, Refusal, Settings, Sources, Stage, Table, naive,
+};
+use mimosashift::time::Instant;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde_json::json;
+use test_case::test_case;
+
+/// Largest mean cost of a choice over the best of all chains.
+const MAX_MEAN_RATIO: f64 = 1.10;
+
+const NOW: Instant = Instant::from_millis(1_000);
+
+/// Endpoint state set by the test.
+#[derive(Debug, Default)]
+struct Health(HashMap<Name, Condition>);
+
+impl View for Health {
+    fn condition(&self, endpoint: &Name, _now: Instant) -> Condition {
+        self.0.get(endpoint).copied().unwrap_or(Condition::IDLE)
+    }
+}
+
+/// A configuration with the state of its endpoints, seen from domain `d0`.
+struct World {
+    layers: u16,
+    resources: Vec<Resource>,
+    health: Health,
+    affinity: Affinity,
+    settings: Settings,
+}
+
+fn name(text: &str) -> Name {
+    Name::try_from(text).unwrap()
+}
+
+fn rng(seed: u64) -> Pcg64Mcg {
+    Pcg64Mcg::seed_from_u64(seed)
+}
+
+fn resource(kind: Kind, key: &str, body: &serde_json::Value) -> Resource {
+    let spec = Spec::decode(kind, body.to_string().as_bytes()).unwrap();
+    Resource { name: name(key), revision: 1, spec }
+}
+
+fn ask<'a>(pipeline: &'a Name) -> Ask<'a> {
+    Ask {
+        pipeline,
+        version: 1,
+        prompt_tokens: 512,
+        output_tokens: 128,
+        adapter: None,
+        prefixes: &[],
+        avoid: &[],
+        avoid_domains: &[],
+        kept: &[],
+    }
+}
+
+impl World {
+    fn new(layers: u16) -> Self {
+        let body = json!({"layers": layers, "version": 1, "adapters": ["known"]});
+        Self {
+            layers,
+            resources: vec![resource(Kind::Pipeline, "p", &body)],
+            health: Health::default(),
+            affinity: Affinity::default(),
+            settings: Settings::default(),
+        }
+    }
+
+    fn engine(&mut self, key: &str, domain: u32, layers: (u16, u16), layer_us: u32, link_us: u32) {
+        let body = json!({
+            "address": "127.0.0.1:9000", "domain": format!("d{domain}"),
+            "role": {"engine": {"accelerator": "x", "layer_us": layer_us, "link_us": link_us,
+                "link_bytes_per_second": 1_000_000_000_000_u64 / (u64::from(link_us) * 40),
+                "holds": [{"pipeline": "p", "version": 1, "layers": [layers.0, layers.1]}]}},
+        });
+        self.resources.push(resource(Kind::Endpoint, key, &body));
+    }
+
+    /// Five kinds of accelerator, links a hundredfold apart, uneven loads.
+    fn mixed_engine(&mut self, domains: u32, layers: (u16, u16), rng: &mut Pcg64Mcg) {
+        let key = format!("e{}", self.resources.len());
+        let layer_us = [40, 80, 120, 200, 400][rng.random_range(0..5)];
+        let link_us = (25.0 * 100_f64.powf(rng.random::<f64>())) as u32;
+        self.engine(&key, rng.random_range(0..domains), layers, layer_us, link_us);
+        let sequences = rng.random_range(0..40);
+        let service_factor = rng.random_range(0.8..1.5);
+        self.health
+            .0
+            .insert(name(&key), Condition { sequences, service_factor, ..Condition::IDLE });
+    }
+
+    fn aligned(stages: u16, replicas: usize, domains: u32, rng: &mut Pcg64Mcg) -> Self {
+        let mut world = Self::new(stages);
+        for place in 0..usize::from(stages) * replicas {
+            let start = place as u16 % stages;
+            world.mixed_engine(domains, (start, start + 1), rng);
+        }
+        world
+    }
+
+    fn overlapping(layers: u16, endpoints: usize, rng: &mut Pcg64Mcg) -> Self {
+        let mut world = Self::new(layers);
+        for _ in 0..endpoints {
+            let start = rng.random_range(0..layers);
+            world.mixed_engine(3, (start, rng.random_range(start + 1..=layers)), rng);
+        }
+        world
+    }
+
+    fn snapshot(&self) -> Snapshot {
+        Snapshot::new(1, self.resources.iter().cloned())
+    }
+
+    fn choose(&self, ask: &Ask<'_>, rng: &mut Pcg64Mcg) -> Result<Choice, Refusal> {
+        self.choose_many(ask, 1, rng).remove(0)
+    }
+
+    fn choose_many(
+        &self,
+        ask: &Ask<'_>,
+        count: usize,
+        rng: &mut Pcg64Mcg,
+    ) -> Vec<Result<Choice, Refusal>> {
+        let table = Table::new(&self.snapshot(), &distances(), self.settings);
+        let sources = Sources { health: &self.health, affinity: &self.affinity };
+        (0..count).map(|_| table.choose(ask, &sources, NOW, rng)).collect()
+    }
+
+    fn naive(&self, ask: &Ask<'_>) -> Option<f64> {
+        let snapshot = self.snapshot();
+        let best = naive::choose(&snapshot, &distances(), &self.settings, ask, &self.health, NOW);
+        best.map(|(_, cost)| cost)
+    }
+
+    /// The same world, searched without sampling or random spread.
+    fn exact(mut self) -> Self {
+        self.settings = Settings { candidates: usize::MAX, spread: 0.0, ..self.settings };
+        self
+    }
+
+    fn held(&self, endpoint: &Name) -> Layers {
+        match self.snapshot().endpoints().find(|(key, _)| *key == endpoint).unwrap().1.role {
+            mimosashift::resource::Role::Engine(ref engine) => engine.holds[0].layers,
+            mimosashift::resource::Role::Service(_) => panic!("no service in these worlds"),
+        }
+    }
+}
+
+fn distances() -> Distances {
+    let far = BTreeMap::from([(name("d2"), Duration::from_millis(20))]);
+    Distances::new(name("d0"), Duration::from_micros(500), far)
+}
+
+fn random_ask<'a>(pipeline: &'a Name, rng: &mut Pcg64Mcg) -> Ask<'a> {
+    let (prompt_tokens, output_tokens) = (rng.random_range(1..4_000), rng.random_range(1..500));
+    Ask { prompt_tokens, output_tokens, ..ask(pipeline) }
+}
+
+/// Prints and bounds the ratios of estimated to best completion time.
+fn report(what: &str, ratios: &[f64]) {
+    let mean = ratios.iter().sum::<f64>() / ratios.len() as f64;
+    let worst = ratios.iter().copied().fold(0.0, f64::max);
+    let text =
+        format!("{what}: {} worlds, cost ratio mean {mean:.4}, worst {worst:.4}\n", ratios.len());
+    std::io::Write::write_all(&mut std::io::stdout(), text.as_bytes()).unwrap();
+    assert!(mean <= MAX_MEAN_RATIO, "{text}");
+    assert!(ratios.iter().all(|&ratio| ratio > 0.9999), "beats the best chain: {text}");
+}
+
+fn ratio(world: &World, seed: u64) -> f64 {
+    let (pipeline, mut rng) = (name("p"), rng(seed));
+    let ask = random_ask(&pipeline, &mut rng);
+    let best = world.naive(&ask).expect("the world covers every layer");
+    world.choose(&ask, &mut rng).unwrap().estimate.as_secs_f64() * 1e6 / best
+}
+
+fn covered(world: World) -> Option<World> {
+    let pipeline = name("p");
+    world.naive(&ask(&pipeline)).is_some().then_some(world)
+}
+
+#[test]
+fn search_without_sampling_finds_the_best_of_all_chains() {
+    let worlds = (0..100).filter_map(|seed| {
+        Some((seed, covered(World::overlapping(6, 9, &mut rng(seed)))?.exact()))
+    });
+    let ratios: Vec<f64> = worlds.map(|(seed, world)| ratio(&world, seed)).collect();
+    assert!(ratios.len() > 50, "{}", ratios.len());
+    assert!(ratios.iter().all(|ratio| (ratio - 1.0).abs() < 1e-4), "{ratios:?}");
+}
+
+#[test]
+fn sampled_cost_against_every_chain_with_overlaps() {
+    let worlds = (0..60)
+        .filter_map(|seed| Some((seed, covered(World::overlapping(5, 24, &mut rng(seed)))?)));
+    let ratios: Vec<f64> = worlds.map(|(seed, world)| ratio(&world, seed)).collect();
+    report("24 overlapping endpoints", &ratios);
+}
+
+#[test]
+fn sampled_cost_against_every_chain_with_replicas() {
+    let worlds = (0..60).map(|seed| (seed, World::aligned(3, 50, 3, &mut rng(seed))));
+    let ratios: Vec<f64> = worlds.map(|(seed, world)| ratio(&world, seed)).collect();
+    report("50 replicas of 3 stages", &ratios);
+}
+
+#[test]
+fn sampled_cost_against_exact_search_at_1000_replicas() {
+    let mut ratios = Vec::new();
+    for seed in 0..4 {
+        let (pipeline, mut rng) = (name("p"), rng(seed));
+        let world = World::aligned(4, 1_000, 11, &mut rng);
+        let ask = random_ask(&pipeline, &mut rng);
+        let sampled = world.choose_many(&ask, 50, &mut rng);
+        let best = world.exact().choose(&ask, &mut rng).unwrap().estimate.as_secs_f64();
+        ratios.extend(sampled.iter().map(|c| c.as_ref().unwrap().estimate.as_secs_f64() / best));
+    }
+    report("1000 replicas of 4 stages", &ratios);
+}
+
+#[test_case(40)]
+#[test_case(1_000)]
+fn evaluations_are_bounded(replicas: usize) {
+    let (pipeline, mut rng) = (name("p"), rng(1));
+    let world = World::aligned(4, replicas, 11, &mut rng);
+    let bound = 4 * world.settings.candidates as u32 * 2;
+    for choice in world.choose_many(&ask(&pipeline), 200, &mut rng) {
+        let evaluations = choice.unwrap().stats.evaluations;
+        assert!(evaluations <= bound, "{evaluations} evaluations, at most {bound}");
+    }
+}
+
+#[test]
+fn equal_endpoints_share_the_choices() {
+    let (pipeline, mut rng) = (name("p"), rng(1));
+    let mut world = World::new(1);
+    for place in 0..10 {
+        world.engine(&format!("e{place}"), 0, (0, 1), 100, 100);
+    }
+    let mut counts: HashMap<Name, u32> = HashMap::new();
+    for choice in world.choose_many(&ask(&pipeline), 1_000, &mut rng) {
+        *counts.entry(choice.unwrap().chain.stages()[0].endpoint.clone()).or_default() += 1;
+    }
+    assert!(counts.len() == 10 && counts.values().all(|&n| n < 200), "{counts:?}");
+}
+
+#[test_case(0, "local"; "stays in its own domain when idle")]
+#[test_case(15, "local"; "stays while a slot is free")]
+#[test_case(60, "remote"; "spills when the queue costs more than the crossing")]
+fn own_domain_first(sequences: u32, expected: &str) {
+    let (pipeline, mut rng) = (name("p"), rng(1));
+    let mut world = World::new(1);
+    world.engine("local", 0, (0, 1), 1_000, 100);
+    world.engine("remote", 1, (0, 1), 1_000, 100);
+    world.health.0.insert(name("local"), Condition { sequences, ..Condition::IDLE });
+    for choice in world.choose_many(&ask(&pipeline), 50, &mut rng) {
+        assert_eq!(choice.unwrap().chain.stages()[0].endpoint, name(expected));
+    }
+}
+
+#[test]
+fn returning_endpoint_gets_little_work_at_first() {
+    let (pipeline, mut rng) = (name("p"), rng(1));
+    let mut world = World::new(1);
+    world.engine("fast", 0, (0, 1), 50, 100);
+    world.engine("slow", 0, (0, 1), 100, 100);
+    world.health.0.insert(name("fast"), Condition { weight: 0.1, ..Condition::IDLE });
+    let choices = world.choose_many(&ask(&pipeline), 1_000, &mut rng);
+    let is_fast = |c: &Choice| c.chain.stages()[0].endpoint == name("fast");
+    let fast = choices.iter().filter(|c| is_fast(c.as_ref().unwrap())).count();
+    assert!((50..200).contains(&fast), "{fast}");
+    world.health.0.insert(name("slow"), Condition { standing: Standing::Slow, ..Condition::IDLE });
+    assert!(
+        world
+            .choose_many(&ask(&pipeline), 50, &mut rng)
+            .iter()
+            .all(|c| is_fast(c.as_ref().unwrap()))
+    );
+}
+
+#[test]
+fn lone_live_endpoint_is_found_among_many() {
+    let (pipeline, mut rng) = (name("p"), rng(1));
+    for spoilt in [Standing::Slow, Standing::Unreachable, Standing::Leaving] {
+        let mut world = World::aligned(2, 500, 3, &mut rng);
+        for (key, condition) in &mut world.health.0 {
+            if !["e7", "e8"].contains(&key.as_str()) {
+                condition.standing = spoilt;
+            }
+        }
+        let choice = world.choose(&ask(&pipeline), &mut rng).unwrap();
+        let names: Vec<&str> = choice.chain.stages().iter().map(|s| s.endpoint.as_str()).collect();
+        assert_eq!(names, ["e7", "e8"]);
+    }
+}
+
+/// Three stages of two endpoints each, `a0` to `c1`, with four layers each.
+fn three_stages() -> World {
+    let mut world = World::new(12);
+    for (place, stage) in ["a", "b", "c"].iter().enumerate() {
+        let start = place as u16 * 4;
+        world.engine(&format!("{stage}0"), 0, (start, start + 4), 100, 100);
+        world.engine(&format!("{stage}1"), 1, (start, start + 4), 100, 100);
+    }
+    world
+}
+
+fn stage(endpoint: &str, start: u16, end: u16) -> Stage {
+    Stage { endpoint: name(endpoint), layers: Layers::try_from((start, end)).unwrap() }
+}
+
+#[test]
+fn kept_stages_stay_and_only_the_gap_is_replaced() {
+    let (pipeline, mut rng) = (name("p"), rng(1));
+    let kept = [stage("gone", 0, 3), stage("c1", 8, 12)];
+    let avoid = [name("b0")];
+    let ask = Ask { kept: &kept, avoid: &avoid, ..ask(&pipeline) };
+    let choice = three_stages().choose(&ask, &mut rng).unwrap();
+    let expected = [kept[0].clone(), stage("a0", 3, 4), stage("b1", 4, 8), kept[1].clone()];
+    assert_eq!(choice.chain.stages(), expected);
+}
+
+#[test]
+fn refusal_names_the_layers_without_holder() {
+    let (pipeline, mut rng) = (name("p"), rng(1));
+    let mut world = three_stages();
+    let avoid = [name("b1"), name("c0"), name("c1")];
+    let leaving = Condition { standing: Standing::Leaving, ..Condition::IDLE };
+    world.health.0.insert(name("b0"), leaving);
+    let refusal = world.choose(&Ask { avoid: &avoid, ..ask(&pipeline) }, &mut rng).unwrap_err();
+    let layers = Layers::try_from((4, 12)).unwrap();
+    assert_eq!(refusal, Refusal::NoHolder { pipeline: pipeline.clone(), version: 1, layers });
+}
+
+#[test_case(|_, ask| Ask { version: 2, ..ask }, "version 2"; "version")]
+#[test_case(|_, ask| Ask { adapter: Some(Box::leak(Box::new(name("other")))), ..ask }, "no adapter \"other\""; "adapter")]
+#[test_case(|_, ask| Ask { pipeline: Box::leak(Box::new(name("q"))), ..ask }, "\"q\" does not exist"; "pipeline")]
+#[test_case(|_, ask| Ask { avoid_domains: Box::leak(Box::new([name("d0"), name("d1")])), ..ask }, "no live endpoint holds layers 0..12"; "domains")]
+#[test_case(|_, ask| Ask { kept: Box::leak(Box::new([stage("x", 4, 13)])), ..ask }, "stage to keep with layers 4..13"; "kept")]
+#[test_case(full, "overloaded"; "overloaded")]
+fn refusal_says_why(change: fn(&mut World, Ask<'static>) -> Ask<'static>, message: &str) {
+    let mut world = three_stages();
+    let ask = change(&mut world, ask(Box::leak(Box::new(name("p")))));
+    let refusal = world.choose(&ask, &mut rng(1)).unwrap_err().to_string();
+    assert!(refusal.contains(message), "{refusal}");
+}
+
+fn full(world: &mut World, ask: Ask<'static>) -> Ask<'static> {
+    let overloaded = Condition { overloaded: true, ..Condition::IDLE };
+    world.health.0 = ["c0", "c1"].map(|key| (name(key), overloaded)).into();
+    ask
+}
+
+#[test]
+fn explanation_lists_every_holder_cheapest_first() {
+    let (world, pipeline) = (three_stages(), name("p"));
+    let table = Table::new(&world.snapshot(), &distances(), world.settings);
+    let sources = Sources { health: &world.health, affinity: &world.affinity };
+    let avoid = [name("a0")];
+    let ask = Ask { avoid: &avoid, ..ask(&pipeline) };
+    let lines = table.explain(&ask, &sources, NOW, 10).unwrap();
+    let names: Vec<&str> = lines.iter().map(|line| line.endpoint.as_str()).collect();
+    assert_eq!(names, ["a1", "a0", "b0", "b1", "c0", "c1"]);
+    assert!(lines[0].estimate.is_some() && lines[1].estimate.is_none());
+}
+
+const PREFIXES: [Prefix; 2] = [Prefix { hash: 1, tokens: 200 }, Prefix { hash: 2, tokens: 400 }];
+
+#[test_case(&["a1", "b1", "c1"], 0, true; "all stages cache it")]
+#[test_case(&["a1", "b1"], 0, false; "one stage lacks it")]
+#[test_case(&["a1", "b1", "c1"], 200, false; "cached but its queue is long")]
+fn cached_prefix_attracts(holders: &[&str], sequences: u32, attracted: bool) {
+    let (mut world, pipeline) = (three_stages(), name("p"));
+    for holder in holders {
+        world.affinity.event(&name(holder), 1, Event::Stored(&[1, 2]), NOW);
+        world.health.0.insert(name(holder), Condition { sequences, ..Condition::IDLE });
+    }
+    let ask = Ask { prefixes: &PREFIXES, output_tokens: 2, ..ask(&pipeline) };
+    let choice = world.choose(&ask, &mut rng(1)).unwrap();
+    assert_eq!(choice.cached_tokens, if attracted { 400 } else { 0 });
+    assert_eq!(choice.chain.stages()[0].endpoint, name(if attracted { "a1" } else { "a0" }));
+}
+
+#[test]
+fn affinity_ages_and_distrusts_what_came_before_a_gap() {
+    let mut affinity =
+        Affinity::new(affinity::Settings { prefixes: 8, expiry: Duration::from_secs(100) });
+    let e = name("e");
+    let confidence = |affinity: &Affinity, hash, second: u64| {
+        let now = Instant::from_millis(second * 1_000);
+        affinity.holders(hash, now).first().map(|found| found.confidence)
+    };
+    let at = |second: u64| Instant::from_millis(second * 1_000);
+    affinity.event(&e, 1, Event::Stored(&[1]), at(0));
+    assert_eq!(confidence(&affinity, 1, 0), Some(1.0));
+    assert_eq!(confidence(&affinity, 1, 50), Some(0.5));
+    assert_eq!(confidence(&affinity, 1, 100), None);
+    affinity.event(&e, 4, Event::Stored(&[2]), at(50));
+    assert_eq!(confidence(&affinity, 1, 50), Some(0.25));
+    assert_eq!(confidence(&affinity, 2, 50), Some(1.0));
+    affinity.event(&e, 3, Event::Removed(&[2]), at(50));
+    assert_eq!(confidence(&affinity, 2, 50), Some(1.0), "overtaken");
+    affinity.event(&e, 5, Event::Cleared, at(51));
+    assert_eq!(confidence(&affinity, 2, 51), None);
+}
+
+#[test]
+fn affinity_memory_is_bounded() {
+    let mut affinity =
+        Affinity::new(affinity::Settings { prefixes: 100, expiry: Duration::from_secs(100) });
+    for round in 0..5_000_u64 {
+        affinity.store(&name(&format!("e{}", round % 50)), &[round / 50, round], NOW);
+        assert!(affinity.len() <= 100, "{}", affinity.len());
+        assert!(affinity.holders(round / 50, NOW).len() <= affinity::MAX_HOLDERS);
+    }
+    assert!(!affinity.holders(4_999, NOW).is_empty());
+}
+
+fn conditions() -> impl Strategy<Value = Condition> {
+    let standing = prop_oneof![
+        Just(Standing::Live),
+        Just(Standing::Slow),
+        Just(Standing::Unreachable),
+        Just(Standing::Leaving)
+    ];
+    (standing, 0..60_u32, any::<bool>()).prop_map(|(standing, sequences, overloaded)| Condition {
+        standing,
+        sequences,
+        overloaded,
+        ..Condition::IDLE
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None, rng_seed: RngSeed::Fixed(12), ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn choices_are_valid_and_exist_when_any_chain_does(
+        seed in any::<u64>(),
+        conditions in proptest::collection::vec(conditions(), 12),
+        avoided in 1..13_usize,
+        candidates in 1..13_usize,
+    ) {
+        let (pipeline, mut rng) = (name("p"), rng(seed));
+        let mut world = World::overlapping(5, 12, &mut rng);
+        world.settings.candidates = candidates;
+        world.health.0 = (1..).map(|place| name(&format!("e{place}"))).zip(conditions).collect();
+        let avoid = [name(&format!("e{avoided}"))];
+        let ask = Ask { avoid: &avoid, ..ask(&pipeline) };
+        let best = world.naive(&ask);
+        let choice = world.choose(&ask, &mut rng);
+        prop_assert_eq!(choice.is_ok(), best.is_some(), "{:?} {:?}", choice, best);
+        for stage in choice.iter().flat_map(|choice| choice.chain.stages()) {
+            let condition = world.health.condition(&stage.endpoint, NOW);
+            prop_assert!(condition.standing != Standing::Leaving && !condition.overloaded);
+            prop_assert!(stage.endpoint != avoid[0]);
+            prop_assert!(world.held(&stage.endpoint).contains(stage.layers));
+        }
+        prop_assert_eq!(choice.map_or(0, |choice| choice.chain.stages().last().unwrap().layers.end()),
+            if best.is_some() { world.layers } else { 0 });
+    }
+}
