--- a/mimosashift/src/lib.rs
+++ b/mimosashift/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod engine;
 pub mod event;
+pub mod health;
 pub mod http;
 pub mod node;
 pub mod pipeline;
