Commit configuration changes by conditional transactions

Cause: operators race, answers are lost and the table may be restored; a change must take effect once and a revision must have one winner. Change: Commit, CatchUp and Load as machines over table calls; versions carry a lineage and a checksum, so a restored table or a set of rows that do not belong together is noticed.

--- /dev/null
+++ b/mimosashift/src/config/catchup.rs
@@ -0,0 +1,93 @@
+//! Reads what a state lacks from the table's log.
+
+use super::call::{Answer, Call, Machine, Step};
+use super::row::{self, HeadRow};
+use super::{Error, Record, State};
+use crate::platform::Page;
+
+/// What the table holds beyond a state.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Progress {
+    /// The state at the table's head.
+    pub state: State,
+    /// The records between, in order.
+    pub records: Vec<Record>,
+    /// The table's own revision of the row `head`.
+    pub(super) head: HeadRow,
+}
+
+/// Reads the row `head`, then the records that the state lacks.
+#[derive(Debug)]
+pub struct CatchUp {
+    progress: Progress,
+}
+
+impl CatchUp {
+    /// Starts from `state`.
+    pub fn new(state: State) -> Self {
+        Self { progress: Progress { state, records: Vec::new(), head: HeadRow::default() } }
+    }
+
+    fn on_head(&mut self, head: HeadRow) -> Result<Option<Call>, Error> {
+        let installed = self.progress.state.version();
+        let table = head.version;
+        if table.revision < installed.revision {
+            return Err(Error::Stale { installed: installed.revision, table: table.revision });
+        }
+        if table.revision == installed.revision && table != installed {
+            return Err(Error::Diverged(table.revision));
+        }
+        self.progress.head = head;
+        Ok(self.next_page())
+    }
+
+    fn on_page(&mut self, page: Page) -> Result<Option<Call>, Error> {
+        let target = self.progress.head.version;
+        let before = self.progress.state.version().revision;
+        for row in &page.rows {
+            if self.progress.state.version().revision == target.revision {
+                break;
+            }
+            let record: Record = row::decode(row)?;
+            self.progress.state = self.progress.state.apply(&record)?;
+            self.progress.records.push(record);
+        }
+        let reached = self.progress.state.version();
+        if reached.revision == before {
+            return Err(Error::missing_record(before + 1));
+        }
+        if reached.revision == target.revision && reached != target {
+            return Err(Error::Diverged(target.revision));
+        }
+        Ok(self.next_page())
+    }
+
+    /// The next page of the log, or `None` at the head.
+    fn next_page(&self) -> Option<Call> {
+        let reached = self.progress.state.version().revision;
+        (reached < self.progress.head.version.revision).then(|| row::scan_log(reached))
+    }
+}
+
+impl Machine for CatchUp {
+    type Output = Result<Progress, Error>;
+
+    fn start(&mut self) -> Step<Self::Output> {
+        Step::Call(Call::Read(row::head()))
+    }
+
+    fn answer(&mut self, answer: Answer) -> Step<Self::Output> {
+        let next = match answer {
+            Answer::Read(outcome) => row::read(outcome)
+                .and_then(|row| row::decode_head(row.as_ref()))
+                .and_then(|head| self.on_head(head)),
+            Answer::Scan(outcome) => row::read(outcome).and_then(|page| self.on_page(page)),
+            Answer::Commit(_) => unreachable!("this machine never commits"),
+        };
+        match next {
+            Ok(Some(call)) => Step::Call(call),
+            Ok(None) => Step::Done(Ok(self.progress.clone())),
+            Err(error) => Step::Done(Err(error)),
+        }
+    }
+}
--- /dev/null
+++ b/mimosashift/src/config/change.rs
@@ -0,0 +1,354 @@
+//! Commits one change.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use super::Error;
+use super::call::{Answer, Call, Machine, Step};
+use super::catchup::{CatchUp, Progress};
+use super::record::{Record, shortened};
+use super::row;
+use super::state::{State, Version};
+use crate::platform::{Check, Key, Outcome, Refusal, Row, Transaction, Write};
+use crate::resource::{Kind, Name, Resource, Spec};
+
+/// Most transactions sent for one change.
+const MAX_TRIES: u32 = 8;
+
+/// Identifies a change over all tries; the client may choose it, so that it
+/// can repeat a change whose outcome it does not know.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ChangeId(pub u128);
+
+/// What must hold for the resource before the change.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Precondition {
+    /// Anything.
+    #[default]
+    Any,
+    /// The resource does not exist.
+    Absent,
+    /// The resource was last changed at this revision.
+    Revision(u64),
+}
+
+/// A change that an operator asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Change {
+    /// Identifier, random unless the client chose one.
+    pub id: ChangeId,
+    /// Who asks.
+    pub operator: String,
+    /// Where the request comes from.
+    pub origin: String,
+    /// Time of the request in milliseconds of Unix time, for the audit trail.
+    pub at_unix_ms: u64,
+    /// Kind of the resource.
+    pub kind: Kind,
+    /// Name of the resource.
+    pub name: Name,
+    /// What it shall be; `None` deletes.
+    pub spec: Option<Spec>,
+    /// What must hold before.
+    pub precondition: Precondition,
+    /// Whether only to check, without a change.
+    pub dry_run: bool,
+}
+
+/// An accepted change.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Committed {
+    /// Revision that the change made, or would make in a dry run.
+    pub revision: u64,
+    /// The latest configuration read. It is older than `revision` in a dry run
+    /// and when an earlier try had made the change.
+    pub state: State,
+}
+
+/// Commits one [`Change`] by conditional transactions.
+///
+/// Each transaction checks the row `head`, so at most one change makes a
+/// revision, and that no row of the change's identifier exists, so a change
+/// takes effect at most once over all tries.
+#[derive(Debug)]
+pub struct Commit {
+    change: Change,
+    phase: Phase,
+    /// State that the next transaction builds on.
+    state: State,
+    tries: u32,
+    /// Whether an earlier transaction may have taken effect or still may.
+    in_doubt: bool,
+    /// Lowest table revision of the row `head` that settles the last conflict.
+    settled_at: u64,
+    /// The last change by someone else that was seen.
+    winner: Option<Record>,
+}
+
+#[derive(Debug)]
+enum Phase {
+    /// Looks for an earlier try of the same change.
+    Lookup,
+    /// Reads the record of an earlier try.
+    Earlier(u64),
+    /// Reads the table's head and the records up to it.
+    CatchUp(CatchUp),
+    /// Waits for the transaction that leads to this state.
+    Commit { transaction: Transaction, next: State },
+}
+
+type Next = Result<Step<Committed>, Error>;
+
+impl Commit {
+    /// Prepares a change on top of the installed state.
+    pub fn new(change: Change, installed: State) -> Self {
+        Self {
+            change,
+            phase: Phase::Lookup,
+            state: installed,
+            tries: 0,
+            in_doubt: false,
+            settled_at: 0,
+            winner: None,
+        }
+    }
+
+    fn next(&mut self, answer: Answer) -> Next {
+        match (&mut self.phase, answer) {
+            (Phase::Lookup, Answer::Read(outcome)) => {
+                let row = row::read(outcome)?;
+                self.on_lookup(row.as_ref())
+            }
+            (Phase::Earlier(revision), Answer::Read(outcome)) => {
+                let revision = *revision;
+                self.on_earlier(revision, row::read(outcome)?.as_ref())
+            }
+            (Phase::CatchUp(machine), answer @ (Answer::Read(_) | Answer::Scan(_))) => {
+                match machine.answer(answer) {
+                    Step::Call(call) => Ok(Step::Call(call)),
+                    Step::Done(progress) => self.on_caught_up(progress?),
+                }
+            }
+            (Phase::Commit { .. }, Answer::Commit(outcome)) => self.on_commit(outcome),
+            (phase, answer) => unreachable!("phase {phase:?} asked for no {answer:?}"),
+        }
+    }
+
+    fn on_lookup(&mut self, row: Option<&Row>) -> Next {
+        let Some(row) = row else { return Ok(self.catch_up()) };
+        self.in_doubt = true;
+        let revision = row::decode(row)?;
+        self.phase = Phase::Earlier(revision);
+        Ok(Step::Call(Call::Read(row::log(revision))))
+    }
+
+    fn on_earlier(&mut self, revision: u64, row: Option<&Row>) -> Next {
+        let Some(row) = row else { return Err(Error::missing_record(revision)) };
+        let record: Record = row::decode(row)?;
+        let same = record.kind == self.change.kind
+            && record.name == self.change.name
+            && record.after == self.change.spec;
+        if !same {
+            self.in_doubt = false;
+            return Err(Error::Reused(self.change.id));
+        }
+        Ok(Step::Done(Committed { revision, state: self.state.clone() }))
+    }
+
+    fn catch_up(&mut self) -> Step<Committed> {
+        let mut machine = CatchUp::new(self.state.clone());
+        let Step::Call(call) = machine.start() else { unreachable!("it starts with a call") };
+        self.phase = Phase::CatchUp(machine);
+        Step::Call(call)
+    }
+
+    fn on_caught_up(&mut self, progress: Progress) -> Next {
+        let table_revision = progress.head.table_revision.unwrap_or_default();
+        if table_revision < self.settled_at {
+            return Err(Error::Lagging { seen: self.settled_at, read: table_revision });
+        }
+        self.state = progress.state;
+        if let Some(own) = progress.records.iter().find(|record| record.id == self.change.id) {
+            let committed = Committed { revision: own.revision, state: self.state.clone() };
+            return Ok(Step::Done(committed));
+        }
+        // The head moved past the transaction in doubt without its record.
+        self.in_doubt = false;
+        self.winner = progress.records.into_iter().next_back().or(self.winner.take());
+        if self.tries == MAX_TRIES {
+            return Err(self.contended());
+        }
+        self.check()?;
+        let (transaction, next) = self.transaction(progress.head.table_revision)?;
+        if self.change.dry_run {
+            let revision = next.version().revision;
+            return Ok(Step::Done(Committed { revision, state: self.state.clone() }));
+        }
+        self.phase = Phase::Commit { transaction, next };
+        Ok(self.send())
+    }
+
+    fn send(&mut self) -> Step<Committed> {
+        let Phase::Commit { transaction, .. } = &self.phase else {
+            unreachable!("only the commit phase sends")
+        };
+        self.tries += 1;
+        Step::Call(Call::Commit(transaction.clone()))
+    }
+
+    fn on_commit(&mut self, outcome: Outcome<u64>) -> Next {
+        match outcome {
+            Outcome::Done(_) => {
+                let Phase::Commit { next, .. } = &self.phase else {
+                    unreachable!("only the commit phase commits")
+                };
+                let revision = next.version().revision;
+                Ok(Step::Done(Committed { revision, state: next.clone() }))
+            }
+            Outcome::Unknown if self.tries < MAX_TRIES => {
+                // The same transaction again: its checks let it apply once.
+                self.in_doubt = true;
+                Ok(self.send())
+            }
+            Outcome::Unknown => {
+                self.in_doubt = true;
+                Err(Error::Unknown(self.change.id))
+            }
+            Outcome::NotDone(Refusal::Conflict(found)) => self.on_conflict(found),
+            Outcome::NotDone(refusal) => Err(Error::Platform(refusal)),
+        }
+    }
+
+    fn on_conflict(&mut self, found: Option<Row>) -> Next {
+        match found {
+            Some(row) if row.key == row::change(self.change.id) => self.on_lookup(Some(&row)),
+            Some(row) if row.key == row::head() => {
+                self.settled_at = row.revision;
+                Ok(self.catch_up())
+            }
+            _ => Err(Error::Platform(Refusal::Conflict(found))),
+        }
+    }
+
+    /// Checks precondition, rules and references against the state.
+    fn check(&self) -> Result<(), Error> {
+        let Change { kind, name, .. } = &self.change;
+        let snapshot = self.state.snapshot();
+        let found = snapshot.get(*kind, name).map(|resource| resource.revision);
+        let holds = match self.change.precondition {
+            Precondition::Any => found.is_some() || self.change.spec.is_some(),
+            Precondition::Absent => found.is_none() && self.change.spec.is_some(),
+            Precondition::Revision(revision) => found == Some(revision),
+        };
+        if !holds {
+            let by = self.winner.as_ref().filter(|w| w.kind == *kind && w.name == *name);
+            let by = by.map(|winner| winner.operator.clone());
+            return Err(Error::Precondition { kind: *kind, name: name.clone(), found, by });
+        }
+        match &self.change.spec {
+            Some(spec) => snapshot.check(spec)?,
+            None => snapshot.check_delete(*kind, name)?,
+        }
+        Ok(())
+    }
+
+    fn transaction(&self, head: Option<u64>) -> Result<(Transaction, State), Error> {
+        let Change { id, kind, name, spec, .. } = &self.change;
+        let before = self.state.snapshot().get(*kind, name).map(|r| shortened(&r.spec));
+        let mut record = Record {
+            revision: self.state.version().revision + 1,
+            lineage: 0,
+            id: *id,
+            operator: self.change.operator.clone(),
+            origin: self.change.origin.clone(),
+            at_unix_ms: self.change.at_unix_ms,
+            kind: *kind,
+            name: name.clone(),
+            before,
+            after: spec.clone(),
+        };
+        record.lineage = self.state.version_after(&record).lineage;
+        let next = self.state.apply(&record)?;
+        let checks = vec![Check::Absent(row::change(*id)), head_check(head)];
+        let writes = vec![
+            self.resource_write(record.revision),
+            Write::Put(row::head(), row::encode::<Version>(&next.version())),
+            Write::Put(row::log(record.revision), row::encode(&record)),
+            Write::Put(row::change(*id), row::encode(&record.revision)),
+        ];
+        Ok((Transaction { checks, writes }, next))
+    }
+
+    fn resource_write(&self, revision: u64) -> Write {
+        let Change { kind, name, spec, .. } = &self.change;
+        let key: Key = row::resource(*kind, name);
+        match spec {
+            Some(spec) => {
+                let resource = Resource { name: name.clone(), revision, spec: spec.clone() };
+                Write::Put(key, row::encode(&resource))
+            }
+            None => Write::Delete(key),
+        }
+    }
+
+    fn contended(&self) -> Error {
+        let winner = self.winner.as_ref();
+        Error::Contended {
+            tries: self.tries,
+            winner: winner.map(|w| w.operator.clone()).unwrap_or_default(),
+            revision: winner.map(|w| w.revision).unwrap_or_default(),
+        }
+    }
+}
+
+impl Machine for Commit {
+    type Output = Result<Committed, Error>;
+
+    fn start(&mut self) -> Step<Self::Output> {
+        Step::Call(Call::Read(row::change(self.change.id)))
+    }
+
+    fn answer(&mut self, answer: Answer) -> Step<Self::Output> {
+        match self.next(answer) {
+            Ok(Step::Call(call)) => Step::Call(call),
+            Ok(Step::Done(committed)) => Step::Done(Ok(committed)),
+            Err(_) if self.in_doubt => Step::Done(Err(Error::Unknown(self.change.id))),
+            Err(error) => Step::Done(Err(error)),
+        }
+    }
+}
+
+impl TryFrom<&str> for ChangeId {
+    type Error = std::num::ParseIntError;
+
+    fn try_from(text: &str) -> Result<Self, Self::Error> {
+        u128::from_str_radix(text, 16).map(Self)
+    }
+}
+
+impl fmt::Display for ChangeId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl Serialize for ChangeId {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for ChangeId {
+    fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        Self::try_from(text.as_str()).map_err(serde::de::Error::custom)
+    }
+}
+
+fn head_check(table_revision: Option<u64>) -> Check {
+    match table_revision {
+        Some(revision) => Check::Revision(row::head(), revision),
+        None => Check::Absent(row::head()),
+    }
+}
--- /dev/null
+++ b/mimosashift/src/config/load.rs
@@ -0,0 +1,150 @@
+//! Reads the whole configuration from the table.
+
+use super::call::{Answer, Call, Machine, Step};
+use super::row;
+use super::state::{State, Version};
+use super::{Error, Record};
+use crate::platform::{Page, Row};
+use crate::resource::{Resource, Snapshot};
+
+/// Most tries when the rows read do not belong together.
+const MAX_TRIES: u32 = 4;
+
+/// Reads the row `head`, every resource, and the records of changes made
+/// while the resources were read.
+///
+/// Pages are not read in one transaction. The version in the row `head` shows
+/// whether the resources read belong together; if not, the load starts over.
+#[derive(Debug)]
+pub struct Load {
+    floor: u64,
+    tries: u32,
+    phase: Phase,
+    resources: Vec<Resource>,
+    snapshot: Snapshot,
+    target: Version,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Phase {
+    /// Waits for the row `head` before the resources are read.
+    First,
+    /// Waits for a page of resources.
+    Resources,
+    /// Waits for the row `head` after the resources were read.
+    Second,
+    /// Waits for a page of the log.
+    Log,
+}
+
+impl Load {
+    /// Accepts no revision lower than `floor`.
+    pub fn new(floor: u64) -> Self {
+        Self {
+            floor,
+            tries: 1,
+            phase: Phase::First,
+            resources: Vec::new(),
+            snapshot: Snapshot::default(),
+            target: Version::default(),
+        }
+    }
+
+    fn next(&mut self, answer: Answer) -> Result<Step<State>, Error> {
+        match (self.phase, answer) {
+            (Phase::First, Answer::Read(row)) => self.on_first_head(row::read(row)?.as_ref()),
+            (Phase::Resources, Answer::Scan(page)) => self.on_resources(&row::read(page)?),
+            (Phase::Second, Answer::Read(row)) => self.on_second_head(row::read(row)?.as_ref()),
+            (Phase::Log, Answer::Scan(page)) => self.on_log(&row::read(page)?),
+            (phase, answer) => unreachable!("phase {phase:?} asked for no {answer:?}"),
+        }
+    }
+
+    fn on_first_head(&mut self, row: Option<&Row>) -> Result<Step<State>, Error> {
+        self.target = self.checked_head(row)?;
+        self.resources.clear();
+        self.phase = Phase::Resources;
+        Ok(Step::Call(row::scan_resources("")))
+    }
+
+    fn on_resources(&mut self, page: &Page) -> Result<Step<State>, Error> {
+        for row in &page.rows {
+            self.resources.push(row::decode(row)?);
+        }
+        if let Some(last) = page.rows.last().filter(|_| page.more) {
+            return Ok(Step::Call(row::scan_resources(&last.key.key)));
+        }
+        let resources = std::mem::take(&mut self.resources);
+        self.snapshot = Snapshot::new(self.target.revision, resources);
+        self.phase = Phase::Second;
+        Ok(Step::Call(Call::Read(row::head())))
+    }
+
+    fn on_second_head(&mut self, row: Option<&Row>) -> Result<Step<State>, Error> {
+        self.target = self.checked_head(row)?;
+        self.phase = Phase::Log;
+        self.continue_log()
+    }
+
+    fn on_log(&mut self, page: &Page) -> Result<Step<State>, Error> {
+        let before = self.snapshot.revision();
+        for row in &page.rows {
+            let record: Record = row::decode(row)?;
+            if record.revision == self.snapshot.revision() + 1
+                && record.revision <= self.target.revision
+            {
+                self.snapshot = record.apply(&self.snapshot);
+            }
+        }
+        if self.snapshot.revision() == before {
+            return self.start_over(Error::missing_record(before + 1));
+        }
+        self.continue_log()
+    }
+
+    /// Reads the next page of the log, or ends at the target.
+    fn continue_log(&mut self) -> Result<Step<State>, Error> {
+        let reached = self.snapshot.revision();
+        if reached < self.target.revision {
+            return Ok(Step::Call(row::scan_log(reached)));
+        }
+        match State::new(self.target, std::mem::take(&mut self.snapshot)) {
+            Ok(state) => Ok(Step::Done(state)),
+            Err(error) => self.start_over(error),
+        }
+    }
+
+    fn start_over(&mut self, error: Error) -> Result<Step<State>, Error> {
+        if self.tries == MAX_TRIES {
+            return Err(error);
+        }
+        self.tries += 1;
+        self.phase = Phase::First;
+        Ok(Step::Call(Call::Read(row::head())))
+    }
+
+    fn checked_head(&self, row: Option<&Row>) -> Result<Version, Error> {
+        let version = row::decode_head(row)?.version;
+        if version.revision < self.floor {
+            return Err(Error::Stale { installed: self.floor, table: version.revision });
+        }
+        Ok(version)
+    }
+}
+
+impl Machine for Load {
+    type Output = Result<State, Error>;
+
+    fn start(&mut self) -> Step<Self::Output> {
+        self.phase = Phase::First;
+        Step::Call(Call::Read(row::head()))
+    }
+
+    fn answer(&mut self, answer: Answer) -> Step<Self::Output> {
+        match self.next(answer) {
+            Ok(Step::Call(call)) => Step::Call(call),
+            Ok(Step::Done(state)) => Step::Done(Ok(state)),
+            Err(error) => Step::Done(Err(error)),
+        }
+    }
+}
--- /dev/null
+++ b/mimosashift/src/config/mod.rs
@@ -0,0 +1,102 @@
+//! Configuration: committing changes, loading and spreading them.
+//!
+//! A change is one transaction on the platform's table; every router installs
+//! the revisions in rising order and never goes back. The reasons are in
+//! `docs/design/configuration.md`.
+
+use quick_error::quick_error;
+
+use crate::platform::Refusal;
+use crate::resource::{self, Kind, Name};
+
+pub mod call;
+pub mod catchup;
+pub mod change;
+pub mod load;
+pub mod record;
+mod row;
+pub mod state;
+
+pub use change::{Change, ChangeId, Committed, Precondition};
+pub use record::{Entry, Record};
+pub use state::{State, Version};
+
+quick_error! {
+    /// Why a change did not happen or a table could not be used.
+    #[derive(Clone, Debug, PartialEq, Eq)]
+    #[allow(missing_docs)] // The macro takes no comments on fields.
+    pub enum Error {
+        /// The platform refused the call; nothing changed.
+        Platform(refusal: Refusal) {
+            display("table `config` refused the call, nothing changed: {:?}", refusal)
+        }
+        /// A row cannot be read.
+        Row { key: String, reason: String } {
+            display("row {:?} of table `config`: {}", key, reason)
+        }
+        /// The table answers from before what is installed: it lags or was
+        /// restored.
+        Stale { installed: u64, table: u64 } {
+            display(
+                "table `config` answers revision {}, revision {} is installed: it lags or was restored",
+                table, installed
+            )
+        }
+        /// A read answers from before a conflict that the table reported.
+        Lagging { seen: u64, read: u64 } {
+            display("row `head` reads at table revision {}, {} was seen before", read, seen)
+        }
+        /// A record does not follow what is installed.
+        Gap { installed: u64, next: u64 } {
+            display("record {} does not follow revision {}", next, installed)
+        }
+        /// The table holds another history than the one installed: it was
+        /// restored and changed since.
+        Diverged(revision: u64) {
+            display("revision {} has another history than the one installed", revision)
+        }
+        /// Resources read do not add up to the revision.
+        Incomplete(revision: u64) {
+            display("the resources read do not add up to revision {}", revision)
+        }
+        /// The resource is not as the operator's precondition says.
+        Precondition { kind: Kind, name: Name, found: Option<u64>, by: Option<String> } {
+            display(
+                "{} {:?} stands at revision {:?}, last changed by {:?}",
+                kind, name.as_str(), found, by
+            )
+        }
+        /// The change breaks a rule on resources.
+        Resource(error: resource::Error) {
+            from()
+            display("{}", error)
+        }
+        /// Other operators' changes came first in every try.
+        Contended { tries: u32, winner: String, revision: u64 } {
+            display(
+                "lost to other changes in {} tries, last to {:?} at revision {}",
+                tries, winner, revision
+            )
+        }
+        /// The change's identifier already stands for a different change.
+        Reused(id: ChangeId) {
+            display("change id {} already belongs to another change", id)
+        }
+        /// The change may or may not have taken effect; its identifier finds
+        /// out later.
+        Unknown(id: ChangeId) {
+            display("outcome of change {} is unknown", id)
+        }
+    }
+}
+
+impl Error {
+    fn missing_record(revision: u64) -> Self {
+        Self::Row { key: row::log(revision).key, reason: "the row does not exist".to_owned() }
+    }
+
+    /// Whether the change certainly did not take effect.
+    pub const fn not_run(&self) -> bool {
+        !matches!(self, Self::Unknown(_))
+    }
+}
--- /dev/null
+++ b/mimosashift/src/config/state.rs
@@ -0,0 +1,103 @@
+//! A snapshot together with the history that led to it.
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+use super::{Error, Record};
+use crate::resource::{Kind, Name, Snapshot};
+
+/// Identifies a configuration: its revision and what led to it.
+///
+/// Two routers with equal revisions but different versions installed
+/// different histories, which only a restored table can bring about.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Version {
+    /// Number of accepted changes.
+    pub revision: u64,
+    /// Hash over the identifiers of all changes, in order.
+    pub lineage: u64,
+    /// Sum of a hash of each resource's kind, name and revision. It shows
+    /// whether a set of rows is the whole set.
+    pub checksum: u64,
+}
+
+/// The configuration at one version; a clone shares structure.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct State {
+    version: Version,
+    snapshot: Snapshot,
+}
+
+impl State {
+    /// Puts a snapshot together with the version it should have.
+    ///
+    /// Fails when the resources are not the whole set of that version.
+    pub fn new(version: Version, snapshot: Snapshot) -> Result<Self, Error> {
+        let checksum = snapshot.iter().fold(0_u64, |sum, r| {
+            sum.wrapping_add(resource_hash(r.spec.kind(), &r.name, r.revision))
+        });
+        if snapshot.revision() != version.revision || checksum != version.checksum {
+            return Err(Error::Incomplete(version.revision));
+        }
+        Ok(Self { version, snapshot })
+    }
+
+    /// Identifies this state.
+    pub const fn version(&self) -> Version {
+        self.version
+    }
+
+    /// The resources.
+    pub const fn snapshot(&self) -> &Snapshot {
+        &self.snapshot
+    }
+
+    /// The state that follows by one change.
+    ///
+    /// Fails when the record is not the successor of this state.
+    pub fn apply(&self, record: &Record) -> Result<Self, Error> {
+        let version = self.version_after(record);
+        if record.revision != version.revision {
+            return Err(Error::Gap { installed: self.version.revision, next: record.revision });
+        }
+        if record.lineage != version.lineage {
+            return Err(Error::Diverged(record.revision));
+        }
+        Ok(Self { version, snapshot: record.apply(&self.snapshot) })
+    }
+
+    /// The version that follows when `record` is the next change.
+    pub(super) fn version_after(&self, record: &Record) -> Version {
+        let revision = self.version.revision + 1;
+        let (kind, name) = (record.kind, &record.name);
+        let old =
+            self.snapshot.get(kind, name).map_or(0, |r| resource_hash(kind, name, r.revision));
+        let new = record.after.as_ref().map_or(0, |_| resource_hash(kind, name, revision));
+        Version {
+            revision,
+            lineage: lineage_after(self.version.lineage, record.id.0),
+            checksum: self.version.checksum.wrapping_sub(old).wrapping_add(new),
+        }
+    }
+}
+
+fn lineage_after(lineage: u64, id: u128) -> u64 {
+    let hash = Sha256::new().chain_update(lineage.to_le_bytes()).chain_update(id.to_le_bytes());
+    first_bytes(hash)
+}
+
+fn resource_hash(kind: Kind, name: &Name, revision: u64) -> u64 {
+    let hash = Sha256::new()
+        .chain_update(kind.as_str())
+        .chain_update("/")
+        .chain_update(name.as_str())
+        .chain_update("@")
+        .chain_update(revision.to_le_bytes());
+    first_bytes(hash)
+}
+
+fn first_bytes(hash: Sha256) -> u64 {
+    let bytes = hash.finalize();
+    let first = bytes.first_chunk().expect("a SHA-256 digest has more than 8 bytes");
+    u64::from_le_bytes(*first)
+}
--- a/mimosashift/src/resource/mod.rs
+++ b/mimosashift/src/resource/mod.rs
@@ -12,6 +12,7 @@
 mod layers;
 mod name;
 mod snapshot;
+mod sorted;
 mod spec;
 
 pub use layers::Layers;
--- a/mimosashift/src/resource/snapshot.rs
+++ b/mimosashift/src/resource/snapshot.rs
@@ -1,32 +1,52 @@
 //! All resources as of one configuration revision.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
+use super::sorted::Sorted;
 use super::{
     Endpoint, Error, Kind, Name, Pipeline, Priority, Resource, Role, Route, Service, Spec, Team,
 };
 
+/// Bytes of a SHA-256 digest.
+const DIGEST_BYTES: usize = 32;
+
+/// A SHA-256 digest of a bearer token.
+type Digest = [u8; DIGEST_BYTES];
+
 /// Every resource as of one revision; immutable once installed.
 ///
 /// A request keeps the snapshot that admitted it, so that a change never
-/// takes effect halfway through an answer.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+/// takes effect halfway through an answer. Snapshots share structure, see
+/// `docs/design/configuration.md`.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(from = "Wire", into = "Wire")]
 pub struct Snapshot {
     revision: u64,
-    resources: BTreeMap<(Kind, Name), Arc<Resource>>,
+    /// One map per kind, in the order of [`Kind`]'s declaration.
+    kinds: [Sorted<Name, Arc<Resource>>; Kind::ALL.len()],
+    /// Teams by the digests of their tokens.
+    tokens: Sorted<(Digest, Name), ()>,
+    /// Routes by the model that they serve.
+    models: Sorted<(Arc<str>, Name), ()>,
+}
+
+/// A snapshot as it is serialized.
+#[derive(Serialize, Deserialize)]
+struct Wire {
+    revision: u64,
+    resources: Vec<Arc<Resource>>,
 }
 
 impl Snapshot {
     /// Builds a snapshot at `revision` from its resources.
     pub fn new(revision: u64, resources: impl IntoIterator<Item = Resource>) -> Self {
-        let key = |r: &Resource| (r.spec.kind(), r.name.clone());
-        Self {
-            revision,
-            resources: resources.into_iter().map(|r| (key(&r), Arc::new(r))).collect(),
+        let mut snapshot = Self { revision, ..Self::default() };
+        for resource in resources {
+            snapshot.insert(Arc::new(resource));
         }
+        snapshot
     }
 
     /// The revision of the last change it contains.
@@ -34,44 +54,63 @@
         self.revision
     }
 
+    /// Number of resources.
+    pub fn len(&self) -> usize {
+        self.kinds.iter().map(Sorted::len).sum()
+    }
+
+    /// Whether it holds no resource.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     /// The resource of a kind and name.
     pub fn get(&self, kind: Kind, name: &Name) -> Option<&Resource> {
-        self.resources.get(&(kind, name.clone())).map(Arc::as_ref)
+        self.kinds[kind as usize].get(name).map(Arc::as_ref)
     }
 
     /// The resources of a kind, in order of name.
     pub fn list(&self, kind: Kind) -> impl Iterator<Item = &Resource> {
-        self.iter().filter(move |r| r.spec.kind() == kind)
+        self.kinds[kind as usize].iter().map(|(_, resource)| resource.as_ref())
     }
 
     /// Every resource, by kind and name.
     pub fn iter(&self) -> impl Iterator<Item = &Resource> {
-        self.resources.values().map(Arc::as_ref)
+        self.kinds.iter().flat_map(Sorted::iter).map(|(_, resource)| resource.as_ref())
     }
 
     /// This snapshot with one change applied at `revision`; `None` deletes.
     pub fn with(&self, revision: u64, kind: Kind, name: &Name, spec: Option<Spec>) -> Self {
         let mut next = self.clone();
         next.revision = revision;
-        let key = (kind, name.clone());
         match spec {
-            Some(spec) => {
-                let resource = Resource { name: name.clone(), revision, spec };
-                next.resources.insert(key, Arc::new(resource));
-            }
-            None => {
-                next.resources.remove(&key);
-            }
+            Some(spec) => next.insert(Arc::new(Resource { name: name.clone(), revision, spec })),
+            None => next.remove(kind, name),
         }
         next
     }
 
-    /// The route under which callers know `model`.
+    /// The route under which callers know `model`; the first by name where
+    /// several serve it.
     pub fn route(&self, model: &str) -> Option<(&Name, &Route)> {
-        self.list(Kind::Route).find_map(|r| match &r.spec {
-            Spec::Route(route) if route.model == model => Some((&r.name, route)),
+        let ((found, name), ()) = self.models.first(|(m, _)| m.as_ref() < model)?;
+        if found.as_ref() != model {
+            return None;
+        }
+        match &self.get(Kind::Route, name)?.spec {
+            Spec::Route(route) => Some((name, route)),
             _ => None,
-        })
+        }
+    }
+
+    /// The team that a token's SHA-256 digest belongs to; the first by name
+    /// where several declare it.
+    pub fn team_of_token(&self, digest: &Digest) -> Option<(&Name, &Team)> {
+        let ((found, name), ()) = self.tokens.first(|(d, _)| d < digest)?;
+        if found != digest {
+            return None;
+        }
+        self.team(name).map(|team| (name, team))
     }
 
     /// The pipeline of a name.
@@ -153,6 +192,34 @@
         Ok(())
     }
 
+    fn insert(&mut self, resource: Arc<Resource>) {
+        let kind = resource.spec.kind();
+        self.remove(kind, &resource.name);
+        match &resource.spec {
+            Spec::Team(team) => digests(team)
+                .for_each(|digest| self.tokens.insert((digest, resource.name.clone()), ())),
+            Spec::Route(route) => {
+                self.models.insert((route.model.as_str().into(), resource.name.clone()), ());
+            }
+            _ => {}
+        }
+        self.kinds[kind as usize].insert(resource.name.clone(), resource);
+    }
+
+    fn remove(&mut self, kind: Kind, name: &Name) {
+        let Some(old) = self.kinds[kind as usize].get(name).cloned() else { return };
+        match &old.spec {
+            Spec::Team(team) => {
+                digests(team).for_each(|digest| self.tokens.remove(&(digest, name.clone())));
+            }
+            Spec::Route(route) => {
+                self.models.remove(&(route.model.as_str().into(), name.clone()));
+            }
+            _ => {}
+        }
+        self.kinds[kind as usize].remove(name);
+    }
+
     fn require(&self, field: &'static str, kind: Kind, name: &Name) -> Result<(), Error> {
         if self.get(kind, name).is_some() {
             return Ok(());
@@ -160,3 +227,34 @@
         Err(Error::Missing { field, kind, name: name.clone() })
     }
 }
+
+impl PartialEq for Snapshot {
+    fn eq(&self, other: &Self) -> bool {
+        self.revision == other.revision && self.iter().eq(other.iter())
+    }
+}
+
+impl From<Wire> for Snapshot {
+    fn from(wire: Wire) -> Self {
+        let mut snapshot = Self { revision: wire.revision, ..Self::default() };
+        wire.resources.into_iter().for_each(|resource| snapshot.insert(resource));
+        snapshot
+    }
+}
+
+impl From<Snapshot> for Wire {
+    fn from(snapshot: Snapshot) -> Self {
+        let resources = snapshot.kinds.iter().flat_map(Sorted::iter);
+        Self { revision: snapshot.revision, resources: resources.map(|(_, r)| r.clone()).collect() }
+    }
+}
+
+/// The token digests of a team; one that is not valid hexadecimal matches no
+/// token and is left out.
+fn digests(team: &Team) -> impl Iterator<Item = Digest> {
+    team.token_digests.iter().filter_map(|text| {
+        let mut digest = [0; DIGEST_BYTES];
+        hex::decode_to_slice(text, &mut digest).ok()?;
+        Some(digest)
+    })
+}
