Drive requests with the pipeline machine, commit changes to the table

Cause: the thin relay gave up at the first failure and each router kept its own configuration. Change: node runs the pipeline machine, chooses chains with endpoint health, commits changes through the table; calls to services; cancellations on threads of their own.

--- a/mimosashift/src/node/auth.rs
+++ b/mimosashift/src/node/auth.rs
@@ -1,18 +1,21 @@
 //! Who is calling.
 
+use hyper::StatusCode;
 use sha2::{Digest as _, Sha256};
 use subtle::ConstantTimeEq;
 
 use crate::http::Request;
 use crate::http::problem::Problem;
-use crate::resource::{Name, Snapshot};
+use crate::resource::{Name, Snapshot, Team};
 use crate::settings::Digest;
 
 /// The team whose token a request carries.
-pub fn team(request: &Request, snapshot: &Snapshot) -> Result<Name, Problem> {
-    let digest = hex::encode(token_digest(request)?);
-    let found = snapshot.teams().find(|(_, team)| team.token_digests.contains(&digest));
-    found.map(|(name, _)| name.clone()).ok_or_else(unauthorized)
+pub fn team<'a>(
+    request: &Request,
+    snapshot: &'a Snapshot,
+) -> Result<(&'a Name, &'a Team), Problem> {
+    let digest = token_digest(request)?;
+    snapshot.team_of_token(&digest).ok_or_else(unauthorized)
 }
 
 /// Checks that a request may change resources, and names who makes it.
@@ -25,12 +28,12 @@
     if bootstrap.is_some_and(|known| bool::from(digest.ct_eq(&known.0))) {
         return Ok("bootstrap".to_owned());
     }
-    let team = team(request, snapshot)?;
-    if snapshot.team(&team).is_some_and(|spec| spec.operator) {
-        return Ok(team.as_str().to_owned());
+    let (name, team) = team(request, snapshot)?;
+    if team.operator {
+        return Ok(name.as_str().to_owned());
     }
-    let detail = format!("team {:?} may not change resources", team.as_str());
-    Err(Problem::not_run(hyper::StatusCode::FORBIDDEN, "forbidden", detail))
+    let detail = format!("team {:?} may not change resources", name.as_str());
+    Err(Problem::not_run(StatusCode::FORBIDDEN, "forbidden", detail))
 }
 
 fn token_digest(request: &Request) -> Result<[u8; 32], Problem> {
@@ -41,5 +44,5 @@
 
 fn unauthorized() -> Problem {
     let detail = "the request carries no token of a known team";
-    Problem::not_run(hyper::StatusCode::UNAUTHORIZED, "unauthorized", detail)
+    Problem::not_run(StatusCode::UNAUTHORIZED, "unauthorized", detail)
 }
--- a/mimosashift/src/node/mod.rs
+++ b/mimosashift/src/node/mod.rs
@@ -5,39 +5,70 @@
 //! process is under way.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread;
+use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
+use crossbeam::channel::{self, Receiver, Sender};
 use crossbeam::sync::Parker;
 
+use crate::config::State;
 use crate::emit;
 use crate::engine;
 use crate::event::{Event, Logger};
+use crate::health::{self, Registry};
 use crate::http::client::{self, Client};
 use crate::http::{self, Handler, Server};
-use crate::resource::Snapshot;
+use crate::pipeline::retry::{Budget, Share};
+use crate::route::affinity::{self, Affinity};
 
 mod auth;
 mod callers;
+mod clock;
 mod drain;
+mod installed;
 mod operators;
 mod relay;
+mod services;
 mod settings;
 
 pub use drain::Handle;
 pub use settings::{Error, Settings};
 
+use clock::Clock;
+use installed::Installed;
+use relay::Cancel;
+
 /// Requests of operators handled at once, watches included.
 const MAX_OPERATOR_REQUESTS: usize = 64;
 
+/// Cancellations that may wait for slow engines.
+const MAX_CANCELS: usize = 4_096;
+
+/// Threads that tell engines to drop work.
+const CANCEL_THREADS: usize = 2;
+
+/// Bound on what is remembered of engines' prefix caches: a few MB.
+const AFFINITY: affinity::Settings =
+    affinity::Settings { prefixes: 16_384, expiry: Duration::from_secs(300) };
+
 /// The shared tables of a router.
+///
+/// Lock order: `health`, `affinity`, `budget`. `installed` is read without a
+/// lock, and a request keeps the one that admitted it.
 pub struct Node {
     settings: Settings,
     log: Logger,
+    clock: Clock,
     drain: drain::Drain,
+    client: Arc<Client>,
     engines: engine::http::Adapter,
-    snapshot: ArcSwap<Snapshot>,
+    cancels: Sender<Cancel>,
+    installed: ArcSwap<Installed>,
+    health: Mutex<Registry>,
+    affinity: Mutex<Affinity>,
+    budget: Mutex<Budget>,
 }
 
 /// A router that serves.
@@ -51,18 +82,18 @@
 impl Running {
     /// Starts a router.
     pub fn start(settings: Settings, log: Logger) -> Result<Self, Error> {
-        let client = Arc::new(Client::new(client::Settings::default()));
         let (drain, drained) = drain::Drain::new();
-        let node = Arc::new(Node {
-            settings,
-            log,
-            drain,
-            engines: engine::http::Adapter::new(client),
-            snapshot: ArcSwap::default(),
-        });
+        let (cancels, cancelled) = channel::bounded(MAX_CANCELS);
+        let node = Arc::new(Node::new(settings, log, drain, cancels));
         emit!(node.log, Event::NodeStarted,
             "node" => node.settings.node.name.as_str(),
             "domain" => node.settings.node.domain.as_str());
+        for _ in 0..CANCEL_THREADS {
+            let (engines, cancelled) = (node.engines.clone(), cancelled.clone());
+            thread::Builder::new()
+                .name("cancel".to_owned())
+                .spawn(move || send_cancels(&engines, &cancelled))?;
+        }
         let callers = node.listen("callers", Arc::new(callers::Surface(Arc::clone(&node))))?;
         let operators =
             node.listen("operators", Arc::new(operators::Surface(Arc::clone(&node))))?;
@@ -107,9 +138,56 @@
 }
 
 impl Node {
+    fn new(settings: Settings, log: Logger, drain: drain::Drain, cancels: Sender<Cancel>) -> Self {
+        let clock = Clock::new();
+        let client = Arc::new(Client::new(client::Settings::default()));
+        let crossing = settings.peer.cross_domain_latency;
+        let installed = Installed::new(State::default(), settings.domain(), crossing);
+        Self {
+            log,
+            clock,
+            drain,
+            engines: engine::http::Adapter::new(Arc::clone(&client)),
+            client,
+            cancels,
+            installed: ArcSwap::from_pointee(installed),
+            health: Mutex::new(Registry::new(health::Settings::default())),
+            affinity: Mutex::new(Affinity::new(AFFINITY)),
+            budget: Mutex::new(Budget::new(Share::default(), clock.now())),
+            settings,
+        }
+    }
+
     /// The configuration in force here.
-    pub fn snapshot(&self) -> Arc<Snapshot> {
-        self.snapshot.load_full()
+    fn installed(&self) -> Arc<Installed> {
+        self.installed.load_full()
+    }
+
+    /// Puts a configuration in force, unless a later one is.
+    fn install(&self, state: State) {
+        let crossing = self.settings.peer.cross_domain_latency;
+        let mut health = self.lock_health();
+        let revision = state.version().revision;
+        if revision <= self.installed.load().state().version().revision {
+            return;
+        }
+        let installed = Installed::new(state, self.settings.domain(), crossing);
+        health.install(installed.snapshot(), installed.distances());
+        self.installed.store(Arc::new(installed));
+        drop(health);
+        emit!(self.log, Event::ConfigInstalled, "revision" => revision);
+    }
+
+    fn lock_health(&self) -> MutexGuard<'_, Registry> {
+        self.health.lock().expect("no holder of this lock panics")
+    }
+
+    fn lock_affinity(&self) -> MutexGuard<'_, Affinity> {
+        self.affinity.lock().expect("no holder of this lock panics")
+    }
+
+    fn lock_budget(&self) -> MutexGuard<'_, Budget> {
+        self.budget.lock().expect("no holder of this lock panics")
     }
 
     fn listen(&self, surface: &'static str, handler: Arc<dyn Handler>) -> Result<Server, Error> {
@@ -128,7 +206,8 @@
     }
 }
 
-/// Seconds since the Unix epoch.
-fn unix_seconds() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_secs())
+fn send_cancels(engines: &engine::http::Adapter, cancelled: &Receiver<Cancel>) {
+    for cancel in cancelled {
+        engines.cancel(cancel.endpoint, cancel.request, cancel.attempt);
+    }
 }
--- a/mimosashift/src/node/relay.rs
+++ b/mimosashift/src/node/relay.rs
@@ -1,88 +1,297 @@
-//! Runs the token pipeline of one request.
+//! Runs the token pipeline of one request on the thread of its caller.
+//!
+//! The machine decides; this module makes its exchanges one after the other
+//! and feeds their results back.
 
+use std::collections::VecDeque;
+use std::thread;
 use std::time::Duration;
 
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use smallvec::SmallVec;
+
 use super::Node;
-use crate::engine::{Failure, Input, Label, Output, RequestId, Step};
-use crate::resource::{Name, Role, Snapshot};
-use crate::route::{Chain, Stage};
+use super::installed::Installed;
+use crate::emit;
+use crate::engine::http::Import;
+use crate::engine::{Failure, Label, Output, Reply, RequestId, Step};
+use crate::event::Event;
+use crate::health::{Exchange, Standing, View};
+use crate::pipeline::{
+    Action, Actions, Context, Limits, Machine, Outcome, Replacement, Request, Scope,
+};
+use crate::resource::Name;
+use crate::route::{Ask, Chain, Refusal, Sources, Stage};
+use crate::time::Instant;
+
+/// Bytes of headers around a step's body, for the estimate of link time.
+const STEP_OVERHEAD_BYTES: u64 = 512;
+
+/// An engine's work for a request, to be dropped there.
+pub struct Cancel {
+    /// The engine.
+    pub endpoint: std::net::SocketAddr,
+    /// The request.
+    pub request: RequestId,
+    /// The latest attempt to drop.
+    pub attempt: u32,
+}
+
+/// What a caller wants of a model, checked.
+pub struct Job<'a> {
+    /// The model.
+    pub pipeline: &'a Name,
+    /// Its version.
+    pub version: u32,
+    /// The request.
+    pub request: Request,
+}
 
-/// Time for one step.
-const STEP_TIMEOUT: Duration = Duration::from_secs(2);
+/// How a request went.
+pub struct Done {
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Recoveries on the way.
+    pub recovered: u32,
+}
 
-/// Generates up to `max_tokens` tokens, giving each to `emit` until it
-/// returns false.
+/// Runs a job; `emit` takes each token and says whether the caller is there.
 pub fn run(
     node: &Node,
-    snapshot: &Snapshot,
-    request: RequestId,
-    chain: &Chain,
-    prompt: &[u32],
-    max_tokens: u32,
-    mut emit: impl FnMut(u32) -> bool,
-) -> Result<(), Failure> {
-    let mut position = 0;
-    let mut tokens = prompt.to_vec();
-    for _ in 0..max_tokens {
-        let count = tokens.len() as u32;
-        let mut input = Input::Tokens(std::mem::take(&mut tokens));
-        for stage in chain.stages() {
-            let label = Label {
-                request,
-                attempt: 1,
-                position,
-                count,
-                layers: stage.layers,
-                pipeline: chain.pipeline().clone(),
-                version: chain.version(),
-            };
-            let step = Step { label, priority: 0, adapter: None, input };
-            match exchange(node, snapshot, stage, &step)? {
-                Output::Hidden(hidden) => input = Input::Hidden(hidden),
-                Output::Token(token) => {
-                    if !emit(token) {
-                        return Ok(());
+    installed: &Installed,
+    job: Job<'_>,
+    emit: &mut dyn FnMut(u32) -> bool,
+) -> Result<Done, Refusal> {
+    let mut rng = Pcg64Mcg::seed_from_u64(rand::random());
+    let adapter = job.request.adapter.clone();
+    let ask = Ask {
+        pipeline: job.pipeline,
+        version: job.version,
+        prompt_tokens: job.request.prompt.len() as u32,
+        output_tokens: job.request.max_tokens,
+        adapter: adapter.as_ref(),
+        prefixes: &[],
+        avoid: &[],
+        avoid_domains: &[],
+        kept: &[],
+    };
+    let chain = choose(node, installed, &ask, &mut rng)?;
+    let cost = installed.recovery_cost(&chain);
+    let mut relay = Relay { node, installed, ask, rng, chain: chain.clone(), begun: Vec::new() };
+    relay.begin(&chain);
+    let (machine, actions) = {
+        let mut budget = node.lock_budget();
+        let now = node.clock.now();
+        let mut context = Context { now, rng: &mut relay.rng, budget: &mut budget };
+        Machine::start(&mut context, job.request, chain, cost, Limits::default())
+    };
+    Ok(relay.drive(machine, actions, emit))
+}
+
+struct Relay<'a> {
+    node: &'a Node,
+    installed: &'a Installed,
+    ask: Ask<'a>,
+    rng: Pcg64Mcg,
+    chain: Chain,
+    /// Endpoints with work of this request, and since when.
+    begun: Vec<(Name, Instant)>,
+}
+
+impl Relay<'_> {
+    fn drive(
+        mut self,
+        mut machine: Machine,
+        actions: Actions,
+        emit: &mut dyn FnMut(u32) -> bool,
+    ) -> Done {
+        let mut queue: VecDeque<Action> = actions.into_iter().collect();
+        let mut outcome = None;
+        loop {
+            while let Some(action) = queue.pop_front() {
+                match action {
+                    Action::Finish(how) => outcome = Some(how),
+                    Action::Emit(token) if !emit(token) => queue.extend(machine.cancel()),
+                    Action::Emit(_) => {}
+                    Action::CancelEngine { endpoint, request, attempt } => {
+                        self.cancel(&endpoint, request, attempt);
                     }
-                    tokens = vec![token];
-                    break;
+                    action => queue.extend(self.perform(&mut machine, action)),
                 }
             }
+            if let Some(outcome) = outcome {
+                return self.finish(&machine, outcome);
+            }
+            let next = machine.next_deadline().expect("a machine that has not finished waits");
+            thread::sleep(next.since(self.node.clock.now()));
+            queue.extend(self.input(|context| machine.on_time(context)));
         }
-        position += count;
     }
-    Ok(())
-}
 
-/// The first chain found, whatever its cost.
-pub fn first_chain(snapshot: &Snapshot, pipeline: &Name) -> Option<Chain> {
-    let spec = snapshot.pipeline(pipeline)?;
-    let mut stages = Vec::new();
-    let mut next = 0;
-    while next < spec.layers {
-        let stage = snapshot.endpoints().find_map(|(name, endpoint)| {
-            let Role::Engine(engine) = &endpoint.role else { return None };
-            let held = engine.holds.iter().find(|h| {
-                h.pipeline == *pipeline && h.version == spec.version && h.layers.start() == next
-            })?;
-            Some(Stage { endpoint: name.clone(), layers: held.layers })
-        })?;
-        next = stage.layers.end();
-        stages.push(stage);
+    /// Performs an action that has an answer, and hands the answer in.
+    fn perform(&mut self, machine: &mut Machine, action: Action) -> Actions {
+        match action {
+            Action::Send { endpoint, step, timeout } => {
+                let answer = self.exchange(&endpoint, &step, timeout);
+                self.input(|context| match answer {
+                    Ok(reply) => machine.on_reply(context, &endpoint, reply),
+                    Err(failure) => {
+                        machine.on_failure(context, &endpoint, &step.label, &failure, None)
+                    }
+                })
+            }
+            Action::Import { from, to, label, timeout } => {
+                let result = self.import(&from, &to, &label, timeout);
+                self.input(|context| {
+                    machine.on_import(context, &to, &label, result.as_ref().copied())
+                })
+            }
+            Action::NeedChain { avoid, scope } => {
+                let replacement = self.replace(&avoid, scope);
+                self.input(|context| machine.on_chain(context, replacement))
+            }
+            Action::Emit(_) | Action::CancelEngine { .. } | Action::Finish(_) => Actions::new(),
+        }
+    }
+
+    /// Hands an input to the machine. The lock is held for a decision only.
+    fn input(&mut self, input: impl FnOnce(&mut Context<'_>) -> Actions) -> Actions {
+        let mut budget = self.node.lock_budget();
+        let now = self.node.clock.now();
+        input(&mut Context { now, rng: &mut self.rng, budget: &mut budget })
+    }
+
+    fn exchange(
+        &mut self,
+        endpoint: &Name,
+        step: &Step,
+        timeout: Duration,
+    ) -> Result<Reply, Failure> {
+        let sent = self.node.clock.now();
+        let Some(address) = self.installed.address(endpoint) else {
+            return Err(Failure::Unreachable("the endpoint is not declared".to_owned()));
+        };
+        let answer = self.node.engines.step(address, step, timeout);
+        let now = self.node.clock.now();
+        let mut health = self.node.lock_health();
+        match &answer {
+            Ok(reply) => {
+                let exchange = Exchange {
+                    layers: step.label.layers.count(),
+                    tokens: step.label.count,
+                    bytes: STEP_OVERHEAD_BYTES + output_bytes(&reply.output),
+                    total: now.since(sent),
+                    service: None,
+                };
+                health.succeed(endpoint, &exchange, now);
+            }
+            Err(failure) => health.fail(endpoint, failure, sent, now, &mut self.rng),
+        }
+        answer
+    }
+
+    fn import(
+        &self,
+        from: &Name,
+        to: &Name,
+        label: &Label,
+        timeout: Duration,
+    ) -> Result<(), Failure> {
+        let undeclared = || Failure::Unreachable("the endpoint is not declared".to_owned());
+        let from = self.installed.address(from).ok_or_else(undeclared)?;
+        let to = self.installed.address(to).ok_or_else(undeclared)?;
+        let import = Import { from, source: label.clone(), attempt: label.attempt };
+        self.node.engines.import(to, &import, timeout)
+    }
+
+    /// Chooses a chain without the avoided endpoints, keeping what it can.
+    fn replace(&mut self, avoid: &[Name], scope: Scope) -> Option<Replacement> {
+        let old = self.chain.clone();
+        let kept: SmallVec<[Stage; 8]> = match scope {
+            Scope::Whole => SmallVec::new(),
+            Scope::Range(lost) => {
+                let stays = |s: &&Stage| s.layers != lost && !avoid.contains(&s.endpoint);
+                old.stages().iter().filter(stays).cloned().collect()
+            }
+        };
+        let ask = Ask { avoid, kept: &kept, ..self.ask };
+        let ask_whole = Ask { avoid, ..self.ask };
+        let chain = choose(self.node, self.installed, &ask, &mut self.rng)
+            .or_else(|_| choose(self.node, self.installed, &ask_whole, &mut self.rng))
+            .ok()?;
+        let now = self.node.clock.now();
+        let health = self.node.lock_health();
+        let readable = |name: &Name| health.condition(name, now).standing != Standing::Unreachable;
+        let stages = old.stages().iter();
+        let holders = stages.map(|s| s.endpoint.clone()).filter(readable).collect();
+        drop(health);
+        emit!(self.node.log, Event::StageMoved, "scope" => format!("{scope:?}"));
+        self.begin(&chain);
+        self.chain = chain.clone();
+        let cost = self.installed.recovery_cost(&chain);
+        Some(Replacement { chain, holders, cost })
+    }
+
+    /// Counts this request's work at the endpoints of a chain, and no longer
+    /// at those that it has left.
+    fn begin(&mut self, chain: &Chain) {
+        let now = self.node.clock.now();
+        let mut health = self.node.lock_health();
+        let mut kept = Vec::new();
+        for (name, since) in self.begun.drain(..) {
+            if chain.stages().iter().any(|stage| stage.endpoint == name) {
+                kept.push((name, since));
+            } else {
+                health.end(&name, since);
+            }
+        }
+        for stage in chain.stages() {
+            if !kept.iter().any(|(name, _)| *name == stage.endpoint) {
+                health.begin(&stage.endpoint, now);
+                kept.push((stage.endpoint.clone(), now));
+            }
+        }
+        self.begun = kept;
+    }
+
+    fn cancel(&self, endpoint: &Name, request: RequestId, attempt: u32) {
+        if let Some(endpoint) = self.installed.address(endpoint) {
+            // A full queue costs the engine memory until its own expiry.
+            let _ = self.node.cancels.try_send(Cancel { endpoint, request, attempt });
+        }
+    }
+
+    fn finish(self, machine: &Machine, outcome: Outcome) -> Done {
+        let mut health = self.node.lock_health();
+        for (name, since) in &self.begun {
+            health.end(name, *since);
+        }
+        drop(health);
+        let dropped = machine.drops().total();
+        if dropped > 0 {
+            emit!(self.node.log, Event::ReplyDropped, "count" => dropped);
+        }
+        Done { outcome, recovered: machine.recovered() }
     }
-    Chain::new(pipeline.clone(), spec.version, spec.layers, stages).ok()
 }
 
-fn exchange(
+fn choose(
     node: &Node,
-    snapshot: &Snapshot,
-    stage: &Stage,
-    step: &Step,
-) -> Result<Output, Failure> {
-    let found = snapshot.endpoints().find(|(name, _)| **name == stage.endpoint);
-    let (_, endpoint) = found.ok_or_else(|| Failure::Unreachable("not declared".into()))?;
-    let reply = node.engines.step(endpoint.address, step, STEP_TIMEOUT)?;
-    if reply.label != step.label {
-        return Err(Failure::Malformed("the labels do not match".into()));
+    installed: &Installed,
+    ask: &Ask<'_>,
+    rng: &mut Pcg64Mcg,
+) -> Result<Chain, Refusal> {
+    let now = node.clock.now();
+    let health = node.lock_health();
+    let affinity = node.lock_affinity();
+    let sources = Sources { health: &*health, affinity: &affinity };
+    Ok(installed.routes().choose(ask, &sources, now, rng)?.chain)
+}
+
+fn output_bytes(output: &Output) -> u64 {
+    match output {
+        Output::Hidden(hidden) => hidden.len() as u64 * 2,
+        Output::Token(_) => size_of::<u32>() as u64,
     }
-    Ok(reply.output)
 }
--- /dev/null
+++ b/mimosashift/src/node/services.rs
@@ -0,0 +1,148 @@
+//! Calls to plain services.
+
+use std::time::Duration;
+
+use hyper::{Method, StatusCode};
+
+use super::Node;
+use super::installed::Installed;
+use crate::health::{Exchange, Standing, View};
+use crate::http::client::{Answer, Call, Failure};
+use crate::http::problem::{Effect, Problem};
+use crate::http::{Request, Responder};
+use crate::resource::{Endpoint, Name, Role};
+
+/// Headers passed on to a service.
+const FORWARDED: [&str; 4] = ["content-type", "accept", "traceparent", "idempotency-key"];
+
+/// A call to one service.
+pub struct Target<'a> {
+    /// The service.
+    pub service: &'a Name,
+    /// Path and query at the service.
+    pub path: &'a str,
+    /// Time for one exchange.
+    pub timeout: Duration,
+    /// Whether the call may be sent more than once.
+    pub idempotent: bool,
+}
+
+/// Sends a call whose repetition is safe, or once if it is not.
+pub fn forward(
+    node: &Node,
+    installed: &Installed,
+    target: &Target<'_>,
+    request: &Request,
+    responder: Responder,
+) {
+    let mut tried = Vec::new();
+    loop {
+        let Some((name, endpoint)) = pick(node, installed, target.service, &tried) else {
+            return responder.problem(&unreachable(target.service, tried.is_empty()));
+        };
+        match exchange(node, name, endpoint, target, request) {
+            Ok(answer) => return pass_on(responder, answer),
+            Err(Failure::NotSent { .. }) => tried.push(name.clone()),
+            Err(lost) if !target.idempotent => {
+                let problem =
+                    Problem::not_run(StatusCode::BAD_GATEWAY, "answer-lost", lost.to_string());
+                return responder.problem(&problem.with_effect(Effect::Unknown));
+            }
+            Err(lost) => {
+                tried.push(name.clone());
+                if node.lock_budget().take(node.clock.now()).is_err() {
+                    let problem =
+                        Problem::not_run(StatusCode::BAD_GATEWAY, "answer-lost", lost.to_string());
+                    return responder.problem(&problem.with_effect(Effect::Failed));
+                }
+            }
+        }
+    }
+}
+
+/// The best endpoint of a service that was not tried: the soundest, then the
+/// nearest, then the least loaded.
+pub fn pick<'a>(
+    node: &Node,
+    installed: &'a Installed,
+    service: &Name,
+    tried: &[Name],
+) -> Option<(&'a Name, &'a Endpoint)> {
+    let now = node.clock.now();
+    let own = node.settings.domain();
+    let health = node.lock_health();
+    let serves = |endpoint: &Endpoint| endpoint.role == Role::Service(service.clone());
+    let candidates = installed.snapshot().endpoints();
+    candidates
+        .filter(|(name, endpoint)| serves(endpoint) && !tried.contains(name))
+        .map(|(name, endpoint)| (health.condition(name, now), name, endpoint))
+        .filter(|(condition, ..)| condition.standing != Standing::Leaving)
+        .min_by_key(|(condition, _, endpoint)| {
+            (condition.standing, endpoint.domain != *own, condition.sequences)
+        })
+        .map(|(_, name, endpoint)| (name, endpoint))
+}
+
+/// Makes one exchange and notes what it says of the endpoint.
+pub fn exchange(
+    node: &Node,
+    name: &Name,
+    endpoint: &Endpoint,
+    target: &Target<'_>,
+    request: &Request,
+) -> Result<Answer, Failure> {
+    let headers: Vec<(&str, &str)> =
+        FORWARDED.iter().filter_map(|name| Some((*name, request.header(name)?))).collect();
+    let call = Call {
+        address: endpoint.address,
+        method: request.method.clone(),
+        path: target.path,
+        headers: &headers,
+        body: &request.body,
+        timeout: target.timeout,
+        fresh: !target.idempotent,
+    };
+    let sent = node.clock.now();
+    node.lock_health().begin(name, sent);
+    let answer = node.client.call(&call);
+    let now = node.clock.now();
+    let mut health = node.lock_health();
+    health.end(name, sent);
+    match &answer {
+        Ok(answer) => {
+            let exchange = Exchange {
+                layers: 0,
+                tokens: 0,
+                bytes: answer.body.len() as u64,
+                total: now.since(sent),
+                service: None,
+            };
+            health.succeed(name, &exchange, now);
+        }
+        Err(failure) => {
+            let mut rng = rand::SeedableRng::seed_from_u64(rand::random());
+            health.fail(name, &failure.clone().into(), sent, now, &mut rng);
+        }
+    }
+    answer
+}
+
+/// Whether a service declares a method as safe to repeat.
+pub fn is_idempotent(methods: &[String], method: &Method) -> bool {
+    methods.iter().any(|declared| declared.eq_ignore_ascii_case(method.as_str()))
+}
+
+/// Passes a service's answer on to the caller.
+pub fn pass_on(responder: Responder, answer: Answer) {
+    let kind = answer.header("content-type").unwrap_or("application/octet-stream").to_owned();
+    responder.send(answer.status, &[(hyper::header::CONTENT_TYPE, &kind)], answer.body);
+}
+
+fn unreachable(service: &Name, none: bool) -> Problem {
+    let detail = if none {
+        format!("no endpoint of service {:?} is live", service.as_str())
+    } else {
+        format!("no endpoint of service {:?} could be reached", service.as_str())
+    };
+    Problem::not_run(StatusCode::BAD_GATEWAY, "endpoint-unreachable", detail)
+}
--- a/mimosashift/src/resource/snapshot.rs
+++ b/mimosashift/src/resource/snapshot.rs
@@ -153,6 +153,14 @@
         })
     }
 
+    /// The routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+        self.list(Kind::Route).filter_map(|r| match &r.spec {
+            Spec::Route(spec) => Some(spec),
+            _ => None,
+        })
+    }
+
     /// The endpoints with their names.
     pub fn endpoints(&self) -> impl Iterator<Item = (&Name, &Endpoint)> {
         self.list(Kind::Endpoint).filter_map(|r| match &r.spec {
