Test stage faults over real sockets

Cause: recovery was proved only against fakes in virtual time. Change: one copy of a stage dies, goes silent, slows down 2,000-fold, leaves or lies while 32 requests of 40 tokens run.

--- a/mimosastandin/tests/path.rs
+++ b/mimosastandin/tests/path.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use mimosashift::http::client::{Answer, Call, Client};
@@ -10,6 +10,7 @@
 use mimosashift::node::{Running, Settings};
 use mimosashift::resource::{Engine, Name};
 use mimosashift::settings;
+use mimosastandin::engine::Fault;
 use mimosastandin::{engine, oracle, platform};
 use sha2::{Digest, Sha256};
 use slog::{Discard, Logger, o};
@@ -22,12 +23,31 @@
 
 struct Path {
     client: Client,
-    router: Running,
+    callers: SocketAddr,
+    operators: SocketAddr,
+    /// Keeps the router running.
+    _router: Mutex<Running>,
     engines: Vec<engine::Instance>,
 }
 
 impl Path {
+    /// A router before two engines, each with a part of the model.
     fn start() -> Self {
+        let mut path = Self::start_empty();
+        path.engine("head", "[0,3]");
+        path.engine("tail", "[3,8]");
+        path
+    }
+
+    /// A router before two copies of each part of the model.
+    fn start_doubled() -> Self {
+        let mut path = Self::start();
+        path.engine("head-2", "[0,3]");
+        path.engine("tail-2", "[3,8]");
+        path
+    }
+
+    fn start_empty() -> Self {
         let platform = platform::Instance::start(ANY, platform::Rates::default()).unwrap();
         let node = settings::Node {
             name: name("r1"),
@@ -51,16 +71,19 @@
             table: Arc::new(platform),
         };
         let router = Running::start(settings, Logger::root(Discard, o!())).unwrap();
-        let mut path =
-            Self { client: Client::new(Default::default()), router, engines: Vec::new() };
+        let path = Self {
+            client: Client::new(Default::default()),
+            callers: router.callers(),
+            operators: router.operators(),
+            _router: Mutex::new(router),
+            engines: Vec::new(),
+        };
         let digest = hex::encode(Sha256::digest(CALLER));
         path.apply("priority", "urgent", r#"{"level":0}"#);
         let team = format!(r#"{{"priority":"urgent","token_digests":["{digest}"]}}"#);
         path.apply("team", "counter", &team);
         path.apply("pipeline", "advisor", r#"{"layers":8,"version":1}"#);
         path.apply("route", "advisor", r#"{"model":"advisor","pipeline":"advisor"}"#);
-        path.engine("head", "[0,3]");
-        path.engine("tail", "[3,8]");
         path
     }
 
@@ -80,12 +103,12 @@
 
     fn apply(&self, kind: &str, name: &str, spec: &str) {
         let path = format!("/api/v1/{kind}/{name}");
-        let answer = self.call(self.router.operators(), Method::PUT, &path, OPERATOR, spec);
+        let answer = self.call(self.operators, Method::PUT, &path, OPERATOR, spec);
         assert!(answer.status.is_success(), "{}", String::from_utf8_lossy(&answer.body));
     }
 
     fn complete(&self, path: &str, body: &str) -> Answer {
-        self.call(self.router.callers(), Method::POST, path, CALLER, body)
+        self.call(self.callers, Method::POST, path, CALLER, body)
     }
 
     fn call(&self, to: SocketAddr, method: Method, path: &str, token: &str, body: &str) -> Answer {
@@ -133,12 +156,54 @@
 fn wrong_token_is_refused_as_not_run() {
     let path = Path::start();
     let body = r#"{"model":"advisor","prompt":"x"}"#;
-    let to = path.router.callers();
+    let to = path.callers;
     let answer = path.call(to, Method::POST, "/v1/completions", "wrong", body);
     let json: serde_json::Value = serde_json::from_slice(&answer.body).unwrap();
     assert_eq!((answer.status.as_u16(), &json["effect"]), (401, &"not-run".into()));
 }
 
+/// Names each fault that one copy of a stage has while requests run; every
+/// answer must still be whole and right.
+macro_rules! survived {
+    ($($case:ident: $engine:literal $fault:expr;)*) => {$(
+        #[test]
+        fn $case() {
+            let path = Path::start_doubled();
+            let ask = &|prompt: &str| {
+                let body = format!(
+                    r#"{{"model":"advisor","prompt":"{prompt}","max_tokens":40}}"#
+                );
+                let answer = path.complete("/v1/completions", &body);
+                let json: serde_json::Value = serde_json::from_slice(&answer.body).unwrap();
+                assert_eq!(json["choices"][0]["text"], expected(prompt, 40), "{json}");
+            };
+            std::thread::scope(|scope| {
+                for caller in 0..8 {
+                    scope.spawn(move || {
+                        for request in 0..4 {
+                            ask(&format!("{caller}/{request}"));
+                        }
+                    });
+                }
+                while path.engines[$engine].steps() < 100 {
+                    std::thread::yield_now();
+                }
+                path.engines[$engine].set_fault($fault);
+            });
+        }
+    )*};
+}
+
+survived! {
+    dead_head: 0 Fault::Dead;
+    dead_tail: 1 Fault::Dead;
+    silent_head: 0 Fault::Silent;
+    silent_tail: 1 Fault::Silent;
+    slow_tail: 1 Fault::Slow(2_000);
+    leaving_head: 0 Fault::Leaving;
+    lying_tail: 1 Fault::Lying;
+}
+
 fn expected(prompt: &str, tokens: u32) -> String {
     oracle::answer(LAYERS, 1, &encode_text(prompt), tokens).into_iter().map(decode_token).collect()
 }
