Add admission: fair queue, deadlines, adaptive slots and shared team limits

Strict priority, start-time fair queueing within a level, shedding of the lowest level's most over-share team, early refusal of late requests, and team limits divided by demand reported between routers.

--- /dev/null
+++ b/mimosashift/src/admit/queue.rs
@@ -0,0 +1,247 @@
+//! Bounded queue: strict priority between levels, weighted fair queueing
+//! between the teams of a level.
+//!
+//! Start-time fair queueing, see `docs/design/admission.md`. Every operation
+//! takes time logarithmic in the number of queued requests and active teams.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use super::Ticket;
+use crate::resource::Name;
+
+/// Virtual time that one token takes at weight 1.
+const TOKEN_TIME: u64 = 1 << 16;
+
+/// A request as the queue sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Item {
+    /// Identifies it.
+    pub ticket: Ticket,
+    /// Priority level, 0 first.
+    pub level: u8,
+    /// Whose it is.
+    pub team: Name,
+    /// The team's share among teams of the same level.
+    pub weight: u32,
+    /// Estimated cost, in tokens.
+    pub cost: u32,
+    /// Memory that it holds while queued.
+    pub bytes: usize,
+}
+
+/// Requests that wait for a slot.
+#[derive(Default)]
+pub struct Queue {
+    levels: BTreeMap<u8, Level>,
+    items: HashMap<Ticket, Item>,
+    bytes: usize,
+}
+
+/// The teams of one priority level.
+#[derive(Default)]
+struct Level {
+    flows: HashMap<Name, Flow>,
+    /// Backlogged teams by the virtual start of their oldest request.
+    by_start: BTreeSet<(u64, Name)>,
+    /// Backlogged teams by the virtual finish of their newest request.
+    by_finish: BTreeSet<(u64, Name)>,
+    /// Teams with nothing queued that are still ahead of their share.
+    idle: BTreeSet<(u64, Name)>,
+    virtual_time: u64,
+    cost: u64,
+    weight: u64,
+    bytes: usize,
+}
+
+/// One team within a level.
+struct Flow {
+    weight: u32,
+    start: u64,
+    cost: u64,
+    queue: BTreeMap<Ticket, u32>,
+}
+
+impl Queue {
+    /// Number of queued requests.
+    pub fn len(&self) -> usize {
+        self.items.len()
+    }
+
+    /// Whether nothing is queued.
+    pub fn is_empty(&self) -> bool {
+        self.items.is_empty()
+    }
+
+    /// Bytes of all queued requests.
+    pub const fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Teams for which state is held.
+    pub fn teams(&self) -> usize {
+        self.levels.values().map(|level| level.flows.len()).sum()
+    }
+
+    /// Bytes of the levels served before `level`.
+    pub fn bytes_before(&self, level: u8) -> usize {
+        self.levels.range(..level).map(|(_, level)| level.bytes).sum()
+    }
+
+    /// Estimated cost, in tokens, of what is served before a new request.
+    pub fn ahead(&self, level: u8, team: &Name, weight: u32) -> u64 {
+        let better: u64 = self.levels.range(..level).map(|(_, level)| level.cost).sum();
+        better + self.levels.get(&level).map_or(0, |level| level.ahead(team, weight))
+    }
+
+    /// Adds a request behind its team's others.
+    pub fn push(&mut self, item: Item) {
+        let level = self.levels.entry(item.level).or_default();
+        let mut flow = level.detach(&item.team, item.weight);
+        flow.weight = item.weight;
+        flow.cost += u64::from(item.cost);
+        flow.queue.insert(item.ticket, item.cost);
+        level.attach(&item.team, flow);
+        level.bytes += item.bytes;
+        self.bytes += item.bytes;
+        self.items.insert(item.ticket, item);
+    }
+
+    /// Takes the request to be served next.
+    pub fn pop(&mut self) -> Option<Item> {
+        let (_, level) = self.levels.first_key_value()?;
+        let (_, team) = level.by_start.first()?;
+        let oldest = level.flows[team].queue.first_key_value().map(|(ticket, _)| *ticket)?;
+        let item = self.items.remove(&oldest)?;
+        self.bytes -= item.bytes;
+        self.level(&item, |level| level.serve(&item));
+        Some(item)
+    }
+
+    /// Takes the request to be shed next: of the last level, the newest one
+    /// of the team that is furthest over its share.
+    pub fn shed(&mut self) -> Option<Item> {
+        let (_, level) = self.levels.last_key_value()?;
+        let (_, team) = level.by_finish.last()?;
+        let newest = level.flows[team].queue.last_key_value().map(|(ticket, _)| *ticket)?;
+        self.remove(newest)
+    }
+
+    /// Takes a request out, wherever it stands.
+    pub fn remove(&mut self, ticket: Ticket) -> Option<Item> {
+        let item = self.items.remove(&ticket)?;
+        self.bytes -= item.bytes;
+        self.level(&item, |level| level.withdraw(&item));
+        Some(item)
+    }
+
+    /// Replaces the estimated cost of a served request by the actual one.
+    pub fn correct(&mut self, item: &Item, actual: u32) {
+        if self.levels.contains_key(&item.level) {
+            self.level(item, |level| level.correct(item, actual));
+        }
+    }
+
+    /// Changes the level of an item and drops the level once nothing waits.
+    fn level(&mut self, item: &Item, change: impl FnOnce(&mut Level)) {
+        let level = self.levels.get_mut(&item.level).expect("a queued item has its level");
+        change(level);
+        if level.by_start.is_empty() {
+            self.levels.remove(&item.level);
+        }
+    }
+}
+
+impl Level {
+    /// With every team backlogged, a request waits for its own team's queue
+    /// and the other teams' shares meanwhile, at most for the whole level.
+    fn ahead(&self, team: &Name, weight: u32) -> u64 {
+        let own = self.flows.get(team);
+        let own_cost = own.map_or(0, |flow| flow.cost);
+        let own_queued = own.is_some_and(|flow| !flow.queue.is_empty());
+        let weights = self.weight + if own_queued { 0 } else { u64::from(weight) };
+        let shared = own_cost.saturating_mul(weights) / u64::from(weight.max(1));
+        shared.min(self.cost)
+    }
+
+    fn serve(&mut self, item: &Item) {
+        let mut flow = self.detach(&item.team, item.weight);
+        self.virtual_time = self.virtual_time.max(flow.start);
+        self.bytes -= item.bytes;
+        flow.take(item);
+        flow.start += flow.time(item.cost);
+        self.attach(&item.team, flow);
+        self.forget_idle();
+    }
+
+    fn withdraw(&mut self, item: &Item) {
+        let mut flow = self.detach(&item.team, item.weight);
+        self.bytes -= item.bytes;
+        flow.take(item);
+        self.attach(&item.team, flow);
+    }
+
+    fn correct(&mut self, item: &Item, actual: u32) {
+        let mut flow = self.detach(&item.team, item.weight);
+        let more = flow.time(actual.saturating_sub(item.cost));
+        let less = flow.time(item.cost.saturating_sub(actual));
+        flow.start = (flow.start + more).saturating_sub(less).max(self.virtual_time);
+        self.attach(&item.team, flow);
+    }
+
+    /// Takes a team out of every index; a new team starts at the present.
+    fn detach(&mut self, team: &Name, weight: u32) -> Flow {
+        let Some(mut flow) = self.flows.remove(team) else {
+            let start = self.virtual_time;
+            return Flow { weight, start, cost: 0, queue: BTreeMap::new() };
+        };
+        if flow.queue.is_empty() {
+            self.idle.remove(&(flow.start, team.clone()));
+            flow.start = flow.start.max(self.virtual_time);
+        } else {
+            self.by_start.remove(&(flow.start, team.clone()));
+            self.by_finish.remove(&(flow.finish(), team.clone()));
+            self.cost -= flow.cost;
+            self.weight -= u64::from(flow.weight);
+        }
+        flow
+    }
+
+    /// Puts a team back; one that is owed nothing and owes nothing is dropped.
+    fn attach(&mut self, team: &Name, flow: Flow) {
+        if !flow.queue.is_empty() {
+            self.by_start.insert((flow.start, team.clone()));
+            self.by_finish.insert((flow.finish(), team.clone()));
+            self.cost += flow.cost;
+            self.weight += u64::from(flow.weight);
+        } else if flow.start > self.virtual_time {
+            self.idle.insert((flow.start, team.clone()));
+        } else {
+            return;
+        }
+        self.flows.insert(team.clone(), flow);
+    }
+
+    fn forget_idle(&mut self) {
+        while self.idle.first().is_some_and(|(start, _)| *start <= self.virtual_time) {
+            if let Some((_, team)) = self.idle.pop_first() {
+                self.flows.remove(&team);
+            }
+        }
+    }
+}
+
+impl Flow {
+    /// Virtual time that `cost` tokens take at the team's weight.
+    fn time(&self, cost: u32) -> u64 {
+        u64::from(cost) * TOKEN_TIME / u64::from(self.weight.max(1))
+    }
+
+    fn finish(&self) -> u64 {
+        self.start + self.cost * TOKEN_TIME / u64::from(self.weight.max(1))
+    }
+
+    fn take(&mut self, item: &Item) {
+        self.queue.remove(&item.ticket);
+        self.cost -= u64::from(item.cost);
+    }
+}
--- /dev/null
+++ b/mimosashift/src/admit/share.rs
@@ -0,0 +1,224 @@
+//! Each router's share of a team's limits, by its part of the team's demand.
+//!
+//! Routers report their demand to each other a few times a second. A router
+//! reckons with the demand that it last reported, not with its latest, so that
+//! all routers divide the same figures and the shares add up to the limit. See
+//! `docs/design/admission.md` for the bounds.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::resource::Name;
+use crate::time::Instant;
+
+/// Time between two reports to a peer.
+pub const REPORT_INTERVAL: Duration = Duration::from_millis(250);
+/// Silence after which a peer's demand no longer counts.
+pub const PEER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Most entries of one report.
+pub const MAX_ENTRIES: usize = 128;
+
+/// Time constant of the average of demand.
+const AVERAGE_SECONDS: f64 = 0.4;
+/// Time after which an unchanged entry is repeated, since reports can be lost.
+const REPEAT_INTERVAL: Duration = Duration::from_secs(2);
+/// Change, relative to the value last reported, that is worth an entry.
+const REPORT_CHANGE: f64 = 0.1;
+/// Steps of a reported value for each doubling of demand.
+const STEPS_PER_DOUBLING: f64 = 64.0;
+/// Demand below which a team is idle, in tokens a second.
+const IDLE_DEMAND: f64 = 0.01;
+
+/// Identifies a team in a report: a hash of its name.
+///
+/// Two teams of the same hash only divide their limits less exactly.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct TeamId([u8; 4]);
+
+/// Demand in tokens a second, in logarithmic steps of about 1%.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Demand(u16);
+
+/// One router's demand, as far as it changed.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// Teams and their demand; zero means idle.
+    pub entries: Vec<(TeamId, Demand)>,
+}
+
+/// Demand of this router and of its peers.
+#[derive(Default)]
+pub struct Share {
+    own: BTreeMap<TeamId, Own>,
+    peers: HashMap<Name, Peer>,
+    others: HashMap<TeamId, u64>,
+}
+
+struct Own {
+    average: f64,
+    updated: Instant,
+    reported: Demand,
+    reported_at: Instant,
+}
+
+struct Peer {
+    heard: Instant,
+    demand: HashMap<TeamId, Demand>,
+}
+
+impl Share {
+    /// Notes a request of `cost` tokens, whether or not it is admitted.
+    pub fn observe(&mut self, now: Instant, team: TeamId, cost: u32) {
+        let own = self.own.entry(team).or_insert_with(|| Own::new(now));
+        own.decay(now);
+        own.average += f64::from(cost) / AVERAGE_SECONDS;
+    }
+
+    /// This router's part of the team's limits, from 0 to 1.
+    pub fn fraction(&self, team: TeamId) -> f64 {
+        let others = self.others.get(&team).map_or(0.0, |milli| *milli as f64 / 1_000.0);
+        if others == 0.0 {
+            return 1.0;
+        }
+        let own = self.own.get(&team).map_or(0.0, Own::counted);
+        own / (own + others)
+    }
+
+    /// Teams for which own demand is held.
+    pub fn active(&self) -> usize {
+        self.own.len()
+    }
+
+    /// The next report to every peer: the largest changes first.
+    pub fn export(&mut self, now: Instant) -> Report {
+        let mut due: Vec<(f64, TeamId, Demand)> = Vec::new();
+        for (team, own) in &mut self.own {
+            own.decay(now);
+            if let Some(change) = own.change(now) {
+                due.push((change, *team, Demand::from(own.average)));
+            }
+        }
+        due.sort_by(|a, b| b.0.total_cmp(&a.0));
+        due.truncate(MAX_ENTRIES);
+        for (_, team, demand) in &due {
+            if let Some(own) = self.own.get_mut(team) {
+                own.reported = *demand;
+                own.reported_at = now;
+            }
+        }
+        self.own.retain(|_, own| own.average >= IDLE_DEMAND || own.reported != Demand::default());
+        Report { entries: due.into_iter().map(|(_, team, demand)| (team, demand)).collect() }
+    }
+
+    /// Takes in a peer's report.
+    pub fn merge(&mut self, now: Instant, from: &Name, report: &Report) {
+        let peer = self
+            .peers
+            .entry(from.clone())
+            .or_insert_with(|| Peer { heard: now, demand: HashMap::new() });
+        peer.heard = now;
+        for (team, demand) in &report.entries {
+            let before = if *demand == Demand::default() {
+                peer.demand.remove(team)
+            } else {
+                peer.demand.insert(*team, *demand)
+            };
+            let others = self.others.entry(*team).or_default();
+            *others = *others + demand.milli() - before.unwrap_or_default().milli();
+            if *others == 0 {
+                self.others.remove(team);
+            }
+        }
+    }
+
+    /// Drops the demand of peers that have been silent.
+    pub fn expire(&mut self, now: Instant) {
+        let others = &mut self.others;
+        self.peers.retain(|_, peer| {
+            let alive = now.since(peer.heard) < PEER_TIMEOUT;
+            if !alive {
+                forget(others, peer);
+            }
+            alive
+        });
+    }
+
+    /// Drops a peer that announced its shutdown.
+    pub fn remove(&mut self, peer: &Name) {
+        if let Some(peer) = self.peers.remove(peer) {
+            forget(&mut self.others, &peer);
+        }
+    }
+}
+
+fn forget(others: &mut HashMap<TeamId, u64>, peer: &Peer) {
+    for (team, demand) in &peer.demand {
+        if let Some(sum) = others.get_mut(team) {
+            *sum -= demand.milli();
+            if *sum == 0 {
+                others.remove(team);
+            }
+        }
+    }
+}
+
+impl Own {
+    fn new(now: Instant) -> Self {
+        Self { average: 0.0, updated: now, reported: Demand::default(), reported_at: now }
+    }
+
+    fn decay(&mut self, now: Instant) {
+        let elapsed = now.since(self.updated).as_secs_f64();
+        self.average *= (-elapsed / AVERAGE_SECONDS).exp();
+        self.updated = now;
+    }
+
+    /// Demand that this router reckons with.
+    fn counted(&self) -> f64 {
+        if self.reported == Demand::default() {
+            return self.average;
+        }
+        self.reported.milli() as f64 / 1_000.0
+    }
+
+    /// How much an entry would tell, or `None` when it would tell nothing.
+    fn change(&self, now: Instant) -> Option<f64> {
+        let demand = Demand::from(self.average);
+        let reported = self.reported.milli() as f64 / 1_000.0;
+        let change = (self.average - reported).abs();
+        let changed = demand != self.reported && change > REPORT_CHANGE * reported;
+        let repeat = now.since(self.reported_at) >= REPEAT_INTERVAL && self.average >= IDLE_DEMAND;
+        (changed || repeat).then_some(change)
+    }
+}
+
+impl Demand {
+    /// Thousandths of a token a second.
+    fn milli(self) -> u64 {
+        if self.0 == 0 {
+            return 0;
+        }
+        (f64::from(self.0) / STEPS_PER_DOUBLING).exp2() as u64
+    }
+}
+
+impl From<f64> for Demand {
+    fn from(tokens_per_second: f64) -> Self {
+        if tokens_per_second < IDLE_DEMAND {
+            return Self::default();
+        }
+        let steps = (tokens_per_second * 1_000.0).log2() * STEPS_PER_DOUBLING;
+        Self(steps.round().clamp(1.0, 2_560.0) as u16)
+    }
+}
+
+impl From<&Name> for TeamId {
+    fn from(name: &Name) -> Self {
+        const OFFSET: u32 = 0x811c_9dc5;
+        const PRIME: u32 = 0x0100_0193;
+        let step = |hash: u32, byte: u8| (hash ^ u32::from(byte)).wrapping_mul(PRIME);
+        Self(name.as_str().bytes().fold(OFFSET, step).to_le_bytes())
+    }
+}
--- a/mimosashift/src/lib.rs
+++ b/mimosashift/src/lib.rs
@@ -4,6 +4,7 @@
 //! in, actions come out. The shell in `node` owns threads, sockets and clocks.
 //! `docs/DESIGN.md` gives the reasons and a picture of the modules.
 
+pub mod admit;
 pub mod engine;
 pub mod event;
 pub mod platform;
--- /dev/null
+++ b/mimosashift/tests/admit.rs
@@ -0,0 +1,572 @@
+//! Admission: order, bounds and truthfulness against a naive reference, and
+//! team limits over many routers in virtual time.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::time::Duration;
+
+use mimosashift::admit::queue::{Item, Queue};
+use mimosashift::admit::share::{PEER_TIMEOUT, REPORT_INTERVAL, Report, Share, TeamId};
+use mimosashift::admit::slots::Slots;
+use mimosashift::admit::{Action, Admission, Bounds, Refusal, Request, Ticket, Usage};
+use mimosashift::resource::{Name, Team};
+use mimosashift::time::Instant;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+fn name(text: &str) -> Name {
+    Name::try_from(text).unwrap()
+}
+
+fn team(weight: u32, requests_per_second: u32, tokens_per_second: u32) -> Team {
+    Team {
+        priority: name("p"),
+        token_digests: Vec::new(),
+        operator: false,
+        weight,
+        requests_per_second,
+        tokens_per_second,
+    }
+}
+
+/// The queue's rule without any index: everything is searched each time.
+#[derive(Default)]
+struct Naive {
+    items: Vec<Item>,
+    /// Virtual time and each team's virtual start, per level.
+    levels: BTreeMap<u8, (u64, HashMap<Name, u64>)>,
+}
+
+impl Naive {
+    fn start(&self, item: &Item) -> u64 {
+        let Some((now, starts)) = self.levels.get(&item.level) else { return 0 };
+        starts.get(&item.team).map_or(*now, |start| *start)
+    }
+
+    fn finish(&self, item: &Item) -> u64 {
+        let same = |other: &&Item| other.level == item.level && other.team == item.team;
+        let cost: u64 = self.items.iter().filter(same).map(|other| u64::from(other.cost)).sum();
+        self.start(item) + (cost << 16) / u64::from(item.weight)
+    }
+
+    fn push(&mut self, item: Item) {
+        let (now, starts) = self.levels.entry(item.level).or_default();
+        let queued = self.items.iter().any(|o| o.level == item.level && o.team == item.team);
+        let start = starts.entry(item.team.clone()).or_insert(*now);
+        if !queued {
+            *start = (*start).max(*now);
+        }
+        self.items.push(item);
+    }
+
+    fn pop(&mut self) -> Option<Ticket> {
+        let key = |i: &&Item| (i.level, self.start(i), i.team.clone(), i.ticket);
+        let item = self.items.iter().min_by_key(key)?.clone();
+        let start = self.start(&item);
+        let (now, starts) = self.levels.get_mut(&item.level)?;
+        *now = (*now).max(start);
+        starts.insert(
+            item.team.clone(),
+            start + (u64::from(item.cost) << 16) / u64::from(item.weight),
+        );
+        self.drop_item(item.ticket);
+        Some(item.ticket)
+    }
+
+    fn shed(&mut self) -> Option<Ticket> {
+        let key = |i: &&Item| (i.level, self.finish(i), i.team.clone(), i.ticket);
+        let ticket = self.items.iter().max_by_key(key)?.ticket;
+        self.drop_item(ticket);
+        Some(ticket)
+    }
+
+    fn drop_item(&mut self, ticket: Ticket) {
+        self.items.retain(|item| item.ticket != ticket);
+        let waiting: HashSet<u8> = self.items.iter().map(|item| item.level).collect();
+        self.levels.retain(|level, _| waiting.contains(level));
+    }
+}
+
+fn item(rng: &mut Pcg64Mcg, ticket: u64) -> Item {
+    let team = rng.random_range(0..12_u32);
+    Item {
+        ticket: Ticket(ticket),
+        level: rng.random_range(0..3),
+        team: name(&format!("t{team}")),
+        weight: 1 + team % 4,
+        cost: rng.random_range(1..500),
+        bytes: rng.random_range(0..1_000),
+    }
+}
+
+/// Names each seed of a history that queue and reference must agree on.
+macro_rules! agrees {
+    ($($case:ident: $seed:literal;)*) => {$(
+        #[test]
+        fn $case() {
+            queue_agrees($seed);
+        }
+    )*};
+}
+
+agrees! {
+    queue_agrees_with_reference_1: 1;
+    queue_agrees_with_reference_2: 2;
+    queue_agrees_with_reference_3: 3;
+    queue_agrees_with_reference_4: 4;
+}
+
+fn queue_agrees(seed: u64) {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let (mut queue, mut naive) = (Queue::default(), Naive::default());
+    for step in 0..4_000 {
+        // Phases of growth and of emptying reach both ends of every level.
+        let grow = if step / 200 % 2 == 0 { 6 } else { 3 };
+        match rng.random_range(0..10) {
+            draw if draw < grow => {
+                let item = item(&mut rng, step);
+                queue.push(item.clone());
+                naive.push(item);
+            }
+            9 => assert_eq!(queue.shed().map(|i| i.ticket), naive.shed(), "shed, step {step}"),
+            8 => {
+                let ticket = Ticket(rng.random_range(0..=step));
+                let queued = naive.items.iter().any(|item| item.ticket == ticket);
+                assert_eq!(queue.remove(ticket).is_some(), queued);
+                naive.drop_item(ticket);
+            }
+            _ => assert_eq!(queue.pop().map(|i| i.ticket), naive.pop(), "pop, step {step}"),
+        }
+        assert_eq!(queue.len(), naive.items.len());
+        assert_eq!(queue.bytes(), naive.items.iter().map(|item| item.bytes).sum::<usize>());
+    }
+}
+
+#[test]
+fn backlogged_teams_are_served_by_weight() {
+    const MAX_COST: u32 = 400;
+    let mut rng = Pcg64Mcg::seed_from_u64(5);
+    let mut queue = Queue::default();
+    for ticket in 0..4_000 {
+        let team = ticket as u32 % 4;
+        let cost = rng.random_range(1..=MAX_COST);
+        let team_name = name(&format!("t{team}"));
+        let weight = team + 1;
+        queue.push(Item {
+            ticket: Ticket(ticket),
+            level: 1,
+            team: team_name,
+            weight,
+            cost,
+            bytes: 1,
+        });
+    }
+    let mut served: HashMap<Name, f64> = HashMap::new();
+    for _ in 0..1_500 {
+        let item = queue.pop().unwrap();
+        *served.entry(item.team.clone()).or_default() +=
+            f64::from(item.cost) / f64::from(item.weight);
+        let most = served.values().copied().fold(0.0, f64::max);
+        let least =
+            if served.len() < 4 { 0.0 } else { served.values().copied().fold(f64::MAX, f64::min) };
+        // The bound of start-time fair queueing: one largest request of each.
+        assert!(most - least <= 2.0 * f64::from(MAX_COST), "{served:?}");
+    }
+}
+
+#[test]
+fn queue_keeps_no_state_of_idle_teams() {
+    let mut rng = Pcg64Mcg::seed_from_u64(6);
+    let mut queue = Queue::default();
+    for ticket in 0..31_000 {
+        queue.push(Item { team: name(&format!("t{ticket}")), ..item(&mut rng, ticket) });
+        queue.pop();
+    }
+    assert_eq!(queue.teams(), 0);
+}
+
+const BOUNDS: Bounds = Bounds { queued: 40, queued_bytes: 20_000, start_slots: 8, max_slots: 16 };
+
+/// What became of each ticket, by the actions alone.
+#[derive(Default)]
+struct Ledger {
+    running: Vec<(Ticket, u8)>,
+    dispatched: HashSet<Ticket>,
+    refused: HashSet<Ticket>,
+}
+
+impl Ledger {
+    fn take(&mut self, actions: &mut Vec<Action>, levels: &HashMap<Ticket, u8>) {
+        for action in actions.drain(..) {
+            match action {
+                Action::Dispatch(ticket) => {
+                    assert!(self.dispatched.insert(ticket), "dispatched twice");
+                    assert!(!self.refused.contains(&ticket), "dispatched after not-run");
+                    self.running.push((ticket, levels.get(&ticket).copied().unwrap_or(0)));
+                }
+                Action::Refuse { ticket, .. } => {
+                    assert!(self.refused.insert(ticket), "refused twice");
+                    assert!(!self.dispatched.contains(&ticket), "not-run after dispatch");
+                }
+            }
+        }
+    }
+}
+
+/// Names each seed of a history in which every request has one fate.
+macro_rules! one_fate {
+    ($($case:ident: $seed:literal;)*) => {$(
+        #[test]
+        fn $case() {
+            every_request_has_one_fate($seed);
+        }
+    )*};
+}
+
+one_fate! {
+    one_fate_1: 11;
+    one_fate_2: 12;
+    one_fate_3: 13;
+}
+
+fn every_request_has_one_fate(seed: u64) {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut admission = Admission::new(BOUNDS);
+    let (mut ledger, mut out, mut now) = (Ledger::default(), Vec::new(), Instant::ZERO);
+    let (mut submitted, mut cancelled) = (0, 0);
+    let levels = HashMap::new();
+    for _ in 0..20_000 {
+        now = now + Duration::from_millis(rng.random_range(0..4));
+        match rng.random_range(0..10) {
+            0..5 => {
+                let team_name = name(&format!("t{}", rng.random_range(0..9)));
+                let request = Request {
+                    name: &team_name,
+                    team: &team(1 + rng.random_range(0..3), rng.random_range(0..2) * 50, 0),
+                    level: rng.random_range(0..3),
+                    cost: rng.random_range(1..200),
+                    bytes: rng.random_range(0..3_000),
+                    deadline: now + Duration::from_millis(rng.random_range(1..400)),
+                    service: Duration::from_millis(rng.random_range(1..30)),
+                };
+                admission.submit(now, &request, &mut out);
+                submitted += 1;
+            }
+            5 => {
+                cancelled += usize::from(admission.cancel(Ticket(rng.random_range(0..=submitted))))
+            }
+            6 => admission.poll(now, &mut out),
+            _ => {
+                if !ledger.running.is_empty() {
+                    let at = rng.random_range(0..ledger.running.len());
+                    let (ticket, _) = ledger.running.swap_remove(at);
+                    let usage = Usage {
+                        tokens: rng.random_range(0..300),
+                        overloaded: rng.random_bool(0.02),
+                    };
+                    admission.release(now, ticket, usage, &mut out);
+                }
+            }
+        }
+        ledger.take(&mut out, &levels);
+        assert!(admission.queue().len() <= BOUNDS.queued);
+        assert!(admission.queue().bytes() <= BOUNDS.queued_bytes);
+        assert_eq!(admission.slots().used(), ledger.running.len());
+    }
+    let queued = admission.queue().len();
+    let fates = ledger.dispatched.len() + ledger.refused.len() + cancelled + queued;
+    assert_eq!(fates as u64, submitted, "a request without a fate");
+    assert!(!ledger.refused.is_empty() && cancelled > 0 && ledger.dispatched.len() > 1_000);
+}
+
+fn request<'a>(name: &'a Name, team: &'a Team, level: u8, deadline_ms: u64) -> Request<'a> {
+    Request {
+        name,
+        team,
+        level,
+        cost: 100,
+        bytes: 100,
+        deadline: Instant::from_millis(deadline_ms),
+        service: Duration::from_millis(100),
+    }
+}
+
+fn refusals(out: &[Action]) -> Vec<(u64, Refusal)> {
+    let refusal = |action: &Action| match action {
+        Action::Refuse { ticket, refusal, .. } => Some((ticket.0, *refusal)),
+        Action::Dispatch(_) => None,
+    };
+    out.iter().filter_map(refusal).collect()
+}
+
+#[test]
+fn lowest_priority_of_the_greediest_team_is_shed_first() {
+    let bounds = Bounds { queued: 3, queued_bytes: 10_000, start_slots: 1, max_slots: 1 };
+    let (mut admission, mut out) = (Admission::new(bounds), Vec::new());
+    let (a, b, team) = (name("a"), name("b"), team(1, 0, 0));
+    for (who, level) in [(&a, 0), (&a, 2), (&b, 2), (&b, 2), (&a, 0)] {
+        admission.submit(Instant::ZERO, &request(who, &team, level, 100_000), &mut out);
+    }
+    assert_eq!(refusals(&out), [(3, Refusal::Shed)]);
+    out.clear();
+    admission.submit(Instant::ZERO, &request(&b, &team, 2, 100_000), &mut out);
+    assert_eq!(refusals(&out), [(5, Refusal::Shed)]);
+}
+
+#[test]
+fn request_that_cannot_be_in_time_is_refused_at_once() {
+    let bounds = Bounds { queued: 99, queued_bytes: 10_000, start_slots: 1, max_slots: 1 };
+    let (mut admission, mut out) = (Admission::new(bounds), Vec::new());
+    let (a, team) = (name("a"), team(1, 0, 0));
+    admission.submit(Instant::ZERO, &request(&a, &team, 0, 99), &mut out);
+    assert_eq!(refusals(&out), [(0, Refusal::Late)]);
+    let first = admission.submit(Instant::ZERO, &request(&a, &team, 0, 1_000), &mut out);
+    let now = Instant::from_millis(100);
+    admission.release(now, first, Usage { tokens: 100, overloaded: false }, &mut out);
+    out.clear();
+    for _ in 0..4 {
+        admission.submit(now, &request(&a, &team, 0, 1_000), &mut out);
+    }
+    assert!(refusals(&out).is_empty(), "three queued at 100 ms each are in time");
+    admission.submit(now, &request(&a, &team, 0, 450), &mut out);
+    let late = out.pop().unwrap();
+    let Action::Refuse { refusal: Refusal::Late, retry_after, .. } = late else {
+        panic!("{late:?}")
+    };
+    assert!(retry_after >= Duration::from_millis(50) && retry_after <= Duration::from_millis(200));
+}
+
+#[test]
+fn queued_request_past_its_latest_start_is_refused() {
+    let bounds = Bounds { queued: 9, queued_bytes: 10_000, start_slots: 1, max_slots: 1 };
+    let (mut admission, mut out) = (Admission::new(bounds), Vec::new());
+    let (a, team) = (name("a"), team(1, 0, 0));
+    let first = admission.submit(Instant::ZERO, &request(&a, &team, 0, 1_000), &mut out);
+    let second = admission.submit(Instant::ZERO, &request(&a, &team, 0, 300), &mut out);
+    out.clear();
+    let usage = Usage { tokens: 1, overloaded: false };
+    admission.release(Instant::from_millis(201), first, usage, &mut out);
+    assert_eq!(refusals(&out), [(second.0, Refusal::Late)]);
+    assert_eq!(out.len(), 1);
+}
+
+#[test]
+fn slots_shrink_on_overload_and_grow_when_full() {
+    let mut slots = Slots::new(10, 20);
+    let now = Instant::from_millis(1);
+    while slots.take() {}
+    slots.release(now, true);
+    slots.release(now, true);
+    assert_eq!(slots.limit(), 8, "signs of one moment count once");
+    for _ in 0..200 {
+        while slots.take() {}
+        slots.release(now, false);
+    }
+    assert_eq!(slots.limit(), 20);
+}
+
+/// Routers that exchange demand reports, and a balancer in front of them.
+struct Cluster {
+    rng: Pcg64Mcg,
+    now: Instant,
+    routers: Vec<Admission>,
+    names: Vec<Name>,
+    in_flight: Vec<(Instant, usize, Report)>,
+    /// Reports between routers of different parts are lost.
+    parts: usize,
+    team: Team,
+    who: Name,
+}
+
+const COST: u32 = 50;
+const REQUESTS_PER_SECOND: u32 = 400;
+const STEP: Duration = Duration::from_micros(500);
+const LATENCY: Duration = Duration::from_millis(60);
+
+impl Cluster {
+    fn new(seed: u64, routers: usize) -> Self {
+        let bounds =
+            Bounds { queued: 9, queued_bytes: 9_999, start_slots: 9_999, max_slots: 9_999 };
+        Self {
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            now: Instant::from_millis(1),
+            routers: (0..routers).map(|_| Admission::new(bounds)).collect(),
+            names: (0..routers).map(|i| name(&format!("r{i}"))).collect(),
+            in_flight: Vec::new(),
+            parts: 1,
+            team: team(1, 0, REQUESTS_PER_SECOND * COST),
+            who: name("counter"),
+        }
+    }
+
+    /// Offers twice the limit, balanced by `weights`, and returns the part of
+    /// the limit that was admitted.
+    fn run(&mut self, time: Duration, weights: &[f64]) -> f64 {
+        let (end, total) = (self.now + time, weights.iter().sum::<f64>());
+        let chance = 2.0 * f64::from(REQUESTS_PER_SECOND) * STEP.as_secs_f64();
+        let mut admitted = 0;
+        while self.now < end {
+            self.now = self.now + STEP;
+            self.exchange();
+            if self.rng.random_bool(chance) {
+                let mut draw = self.rng.random_range(0.0..total);
+                let at = weights.iter().position(|weight| {
+                    draw -= weight;
+                    draw < 0.0
+                });
+                admitted += u32::from(self.submit(at.unwrap_or(0)));
+            }
+        }
+        f64::from(admitted) / (f64::from(REQUESTS_PER_SECOND) * time.as_secs_f64())
+    }
+
+    fn submit(&mut self, at: usize) -> bool {
+        let mut out = Vec::new();
+        let request = Request {
+            name: &self.who,
+            team: &self.team,
+            level: 0,
+            cost: COST,
+            bytes: 1,
+            deadline: self.now + Duration::from_secs(9),
+            service: Duration::ZERO,
+        };
+        let ticket = self.routers[at].submit(self.now, &request, &mut out);
+        let admitted = out.contains(&Action::Dispatch(ticket));
+        if admitted {
+            let usage = Usage { tokens: COST, overloaded: false };
+            self.routers[at].release(self.now, ticket, usage, &mut out);
+        }
+        admitted
+    }
+
+    fn exchange(&mut self) {
+        let micros = self.now.as_micros();
+        let interval = REPORT_INTERVAL.as_micros() as u64;
+        for at in 0..self.routers.len() {
+            // Routers report at different moments of the interval.
+            let phase = at as u64 * 7_500 % interval;
+            if micros / 500 % (interval / 500) == phase / 500 {
+                self.routers[at].expire(self.now);
+                let report = self.routers[at].share_mut().export(self.now);
+                self.in_flight.push((self.now + LATENCY, at, report));
+            }
+        }
+        let now = self.now;
+        let due: Vec<_> = self.in_flight.extract_if(.., |sent| sent.0 <= now).collect();
+        for (_, from, report) in due {
+            for to in 0..self.routers.len() {
+                if to != from && to % self.parts == from % self.parts {
+                    let peer = &self.names[from];
+                    self.routers[to].share_mut().merge(now, peer, &report);
+                }
+            }
+        }
+    }
+}
+
+const SETTLE: Duration = Duration::from_secs(2);
+const WINDOW: Duration = Duration::from_secs(5);
+
+fn within_5_percent(admitted: f64, what: &str) {
+    println!("{what}: {:+.2}% of the limit", (admitted - 1.0) * 100.0);
+    assert!((admitted - 1.0).abs() <= 0.05, "{what}: {admitted}");
+}
+
+/// Names each number of routers and seed over which a limit must hold.
+macro_rules! limits {
+    ($($case:ident: $routers:literal $seed:literal;)*) => {$(
+        #[test]
+        fn $case() {
+            limit_holds($routers, $seed);
+        }
+    )*};
+}
+
+limits! {
+    limit_holds_over_4_routers: 4 21;
+    limit_holds_over_4_routers_again: 4 22;
+    limit_holds_over_40_routers: 40 23;
+    limit_holds_over_40_routers_again: 40 24;
+}
+
+fn limit_holds(routers: usize, seed: u64) {
+    let mut cluster = Cluster::new(seed, routers);
+    let skewed: Vec<f64> = (0..routers).map(|i| 0.85_f64.powi(i as i32)).collect();
+    let turned: Vec<f64> = skewed.iter().rev().copied().collect();
+    let mut only_one = vec![0.0; routers];
+    only_one[routers / 2] = 1.0;
+    for (weights, what) in
+        [(skewed, "skewed"), (turned, "turned round"), (only_one, "one router only")]
+    {
+        let shifting = cluster.run(SETTLE, &weights);
+        println!("{what}, {routers} routers, first 2 s: {:+.2}%", (shifting - 1.0) * 100.0);
+        let steady = cluster.run(WINDOW, &weights);
+        within_5_percent(steady, &format!("{what}, {routers} routers, next 5 s"));
+    }
+}
+
+#[test]
+fn each_part_of_a_partition_serves_at_most_the_limit() {
+    let mut cluster = Cluster::new(31, 12);
+    let even = [1.0; 12];
+    cluster.run(SETTLE, &even);
+    cluster.parts = 3;
+    cluster.run(SETTLE, &even);
+    let parted = cluster.run(WINDOW, &even);
+    println!("3 parts: {parted:.2} of the limit");
+    // Demand is twice the limit, so that three parts take all of it.
+    assert!(parted > 1.5 && parted <= 3.0 * 1.05, "{parted}");
+    cluster.parts = 1;
+    cluster.run(SETTLE, &even);
+    within_5_percent(cluster.run(WINDOW, &even), "healed");
+}
+
+#[test]
+fn silent_peer_no_longer_counts() {
+    let (mut share, peer, team) = (Share::default(), name("r2"), TeamId::from(&name("a")));
+    let mut other = Share::default();
+    other.observe(Instant::ZERO, team, 100);
+    share.observe(Instant::ZERO, team, 100);
+    share.merge(Instant::ZERO, &peer, &other.export(Instant::ZERO));
+    assert!((share.fraction(team) - 0.5).abs() < 0.01);
+    share.expire(Instant::ZERO + PEER_TIMEOUT);
+    assert_eq!(share.fraction(team), 1.0);
+}
+
+#[test]
+fn idle_teams_are_forgotten() {
+    let mut share = Share::default();
+    let mut now = Instant::ZERO;
+    for at in 0..31_000 {
+        now = now + Duration::from_millis(1);
+        share.observe(now, TeamId::from(&name(&format!("t{at}"))), 100);
+        if at % 250 == 0 {
+            share.export(now);
+        }
+    }
+    for _ in 0..400 {
+        now = now + REPORT_INTERVAL;
+        share.export(now);
+    }
+    assert_eq!(share.active(), 0);
+}
+
+#[test]
+fn report_of_1000_active_teams_leaves_room() {
+    const BUDGET_BYTES_PER_SECOND: usize = 16 * 1024;
+    let mut rng = Pcg64Mcg::seed_from_u64(41);
+    let mut share = Share::default();
+    let (mut now, mut bytes) = (Instant::ZERO, 0);
+    let seconds = 10;
+    let reports = seconds * 1_000 / REPORT_INTERVAL.as_millis() as usize;
+    for _ in 0..reports {
+        for _ in 0..500 {
+            now = now + REPORT_INTERVAL / 500;
+            let at = rng.random_range(0..1_000);
+            share.observe(now, TeamId::from(&name(&format!("t{at}"))), 50);
+        }
+        bytes += postcard::to_stdvec(&share.export(now)).unwrap().len();
+    }
+    println!("1,000 active teams: {} bytes a second to one peer", bytes / seconds);
+    assert!(bytes / seconds < BUDGET_BYTES_PER_SECOND / 4, "{bytes}");
+}
--- a/mimosashiftd/src/flags.rs
+++ b/mimosashiftd/src/flags.rs
@@ -33,7 +33,9 @@
         };
         let name = flag.strip_prefix("--").unwrap_or_default();
         let before = raw.set(name, value).map_err(|_| parser.unexpected_flag(&flag))?;
-        parser.optional(&flag, before.into_iter().chain([String::new()]).collect())?;
+        if before.is_some() {
+            return Err(xflags::Error::new(format!("flag specified more than once: `{flag}`")));
+        }
     }
     Ok(Command::Run(raw))
 }
