--- a/mimosashiftd/src/flags.rs
+++ b/mimosashiftd/src/flags.rs
@@ -41,7 +41,9 @@
         };
         let name = flag.strip_prefix("--").unwrap_or_default();
         let before = raw.set(name, value).map_err(|_| parser.unexpected_flag(&flag))?;
-        parser.optional(&flag, before.into_iter().chain([String::new()]).collect())?;
+        if before.is_some() {
+            return Err(xflags::Error::new(format!("flag specified more than once: `{flag}`")));
+        }
     }
     Ok(if check { Command::Check(raw) } else { Command::Run(raw) })
 }
