Admit requests before they run; hold each thread until its verdict

Cause: requests went to engines without limits, priorities or a queue. Change: a gate around the admission; upkeep threads; the queue in status. The test of stage faults waited for 100 steps of one copy, which the choice of chains need not give it: it hung once. It now breaks the busier copy after 200 steps of all.

--- a/mimosabench/src/main.rs
+++ b/mimosabench/src/main.rs
@@ -84,7 +84,6 @@
     if report.of(Outcome::Wrong) == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
-#[allow(clippy::print_stdout)] // Printing is what the tool is for.
 fn print_report(report: &report::Report, json: bool) {
     if json {
         println!("{:#}", report.to_json());
--- a/mimosactl/src/commands.rs
+++ b/mimosactl/src/commands.rs
@@ -178,7 +178,6 @@
         self.form.print_one(value).map_err(unprinted)
     }
 
-    #[allow(clippy::print_stdout)] // Printing is what a command is for.
     fn print_text(&self, text: &str) {
         println!("{text}");
     }
--- a/mimosashift/src/node/callers.rs
+++ b/mimosashift/src/node/callers.rs
@@ -7,10 +7,12 @@
 use hyper::{Method, StatusCode};
 use serde_json::json;
 
+use super::gate::{Denied, Permit};
 use super::installed::Installed;
 use super::relay::{self, Done, Job};
 use super::services::{self, Target};
 use super::{Node, auth};
+use crate::admit::{self, Usage};
 use crate::emit;
 use crate::engine::RequestId;
 use crate::event::Event;
@@ -36,6 +38,7 @@
 /// A checked completion and what it is to run on.
 struct Asked<'a> {
     completion: Completion,
+    name: &'a Name,
     team: &'a Team,
     route: &'a Route,
     version: u32,
@@ -107,15 +110,15 @@
         let id = RequestId(rand::random());
         let level =
             installed.snapshot().priority(&asked.team.priority).map_or(u8::MAX, |p| p.level);
-        let completion = asked.completion;
+        let completion = &asked.completion;
         let request = pipeline::Request {
             id,
-            prompt: completion.prompt,
+            prompt: completion.prompt.clone(),
             max_tokens: completion.max_tokens.min(asked.route.max_tokens),
             stop: Some(STOP_TOKEN),
             deadline: node.clock.now() + asked.deadline,
             priority: level,
-            adapter: completion.adapter,
+            adapter: completion.adapter.clone(),
         };
         let (prompt, max_tokens) = (request.prompt.len(), request.max_tokens as usize);
         let job = Job { pipeline: &asked.route.pipeline, version: asked.version, request };
@@ -123,9 +126,19 @@
         let writer =
             Writer::new(completion.form, &format!("cmpl-{id}"), &completion.model, created);
         let mut answer = Sink::new(responder, writer, completion.stream);
+        let mut permit = match self.admit(installed, &job, &asked, &answer) {
+            Ok(permit) => permit,
+            Err(None) => return,
+            Err(Some(problem)) => {
+                emit!(node.log, Event::RequestRefused, "code" => problem.code);
+                return answer.refuse(&problem);
+            }
+        };
         let done = relay::run(node, installed, job, &mut |token| answer.push(token));
         match done {
             Ok(done) => {
+                permit.usage =
+                    Usage { tokens: (prompt + answer.tokens) as u32, overloaded: done.overloaded };
                 self.note(&done, &answer);
                 answer.finish(&done.outcome, prompt, max_tokens);
             }
@@ -136,6 +149,32 @@
         }
     }
 
+    /// Waits until the request may run; `None` when its caller has gone.
+    fn admit(
+        &self,
+        installed: &Installed,
+        job: &Job<'_>,
+        asked: &Asked<'_>,
+        answer: &Sink,
+    ) -> Result<Permit<'_>, Option<Problem>> {
+        let service = relay::estimate(&self.0, installed, job);
+        let service = service.map_err(|refusal| Some(no_chain(&refusal)))?;
+        let cost = job.request.prompt.len() as u32 + job.request.max_tokens;
+        let request = admit::Request {
+            name: asked.name,
+            team: asked.team,
+            level: job.request.priority,
+            cost,
+            bytes: job.request.prompt.len() * size_of::<u32>(),
+            deadline: job.request.deadline,
+            service,
+        };
+        self.0.gate.enter(&request, || answer.is_gone()).map_err(|denied| match denied {
+            Denied::Gone => None,
+            Denied::Refused { refusal, retry_after } => Some(not_admitted(refusal, retry_after)),
+        })
+    }
+
     fn note(&self, done: &Done, answer: &Sink) {
         let (tokens, recovered) = (answer.tokens, done.recovered);
         match &done.outcome {
@@ -197,6 +236,14 @@
         Self { writer, to: To::Pending { responder, stream }, text: String::new(), tokens: 0 }
     }
 
+    fn is_gone(&self) -> bool {
+        match &self.to {
+            To::Pending { responder, .. } => responder.is_gone(),
+            To::Stream(stream) => stream.is_gone(),
+            To::Gone => true,
+        }
+    }
+
     /// Takes the next token; false when the caller has gone.
     fn push(&mut self, token: u32) -> bool {
         self.tokens += 1;
@@ -284,7 +331,7 @@
     }
     let pipeline = snapshot.pipeline(&route.pipeline).ok_or_else(missing)?;
     let deadline = deadline(request, route.deadline_ms)?;
-    Ok(Asked { completion, team, route, version: pipeline.version, deadline })
+    Ok(Asked { completion, name, team, route, version: pipeline.version, deadline })
 }
 
 fn is_allowed(route: &Route, team: &Name) -> bool {
@@ -314,6 +361,24 @@
     Ok((name, format!("/{path}{query}")))
 }
 
+fn not_admitted(refusal: admit::Refusal, retry_after: Duration) -> Problem {
+    let (status, code, detail) = match refusal {
+        admit::Refusal::Late => {
+            let detail = "the deadline cannot be met";
+            (StatusCode::GATEWAY_TIMEOUT, "deadline-exceeded", detail)
+        }
+        admit::Refusal::OverLimit => {
+            let detail = "the team's limit is used up";
+            (StatusCode::TOO_MANY_REQUESTS, "team-limit", detail)
+        }
+        admit::Refusal::Shed => {
+            let detail = "the queue is full and others go first";
+            (StatusCode::SERVICE_UNAVAILABLE, "shed", detail)
+        }
+    };
+    Problem::not_run(status, code, detail).with_retry_after(retry_after)
+}
+
 fn no_chain(refusal: &Refusal) -> Problem {
     let (status, code) = match refusal {
         Refusal::UnknownAdapter { .. } => (StatusCode::BAD_REQUEST, "invalid"),
--- a/mimosashift/src/node/mod.rs
+++ b/mimosashift/src/node/mod.rs
@@ -13,6 +13,7 @@
 use crossbeam::channel::{self, Receiver, Sender};
 use crossbeam::sync::Parker;
 
+use crate::admit::Bounds;
 use crate::config::State;
 use crate::emit;
 use crate::engine;
@@ -27,22 +28,28 @@
 mod callers;
 mod clock;
 mod drain;
+mod gate;
 mod installed;
 mod operators;
 mod relay;
 mod services;
 mod settings;
+mod upkeep;
 
 pub use drain::Handle;
 pub use settings::{Error, Settings};
 
 use clock::Clock;
+use gate::Gate;
 use installed::Installed;
 use relay::Cancel;
 
 /// Requests of operators handled at once, watches included.
 const MAX_OPERATOR_REQUESTS: usize = 64;
 
+/// Requests run at once until the endpoints' answers say otherwise.
+const START_SLOTS: usize = 64;
+
 /// Cancellations that may wait for slow engines.
 const MAX_CANCELS: usize = 4_096;
 
@@ -55,7 +62,7 @@
 
 /// The shared tables of a router.
 ///
-/// Lock order: `health`, `affinity`, `budget`. `installed` is read without a
+/// Lock order: `gate`, `health`, `affinity`, `budget`. `installed` is read without a
 /// lock, and a request keeps the one that admitted it.
 pub struct Node {
     settings: Settings,
@@ -66,6 +73,7 @@
     engines: engine::http::Adapter,
     cancels: Sender<Cancel>,
     installed: ArcSwap<Installed>,
+    gate: Gate,
     health: Mutex<Registry>,
     affinity: Mutex<Affinity>,
     budget: Mutex<Budget>,
@@ -94,6 +102,7 @@
                 .name("cancel".to_owned())
                 .spawn(move || send_cancels(&engines, &cancelled))?;
         }
+        upkeep::start(&node)?;
         let callers = node.listen("callers", Arc::new(callers::Surface(Arc::clone(&node))))?;
         let operators =
             node.listen("operators", Arc::new(operators::Surface(Arc::clone(&node))))?;
@@ -151,6 +160,7 @@
             client,
             cancels,
             installed: ArcSwap::from_pointee(installed),
+            gate: Gate::new(bounds(&settings), clock),
             health: Mutex::new(Registry::new(health::Settings::default())),
             affinity: Mutex::new(Affinity::new(AFFINITY)),
             budget: Mutex::new(Budget::new(Share::default(), clock.now())),
@@ -206,6 +216,17 @@
     }
 }
 
+/// Bounds of the queue: half of the requests may wait while the others run.
+fn bounds(settings: &Settings) -> Bounds {
+    let requests = settings.limits.max_requests;
+    Bounds {
+        queued: (requests / 2).max(1),
+        queued_bytes: settings.queue_bytes,
+        start_slots: START_SLOTS.min(requests),
+        max_slots: requests.div_ceil(2),
+    }
+}
+
 fn send_cancels(engines: &engine::http::Adapter, cancelled: &Receiver<Cancel>) {
     for cancel in cancelled {
         engines.cancel(cancel.endpoint, cancel.request, cancel.attempt);
--- a/mimosashift/src/node/operators.rs
+++ b/mimosashift/src/node/operators.rs
@@ -54,9 +54,16 @@
     fn status(&self) -> Value {
         let node = &self.0.settings.node;
         let version = self.0.installed().state().version();
+        let queue = self.0.gate.with(|admission| {
+            json!({
+                "queued": admission.queue().len(),
+                "running": admission.slots().used(),
+                "slots": admission.slots().limit(),
+            })
+        });
         json!({
             "node": node.name, "domain": node.domain, "region": node.region,
-            "revision": version.revision,
+            "revision": version.revision, "queue": queue,
         })
     }
 
--- a/mimosashift/src/node/relay.rs
+++ b/mimosashift/src/node/relay.rs
@@ -22,7 +22,7 @@
     Action, Actions, Context, Limits, Machine, Outcome, Replacement, Request, Scope,
 };
 use crate::resource::Name;
-use crate::route::{Ask, Chain, Refusal, Sources, Stage};
+use crate::route::{Ask, Chain, Choice, Refusal, Sources, Stage};
 use crate::time::Instant;
 
 /// Bytes of headers around a step's body, for the estimate of link time.
@@ -54,6 +54,15 @@
     pub outcome: Outcome,
     /// Recoveries on the way.
     pub recovered: u32,
+    /// Whether an engine refused a step for load.
+    pub overloaded: bool,
+}
+
+/// Estimates how long a request takes once it runs.
+pub fn estimate(node: &Node, installed: &Installed, job: &Job<'_>) -> Result<Duration, Refusal> {
+    let mut rng = Pcg64Mcg::seed_from_u64(rand::random());
+    let adapter = job.request.adapter.as_ref();
+    choose(node, installed, &ask(job, adapter), &mut rng).map(|choice| choice.estimate)
 }
 
 /// Runs a job; `emit` takes each token and says whether the caller is there.
@@ -65,20 +74,18 @@
 ) -> Result<Done, Refusal> {
     let mut rng = Pcg64Mcg::seed_from_u64(rand::random());
     let adapter = job.request.adapter.clone();
-    let ask = Ask {
-        pipeline: job.pipeline,
-        version: job.version,
-        prompt_tokens: job.request.prompt.len() as u32,
-        output_tokens: job.request.max_tokens,
-        adapter: adapter.as_ref(),
-        prefixes: &[],
-        avoid: &[],
-        avoid_domains: &[],
-        kept: &[],
-    };
-    let chain = choose(node, installed, &ask, &mut rng)?;
+    let ask = ask(&job, adapter.as_ref());
+    let chain = choose(node, installed, &ask, &mut rng)?.chain;
     let cost = installed.recovery_cost(&chain);
-    let mut relay = Relay { node, installed, ask, rng, chain: chain.clone(), begun: Vec::new() };
+    let mut relay = Relay {
+        node,
+        installed,
+        ask,
+        rng,
+        chain: chain.clone(),
+        begun: Vec::new(),
+        overloaded: false,
+    };
     relay.begin(&chain);
     let (machine, actions) = {
         let mut budget = node.lock_budget();
@@ -97,6 +104,7 @@
     chain: Chain,
     /// Endpoints with work of this request, and since when.
     begun: Vec<(Name, Instant)>,
+    overloaded: bool,
 }
 
 impl Relay<'_> {
@@ -173,6 +181,7 @@
             return Err(Failure::Unreachable("the endpoint is not declared".to_owned()));
         };
         let answer = self.node.engines.step(address, step, timeout);
+        self.overloaded |= answer == Err(Failure::Overloaded);
         let now = self.node.clock.now();
         let mut health = self.node.lock_health();
         match &answer {
@@ -219,7 +228,8 @@
         let ask_whole = Ask { avoid, ..self.ask };
         let chain = choose(self.node, self.installed, &ask, &mut self.rng)
             .or_else(|_| choose(self.node, self.installed, &ask_whole, &mut self.rng))
-            .ok()?;
+            .ok()?
+            .chain;
         let now = self.node.clock.now();
         let health = self.node.lock_health();
         let readable = |name: &Name| health.condition(name, now).standing != Standing::Unreachable;
@@ -272,7 +282,21 @@
         if dropped > 0 {
             emit!(self.node.log, Event::ReplyDropped, "count" => dropped);
         }
-        Done { outcome, recovered: machine.recovered() }
+        Done { outcome, recovered: machine.recovered(), overloaded: self.overloaded }
+    }
+}
+
+fn ask<'a>(job: &Job<'a>, adapter: Option<&'a Name>) -> Ask<'a> {
+    Ask {
+        pipeline: job.pipeline,
+        version: job.version,
+        prompt_tokens: job.request.prompt.len() as u32,
+        output_tokens: job.request.max_tokens,
+        adapter,
+        prefixes: &[],
+        avoid: &[],
+        avoid_domains: &[],
+        kept: &[],
     }
 }
 
@@ -281,12 +305,12 @@
     installed: &Installed,
     ask: &Ask<'_>,
     rng: &mut Pcg64Mcg,
-) -> Result<Chain, Refusal> {
+) -> Result<Choice, Refusal> {
     let now = node.clock.now();
     let health = node.lock_health();
     let affinity = node.lock_affinity();
     let sources = Sources { health: &*health, affinity: &affinity };
-    Ok(installed.routes().choose(ask, &sources, now, rng)?.chain)
+    installed.routes().choose(ask, &sources, now, rng)
 }
 
 fn output_bytes(output: &Output) -> u64 {
--- a/mimosashift/src/node/settings.rs
+++ b/mimosashift/src/node/settings.rs
@@ -45,6 +45,8 @@
     pub callers: SocketAddr,
     /// Limits of the callers' surface.
     pub limits: http::Settings,
+    /// Most bytes of queued requests.
+    pub queue_bytes: usize,
     /// Operators' address; port 0 takes any free port.
     pub operators: SocketAddr,
     /// Digest of the token that is valid before any team exists.
@@ -79,6 +81,7 @@
                 max_body_bytes: settings.caller.max_body_bytes,
                 ..http::Settings::default()
             },
+            queue_bytes: settings.caller.queue_bytes,
             operators: settings.operator.listen,
             bootstrap_digest: settings.operator.bootstrap_digest,
             peer: settings.peer.clone(),
--- /dev/null
+++ b/mimosashift/src/node/upkeep.rs
@@ -0,0 +1,44 @@
+//! What a router does without being asked.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+use super::{Error, Node};
+
+/// Time between two looks at the queue.
+const QUEUE_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Time between two sweeps over endpoints and teams.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Starts the threads.
+pub fn start(node: &Arc<Node>) -> Result<(), Error> {
+    spawn(node, "queue", QUEUE_INTERVAL, |node| node.gate.poll())?;
+    let mut rng = Pcg64Mcg::seed_from_u64(rand::random());
+    spawn(node, "sweep", SWEEP_INTERVAL, move |node| {
+        node.gate.expire();
+        node.lock_health().sweep(node.clock.now(), &mut rng);
+    })
+}
+
+fn spawn(
+    node: &Arc<Node>,
+    name: &str,
+    interval: Duration,
+    mut act: impl FnMut(&Node) + Send + 'static,
+) -> Result<(), Error> {
+    // The thread ends once the router itself is gone.
+    let node = Arc::downgrade(node);
+    thread::Builder::new().name(name.to_owned()).spawn(move || {
+        while let Some(node) = node.upgrade() {
+            act(&node);
+            drop(node);
+            thread::sleep(interval);
+        }
+    })?;
+    Ok(())
+}
--- a/mimosashiftd/src/main.rs
+++ b/mimosashiftd/src/main.rs
@@ -41,7 +41,6 @@
     }
 }
 
-#[allow(clippy::print_stdout)] // Help goes to the standard output.
 fn print_help() {
     println!("mimosashiftd: a router for model pipelines.\n");
     println!("  --check\n      Checks the settings and exits.\n");
--- a/mimosastandin/tests/path.rs
+++ b/mimosastandin/tests/path.rs
@@ -65,6 +65,7 @@
             node,
             callers: ANY,
             limits: Default::default(),
+            queue_bytes: 1 << 20,
             operators: ANY,
             bootstrap_digest: Some(settings::Digest(Sha256::digest(OPERATOR).into())),
             peer,
@@ -101,6 +102,12 @@
         self.engines.push(instance);
     }
 
+    /// Of the two copies of a stage, the one that has run more steps.
+    fn busier_copy(&self, stage: usize) -> &engine::Instance {
+        let copies = [&self.engines[stage], &self.engines[stage + 2]];
+        copies.into_iter().max_by_key(|copy| copy.steps()).unwrap()
+    }
+
     fn apply(&self, kind: &str, name: &str, spec: &str) {
         let path = format!("/api/v1/{kind}/{name}");
         let answer = self.call(self.operators, Method::PUT, &path, OPERATOR, spec);
@@ -185,10 +192,10 @@
                         }
                     });
                 }
-                while path.engines[$engine].steps() < 100 {
+                while path.engines.iter().map(|engine| engine.steps()).sum::<u64>() < 200 {
                     std::thread::yield_now();
                 }
-                path.engines[$engine].set_fault($fault);
+                path.busier_copy($engine).set_fault($fault);
             });
         }
     )*};
