Check ledger, recovery and retries; back off before a refused first step

The check of doubled refusals failed: the first retry of an overloaded first step went out at once, because it is a new attempt and only repeated steps waited. Every retry after an overload now waits for its jittered backoff.

--- a/mimosashift/src/pipeline/machine/recover.rs
+++ b/mimosashift/src/pipeline/machine/recover.rs
@@ -33,7 +33,7 @@
         let first = self.recoveries == 0;
         self.recoveries += 1;
         self.recovered += 1;
-        let at_once = first && retry_after.is_none() && !matches!(next, Next::Resend);
+        let at_once = first && retry_after.is_none() && *failure != Failure::Overloaded;
         let pause = if at_once {
             Duration::ZERO
         } else {
--- /dev/null
+++ b/mimosashift/tests/pipeline.rs
@@ -0,0 +1,383 @@
+//! Checks of the pipeline machine, its ledger, recovery and retry budget.
+
+use std::time::Duration;
+
+use mimosashift::engine::{Failure, Label, Output, Reply, RequestId, Step};
+use mimosashift::pipeline::recovery::{Cost, Endpoints, Plan, Point, plan};
+use mimosashift::pipeline::retry::{Budget, Share, backoff};
+use mimosashift::pipeline::{
+    Action, Actions, Code, Context, Effect, Ledger, Limits, Machine, Outcome, Reason, Replacement,
+    Request, Scope,
+};
+use mimosashift::resource::{Layers, Name};
+use mimosashift::route::{Chain, Stage};
+use mimosashift::time::Instant;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use test_case::test_case;
+
+const PROMPT: u32 = 32;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn name(text: &str) -> Name {
+    Name::try_from(text).unwrap()
+}
+
+fn layers(start: u16, end: u16) -> Layers {
+    Layers::try_from((start, end)).unwrap()
+}
+
+fn chain(stages: &[(&str, u16, u16)]) -> Chain {
+    let stage = |(endpoint, start, end): &(&str, u16, u16)| Stage {
+        endpoint: name(endpoint),
+        layers: layers(*start, *end),
+    };
+    Chain::new(name("p"), 1, 12, stages.iter().map(stage)).unwrap()
+}
+
+fn abc() -> Chain {
+    chain(&[("a", 0, 4), ("b", 4, 8), ("c", 8, 12)])
+}
+
+fn cost(kv_bytes: u32) -> Cost {
+    Cost {
+        kv_bytes,
+        link_bytes_per_second: 1_000_000,
+        link_latency: ms(1),
+        prefill_base: ms(10),
+        prefill_token: ms(1),
+    }
+}
+
+/// A machine with its clock, randomness and budget.
+struct Bench {
+    now: Instant,
+    rng: Pcg64Mcg,
+    budget: Budget,
+    machine: Machine,
+    /// Actions of the latest input.
+    actions: Actions,
+}
+
+impl Bench {
+    fn new(max_tokens: u32, deadline: u64, share: Share) -> Self {
+        let mut rng = Pcg64Mcg::new(7);
+        let mut budget = Budget::new(share, Instant::ZERO);
+        let mut ctx = Context { now: Instant::ZERO, rng: &mut rng, budget: &mut budget };
+        let request = Request {
+            id: RequestId(1),
+            prompt: (0..PROMPT).collect(),
+            max_tokens,
+            stop: Some(0),
+            deadline: Instant::from_millis(deadline),
+            priority: 0,
+            adapter: None,
+        };
+        let (machine, actions) =
+            Machine::start(&mut ctx, request, abc(), cost(100), Limits::default());
+        Self { now: Instant::ZERO, rng, budget, machine, actions }
+    }
+
+    fn input(&mut self, input: impl FnOnce(&mut Machine, &mut Context<'_>) -> Actions) {
+        let mut ctx = Context { now: self.now, rng: &mut self.rng, budget: &mut self.budget };
+        self.actions = input(&mut self.machine, &mut ctx);
+    }
+
+    fn sent(&self) -> (Name, Step) {
+        let sent = self.actions.iter().find_map(|action| match action {
+            Action::Send { endpoint, step, .. } => Some((endpoint.clone(), step.clone())),
+            _ => None,
+        });
+        sent.unwrap_or_else(|| panic!("no step sent: {:?}", self.actions))
+    }
+
+    fn outcome(&self) -> Option<&Outcome> {
+        self.actions.iter().find_map(|action| match action {
+            Action::Finish(outcome) => Some(outcome),
+            _ => None,
+        })
+    }
+
+    fn scope(&self) -> Option<Scope> {
+        self.actions.iter().find_map(|action| match action {
+            Action::NeedChain { scope, .. } => Some(*scope),
+            _ => None,
+        })
+    }
+
+    /// Answers the step just sent after 10 ms.
+    fn answer(&mut self) {
+        let (endpoint, Step { label, .. }) = self.sent();
+        self.now = self.now + ms(10);
+        let output = match label.layers.end() {
+            12 => Output::Token(1),
+            _ => Output::Hidden(vec![1]),
+        };
+        self.input(|machine, ctx| machine.on_reply(ctx, &endpoint, Reply { label, output }));
+    }
+
+    fn answer_steps(&mut self, steps: usize) {
+        (0..steps).for_each(|_| self.answer());
+    }
+
+    fn fail(&mut self, failure: &Failure, retry_after: Option<Duration>) {
+        let (endpoint, Step { label, .. }) = self.sent();
+        self.input(|m, ctx| m.on_failure(ctx, &endpoint, &label, failure, retry_after));
+    }
+
+    fn wait(&mut self) {
+        self.now = self.machine.next_deadline().expect("the request is not over");
+        self.input(Machine::on_time);
+    }
+
+    fn replace(&mut self, chain: Chain, holders: &[&str], kv_bytes: u32) {
+        let holders = holders.iter().map(|holder| name(holder)).collect();
+        let replacement = Replacement { chain, holders, cost: cost(kv_bytes) };
+        self.input(|machine, ctx| machine.on_chain(ctx, Some(replacement)));
+    }
+}
+
+fn label() -> Label {
+    Label {
+        request: RequestId(1),
+        attempt: 2,
+        position: 3,
+        count: 1,
+        layers: layers(0, 4),
+        pipeline: name("p"),
+        version: 1,
+    }
+}
+
+/// Names each label that a ledger must drop, with the reason.
+macro_rules! dropped {
+    ($($case:ident: $reason:ident $endpoint:literal $label:expr;)*) => {$(
+        #[test]
+        fn $case() {
+            let mut ledger = Ledger::default();
+            ledger.expect(name("a"), label());
+            assert_eq!(ledger.accept(&name($endpoint), &$label), Err(Reason::$reason));
+            assert_eq!(ledger.drops().count(Reason::$reason), 1);
+            assert_eq!(ledger.accept(&name("a"), &label()), Ok(()));
+            assert_eq!(ledger.accept(&name("a"), &label()), Err(Reason::Idle));
+            assert_eq!(ledger.drops().total(), 2);
+        }
+    )*};
+}
+
+dropped! {
+    other_request: Request "a" Label { request: RequestId(2), ..label() };
+    other_pipeline: Version "a" Label { pipeline: name("q"), ..label() };
+    other_version: Version "a" Label { version: 2, ..label() };
+    older_attempt: Attempt "a" Label { attempt: 1, ..label() };
+    newer_attempt: Attempt "a" Label { attempt: 3, ..label() };
+    other_position: Position "a" Label { position: 2, ..label() };
+    other_count: Position "a" Label { count: 2, ..label() };
+    other_layers: Layers "a" Label { layers: layers(0, 5), ..label() };
+    other_endpoint: Endpoint "b" label();
+}
+
+/// What the machine does after a failure of stage b while decoding.
+#[test_case(&Failure::NoCache, None; "cache gone rebuilds on the same chain")]
+#[test_case(&Failure::Refused(String::new()), None; "refusal rebuilds on the same chain")]
+#[test_case(&Failure::Unreachable(String::new()), Some(layers(4, 8)); "unreachable moves layers")]
+#[test_case(&Failure::Silent(ms(1)), Some(layers(4, 8)); "silence moves layers")]
+#[test_case(&Failure::Leaving, Some(layers(4, 8)); "leaving moves layers")]
+#[test_case(&Failure::Malformed(String::new()), Some(layers(4, 8)); "malformed moves layers")]
+fn failure_while_decoding(failure: &Failure, moved: Option<Layers>) {
+    let mut bench = Bench::new(9, 60_000, Share::default());
+    bench.answer_steps(4);
+    bench.fail(failure, None);
+    assert_eq!(bench.scope(), moved.map(Scope::Range));
+    if moved.is_none() {
+        let (endpoint, Step { label, .. }) = bench.sent();
+        assert_eq!((endpoint, label.attempt, label.position), (name("a"), 2, 0));
+        assert_eq!(label.count, PROMPT + 1);
+    }
+}
+
+#[test]
+fn overloaded_endpoint_is_asked_again_then_replaced() {
+    let mut bench = Bench::new(9, 60_000, Share::default());
+    bench.answer_steps(4);
+    for _ in 0..2 {
+        bench.fail(&Failure::Overloaded, None);
+        assert!(bench.actions.is_empty());
+        bench.wait();
+        assert_eq!(bench.sent().0, name("b"));
+    }
+    bench.fail(&Failure::Overloaded, None);
+    bench.wait();
+    assert_eq!(bench.scope(), Some(Scope::Range(layers(4, 8))));
+}
+
+#[test]
+fn doubled_refusal_of_first_step_counts_once() {
+    let mut bench = Bench::new(9, 60_000, Share { burst: 1.0, ..Share::default() });
+    let (endpoint, first) = bench.sent();
+    bench.fail(&Failure::Overloaded, None);
+    bench.wait();
+    let refused = |m: &mut Machine, ctx: &mut Context<'_>| {
+        m.on_failure(ctx, &endpoint, &first.label, &Failure::Overloaded, None)
+    };
+    bench.input(refused);
+    assert!(bench.actions.is_empty());
+    assert_eq!(bench.machine.drops().count(Reason::Attempt), 1);
+}
+
+/// Decides how `abc` goes on at the decode step of token 40 at stage b.
+#[test_case(&[("a", 0, 4), ("x", 4, 8), ("c", 8, 12)], &["b"], 40, 100 => Some(1); "small cache is copied")]
+#[test_case(&[("a", 0, 4), ("x", 4, 8), ("c", 8, 12)], &["b"], 40, 10_000 => None; "large cache is rebuilt")]
+#[test_case(&[("a", 0, 4), ("x", 4, 8), ("c", 8, 12)], &[], 40, 100 => None; "lost cache is rebuilt")]
+#[test_case(&[("a", 0, 4), ("x", 4, 8), ("c", 8, 12)], &[], 0, 100 => Some(0); "nothing cached yet")]
+#[test_case(&[("a", 0, 4), ("x", 4, 6), ("y", 6, 8), ("c", 8, 12)], &["b"], 40, 100 => Some(2); "split range")]
+#[test_case(&[("a", 0, 4), ("x", 4, 8), ("y", 8, 12)], &["b"], 40, 100 => None; "second cache lost")]
+#[test_case(&[("x", 0, 6), ("y", 6, 12)], &["a", "b", "c"], 40, 100 => None; "other boundaries")]
+#[test_case(&[("a", 0, 4), ("a", 4, 8), ("c", 8, 12)], &["b"], 40, 100 => None; "endpoint in use")]
+#[test_case(&[("a", 0, 4), ("b", 4, 8), ("c", 8, 12)], &["b"], 40, 100 => None; "failed stage again")]
+fn copies(stages: &[(&str, u16, u16)], holders: &[&str], position: u32, kv: u32) -> Option<usize> {
+    let holders: Vec<Name> = holders.iter().map(|holder| name(holder)).collect();
+    let used = ["a", "b", "c"].map(name);
+    let endpoints = Endpoints { holders: &holders, used: &used };
+    let at = Point { layer: 4, position, count: 1 };
+    match plan(&abc(), &chain(stages), at, endpoints, &cost(kv)) {
+        Plan::Resume(transfers) => Some(transfers.len()),
+        Plan::Rebuild => None,
+    }
+}
+
+/// A copy that goes wrong falls back to the tokens.
+#[test_case(Some(Ok(())), 0 => (name("x"), 1); "done")]
+#[test_case(Some(Err(Failure::NoCache)), 0 => (name("a"), 2); "refused")]
+#[test_case(Some(Ok(())), 1 => (name("a"), 2); "wrong count")]
+#[test_case(None, 0 => (name("a"), 2); "lost")]
+fn copy_ends(result: Option<Result<(), Failure>>, extra: u32) -> (Name, u32) {
+    let mut bench = Bench::new(9, 60_000, Share::default());
+    bench.answer_steps(4);
+    bench.fail(&Failure::Leaving, None);
+    bench.replace(chain(&[("a", 0, 4), ("x", 4, 8), ("c", 8, 12)]), &["b"], 100);
+    let Some(Action::Import { from, to, label, .. }) = bench.actions.first().cloned() else {
+        panic!("no import: {:?}", bench.actions);
+    };
+    assert_eq!((from, to.clone(), label.count), (name("b"), name("x"), PROMPT));
+    let label = Label { count: label.count + extra, ..label };
+    if let Some(result) = result {
+        bench.input(|m, ctx| m.on_import(ctx, &to, &label, result.as_ref().copied()));
+    }
+    if bench.actions.is_empty() || !matches!(bench.actions.last(), Some(Action::Send { .. })) {
+        bench.wait();
+    }
+    let (endpoint, step) = bench.sent();
+    (endpoint, step.label.attempt)
+}
+
+#[test_case(4; "first decode step")]
+#[test_case(22; "observed decode step")]
+fn silent_stage_is_replaced_within_a_second(steps: usize) {
+    let mut bench = Bench::new(90, 60_000, Share::default());
+    bench.answer_steps(steps);
+    let silent = bench.now;
+    bench.wait();
+    assert!(bench.scope().is_some(), "{:?}", bench.actions);
+    bench.replace(chain(&[("a", 0, 4), ("x", 4, 8), ("c", 8, 12)]), &[], 100);
+    assert_eq!(bench.sent().1.label.attempt, 2);
+    bench.answer_steps(3);
+    assert!(matches!(bench.actions.first(), Some(Action::Emit(_))));
+    assert!(bench.now.since(silent) <= ms(1_000), "{:?}", bench.now.since(silent));
+}
+
+#[test]
+fn empty_budget_gives_the_answer_at_once() {
+    let share = Share { per_request: 0.1, per_second: 2.0, burst: 0.5 };
+    let mut bench = Bench::new(9, 60_000, share);
+    bench.fail(&Failure::Overloaded, None);
+    let retry_after = Some(ms(250));
+    let (code, effect) = (Code::RetryBudget, Effect::NotRun);
+    assert_eq!(bench.outcome(), Some(&Outcome::Failed { code, effect, retry_after }));
+    bench.input(Machine::on_time);
+    assert!(bench.actions.is_empty());
+}
+
+#[test]
+fn retry_after_is_honoured() {
+    let mut bench = Bench::new(9, 60_000, Share::default());
+    bench.fail(&Failure::Overloaded, Some(ms(300)));
+    assert!(bench.machine.next_deadline() >= Some(Instant::from_millis(300)));
+}
+
+#[test]
+fn request_out_of_time_is_given_up_at_once() {
+    let failed =
+        Outcome::Failed { code: Code::OutOfTime, effect: Effect::NotRun, retry_after: None };
+    assert_eq!(Bench::new(9, 30, Share::default()).outcome(), Some(&failed));
+    let mut bench = Bench::new(9, 1_000, Share::default());
+    bench.fail(&Failure::Overloaded, Some(ms(2_000)));
+    assert_eq!(bench.outcome(), Some(&failed));
+}
+
+#[test]
+fn sent_step_without_answer_is_unknown() {
+    let mut bench = Bench::new(9, 100, Share::default());
+    bench.now = Instant::from_millis(100);
+    bench.input(Machine::on_time);
+    let effect = Effect::Unknown;
+    assert_eq!(bench.outcome(), Some(&Outcome::DeadlineExceeded { effect }));
+}
+
+#[test]
+fn backoff_is_spread_under_a_rising_bound() {
+    let mut rng = Pcg64Mcg::new(3);
+    for (retry, bound) in [(0, 20), (3, 160), (40, 1_000)] {
+        let pauses: Vec<_> = (0..500).map(|_| backoff(retry, None, &mut rng)).collect();
+        assert!(pauses.iter().all(|pause| *pause < ms(bound)));
+        assert!(pauses.iter().any(|pause| *pause > ms(bound * 9 / 10)));
+        assert!(pauses.iter().any(|pause| *pause < ms(bound / 10)));
+    }
+}
+
+/// Tokens that engines run for 2,000 requests, over those of a quiet system,
+/// when every request loses each of its stages with probability 1/3 in the
+/// middle of its answer and replacements come from the same endpoints.
+fn load_after_loss(share: Share) -> f64 {
+    let mut rng = Pcg64Mcg::seed_from_u64(11);
+    let mut budget = Budget::new(share, Instant::ZERO);
+    let (mut ran, mut quiet) = (0, 0);
+    for request in 0..2_000 {
+        let mut bench = Bench::new(4, 60_000, share);
+        budget.on_request(Instant::from_millis(request));
+        bench.budget = budget.clone();
+        quiet += 3 * (PROMPT + 3);
+        bench.now = Instant::from_millis(request);
+        while bench.outcome().is_none() {
+            if bench.scope().is_some() {
+                let range = |at| format!("{at}{}", rng.random_range(0..9_999));
+                let [a, b, c] = ["a", "b", "c"].map(range);
+                bench.replace(chain(&[(&a, 0, 4), (&b, 4, 8), (&c, 8, 12)]), &[], 1);
+            } else if !matches!(bench.actions.last(), Some(Action::Send { .. })) {
+                bench.wait();
+            } else {
+                let label = bench.sent().1.label;
+                ran += label.count;
+                let lost = label.position == PROMPT + 1 && rng.random_bool(1.0 / 3.0);
+                if lost { bench.fail(&Failure::Silent(ms(1)), None) } else { bench.answer() }
+            }
+        }
+        budget = bench.budget;
+    }
+    f64::from(ran) / f64::from(quiet)
+}
+
+#[test]
+fn loss_of_a_third_multiplies_load_by_the_budget_at_most() {
+    let share = Share { per_request: 0.2, per_second: 1.0, burst: 10.0 };
+    // The saved burst and two seconds of the minimum rate come on top.
+    let bound = 1.0 + share.per_request + (share.burst + 2.0 * share.per_second) / 2_000.0;
+    let load = load_after_loss(share);
+    let unbounded = load_after_loss(Share { burst: 1e9, ..share });
+    eprintln!("load with budget {load:.3}, bound {bound:.3}, without budget {unbounded:.3}");
+    assert!(load <= bound);
+    assert!(unbounded > bound, "the test must be able to fail");
+}
