--- a/mimosashift/src/pipeline/machine/step.rs
+++ b/mimosashift/src/pipeline/machine/step.rs
@@ -65,10 +65,18 @@
         if self.work.count == 1 {
             return self.progress.decode_timeout(self.work.stage, self.recoveries);
         }
-        let expected = self.cost.prefill_time(self.work.count);
+        let expected = self.prefill_share();
         self.progress.prefill_timeout(expected, self.recoveries)
     }
 
+    /// Expected time of the stage in a prefill, by its share of the layers.
+    fn prefill_share(&self) -> Duration {
+        let stages = self.chain.stages();
+        let held = u32::from(stages[self.work.stage].layers.count());
+        let all: u32 = stages.iter().map(|stage| u32::from(stage.layers.count())).sum();
+        self.cost.prefill_time(self.work.count) * held / all
+    }
+
     pub(super) fn label(&self, layers: Layers, position: u32, count: u32) -> Label {
         Label {
             request: self.request.id,
