Hedge the first token over a second chain

A first token that is late holds a caller up although other endpoints are free. pipeline::Hedge starts the prompt on a chain with no common endpoint after a delay given by the caller, if a budget of its own allows, with attempts from 65,536 on. The first token wins and the loser is released; a chain that would need recovery before that is given up in favour of the other. What a failure says of work done covers both chains.

The fault tests drive Hedge, half of the seeds with a delay up to 30 ms, and check that no engine is left with a cache.

--- a/mimosashift/src/pipeline/action.rs
+++ b/mimosashift/src/pipeline/action.rs
@@ -86,6 +86,11 @@
         /// What to replace.
         scope: Scope,
     },
+    /// Choose a second chain for the prompt; answer with `on_hedge`.
+    NeedHedge {
+        /// Endpoints that it must not use.
+        avoid: SmallVec<[Name; 4]>,
+    },
     /// The request is over; it is the last action of a request but for the
     /// cancellations that follow it.
     Finish(Outcome),
@@ -137,7 +142,7 @@
 }
 
 /// Whether any part of a failed request ran on an engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Effect {
     /// Provably nothing ran: nothing was sent, or every send was refused.
     NotRun,
--- a/mimosashift/src/pipeline/machine/mod.rs
+++ b/mimosashift/src/pipeline/machine/mod.rs
@@ -4,16 +4,18 @@
 
 use smallvec::SmallVec;
 
-use super::action::{Action, Actions, Code, Context, Effect, Outcome, Request};
+use super::action::{Actions, Code, Context, Outcome, Request};
 use super::ledger::{Drops, Ledger};
 use super::progress::{Limits, Progress};
 use super::recovery::{Cost, Transfer};
 use super::retry;
-use crate::engine::{Failure, Input, Label, Output, Reply, RequestId};
+use crate::engine::{Failure, Input, Label, Output, Reply};
 use crate::resource::{Layers, Name};
 use crate::route::Chain;
 use crate::time::Instant;
 
+mod finish;
+mod race;
 mod recover;
 mod step;
 
@@ -46,6 +48,8 @@
     chain: Chain,
     cost: Cost,
     attempt: u32,
+    /// Least number of the next attempt.
+    next_attempt: u32,
     /// Prompt and accepted tokens.
     tokens: Vec<u32>,
     work: Work,
@@ -109,7 +113,7 @@
 }
 
 /// What is known about work done at engines.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Certainty {
     NothingRan,
     MayHaveRun,
@@ -125,14 +129,30 @@
         cost: Cost,
         limits: Limits,
     ) -> (Self, Actions) {
+        let mut machine = Self::new(request, chain, cost, Progress::new(limits), 1, ctx.now);
+        let mut actions = Actions::new();
+        ctx.budget.on_request(ctx.now);
+        machine.begin(ctx, &mut actions);
+        (machine, actions)
+    }
+
+    fn new(
+        request: Request,
+        chain: Chain,
+        cost: Cost,
+        mut progress: Progress,
+        attempt: u32,
+        now: Instant,
+    ) -> Self {
         let tokens = request.prompt.clone();
         let work = Work::prefill(&tokens);
-        let progress = Progress::new(limits, &chain);
-        let mut machine = Self {
+        progress.rebase(&chain);
+        Self {
             request,
             chain,
             cost,
-            attempt: 1,
+            attempt,
+            next_attempt: attempt + 1,
             tokens,
             work,
             phase: Phase::Done,
@@ -141,16 +161,12 @@
             avoid: SmallVec::new(),
             gone: SmallVec::new(),
             used: SmallVec::new(),
-            token_began: ctx.now,
+            token_began: now,
             recoveries: 0,
             overloads: 0,
             recovered: 0,
             certainty: Certainty::NothingRan,
-        };
-        let mut actions = Actions::new();
-        ctx.budget.on_request(ctx.now);
-        machine.begin(ctx, &mut actions);
-        (machine, actions)
+        }
     }
 
     /// Takes the answer of a stage.
@@ -315,6 +331,11 @@
         matches!(self.phase, Phase::Done)
     }
 
+    /// The chain in use.
+    pub const fn chain(&self) -> &Chain {
+        &self.chain
+    }
+
     /// Tokens emitted so far.
     pub fn emitted(&self) -> &[u32] {
         &self.tokens[self.request.prompt.len()..]
@@ -331,54 +352,6 @@
     }
 }
 
-impl Machine {
-    /// Finishes when the deadline has passed; true when there is nothing more
-    /// to do.
-    fn expired(&mut self, ctx: &Context<'_>, actions: &mut Actions) -> bool {
-        if self.is_done() {
-            return true;
-        }
-        if ctx.now < self.request.deadline {
-            return false;
-        }
-        let effect = self.effect();
-        self.finish(Outcome::DeadlineExceeded { effect }, actions);
-        true
-    }
-
-    fn fail(&mut self, code: Code, retry_after: Option<Duration>, actions: &mut Actions) {
-        let effect = self.effect();
-        self.finish(Outcome::Failed { code, effect, retry_after }, actions);
-    }
-
-    /// Fails a request of which nothing was sent.
-    fn fail_first(&self, code: Code, actions: &mut Actions) {
-        let effect = Effect::NotRun;
-        actions.push(Action::Finish(Outcome::Failed { code, effect, retry_after: None }));
-    }
-
-    fn finish(&mut self, outcome: Outcome, actions: &mut Actions) {
-        if self.is_done() {
-            return;
-        }
-        self.phase = Phase::Done;
-        self.ledger.clear();
-        actions.push(Action::Finish(outcome));
-        for used in &mut self.used {
-            actions.extend(used.release(self.request.id));
-        }
-    }
-
-    const fn effect(&self) -> Effect {
-        match self.certainty {
-            Certainty::Ran => Effect::Failed,
-            Certainty::MayHaveRun => Effect::Unknown,
-            Certainty::NothingRan if self.ledger.is_waiting() => Effect::Unknown,
-            Certainty::NothingRan => Effect::NotRun,
-        }
-    }
-}
-
 impl Work {
     fn prefill(tokens: &[u32]) -> Self {
         let count = u32::try_from(tokens.len()).unwrap_or(u32::MAX);
@@ -389,12 +362,3 @@
         Self { stage: 0, position, count: 1, input: Input::Tokens(vec![token]) }
     }
 }
-
-impl Use {
-    /// Has the endpoint release the attempt, once.
-    fn release(&mut self, request: RequestId) -> Option<Action> {
-        let (endpoint, attempt) = (self.endpoint.clone(), self.attempt);
-        let released = std::mem::replace(&mut self.released, true);
-        (!released).then_some(Action::CancelEngine { endpoint, request, attempt })
-    }
-}
--- a/mimosashift/src/pipeline/machine/recover.rs
+++ b/mimosashift/src/pipeline/machine/recover.rs
@@ -26,8 +26,8 @@
         retry_after: Option<Duration>,
         actions: &mut Actions,
     ) {
-        if !failure.not_run() && self.certainty == Certainty::NothingRan {
-            self.certainty = Certainty::MayHaveRun;
+        if !failure.not_run() {
+            self.certainty = self.certainty.max(Certainty::MayHaveRun);
         }
         let next = self.classify(failure, ctx.now);
         let first = self.recoveries == 0;
@@ -202,7 +202,8 @@
     /// Runs the whole prefix through the chain as a new attempt.
     pub(super) fn rebuild(&mut self, ctx: &mut Context<'_>, actions: &mut Actions) {
         self.release_left(actions);
-        self.attempt += 1;
+        self.attempt = self.next_attempt;
+        self.next_attempt += 1;
         self.gone.clear();
         self.work = Work::prefill(&self.tokens);
         self.send(ctx, actions);
--- a/mimosashift/src/pipeline/mod.rs
+++ b/mimosashift/src/pipeline/mod.rs
@@ -5,6 +5,7 @@
 //! reasons and what must hold.
 
 mod action;
+mod hedge;
 mod ledger;
 mod machine;
 mod progress;
@@ -12,6 +13,7 @@
 pub mod retry;
 
 pub use action::{Action, Actions, Code, Context, Effect, Outcome, Request, Scope};
+pub use hedge::Hedge;
 pub use ledger::{Drops, Ledger, Reason};
 pub use machine::{Machine, Replacement};
 pub use progress::{Limits, Progress};
--- a/mimosashift/src/pipeline/progress.rs
+++ b/mimosashift/src/pipeline/progress.rs
@@ -34,9 +34,8 @@
 
 impl Progress {
     /// Nothing observed yet.
-    pub fn new(limits: Limits, chain: &Chain) -> Self {
-        let stages = chain.stages().iter().map(|stage| (stage.clone(), None)).collect();
-        Self { limits, stages, best_token: None }
+    pub const fn new(limits: Limits) -> Self {
+        Self { limits, stages: SmallVec::new_const(), best_token: None }
     }
 
     /// Changes the chain and keeps what is known of the stages that stay.
--- a/mimosashift/tests/pipeline_faults/main.rs
+++ b/mimosashift/tests/pipeline_faults/main.rs
@@ -7,14 +7,14 @@
 
 use mimosashift::engine::RequestId;
 use mimosashift::pipeline::retry::{Budget, Share};
-use mimosashift::pipeline::{Context, Effect, Limits, Machine, Outcome, Request};
+use mimosashift::pipeline::{Context, Effect, Hedge, Limits, Outcome, Request};
 use mimosashift::time::Instant;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use test_case::test_case;
 
 use engine::{FAULTS, Fault, oracle};
-use world::{ENDPOINTS, Event, Mutant, RANGES, REPLICAS, World, chain, cost, ms};
+use world::{Budgets, ENDPOINTS, Event, Mutant, RANGES, REPLICAS, World, chain, cost, ms};
 
 /// Tokens of an answer.
 const TOKENS: u32 = 16;
@@ -33,6 +33,7 @@
     dropped: u32,
     copied: u32,
     rebuilt: u32,
+    hedged: u32,
     lost: u32,
     violations: Vec<String>,
 }
@@ -49,6 +50,7 @@
     /// When, where, what and for how long.
     faults: Vec<(Duration, usize, Fault, Duration)>,
     cancel: Option<Duration>,
+    hedge: Option<Duration>,
 }
 
 impl Schedule {
@@ -62,12 +64,15 @@
             burst: 1_000.0,
             faults: Vec::new(),
             cancel: None,
+            hedge: None,
         }
     }
 
     fn random(rng: &mut Pcg64Mcg) -> Self {
         let mut schedule = Self::quiet(rng);
         schedule.safe = rng.random_bool(0.7);
+        let delay = ms(rng.random_range(0..30));
+        schedule.hedge = rng.random_bool(0.5).then_some(delay);
         for _ in 0..rng.random_range(0..12) {
             let at = rng.random_range(0..ENDPOINTS);
             let fault = FAULTS[rng.random_range(0..FAULTS.len())];
@@ -115,14 +120,14 @@
 fn run(seed: u64, mutant: Mutant, tally: &mut Tally) {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let schedule = Schedule::random(&mut rng);
-    let (world, machine) = play(&schedule, mutant, rng);
-    judge(seed, &schedule, &machine, world, tally);
+    let (world, hedge) = play(&schedule, mutant, rng);
+    judge(seed, &schedule, &hedge, world, tally);
 }
 
 /// Plays a schedule until nothing is left in flight.
-fn play(schedule: &Schedule, mutant: Mutant, rng: Pcg64Mcg) -> (World, Machine) {
+fn play(schedule: &Schedule, mutant: Mutant, rng: Pcg64Mcg) -> (World, Hedge) {
     let first = schedule.first.iter().copied().zip(RANGES).collect();
-    let mut world = World::new(chain(first), oracle(&schedule.prompt), mutant, rng);
+    let mut world = World::new(oracle(&schedule.prompt), mutant, rng);
     for (after, at, fault, lasts) in &schedule.faults {
         world.later(*after, Event::Fault(*at, *fault, *lasts));
     }
@@ -130,38 +135,46 @@
         world.later(after, Event::Cancel);
     }
     let share = Share { burst: schedule.burst, ..Share::default() };
-    let mut budget = Budget::new(share, Instant::ZERO);
-    let mut ctx = Context { now: Instant::ZERO, rng: &mut Pcg64Mcg::new(1), budget: &mut budget };
-    let chain = world.chain.clone();
-    let (mut machine, actions) =
-        Machine::start(&mut ctx, schedule.request(), chain, cost(1_000), Limits::default());
+    let hedges = Budget::new(Share { burst: 10.0, ..share }, Instant::ZERO);
+    let mut budgets = Budgets { retries: Budget::new(share, Instant::ZERO), hedges };
+    let mut ctx =
+        Context { now: Instant::ZERO, rng: &mut Pcg64Mcg::new(1), budget: &mut budgets.retries };
+    let (mut hedge, actions) = Hedge::start(
+        &mut ctx,
+        schedule.request(),
+        chain(first),
+        cost(1_000),
+        Limits::default(),
+        schedule.hedge,
+    );
     world.act(actions);
     for _ in 0..MAX_EVENTS {
         let next = world.events.keys().next().map(|(at, _)| *at);
-        let timer = machine.next_deadline();
+        let timer = hedge.next_deadline();
         match (next, timer) {
             (None, None) => break,
             (Some(at), _) if timer.is_none_or(|timer| at < timer) => {
                 world.now = at.max(world.now);
                 let (_, event) = world.events.pop_first().expect("an event is next");
-                world.handle(event, &mut machine, &mut budget);
+                world.handle(event, &mut hedge, &mut budgets);
             }
             (_, timer) => {
                 world.now = timer.expect("no event is next").max(world.now);
                 if mutant == Mutant::IgnoreDeadline && timer == Some(schedule.deadline) {
                     world.now = schedule.deadline + ms(500);
                 }
-                world.handle(Event::Timer, &mut machine, &mut budget);
+                world.handle(Event::Timer, &mut hedge, &mut budgets);
             }
         }
     }
-    (world, machine)
+    (world, hedge)
 }
 
-fn judge(seed: u64, schedule: &Schedule, machine: &Machine, mut world: World, tally: &mut Tally) {
-    tally.dropped += machine.drops().total();
+fn judge(seed: u64, schedule: &Schedule, hedge: &Hedge, mut world: World, tally: &mut Tally) {
+    tally.dropped += hedge.total_dropped();
+    tally.hedged += u32::from(hedge.hedged());
     tally.copied += world.copied;
-    tally.rebuilt += world.attempts.saturating_sub(1);
+    tally.rebuilt += world.rebuilt;
     let outcome = world.outcome.take();
     world.check(outcome.is_some(), "the request never ended");
     let Some((at, mut outcome)) = outcome else {
@@ -171,12 +184,14 @@
     if let (Mutant::ClaimNotRun, Outcome::Failed { effect, .. }) = (world.mutant, &mut outcome) {
         *effect = Effect::NotRun;
     }
+    let kept = world.engines.iter().any(|engine| !engine.caches.is_empty());
+    world.check(!kept, "an engine was left with a cache");
     let ran = world.engines.iter().any(|engine| engine.ran > 0);
     match outcome {
         Outcome::Complete => {
             world.check(world.emitted == world.expected, "complete, but not whole");
             tally.completed += 1;
-            tally.recovered += u32::from(machine.recovered() > 0);
+            tally.recovered += u32::from(hedge.recovered() > 0);
         }
         Outcome::Cancelled => tally.cancelled += 1,
         Outcome::Failed { effect, .. } | Outcome::DeadlineExceeded { effect } => {
--- a/mimosashift/tests/pipeline_faults/world.rs
+++ b/mimosashift/tests/pipeline_faults/world.rs
@@ -7,7 +7,7 @@
 use mimosashift::engine::{Failure, Label, Output, Reply, RequestId, Step};
 use mimosashift::pipeline::recovery::Cost;
 use mimosashift::pipeline::retry::Budget;
-use mimosashift::pipeline::{Action, Actions, Context, Machine, Outcome, Replacement, Scope};
+use mimosashift::pipeline::{Action, Actions, Context, Hedge, Outcome, Replacement, Scope};
 use mimosashift::resource::{Layers, Name};
 use mimosashift::route::{Chain, Stage};
 use mimosashift::time::Instant;
@@ -31,6 +31,7 @@
     Copy { from: usize, to: usize, label: Label },
     Copied { to: usize, label: Label, result: Result<(), Failure> },
     Choose { avoid: Vec<Name>, scope: Scope },
+    Hedge { avoid: Vec<Name> },
     Cancel,
     Timer,
 }
@@ -49,20 +50,25 @@
     IgnoreDeadline,
 }
 
+/// Budgets of a router.
+pub struct Budgets {
+    pub retries: Budget,
+    pub hedges: Budget,
+}
+
 pub struct World {
     pub rng: Pcg64Mcg,
     pub now: Instant,
     pub events: BTreeMap<(Instant, u64), Event>,
     pub sequence: u64,
     pub engines: Vec<Engine>,
-    pub chain: Chain,
     pub expected: Vec<u32>,
     pub emitted: Vec<u32>,
     pub in_flight: Option<Label>,
     pub outcome: Option<(Instant, Outcome)>,
     pub mutant: Mutant,
     pub copied: u32,
-    pub attempts: u32,
+    pub rebuilt: u32,
     pub violations: Vec<String>,
     last_token: Option<Instant>,
     pub longest_pause: Duration,
@@ -95,21 +101,20 @@
 }
 
 impl World {
-    pub fn new(chain: Chain, expected: Vec<u32>, mutant: Mutant, rng: Pcg64Mcg) -> Self {
+    pub fn new(expected: Vec<u32>, mutant: Mutant, rng: Pcg64Mcg) -> Self {
         Self {
             rng,
             now: Instant::ZERO,
             events: BTreeMap::new(),
             sequence: 0,
             engines: (0..ENDPOINTS).map(|_| Engine::default()).collect(),
-            chain,
             expected,
             emitted: Vec::new(),
             in_flight: None,
             outcome: None,
             mutant,
             copied: 0,
-            attempts: 0,
+            rebuilt: 0,
             violations: Vec::new(),
             last_token: None,
             longest_pause: Duration::ZERO,
@@ -153,7 +158,8 @@
             match action {
                 Action::Send { endpoint, step, .. } => {
                     self.in_flight = Some(step.label.clone());
-                    self.attempts = step.label.attempt;
+                    let rebuilt = step.label.position == 0 && step.label.layers.start() == 0;
+                    self.rebuilt += u32::from(rebuilt && !self.emitted.is_empty());
                     let to = index(&endpoint);
                     let delay = self.link(to);
                     self.later(delay, Event::Arrive { to, step, tries: 0 });
@@ -167,6 +173,9 @@
                 Action::NeedChain { avoid, scope } => {
                     self.later(ms(1), Event::Choose { avoid: avoid.into_vec(), scope });
                 }
+                Action::NeedHedge { avoid } => {
+                    self.later(ms(1), Event::Hedge { avoid: avoid.into_vec() });
+                }
                 Action::Finish(outcome) => self.outcome = Some((self.now, outcome)),
                 Action::CancelEngine { .. } => {}
             }
@@ -269,7 +278,7 @@
         }
         let cache = self.engines[from].export(&label);
         let result = match cache {
-            Some(cache) if !self.down(from) && !self.down(to) => {
+            Some(cache) if !self.down(from) && self.takes(to, label.attempt) => {
                 self.engines[to].caches.insert((label.attempt, label.layers), cache);
                 self.copied += 1;
                 Ok(())
@@ -283,14 +292,14 @@
         self.later(delay, Event::Copied { to, label, result });
     }
 
-    fn choose(&mut self, avoid: &[Name], scope: Scope) -> Option<Replacement> {
+    fn choose(&mut self, old: &Chain, avoid: &[Name], scope: Scope) -> Option<Replacement> {
         let whole = scope == Scope::Whole || self.rng.random_bool(0.1);
         let mut stages = Vec::new();
         for (range, layers) in RANGES.into_iter().enumerate() {
-            let kept =
-                self.chain.stages().iter().filter(|stage| {
-                    layers.0 <= stage.layers.start() && stage.layers.end() <= layers.1
-                });
+            let kept = old
+                .stages()
+                .iter()
+                .filter(|stage| layers.0 <= stage.layers.start() && stage.layers.end() <= layers.1);
             let kept: Vec<_> = kept.map(|s| (index(&s.endpoint), s.layers.into())).collect();
             if !whole && !kept.iter().any(|(endpoint, _)| avoid.contains(&name(*endpoint))) {
                 stages.extend(kept);
@@ -308,10 +317,16 @@
                 [first, ..] => stages.push((first, layers)),
             }
         }
-        let old = std::mem::replace(&mut self.chain, chain(stages));
         let holders = old.stages().iter().map(|stage| stage.endpoint.clone()).collect();
         let kv_bytes = self.rng.random_range(1..20_000);
-        Some(Replacement { chain: self.chain.clone(), holders, cost: cost(kv_bytes) })
+        Some(Replacement { chain: chain(stages), holders, cost: cost(kv_bytes) })
+    }
+
+    /// Whether an endpoint takes a cache of this attempt.
+    fn takes(&mut self, to: usize, attempt: u32) -> bool {
+        let engine = &self.engines[to];
+        let current = attempt >= engine.newest && attempt > engine.released;
+        current && !self.down(to)
     }
 
     fn known_down(&mut self, at: usize) -> bool {
@@ -334,29 +349,33 @@
         label
     }
 
-    pub fn handle(&mut self, event: Event, machine: &mut Machine, budget: &mut Budget) {
+    pub fn handle(&mut self, event: Event, hedge: &mut Hedge, budgets: &mut Budgets) {
         let mut rng = Pcg64Mcg::seed_from_u64(self.rng.random());
-        let mut ctx = Context { now: self.now, rng: &mut rng, budget };
+        let mut ctx = Context { now: self.now, rng: &mut rng, budget: &mut budgets.retries };
         let actions = match event {
             Event::Fault(at, fault, lasts) => return self.fault(at, fault, lasts),
             Event::Arrive { to, step, tries } => return self.arrive(to, step, tries),
             Event::Copy { from, to, label } => return self.copy(from, to, label),
             Event::Answer { from, label, result: Ok(output) } => {
                 let reply = Reply { label: self.mutate(label), output };
-                machine.on_reply(&mut ctx, &name(from), reply)
+                hedge.on_reply(&mut ctx, &name(from), reply)
             }
             Event::Answer { from, label, result: Err(failure) } => {
-                machine.on_failure(&mut ctx, &name(from), &label, &failure, None)
+                hedge.on_failure(&mut ctx, &name(from), &label, &failure, None)
             }
             Event::Copied { to, label, result } => {
-                machine.on_import(&mut ctx, &name(to), &label, result.as_ref().copied())
+                hedge.on_import(&mut ctx, &name(to), &label, result.as_ref().copied())
             }
             Event::Choose { avoid, scope } => {
-                let replacement = self.choose(&avoid, scope);
-                machine.on_chain(&mut ctx, replacement)
+                let replacement = self.choose(hedge.chain(), &avoid, scope);
+                hedge.on_chain(&mut ctx, replacement)
+            }
+            Event::Hedge { avoid } => {
+                let replacement = self.choose(hedge.chain(), &avoid, Scope::Whole);
+                hedge.on_hedge(&mut ctx, replacement)
             }
-            Event::Cancel => machine.cancel(),
-            Event::Timer => machine.on_time(&mut ctx),
+            Event::Cancel => hedge.cancel(),
+            Event::Timer => hedge.on_time(&mut ctx, &mut budgets.hedges),
         };
         self.act(actions);
     }
