--- a/mimosashift/tests/pipeline_faults/main.rs
+++ b/mimosashift/tests/pipeline_faults/main.rs
@@ -232,6 +232,7 @@
 #[test_case(Mutant::AnyLayers, "a wrong token"; "ledger ignores layers")]
 #[test_case(Mutant::EmitTwice, "a wrong token"; "token emitted twice")]
 #[test_case(Mutant::ClaimNotRun, "said not run, but ran"; "false claim of not run")]
+#[test_case(Mutant::KeepCache, "left with a cache"; "cache not released")]
 #[test_case(Mutant::IgnoreDeadline, "after the deadline"; "deadline ignored")]
 fn checks_find_a_faulty_machine(mutant: Mutant, violation: &str) {
     let mut tally = Tally::default();
@@ -264,3 +265,29 @@
     assert_eq!(world.emitted, world.expected, "seed {seed}");
     world.longest_pause
 }
+
+/// One request in ten meets a slow link; a second chain must cut the tail.
+#[test]
+fn hedging_cuts_the_tail_of_the_first_token() {
+    let tail = |hedge| {
+        let mut times: Vec<Duration> = (0..2_000).map(|seed| first_token(seed, hedge)).collect();
+        times.sort();
+        (times[1_000], times[1_900], times[1_980])
+    };
+    let (without, with) = (tail(None), tail(Some(ms(30))));
+    eprintln!("first token, median, 95%, 99%: {without:?} without, {with:?} with a second chain");
+    assert!(with.2 < without.2);
+}
+
+fn first_token(seed: u64, hedge: Option<Duration>) -> Duration {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut schedule = Schedule::quiet(&mut rng);
+    schedule.hedge = hedge;
+    let at = schedule.first[rng.random_range(0..RANGES.len())];
+    if rng.random_bool(0.1) {
+        schedule.faults.push((Duration::ZERO, at, Fault::Delay, ms(2_000)));
+    }
+    let (world, _) = play(&schedule, Mutant::None, rng);
+    assert_eq!(world.emitted, world.expected, "seed {seed}");
+    world.first_token.expect("the answer is whole").since(Instant::ZERO)
+}
--- a/mimosashift/tests/pipeline_faults/world.rs
+++ b/mimosashift/tests/pipeline_faults/world.rs
@@ -48,6 +48,7 @@
     EmitTwice,
     ClaimNotRun,
     IgnoreDeadline,
+    KeepCache,
 }
 
 /// Budgets of a router.
@@ -70,6 +71,7 @@
     pub copied: u32,
     pub rebuilt: u32,
     pub violations: Vec<String>,
+    pub first_token: Option<Instant>,
     last_token: Option<Instant>,
     pub longest_pause: Duration,
 }
@@ -116,6 +118,7 @@
             copied: 0,
             rebuilt: 0,
             violations: Vec::new(),
+            first_token: None,
             last_token: None,
             longest_pause: Duration::ZERO,
         }
@@ -147,6 +150,7 @@
     pub fn act(&mut self, actions: Actions) {
         for action in actions {
             match action {
+                Action::CancelEngine { .. } if self.mutant == Mutant::KeepCache => continue,
                 Action::CancelEngine { endpoint, attempt, .. } => {
                     let engine = &mut self.engines[index(&endpoint)];
                     engine.released = engine.released.max(attempt);
@@ -183,6 +187,7 @@
     }
 
     fn emit(&mut self, token: u32) {
+        self.first_token.get_or_insert(self.now);
         let pause = self.last_token.map_or(Duration::ZERO, |last| self.now.since(last));
         self.longest_pause = self.longest_pause.max(pause);
         self.last_token = Some(self.now);
--- /dev/null
+++ b/mimosashift/tests/pipeline_hedge.rs
@@ -0,0 +1,218 @@
+//! Checks of the second chain for a late first token.
+
+use std::time::Duration;
+
+use mimosashift::engine::{Failure, Label, Output, Reply, RequestId};
+use mimosashift::pipeline::recovery::Cost;
+use mimosashift::pipeline::retry::{Budget, Share};
+use mimosashift::pipeline::{
+    Action, Actions, Context, Effect, Hedge, Limits, Outcome, Reason, Replacement, Request,
+};
+use mimosashift::resource::{Layers, Name};
+use mimosashift::route::{Chain, Stage};
+use mimosashift::time::Instant;
+use rand_pcg::Pcg64Mcg;
+
+const DELAY: Duration = Duration::from_millis(30);
+
+fn name(text: &str) -> Name {
+    Name::try_from(text).unwrap()
+}
+
+fn chain(first: &str, second: &str) -> Chain {
+    let stage = |(endpoint, layers): (&str, (u16, u16))| Stage {
+        endpoint: name(endpoint),
+        layers: Layers::try_from(layers).unwrap(),
+    };
+    Chain::new(name("p"), 1, 2, [(first, (0, 1)), (second, (1, 2))].map(stage)).unwrap()
+}
+
+fn cost() -> Cost {
+    Cost {
+        kv_bytes: 1,
+        link_bytes_per_second: 1_000_000,
+        link_latency: Duration::from_millis(1),
+        prefill_base: Duration::from_millis(10),
+        prefill_token: Duration::from_millis(1),
+    }
+}
+
+struct Bench {
+    now: Instant,
+    rng: Pcg64Mcg,
+    retries: Budget,
+    hedges: Budget,
+    hedge: Hedge,
+    /// Steps sent, in order.
+    sent: Vec<(Name, Label)>,
+    /// Actions of the latest input.
+    actions: Actions,
+}
+
+impl Bench {
+    fn new(retries: f64, hedges: f64) -> Self {
+        let budget = |burst| {
+            let share = Share { per_request: 0.0, per_second: 0.1, burst };
+            Budget::new(share, Instant::ZERO)
+        };
+        let (mut rng, mut retries) = (Pcg64Mcg::new(1), budget(retries));
+        let request = Request {
+            id: RequestId(1),
+            prompt: vec![1, 2],
+            max_tokens: 2,
+            stop: None,
+            deadline: Instant::from_millis(9_000),
+            priority: 0,
+            adapter: None,
+        };
+        let mut ctx = Context { now: Instant::ZERO, rng: &mut rng, budget: &mut retries };
+        let (hedge, actions) = Hedge::start(
+            &mut ctx,
+            request,
+            chain("a", "b"),
+            cost(),
+            Limits::default(),
+            Some(DELAY),
+        );
+        let (now, hedges) = (Instant::ZERO, budget(hedges));
+        let mut bench =
+            Self { now, rng, retries, hedges, hedge, sent: Vec::new(), actions: Actions::new() };
+        bench.take(actions);
+        bench
+    }
+
+    fn take(&mut self, actions: Actions) {
+        for action in &actions {
+            if let Action::Send { endpoint, step, .. } = action {
+                self.sent.push((endpoint.clone(), step.label.clone()));
+            }
+        }
+        self.actions = actions;
+    }
+
+    fn input(&mut self, input: impl FnOnce(&mut Hedge, &mut Context<'_>) -> Actions) {
+        let mut ctx = Context { now: self.now, rng: &mut self.rng, budget: &mut self.retries };
+        let actions = input(&mut self.hedge, &mut ctx);
+        self.take(actions);
+    }
+
+    fn wait(&mut self) {
+        self.now = self.hedge.next_deadline().expect("the request is not over");
+        let mut ctx = Context { now: self.now, rng: &mut self.rng, budget: &mut self.retries };
+        let actions = self.hedge.on_time(&mut ctx, &mut self.hedges);
+        self.take(actions);
+    }
+
+    /// Lets the delay pass and offers a second chain.
+    fn offer(&mut self, first: &str, second: &str) {
+        self.wait();
+        assert!(matches!(self.actions[..], [Action::NeedHedge { .. }]), "{:?}", self.actions);
+        let chain = chain(first, second);
+        let found = Replacement { chain, holders: Default::default(), cost: cost() };
+        self.input(|hedge, ctx| hedge.on_hedge(ctx, Some(found)));
+    }
+
+    fn answer(&mut self, sent: usize, output: Output) {
+        let (endpoint, label) = self.sent[sent].clone();
+        self.input(|hedge, ctx| hedge.on_reply(ctx, &endpoint, Reply { label, output }));
+    }
+
+    fn fail(&mut self, sent: usize, failure: &Failure) {
+        let (endpoint, label) = self.sent[sent].clone();
+        self.input(|hedge, ctx| hedge.on_failure(ctx, &endpoint, &label, failure, None));
+    }
+
+    fn released(&self) -> Vec<&str> {
+        let released = self.actions.iter().filter_map(|action| match action {
+            Action::CancelEngine { endpoint, .. } => Some(endpoint.as_str()),
+            _ => None,
+        });
+        released.collect()
+    }
+}
+
+#[test]
+fn first_token_wins_and_the_loser_is_released() {
+    let mut bench = Bench::new(5.0, 1.0);
+    bench.offer("c", "d");
+    assert_ne!(bench.sent[0].1.attempt, bench.sent[1].1.attempt);
+    bench.answer(1, Output::Hidden(vec![0]));
+    bench.answer(2, Output::Token(7));
+    assert!(bench.actions.contains(&Action::Emit(7)));
+    assert_eq!(bench.released(), ["a"]);
+    bench.answer(0, Output::Hidden(vec![9]));
+    assert!(bench.actions.is_empty());
+    assert_eq!(bench.hedge.dropped(Reason::Attempt), 1);
+    bench.answer(3, Output::Hidden(vec![0]));
+    bench.answer(4, Output::Token(8));
+    assert!(bench.actions.contains(&Action::Finish(Outcome::Complete)));
+    assert_eq!(bench.hedge.emitted(), [7, 8]);
+}
+
+#[test]
+fn first_chain_wins_when_it_is_faster_after_all() {
+    let mut bench = Bench::new(5.0, 1.0);
+    bench.offer("c", "d");
+    bench.answer(0, Output::Hidden(vec![0]));
+    bench.answer(2, Output::Token(7));
+    assert_eq!(bench.released(), ["c"]);
+    // A rebuild must be a later attempt than the one released at "c".
+    let hedged = bench.sent[1].1.attempt;
+    bench.fail(3, &Failure::NoCache);
+    assert!(bench.sent[4].1.attempt > hedged);
+}
+
+#[test]
+fn empty_budget_starts_no_second_chain() {
+    let mut bench = Bench::new(5.0, 0.5);
+    bench.wait();
+    assert!(bench.actions.is_empty());
+    assert!(bench.hedge.next_deadline() > Some(Instant::ZERO + DELAY));
+}
+
+#[test]
+fn chain_that_shares_an_endpoint_is_not_used() {
+    let mut bench = Bench::new(5.0, 1.0);
+    bench.offer("c", "b");
+    assert!(bench.actions.is_empty());
+    assert!(!bench.hedge.hedged());
+}
+
+#[test]
+fn lost_chain_leaves_the_other_one() {
+    let mut bench = Bench::new(5.0, 1.0);
+    bench.offer("c", "d");
+    bench.fail(0, &Failure::Unreachable(String::new()));
+    assert_eq!(bench.released(), ["a"]);
+    bench.answer(1, Output::Hidden(vec![0]));
+    bench.answer(2, Output::Token(7));
+    assert!(bench.actions.contains(&Action::Emit(7)));
+}
+
+#[test]
+fn failure_covers_both_chains() {
+    let mut bench = Bench::new(1.0, 1.0);
+    bench.offer("c", "d");
+    bench.fail(0, &Failure::Silent(DELAY));
+    bench.fail(1, &Failure::Unreachable(String::new()));
+    let effects: Vec<Effect> = bench.actions.iter().filter_map(effect).collect();
+    assert_eq!(effects, [Effect::Unknown]);
+}
+
+fn effect(action: &Action) -> Option<Effect> {
+    match action {
+        Action::Finish(Outcome::Failed { effect, .. }) => Some(*effect),
+        _ => None,
+    }
+}
+
+#[test]
+fn cancellation_ends_both_chains_once() {
+    let mut bench = Bench::new(5.0, 1.0);
+    bench.offer("c", "d");
+    bench.input(|hedge, _| hedge.cancel());
+    assert_eq!(bench.released(), ["a", "c"]);
+    let ends = bench.actions.iter().filter(|action| matches!(action, Action::Finish(_)));
+    assert_eq!(ends.count(), 1);
+    assert!(bench.hedge.is_done());
+}
