Honour Retry-After where it applies; count the rebuild before a pause

Reading the machine again showed four faults: a Retry-After delayed the move to another endpoint although it speaks of the one left; a long one was waited for although other endpoints were free; the overload count of a replaced endpoint was held against the next; and a pause was begun although the rebuild after it could not fit before the deadline. Durations from the caller's estimates now saturate instead of overflowing.

--- a/mimosashift/src/pipeline/machine/recover.rs
+++ b/mimosashift/src/pipeline/machine/recover.rs
@@ -15,6 +15,8 @@
 
 /// Times that an overloaded endpoint is asked again before it is replaced.
 const OVERLOAD_RETRIES: u32 = 2;
+/// Longest pause that an overloaded endpoint may ask for and still be waited for.
+const OVERLOAD_WAIT: Duration = Duration::from_millis(100);
 /// Slack of a transfer's timeout.
 const IMPORT_SLACK: Duration = Duration::from_millis(50);
 
@@ -29,18 +31,18 @@
         if !failure.not_run() {
             self.certainty = self.certainty.max(Certainty::MayHaveRun);
         }
-        let next = self.classify(failure, ctx.now);
-        let first = self.recoveries == 0;
-        self.recoveries += 1;
-        self.recovered += 1;
-        let at_once = first && retry_after.is_none() && *failure != Failure::Overloaded;
+        let next = self.classify(failure, retry_after, ctx.now);
+        let at_once = self.recoveries == 0 && *failure != Failure::Overloaded;
         let pause = if at_once {
             Duration::ZERO
         } else {
-            retry::backoff(self.recoveries - 1, retry_after, ctx.rng)
+            let asked = if matches!(next, Next::Replace) { None } else { retry_after };
+            retry::backoff(self.recoveries, asked, ctx.rng)
         };
+        self.recoveries += 1;
+        self.recovered += 1;
         let earliest = ctx.now + pause;
-        if earliest + self.least_time() >= self.request.deadline {
+        if earliest + self.least_recovery(next) >= self.request.deadline {
             return self.fail(Code::OutOfTime, None, actions);
         }
         if let Err(wait) = ctx.budget.take(ctx.now) {
@@ -52,11 +54,22 @@
         self.phase = Phase::Backoff { until: earliest, next };
     }
 
+    /// Least time to the end of the answer after a recovery.
+    fn least_recovery(&self, next: Next) -> Duration {
+        let prefill = match next {
+            Next::Rebuild => self.cost.prefill_time(self.prefix()),
+            Next::Resend | Next::Replace => Duration::ZERO,
+        };
+        prefill.saturating_add(self.least_time())
+    }
+
     /// Decides what follows a failure and notes what it says of the endpoint.
-    fn classify(&mut self, failure: &Failure, now: Instant) -> Next {
+    fn classify(&mut self, failure: &Failure, retry_after: Option<Duration>, now: Instant) -> Next {
         let endpoint = self.chain.stages()[self.work.stage].endpoint.clone();
+        let retry_after = retry_after.unwrap_or_default();
+        let wait = self.overloads < OVERLOAD_RETRIES && retry_after <= OVERLOAD_WAIT;
         match failure {
-            Failure::Overloaded if self.overloads < OVERLOAD_RETRIES => {
+            Failure::Overloaded if wait => {
                 self.overloads += 1;
                 return self.resend();
             }
@@ -71,7 +84,7 @@
             | Failure::Refused(_)
             | Failure::Malformed(_) => self.gone.push(endpoint.clone()),
         }
-        self.avoid_until(endpoint, now + AVOID);
+        self.avoid_until(endpoint, now + AVOID.max(retry_after));
         Next::Replace
     }
 
@@ -149,6 +162,7 @@
         if ctx.now + expected + self.least_time() > self.request.deadline {
             return self.fail(Code::OutOfTime, None, actions);
         }
+        self.overloads = 0;
         let layer = self.chain.stages()[self.work.stage].layers.start();
         self.progress.rebase(&found.chain);
         self.chain = found.chain;
@@ -190,7 +204,7 @@
         };
         let expected = self.cost.transfer_time(&transfers[0]);
         let rebuild = self.cost.prefill_time(self.prefix());
-        let timeout = (expected * 2).max(rebuild) + IMPORT_SLACK;
+        let timeout = expected.saturating_mul(2).max(rebuild).saturating_add(IMPORT_SLACK);
         let timeout = timeout.min(self.request.deadline.since(ctx.now));
         let label = self.label(layers, 0, tokens);
         self.mark_used(&to);
--- a/mimosashift/src/pipeline/machine/step.rs
+++ b/mimosashift/src/pipeline/machine/step.rs
@@ -74,7 +74,7 @@
         let stages = self.chain.stages();
         let held = u32::from(stages[self.work.stage].layers.count());
         let all: u32 = stages.iter().map(|stage| u32::from(stage.layers.count())).sum();
-        self.cost.prefill_time(self.work.count) * held / all
+        self.cost.prefill_time(self.work.count).saturating_mul(held) / all
     }
 
     pub(super) fn label(&self, layers: Layers, position: u32, count: u32) -> Label {
--- a/mimosashift/src/pipeline/recovery.rs
+++ b/mimosashift/src/pipeline/recovery.rs
@@ -25,7 +25,8 @@
 impl Cost {
     /// Expected time to copy the caches one after the other.
     pub fn import_time(&self, transfers: &[Transfer]) -> Duration {
-        transfers.iter().map(|transfer| self.transfer_time(transfer)).sum()
+        let times = transfers.iter().map(|transfer| self.transfer_time(transfer));
+        times.fold(Duration::ZERO, Duration::saturating_add)
     }
 
     /// Expected time to copy one cache.
