--- a/mimosashift/tests/pipeline.rs
+++ b/mimosashift/tests/pipeline.rs
@@ -249,6 +249,20 @@
     }
 }
 
+/// A stage that has run the interrupted step holds its tokens too.
+#[test]
+fn copy_of_an_earlier_stage_includes_the_step() {
+    let new = chain(&[("x", 0, 4), ("y", 4, 8), ("c", 8, 12)]);
+    let holders = ["a", "b"].map(name);
+    let endpoints = Endpoints { holders: &holders, used: &[] };
+    let at = Point { layer: 4, position: 40, count: 1 };
+    let Plan::Resume(transfers) = plan(&abc(), &new, at, endpoints, &cost(10)) else {
+        panic!("copies cost least");
+    };
+    let tokens: Vec<u32> = transfers.iter().map(|transfer| transfer.tokens).collect();
+    assert_eq!(tokens, [41, 40]);
+}
+
 /// A copy that goes wrong falls back to the tokens.
 #[test_case(Some(Ok(())), 0 => (name("x"), 1); "done")]
 #[test_case(Some(Err(Failure::NoCache)), 0 => (name("a"), 2); "refused")]
--- a/mimosashift/tests/pipeline_hedge.rs
+++ b/mimosashift/tests/pipeline_hedge.rs
@@ -189,6 +189,20 @@
     assert!(bench.actions.contains(&Action::Emit(7)));
 }
 
+#[test]
+fn released_endpoint_gets_a_later_attempt() {
+    let mut bench = Bench::new(5.0, 1.0);
+    bench.offer("c", "d");
+    let released = bench.sent[1].1.attempt;
+    bench.answer(1, Output::Hidden(vec![0]));
+    bench.fail(2, &Failure::Unreachable(String::new()));
+    bench.answer(0, Output::Hidden(vec![0]));
+    bench.fail(3, &Failure::Unreachable(String::new()));
+    let found = Replacement { chain: chain("a", "c"), holders: Default::default(), cost: cost() };
+    bench.input(|hedge, ctx| hedge.on_chain(ctx, Some(found)));
+    assert!(bench.sent[4].1.attempt > released, "{:?}", bench.sent[4]);
+}
+
 #[test]
 fn failure_covers_both_chains() {
     let mut bench = Bench::new(1.0, 1.0);
