--- a/mimosashift/src/pipeline/machine/mod.rs
+++ b/mimosashift/src/pipeline/machine/mod.rs
@@ -41,7 +41,7 @@
 ///
 /// Inputs may come in any order and any number of times: whatever does not
 /// answer the step in flight is dropped. The request finishes exactly once,
-/// with [`Action::Finish`]; later inputs yield nothing.
+/// with [`Action::Finish`](super::Action::Finish); later inputs yield nothing.
 #[derive(Debug)]
 pub struct Machine {
     request: Request,
@@ -228,7 +228,7 @@
         actions
     }
 
-    /// Takes the answer to [`Action::NeedChain`]; `None` when there is none.
+    /// Takes the answer to [`Action::NeedChain`](super::Action::NeedChain); `None` when there is none.
     pub fn on_chain(&mut self, ctx: &mut Context<'_>, replacement: Option<Replacement>) -> Actions {
         let mut actions = Actions::new();
         if self.expired(ctx, &mut actions) {
@@ -250,7 +250,7 @@
         actions
     }
 
-    /// Takes the answer to [`Action::Import`]: the label of the cache that the
+    /// Takes the answer to [`Action::Import`](super::Action::Import): the label of the cache that the
     /// endpoint now holds, or the label asked for when there was a failure.
     pub fn on_import(
         &mut self,
