Draw candidates by logarithm of their rank

Change: three of four draws take the rank from a log-uniform distribution and 20 candidates are drawn in place of 12; the test at 1000 replicas covers 20 worlds in place of 4.

--- a/mimosashift/src/route/mod.rs
+++ b/mimosashift/src/route/mod.rs
@@ -105,6 +105,6 @@
 
 impl Default for Settings {
     fn default() -> Self {
-        Self { candidates: 12, spread: 0.02, max_wait: Duration::from_secs(30) }
+        Self { candidates: 20, spread: 0.02, max_wait: Duration::from_secs(30) }
     }
 }
--- a/mimosashift/src/route/sample.rs
+++ b/mimosashift/src/route/sample.rs
@@ -83,8 +83,9 @@
             return;
         }
         let uniform = rng.random::<f64>();
-        let position = if draw % 2 == 0 { uniform } else { uniform.powi(3) };
-        let holder = holders[(position * holders.len() as f64) as usize];
+        let length = holders.len() as f64;
+        let position = if draw % 4 == 0 { uniform * length } else { length.powf(uniform) - 1.0 };
+        let holder = holders[position as usize];
         if found.iter().any(|candidate| candidate.holder == holder) {
             continue;
         }
--- a/mimosashift/tests/route.rs
+++ b/mimosashift/tests/route.rs
@@ -221,7 +221,7 @@
 #[test]
 fn sampled_cost_against_exact_search_at_1000_replicas() {
     let mut ratios = Vec::new();
-    for seed in 0..4 {
+    for seed in 0..20 {
         let (pipeline, mut rng) = (name("p"), rng(seed));
         let world = World::aligned(4, 1_000, 11, &mut rng);
         let ask = random_ask(&pipeline, &mut rng);
