Skip repeated ranks before looking at the endpoint

Cause: a choice took 19.7 us at 1000 replicas, target 20 us; drawing ranks by powf and comparing whole candidates took part of it. Change: ranks are drawn by exp2 and compared as integers; candidates fit on the stack.

--- a/mimosashift/src/route/sample.rs
+++ b/mimosashift/src/route/sample.rs
@@ -17,8 +17,11 @@
 /// and repeated ones.
 const DRAWS_PER_CANDIDATE: usize = 2;
 
+/// One draw in so many is uniform.
+const UNIFORM_EVERY: usize = 4;
+
 /// Candidates of one segment.
-pub(super) type Candidates = SmallVec<[Candidate; 16]>;
+pub(super) type Candidates = SmallVec<[Candidate; 24]>;
 
 /// An endpoint that may run layers from a point on.
 #[derive(Clone, Copy, Debug)]
@@ -29,8 +32,8 @@
     pub(super) spread: f64,
 }
 
-/// Draws candidates of `segment`: power of k choices, half of them uniform
-/// and half towards the endpoints that are fastest when idle.
+/// Draws candidates of `segment`: power of k choices, with most draws among
+/// the endpoints that are fastest when idle.
 ///
 /// When no draw gives a live candidate, every holder is looked at, so that an
 /// endpoint that can run the layers is always found.
@@ -78,19 +81,31 @@
         return;
     }
     let enough = found.len() + quota;
+    let octaves = (holders.len() as f32).log2();
+    let mut seen: SmallVec<[u32; 64]> = SmallVec::new();
     for draw in 0..quota * DRAWS_PER_CANDIDATE {
         if found.len() >= enough {
             return;
         }
-        let uniform = rng.random::<f64>();
-        let length = holders.len() as f64;
-        let position = if draw % 4 == 0 { uniform * length } else { length.powf(uniform) - 1.0 };
-        let holder = holders[position as usize];
-        if found.iter().any(|candidate| candidate.holder == holder) {
+        let rank = draw_rank(draw, holders.len(), octaves, rng);
+        if seen.contains(&rank) {
             continue;
         }
-        found.extend(request.candidate(holder, stats, rng));
+        seen.push(rank);
+        found.extend(request.candidate(holders[rank as usize], stats, rng));
+    }
+}
+
+/// A rank below `length`: every fourth one uniform, so that any holder may be
+/// found idle, the others log-uniform, so that every octave of ranks is drawn
+/// from equally.
+fn draw_rank(draw: usize, length: usize, octaves: f32, rng: &mut Pcg64Mcg) -> u32 {
+    let last = length as u32 - 1;
+    if draw.is_multiple_of(UNIFORM_EVERY) {
+        return rng.random_range(0..=last);
     }
+    let rank = (rng.random::<f32>() * octaves).exp2() - 1.0;
+    (rank as u32).min(last)
 }
 
 /// Takes up to `limit` live candidates of `holders`, and the avoided ones
