Keep a refusal by an endpoint of unknown incarnation

Cause: reading the merge rules showed that a refusal heard before the first load report was overruled by a peer's older report, so a leaving endpoint could get new work; and an incarnation learnt from a peer did not outdate refusals of the one before. Change: such a refusal counts for the first incarnation learnt, or until a newer VM list withdraws it; State::mark is the one place that learns of an incarnation. Conclusion: leaving stands in every order of refusal and report tested.

--- a/mimosashift/src/health/leaving.rs
+++ b/mimosashift/src/health/leaving.rs
@@ -21,7 +21,7 @@
     incarnation: u64,
 }
 
-/// The newest statement of the endpoint itself.
+/// The newest statement of the endpoint itself; incarnation 0 stands for none.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 struct Own {
     incarnation: u64,
@@ -40,9 +40,12 @@
         self.own = self.own.max(Own { incarnation, leaving });
     }
 
-    /// Takes in a refusal of the incarnation known so far.
-    pub(super) fn refuse(&mut self) {
-        self.own.leaving = true;
+    /// Takes in a refusal of the present incarnation; false when that is not
+    /// known.
+    pub(super) fn refuse(&mut self) -> bool {
+        let known = self.own.incarnation > 0;
+        self.own.leaving |= known;
+        known
     }
 
     pub(super) fn merge(&mut self, other: &Self) {
@@ -55,6 +58,11 @@
         listed || self.own.leaving
     }
 
+    /// Generation of the newest VM list taken in.
+    pub(super) const fn generation(&self) -> u64 {
+        self.listed.generation
+    }
+
     pub(super) const fn incarnation(&self) -> u64 {
         self.own.incarnation
     }
--- a/mimosashift/src/health/registry.rs
+++ b/mimosashift/src/health/registry.rs
@@ -107,7 +107,7 @@
         let Some(state) = self.states.get_mut(endpoint) else { return };
         match failure {
             Failure::Leaving if started < state.incarnated => {}
-            Failure::Leaving => state.marks.refuse(),
+            Failure::Leaving => state.refuse(),
             Failure::Overloaded => {
                 let pause = self.settings.overload_pause.mul_f64(rng.random_range(0.5..1.5));
                 state.paused_until = now + pause;
@@ -124,6 +124,9 @@
     }
 
     /// Takes in the load that this router polled itself.
+    ///
+    /// `incarnation` rises with each start of the endpoint; 0 when it does not
+    /// say.
     pub fn poll(
         &mut self,
         endpoint: &Name,
@@ -133,12 +136,12 @@
         now: Instant,
     ) {
         let Some(state) = self.states.get_mut(endpoint) else { return };
-        if incarnation > state.marks.incarnation() {
-            state.incarnated = now;
-            state.failures = 0;
-            state.ejection.lift(now);
+        let mut marks = state.marks;
+        marks.report(incarnation, false);
+        state.mark(&marks, now);
+        if load.leaving {
+            state.refuse();
         }
-        state.marks.report(incarnation, load.leaving);
         let marks = state.marks;
         let endpoint = endpoint.clone();
         state.report(&Report { endpoint, taken: now, sequence, load: load.clone(), marks });
@@ -147,7 +150,7 @@
     /// Takes in a whole VM list: `leaving` says which endpoints' VMs leave.
     pub fn list(&mut self, generation: u64, leaving: impl Fn(&Name) -> bool) {
         for (name, state) in &mut self.states {
-            state.marks.list(generation, leaving(name));
+            state.list(generation, leaving(name));
         }
     }
 
--- a/mimosashift/src/health/state.rs
+++ b/mimosashift/src/health/state.rs
@@ -23,6 +23,8 @@
     pub(super) group: u32,
     pub(super) declared: Declared,
     pub(super) marks: Marks,
+    /// The VM list's generation at a refusal by an unknown incarnation.
+    refused: Option<u64>,
     /// When the present incarnation was first seen.
     pub(super) incarnated: Instant,
     pub(super) taken: Instant,
@@ -46,6 +48,7 @@
             group,
             declared,
             marks: Marks::default(),
+            refused: None,
             incarnated: Instant::ZERO,
             taken: Instant::ZERO,
             sequence: 0,
@@ -73,9 +76,39 @@
         }
     }
 
+    /// Takes in that the endpoint says it is leaving.
+    ///
+    /// Without a known incarnation the refusal counts for the next one learnt,
+    /// unless a newer VM list withdraws it before.
+    pub(super) fn refuse(&mut self) {
+        if !self.marks.refuse() {
+            self.refused = Some(self.marks.generation());
+        }
+    }
+
+    /// Takes in a statement of the VM list.
+    pub(super) fn list(&mut self, generation: u64, leaving: bool) {
+        self.marks.list(generation, leaving);
+        self.refused = self.refused.filter(|&refused| generation <= refused);
+    }
+
+    /// Takes in marks known elsewhere; a new incarnation starts to return.
+    pub(super) fn mark(&mut self, marks: &Marks, seen: Instant) {
+        let before = self.marks.incarnation();
+        self.marks.merge(marks);
+        if before > 0 && self.marks.incarnation() > before {
+            self.incarnated = seen;
+            self.failures = 0;
+            self.ejection.lift(seen);
+        }
+        if self.refused.is_some() && self.marks.refuse() {
+            self.refused = None;
+        }
+    }
+
     /// Takes in a report unless a newer one is known.
     pub(super) fn report(&mut self, report: &Report) {
-        self.marks.merge(&report.marks);
+        self.mark(&report.marks, report.taken);
         if (report.taken, report.sequence) <= (self.taken, self.sequence) {
             return;
         }
@@ -94,12 +127,16 @@
     }
 
     pub(super) fn standing(&self, now: Instant) -> Standing {
-        if self.marks.is_leaving() {
+        if self.is_leaving() {
             return Standing::Leaving;
         }
         self.ejection.standing(now)
     }
 
+    pub(super) fn is_leaving(&self) -> bool {
+        self.marks.is_leaving() || self.refused.is_some()
+    }
+
     /// How many times slower than declared, over service and link.
     pub(super) fn slowness(&self, now: Instant) -> f32 {
         self.service.at(now).max(self.link.at(now))
--- a/mimosashift/tests/health.rs
+++ b/mimosashift/tests/health.rs
@@ -233,15 +233,44 @@
     assert_eq!(registry.condition(&e, at(1)).standing, Standing::Live);
 }
 
-#[test]
-fn refusal_of_the_incarnation_before_is_not_held_against_the_next() {
+#[test_case(false; "polled")]
+#[test_case(true; "shared by a peer")]
+fn refusal_of_the_incarnation_before_is_not_held_against_the_next(shared: bool) {
     let (mut registry, e) = (registry(1), name("e0"));
     registry.poll(&e, 1, &running(0), 1, at(1));
-    registry.poll(&e, 2, &running(0), 2, at(5));
+    let mut peer = self::registry(1);
+    let poller = if shared { &mut peer } else { &mut registry };
+    poller.poll(&e, 2, &running(0), 2, at(5));
+    registry.merge(&peer.share(at(0)), at(5));
     registry.fail(&e, &Failure::Leaving, at(2), at(6), &mut rng());
     assert_eq!(registry.condition(&e, at(6)).standing, Standing::Live);
 }
 
+#[test]
+fn refusal_by_an_unknown_incarnation_counts_for_the_first_learnt() {
+    let (mut registry, e) = (registry(1), name("e0"));
+    let mut peer = self::registry(1);
+    peer.poll(&e, 1, &running(0), 1, at(2));
+    registry.fail(&e, &Failure::Leaving, at(1), at(1), &mut rng());
+    assert_eq!(registry.condition(&e, at(1)).standing, Standing::Leaving);
+    registry.merge(&peer.share(at(0)), at(2));
+    assert_eq!(registry.condition(&e, at(2)).standing, Standing::Leaving);
+    peer.poll(&e, 2, &running(0), 2, at(3));
+    registry.merge(&peer.share(at(0)), at(3));
+    assert_eq!(registry.condition(&e, at(3)).standing, Standing::Live);
+}
+
+#[test]
+fn newer_list_withdraws_a_refusal_by_an_unknown_incarnation() {
+    let (mut registry, e) = (registry(1), name("e0"));
+    registry.list(5, |_| false);
+    registry.fail(&e, &Failure::Leaving, at(1), at(1), &mut rng());
+    registry.list(5, |_| false);
+    assert_eq!(registry.condition(&e, at(1)).standing, Standing::Leaving);
+    registry.list(6, |_| false);
+    assert_eq!(registry.condition(&e, at(1)).standing, Standing::Live);
+}
+
 #[test]
 fn report_from_the_future_is_refused() {
     let mut registry = registry(1);
