Stop the scan for a live endpoint at two

Cause: with 80% of 1000 replicas leaving, 3 of 4000 choices of a trial over 19 seeds looked at 162 to 167 endpoints, bound 160; the test had one seed. Change: two live endpoints end the scan; the test covers 20 seeds.

--- a/mimosashift/src/route/sample.rs
+++ b/mimosashift/src/route/sample.rs
@@ -21,7 +21,7 @@
 const UNIFORM_EVERY: usize = 4;
 
 /// Live candidates looked for when no draw gave one.
-const FALLBACK_CANDIDATES: usize = 4;
+const FALLBACK_CANDIDATES: usize = 2;
 
 /// Candidates of one segment.
 pub(super) type Candidates = SmallVec<[Candidate; 24]>;
--- a/mimosashift/tests/route.rs
+++ b/mimosashift/tests/route.rs
@@ -255,17 +255,23 @@
 #[test_case(1_000, 0.0)]
 #[test_case(1_000, 0.8; "most of 1000 leaving")]
 fn evaluations_are_bounded(replicas: usize, leaving: f64) {
-    let (pipeline, mut rng) = (name("p"), rng(1));
-    let mut world = World::aligned(4, replicas, 11, &mut rng);
-    for condition in world.health.0.values_mut() {
-        if rng.random_bool(leaving) {
-            condition.standing = Standing::Leaving;
+    let pipeline = name("p");
+    for seed in 0..20 {
+        let mut rng = rng(seed);
+        let mut world = World::aligned(4, replicas, 11, &mut rng);
+        for condition in world.health.0.values_mut() {
+            if rng.random_bool(leaving) {
+                condition.standing = Standing::Leaving;
+            }
+        }
+        let bound = 4 * world.settings.candidates as u32 * 2;
+        for choice in world.choose_many(&ask(&pipeline), 200, &mut rng) {
+            let evaluations = choice.unwrap().stats.evaluations;
+            assert!(
+                evaluations <= bound,
+                "{evaluations} evaluations, at most {bound}, seed {seed}"
+            );
         }
-    }
-    let bound = 4 * world.settings.candidates as u32 * 2;
-    for choice in world.choose_many(&ask(&pipeline), 200, &mut rng) {
-        let evaluations = choice.unwrap().stats.evaluations;
-        assert!(evaluations <= bound, "{evaluations} evaluations, at most {bound}");
     }
 }
 
