--- a/mimosashift/src/route/choose.rs
+++ b/mimosashift/src/route/choose.rs
@@ -16,6 +16,9 @@
 use crate::resource::{Layers, Name};
 use crate::time::Instant;
 
+/// Most prefixes of a prompt that are searched for, longest first.
+const MAX_PREFIX_SEARCHES: usize = 4;
+
 /// Soft state that a choice reads.
 #[derive(Debug)]
 pub struct Sources<'a, V> {
@@ -116,11 +119,12 @@
         stats: &mut Stats,
         rng: &mut Pcg64Mcg,
     ) -> Option<(Found, u32)> {
-        for prefix in ask.prefixes.iter().rev() {
+        let known = ask.prefixes.iter().rev().filter_map(|prefix| {
             let matches = sources.affinity.holders(prefix.hash, now);
-            let Some(confidence) = matches.iter().map(|m| m.confidence).reduce(f32::min) else {
-                continue;
-            };
+            let confidence = matches.iter().map(|m| m.confidence).reduce(f32::min)?;
+            Some((prefix, matches, confidence))
+        });
+        for (prefix, matches, confidence) in known.take(MAX_PREFIX_SEARCHES) {
             let tokens = prefix.tokens as f32 * confidence;
             let request = self.request(ask, model, sources.health, tokens, now);
             if let Some(found) = request.search_among(model, &matches, stats, rng) {
--- a/mimosashift/tests/route.rs
+++ b/mimosashift/tests/route.rs
@@ -437,6 +437,16 @@
     assert_eq!(choice.chain.stages()[0].endpoint, name(if attracted { "a1" } else { "a0" }));
 }
 
+#[test]
+fn prefixes_that_only_one_stage_caches_cost_few_searches() {
+    let (mut world, pipeline) = (three_stages(), name("p"));
+    let prefixes: Vec<Prefix> = (1..200).map(|n| Prefix { hash: n, tokens: n as u32 }).collect();
+    let hashes: Vec<u64> = prefixes.iter().map(|prefix| prefix.hash).collect();
+    world.affinity.event(&name("a1"), 1, Event::Stored(&hashes), NOW);
+    let choice = world.choose(&Ask { prefixes: &prefixes, ..ask(&pipeline) }, &mut rng(1)).unwrap();
+    assert!(choice.stats.evaluations <= 6 + 4, "{:?}", choice.stats);
+}
+
 #[test]
 fn affinity_ages_and_distrusts_what_came_before_a_gap() {
     let mut affinity =
