Expect work that lagging reports do not show

Change: own work begun since a report counts for Registry::set_routers routers, and a quarter of the slots counts as taken (route::Settings::reserved_share).

--- a/mimosashift/src/health/registry.rs
+++ b/mimosashift/src/health/registry.rs
@@ -30,9 +30,10 @@
 }
 
 /// State of all configured endpoints as one router sees it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Registry {
     settings: Settings,
+    routers: u32,
     states: HashMap<Name, State>,
 }
 
@@ -40,7 +41,7 @@
 impl Registry {
     /// An empty registry.
     pub fn new(settings: Settings) -> Self {
-        Self { settings, states: HashMap::new() }
+        Self { settings, routers: 1, states: HashMap::new() }
     }
 
     /// Follows a configuration: new endpoints start live, removed ones are
@@ -59,6 +60,13 @@
         }
     }
 
+    /// Sets how many routers, this one included, send about as much work as
+    /// this one to the same endpoints; their work since the last report is
+    /// assumed to equal this router's.
+    pub fn set_routers(&mut self, routers: u32) {
+        self.routers = routers.max(1);
+    }
+
     /// Notes that this router began work at `endpoint`.
     pub fn begin(&mut self, endpoint: &Name, now: Instant) {
         if let Some(state) = self.states.get_mut(endpoint) {
@@ -238,7 +246,7 @@
 impl View for Registry {
     fn condition(&self, endpoint: &Name, now: Instant) -> Condition {
         let state = self.states.get(endpoint);
-        state.map_or(Condition::IDLE, |state| state.condition(&self.settings, now))
+        state.map_or(Condition::IDLE, |state| state.condition(&self.settings, self.routers, now))
     }
 }
 
--- a/mimosashift/src/health/state.rs
+++ b/mimosashift/src/health/state.rs
@@ -119,11 +119,12 @@
     }
 
     /// Sequences at the endpoint: the report, less own work finished since,
-    /// plus own work begun since.
-    fn sequences(&self) -> u32 {
-        let begun = self.flight.iter().filter(|&&at| at > self.taken).count();
+    /// plus the work that `routers` routers like this one began since.
+    fn sequences(&self, routers: u32) -> u32 {
+        let own = self.flight.iter().filter(|&&at| at > self.taken).count() as u32;
+        let begun = own.saturating_mul(routers);
         let reported = self.load.queued.saturating_add(self.load.running);
-        reported.saturating_sub(self.finished).saturating_add(begun as u32)
+        reported.saturating_sub(self.finished).saturating_add(begun)
     }
 
     pub(super) fn standing(&self, now: Instant) -> Standing {
@@ -158,10 +159,10 @@
         model::link_us(one_way_us, bytes as f32, bytes_per_second)
     }
 
-    pub(super) fn condition(&self, settings: &Settings, now: Instant) -> Condition {
+    pub(super) fn condition(&self, settings: &Settings, routers: u32, now: Instant) -> Condition {
         Condition {
             standing: self.standing(now),
-            sequences: self.sequences(),
+            sequences: self.sequences(routers),
             service_factor: self.service.at(now),
             link_factor: self.link.at(now),
             weight: self.ejection.weight(settings, now),
--- a/mimosashift/src/route/cost.rs
+++ b/mimosashift/src/route/cost.rs
@@ -73,8 +73,10 @@
         let batched = (condition.sequences + 1).min(self.slots);
         let slowed = self.layer_us * condition.service_factor * model::batch_weight(batched);
         let layer_us = f64::from(slowed * work.steps);
-        let ahead = (condition.sequences + 1).saturating_sub(self.slots);
-        let turns = f64::from(ahead) / f64::from(self.slots);
+        let slots = f64::from(self.slots);
+        let free_slots = slots * (1.0 - settings.reserved_share);
+        let ahead = (f64::from(condition.sequences) + 1.0 - free_slots).max(0.0);
+        let turns = ahead / slots;
         let wait_us = turns * layer_us * f64::from(work.layers);
         if wait_us > settings.max_wait.as_secs_f64() * 1e6 {
             return None;
--- a/mimosashift/src/route/mod.rs
+++ b/mimosashift/src/route/mod.rs
@@ -99,12 +99,20 @@
     /// Costs that differ by less than this share count as equal, so that
     /// routers with the same reports do not all choose the same endpoint.
     pub spread: f64,
+    /// Share of an endpoint's slots counted as taken by work that lagging
+    /// reports do not show yet, 0 to 1.
+    pub reserved_share: f64,
     /// Longest estimated wait in an endpoint's queue.
     pub max_wait: Duration,
 }
 
 impl Default for Settings {
     fn default() -> Self {
-        Self { candidates: 20, spread: 0.02, max_wait: Duration::from_secs(30) }
+        Self {
+            candidates: 20,
+            spread: 0.02,
+            reserved_share: 0.25,
+            max_wait: Duration::from_secs(30),
+        }
     }
 }
--- a/mimosashift/tests/health.rs
+++ b/mimosashift/tests/health.rs
@@ -75,6 +75,17 @@
     assert_eq!(registry.condition(&e, at(3)).sequences, 4);
 }
 
+#[test]
+fn work_of_like_routers_since_the_report_is_assumed() {
+    let (mut registry, e) = (registry(1), name("e0"));
+    registry.set_routers(8);
+    registry.poll(&e, 1, &running(5), 1, at(2));
+    registry.begin(&e, at(3));
+    assert_eq!(registry.condition(&e, at(3)).sequences, 13);
+    registry.poll(&e, 1, &running(6), 2, at(4));
+    assert_eq!(registry.condition(&e, at(4)).sequences, 6);
+}
+
 #[test]
 fn link_degraded_a_hundredfold_shows_within_three_exchanges() {
     let (mut registry, e) = (registry(1), name("e0"));
