--- a/mimosashift/src/config/change.rs
+++ b/mimosashift/src/config/change.rs
@@ -78,9 +78,12 @@
     /// State that the next transaction builds on.
     state: State,
     tries: u32,
+    /// Table revision of the row `head` that the last transaction checks.
+    base: u64,
     /// Whether an earlier transaction may have taken effect or still may.
     in_doubt: bool,
-    /// Lowest table revision of the row `head` that settles the last conflict.
+    /// Lowest table revision of the row `head` that settles the last
+    /// transaction.
     settled_at: u64,
     /// The last change by someone else that was seen.
     winner: Option<Record>,
@@ -108,6 +111,7 @@
             phase: Phase::Lookup,
             state: installed,
             tries: 0,
+            base: 0,
             in_doubt: false,
             settled_at: 0,
             winner: None,
@@ -176,6 +180,7 @@
         // The head moved past the transaction in doubt without its record.
         self.in_doubt = false;
         self.winner = progress.records.into_iter().next_back().or(self.winner.take());
+        self.base = table_revision;
         if self.tries == MAX_TRIES {
             return Err(self.contended());
         }
@@ -212,8 +217,10 @@
                 Ok(self.send())
             }
             Outcome::Unknown => {
+                // Only a head that has moved on can settle it now.
                 self.in_doubt = true;
-                Err(Error::Unknown(self.change.id))
+                self.settled_at = self.base + 1;
+                Ok(self.catch_up())
             }
             Outcome::NotDone(Refusal::Conflict(found)) => self.on_conflict(found),
             Outcome::NotDone(refusal) => Err(Error::Platform(refusal)),
