Add the spread of configuration and frames between routers

Cause: every router has to install an accepted change within seconds, also with the table out, and never an older revision.

--- a/mimosashift/src/config/catchup.rs
+++ b/mimosashift/src/config/catchup.rs
@@ -25,7 +25,7 @@
 impl CatchUp {
     /// Starts from `state`.
     pub fn new(state: State) -> Self {
-        Self { progress: Progress { state, records: Vec::new(), head: HeadRow::default() } }
+        Self { progress: Progress::from(state) }
     }
 
     fn on_head(&mut self, head: HeadRow) -> Result<Option<Call>, Error> {
@@ -91,3 +91,9 @@
         }
     }
 }
+
+impl From<State> for Progress {
+    fn from(state: State) -> Self {
+        Self { state, records: Vec::new(), head: HeadRow::default() }
+    }
+}
--- a/mimosashift/src/config/change.rs
+++ b/mimosashift/src/config/change.rs
@@ -61,9 +61,10 @@
 pub struct Committed {
     /// Revision that the change made, or would make in a dry run.
     pub revision: u64,
-    /// The latest configuration read. It is older than `revision` in a dry run
-    /// and when an earlier try had made the change.
-    pub state: State,
+    /// What was read and committed beyond the state at the start, to install
+    /// and push. It ends before `revision` in a dry run and when an earlier
+    /// try had made the change.
+    pub progress: Progress,
 }
 
 /// Commits one [`Change`] by conditional transactions.
@@ -75,8 +76,8 @@
 pub struct Commit {
     change: Change,
     phase: Phase,
-    /// State that the next transaction builds on.
-    state: State,
+    /// What was read so far; the next transaction builds on its state.
+    read: Progress,
     tries: u32,
     /// Table revision of the row `head` that the last transaction checks.
     base: u64,
@@ -97,8 +98,8 @@
     Earlier(u64),
     /// Reads the table's head and the records up to it.
     CatchUp(CatchUp),
-    /// Waits for the transaction that leads to this state.
-    Commit { transaction: Transaction, next: State },
+    /// Waits for the transaction that writes this record.
+    Commit { transaction: Transaction, record: Record },
 }
 
 type Next = Result<Step<Committed>, Error>;
@@ -109,7 +110,7 @@
         Self {
             change,
             phase: Phase::Lookup,
-            state: installed,
+            read: Progress::from(installed),
             tries: 0,
             base: 0,
             in_doubt: false,
@@ -157,11 +158,11 @@
             self.in_doubt = false;
             return Err(Error::Reused(self.change.id));
         }
-        Ok(Step::Done(Committed { revision, state: self.state.clone() }))
+        Ok(Step::Done(Committed { revision, progress: self.read.clone() }))
     }
 
     fn catch_up(&mut self) -> Step<Committed> {
-        let mut machine = CatchUp::new(self.state.clone());
+        let mut machine = CatchUp::new(self.read.state.clone());
         let Step::Call(call) = machine.start() else { unreachable!("it starts with a call") };
         self.phase = Phase::CatchUp(machine);
         Step::Call(call)
@@ -172,10 +173,11 @@
         if table_revision < self.settled_at {
             return Err(Error::Lagging { seen: self.settled_at, read: table_revision });
         }
-        self.state = progress.state;
+        self.read.state = progress.state;
+        self.read.records.extend(progress.records.iter().cloned());
         if let Some(own) = progress.records.iter().find(|record| record.id == self.change.id) {
-            let committed = Committed { revision: own.revision, state: self.state.clone() };
-            return Ok(Step::Done(committed));
+            let revision = own.revision;
+            return Ok(Step::Done(Committed { revision, progress: self.read.clone() }));
         }
         // The head moved past the transaction in doubt without its record.
         self.in_doubt = false;
@@ -185,12 +187,12 @@
             return Err(self.contended());
         }
         self.check()?;
-        let (transaction, next) = self.transaction(progress.head.table_revision)?;
+        let (transaction, record) = self.transaction(progress.head.table_revision)?;
         if self.change.dry_run {
-            let revision = next.version().revision;
-            return Ok(Step::Done(Committed { revision, state: self.state.clone() }));
+            let revision = record.revision;
+            return Ok(Step::Done(Committed { revision, progress: self.read.clone() }));
         }
-        self.phase = Phase::Commit { transaction, next };
+        self.phase = Phase::Commit { transaction, record };
         Ok(self.send())
     }
 
@@ -205,11 +207,13 @@
     fn on_commit(&mut self, outcome: Outcome<u64>) -> Next {
         match outcome {
             Outcome::Done(_) => {
-                let Phase::Commit { next, .. } = &self.phase else {
+                let Phase::Commit { record, .. } = &self.phase else {
                     unreachable!("only the commit phase commits")
                 };
-                let revision = next.version().revision;
-                Ok(Step::Done(Committed { revision, state: next.clone() }))
+                self.read.state = self.read.state.apply(record)?;
+                self.read.records.push(record.clone());
+                let revision = record.revision;
+                Ok(Step::Done(Committed { revision, progress: self.read.clone() }))
             }
             Outcome::Unknown if self.tries < MAX_TRIES => {
                 // The same transaction again: its checks let it apply once.
@@ -241,7 +245,7 @@
     /// Checks precondition, rules and references against the state.
     fn check(&self) -> Result<(), Error> {
         let Change { kind, name, .. } = &self.change;
-        let snapshot = self.state.snapshot();
+        let snapshot = self.read.state.snapshot();
         let found = snapshot.get(*kind, name).map(|resource| resource.revision);
         let holds = match self.change.precondition {
             Precondition::Any => found.is_some() || self.change.spec.is_some(),
@@ -260,11 +264,11 @@
         Ok(())
     }
 
-    fn transaction(&self, head: Option<u64>) -> Result<(Transaction, State), Error> {
+    fn transaction(&self, head: Option<u64>) -> Result<(Transaction, Record), Error> {
         let Change { id, kind, name, spec, .. } = &self.change;
-        let before = self.state.snapshot().get(*kind, name).map(|r| shortened(&r.spec));
+        let before = self.read.state.snapshot().get(*kind, name).map(|r| shortened(&r.spec));
         let mut record = Record {
-            revision: self.state.version().revision + 1,
+            revision: self.read.state.version().revision + 1,
             lineage: 0,
             id: *id,
             operator: self.change.operator.clone(),
@@ -275,8 +279,8 @@
             before,
             after: spec.clone(),
         };
-        record.lineage = self.state.version_after(&record).lineage;
-        let next = self.state.apply(&record)?;
+        record.lineage = self.read.state.version_after(&record).lineage;
+        let next = self.read.state.apply(&record)?;
         let checks = vec![Check::Absent(row::change(*id)), head_check(head)];
         let writes = vec![
             self.resource_write(record.revision),
@@ -284,7 +288,7 @@
             Write::Put(row::log(record.revision), row::encode(&record)),
             Write::Put(row::change(*id), row::encode(&record.revision)),
         ];
-        Ok((Transaction { checks, writes }, next))
+        Ok((Transaction { checks, writes }, record))
     }
 
     fn resource_write(&self, revision: u64) -> Write {
--- a/mimosashift/src/config/mod.rs
+++ b/mimosashift/src/config/mod.rs
@@ -13,13 +13,20 @@
 pub mod catchup;
 pub mod change;
 pub mod load;
+pub mod phase;
+pub mod poll;
 pub mod record;
 mod row;
+pub mod spread;
 pub mod state;
+pub mod store;
+pub mod transfer;
 
 pub use change::{Change, ChangeId, Committed, Precondition};
 pub use record::{Entry, Record};
+pub use spread::Spread;
 pub use state::{State, Version};
+pub use store::Store;
 
 quick_error! {
     /// Why a change did not happen or a table could not be used.
--- /dev/null
+++ b/mimosashift/src/config/phase.rs
@@ -0,0 +1,114 @@
+//! The life cycle of a router's configuration: starting, then serving.
+
+use std::fmt;
+use std::time::Duration;
+
+use super::Spread;
+use super::spread::Peer;
+use crate::resource::{Name, Snapshot};
+use crate::time::Instant;
+
+/// Time for which a starting router listens for peers.
+const LISTEN: Duration = Duration::from_millis(2_500);
+
+/// The configuration of a router in one phase of its life.
+#[derive(Debug)]
+pub struct Router<Phase> {
+    spread: Box<Spread>,
+    phase: Phase,
+}
+
+/// May not serve yet.
+#[derive(Debug)]
+pub struct Starting {
+    since: Instant,
+}
+
+/// Serves what is installed.
+#[derive(Debug)]
+pub struct Serving(());
+
+/// Why a router does not serve yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// Other routers may still be heard.
+    Listening,
+    /// The table has not been asked yet.
+    Asking,
+    /// A peer holds a higher revision, which is being fetched.
+    Behind {
+        /// Revision installed.
+        installed: u64,
+        /// Revision that a peer holds.
+        wanted: u64,
+    },
+    /// Neither the table nor a peer has answered with a configuration.
+    Nothing,
+}
+
+impl Router<Starting> {
+    /// Starts with nothing installed.
+    pub fn new(node: Name, now: Instant) -> Self {
+        Self { spread: Box::new(Spread::new(node)), phase: Starting { since: now } }
+    }
+
+    /// Serves once the highest revision that the reachable peers and the
+    /// table hold is installed; until then it stays as it is.
+    pub fn serve(self, now: Instant, peers: &[Peer]) -> Result<Router<Serving>, Self> {
+        match self.reason(now, peers) {
+            Some(_) => Err(self),
+            None => Ok(Router { spread: self.spread, phase: Serving(()) }),
+        }
+    }
+
+    /// Why it does not serve yet, `None` when it may.
+    pub fn reason(&self, now: Instant, peers: &[Peer]) -> Option<Reason> {
+        let installed = self.spread.store().version().revision;
+        let wanted = peers.iter().map(|peer| peer.version.revision).max().unwrap_or_default();
+        if now.since(self.phase.since) < LISTEN {
+            return Some(Reason::Listening);
+        }
+        if installed < wanted {
+            return Some(Reason::Behind { installed, wanted });
+        }
+        if self.spread.polls() == 0 {
+            return Some(Reason::Asking);
+        }
+        let nothing = installed == 0 && self.spread.polled().is_none();
+        nothing.then_some(Reason::Nothing)
+    }
+}
+
+impl Router<Serving> {
+    /// The snapshot to serve by.
+    pub const fn snapshot(&self) -> &Snapshot {
+        self.spread.store().state().snapshot()
+    }
+}
+
+impl<Phase> Router<Phase> {
+    /// The exchange with the table and other routers.
+    pub const fn spread(&self) -> &Spread {
+        &self.spread
+    }
+
+    /// The exchange with the table and other routers, to drive it.
+    pub const fn spread_mut(&mut self) -> &mut Spread {
+        &mut self.spread
+    }
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Listening => f.write_str("listening for other routers"),
+            Self::Asking => f.write_str("asking the table for the configuration"),
+            Self::Behind { installed, wanted } => {
+                write!(f, "revision {installed} is installed, fetching {wanted} from a router")
+            }
+            Self::Nothing => {
+                f.write_str("neither the table nor a router has answered with a configuration")
+            }
+        }
+    }
+}
--- a/mimosashift/src/lib.rs
+++ b/mimosashift/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod resource;
 pub mod route;
 pub mod time;
+pub mod wire;
--- a/mimosashift/tests/config.rs
+++ b/mimosashift/tests/config.rs
@@ -351,7 +351,7 @@
                 wanted.spec = None;
             }
             if let Ok(committed) = call::run(&table, Commit::new(wanted, installed.clone())) {
-                installed = committed.state;
+                installed = committed.progress.state;
             }
         };
         (0..300).for_each(|_| edit(&mut rng));
