Add membership and a cluster in virtual time for its tests

Cause: routers have to find each other and to agree on who polls. Change: heartbeats with incarnations, full mesh within a failure domain, a few across with summaries of every domain; tests of random histories.

--- a/mimosashift/src/config/spread.rs
+++ b/mimosashift/src/config/spread.rs
@@ -3,7 +3,6 @@
 //! One router of each failure domain polls the table; records go on to its
 //! peers, and whoever hears of a higher revision pulls it.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use rand::RngExt;
@@ -20,7 +19,7 @@
 pub const POLL_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Additional intervals of silence before the next router in line polls.
-const INTERVALS_PER_RANK: u32 = 2;
+const INTERVALS_PER_RANK: u32 = 4;
 
 /// Most jitter of a poll, as a share of its interval.
 const JITTER_DIVISOR: u32 = 4;
@@ -61,15 +60,6 @@
     Alarm(Error),
 }
 
-/// Live routers of a failure domain that have installed a revision.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct InForce {
-    /// Routers that have installed it.
-    pub installed: usize,
-    /// Live routers.
-    pub live: usize,
-}
-
 /// The configuration of one router and its exchange with others.
 #[derive(Debug)]
 pub struct Spread {
@@ -304,21 +294,6 @@
     }
 }
 
-/// Counts, for each failure domain, the live routers that have installed at
-/// least `revision`; `routers` gives domain and installed revision of each.
-pub fn in_force<'a>(
-    revision: u64,
-    routers: impl IntoIterator<Item = (&'a Name, u64)>,
-) -> BTreeMap<&'a Name, InForce> {
-    let mut domains = BTreeMap::<_, InForce>::new();
-    for (domain, installed) in routers {
-        let count = domains.entry(domain).or_default();
-        count.installed += usize::from(installed >= revision);
-        count.live += 1;
-    }
-    domains
-}
-
 fn push(records: &[Record], peers: &[Peer]) -> Vec<Action> {
     if records.is_empty() || records.len() > MAX_PUSH_RECORDS {
         return Vec::new();
--- a/mimosashift/src/lib.rs
+++ b/mimosashift/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod config;
 pub mod engine;
+pub mod member;
 pub mod platform;
 pub mod resource;
 pub mod route;
--- a/mimosashift/src/wire/message.rs
+++ b/mimosashift/src/wire/message.rs
@@ -44,11 +44,30 @@
     /// Whether it is shutting down.
     pub leaving: bool,
     /// Addresses of other routers, a few at random.
-    pub peers: SmallVec<[SocketAddr; 2]>,
+    pub peers: SmallVec<[SocketAddr; 4]>,
+    /// What the sender knows of failure domains.
+    pub domains: Vec<Summary>,
     /// Small reports of other parts.
     pub payloads: Vec<Payload>,
 }
 
+/// What the live routers of a failure domain have installed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Summary {
+    /// The domain.
+    pub domain: Name,
+    /// Number of live routers.
+    pub live: u16,
+    /// Lowest revision that one of them has installed.
+    pub lowest: u64,
+    /// Highest revision that one of them has installed.
+    pub highest: u64,
+    /// Number of routers that have installed `highest`.
+    pub at_highest: u16,
+    /// Milliseconds since the summary was made.
+    pub ms_ago: u32,
+}
+
 /// A small report of another part, opaque here.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Payload {
--- /dev/null
+++ b/mimosashift/tests/fake/cluster.rs
@@ -0,0 +1,402 @@
+//! Routers, their network and their table in virtual time.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use mimosashift::config::call;
+use mimosashift::config::catchup::Progress;
+use mimosashift::config::change::Commit;
+use mimosashift::config::load::Load;
+use mimosashift::config::phase::{Reason, Router, Serving, Starting};
+use mimosashift::config::poll::Poll;
+use mimosashift::config::spread::{Action, Peer, Spread};
+use mimosashift::config::transfer::Reply;
+use mimosashift::config::{Change, Error, Record, State, Version};
+use mimosashift::member::{Identity, Membership, Report};
+use mimosashift::resource::{Name, Resource, Snapshot};
+use mimosashift::time::Instant;
+use mimosashift::wire::message::{Bundle, Payload};
+use mimosashift::wire::{Frame, Key, MAX_DATAGRAM_BYTES, MAX_STREAM_BYTES, Message, Ring, Seen};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use super::Fake;
+
+/// Virtual time of one step.
+pub const STEP: Duration = Duration::from_millis(50);
+
+/// Bytes of the IP and UDP headers of a datagram.
+const HEADER_BYTES: usize = 28;
+
+/// Bytes of reports of other parts in each heartbeat.
+const REPORT_BYTES: usize = 64;
+
+/// A router's configuration in either phase.
+pub enum Life {
+    Starting(Router<Starting>),
+    Serving(Router<Serving>),
+}
+
+/// One router.
+pub struct Node {
+    pub membership: Membership,
+    pub life: Life,
+    pub up: bool,
+    pub paused: bool,
+    pub domain: usize,
+    pub alarms: Vec<Error>,
+    pub bytes: usize,
+    seen: Seen,
+    sequence: u64,
+    rng: Pcg64Mcg,
+}
+
+/// Faults of the network.
+#[derive(Clone, Default)]
+pub struct Net {
+    pub drop: f64,
+    pub duplicate: f64,
+    /// Most delay of a message, in steps.
+    pub delay: u64,
+    /// Side of a partition that each failure domain is on.
+    pub side: Vec<usize>,
+    /// Whether the failure domain reaches the table.
+    pub table_cut: Vec<bool>,
+}
+
+/// All routers, driven in one loop.
+pub struct Cluster {
+    pub now: Instant,
+    pub nodes: Vec<Node>,
+    pub net: Net,
+    pub table: Fake,
+    /// A fault put in on purpose: install whatever the table answers.
+    pub install_any: bool,
+    /// The snapshot of each revision that was ever accepted.
+    pub register: BTreeMap<u64, Snapshot>,
+    highest: Vec<u64>,
+    ring: Ring,
+    queue: BTreeMap<(Instant, u64), (usize, usize, Vec<u8>)>,
+    queued: u64,
+    rng: Pcg64Mcg,
+}
+
+impl Cluster {
+    pub fn new(nodes: usize, domains: usize, seed: u64) -> Self {
+        let mut cluster = Self {
+            now: Instant::from_millis(1_000_000),
+            nodes: Vec::new(),
+            net: Net { delay: 1, side: vec![0; domains], ..Net::default() },
+            table: Fake::default(),
+            install_any: false,
+            register: BTreeMap::from([(0, Snapshot::default())]),
+            highest: vec![0; nodes],
+            ring: Ring::new(Key::new(1, *b"0123456789abcdef").unwrap(), None),
+            queue: BTreeMap::new(),
+            queued: 0,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+        };
+        cluster.net.table_cut = vec![false; domains];
+        for index in 0..nodes {
+            let node = cluster.start(index, index % domains, nodes);
+            cluster.nodes.push(node);
+        }
+        cluster
+    }
+
+    fn start(&mut self, index: usize, domain: usize, nodes: usize) -> Node {
+        let mut rng = Pcg64Mcg::seed_from_u64(self.rng.random());
+        let name = Name::try_from(format!("router-{index}")).unwrap();
+        let own = Identity {
+            node: name.clone(),
+            domain: Name::try_from(format!("domain-{domain}")).unwrap(),
+            address: address(index),
+            incarnation: mimosashift::member::incarnation(self.now.as_micros(), &mut rng),
+        };
+        let list: Vec<_> = (0..nodes).map(address).collect();
+        Node {
+            membership: Membership::new(own, &list),
+            life: Life::Starting(Router::new(name, self.now)),
+            up: true,
+            paused: false,
+            domain,
+            alarms: Vec::new(),
+            bytes: 0,
+            seen: Seen::default(),
+            sequence: 0,
+            rng,
+        }
+    }
+
+    /// Replaces a router by a new process under the same address.
+    pub fn restart(&mut self, index: usize) {
+        let domain = self.nodes[index].domain;
+        self.nodes[index] = self.start(index, domain, self.nodes.len());
+        self.highest[index] = 0;
+    }
+
+    /// Commits a change through a router; the register follows the table.
+    pub fn commit(&mut self, index: usize, change: Change) -> Result<u64, Error> {
+        let installed = self.nodes[index].spread().store().state().clone();
+        if self.net.table_cut[self.nodes[index].domain] {
+            return Err(Error::Platform(mimosashift::platform::Refusal::Unavailable));
+        }
+        let result = call::run(&self.table, Commit::new(change, installed));
+        self.follow_log();
+        let committed = result?;
+        let now = self.now;
+        let peers = self.nodes[index].membership.peers(now);
+        let actions = self.nodes[index].spread_mut().take_in(&committed.progress, &peers);
+        self.act(index, actions);
+        Ok(committed.revision)
+    }
+
+    /// Takes what the table has accepted into the register, whatever the
+    /// router was told.
+    fn follow_log(&mut self) {
+        loop {
+            let (last, snapshot) = self.register.last_key_value().unwrap();
+            let revision = last + 1;
+            let key = ("config".to_owned(), format!("log/{revision:020}"));
+            let Some((_, value)) = self.table.with(|inner| inner.rows.get(&key).cloned()) else {
+                return;
+            };
+            let record: Record = serde_json::from_str(&value).unwrap();
+            let is_other = |r: &&Resource| (r.spec.kind(), &r.name) != (record.kind, &record.name);
+            let mut resources: Vec<_> = snapshot.iter().filter(is_other).cloned().collect();
+            if let Some(spec) = record.after {
+                resources.push(Resource { name: record.name.clone(), revision, spec });
+            }
+            self.register.insert(revision, Snapshot::new(revision, resources));
+        }
+    }
+
+    /// Runs for a time, checking after each step; fails at the first router
+    /// that went back or holds what was never accepted.
+    pub fn run(&mut self, time: Duration) -> Result<(), String> {
+        let end = self.now + time;
+        while self.now < end {
+            self.step()?;
+        }
+        Ok(())
+    }
+
+    /// Runs until every live router has installed `revision`; returns how
+    /// long that took.
+    pub fn run_until(&mut self, revision: u64, limit: Duration) -> Result<Duration, String> {
+        let start = self.now;
+        while !self.converged(revision) {
+            if self.now.since(start) >= limit {
+                let behind = self.nodes.iter().filter(|n| n.up && n.version().revision < revision);
+                return Err(format!("{} behind revision {revision}", behind.count()));
+            }
+            self.step()?;
+        }
+        Ok(self.now.since(start))
+    }
+
+    fn converged(&self, revision: u64) -> bool {
+        self.nodes.iter().filter(|n| n.up).all(|n| n.version().revision >= revision)
+    }
+
+    fn step(&mut self) -> Result<(), String> {
+        self.now = self.now + STEP;
+        self.deliver();
+        for index in 0..self.nodes.len() {
+            if self.nodes[index].up && !self.nodes[index].paused {
+                self.tick(index);
+            }
+        }
+        self.check()
+    }
+
+    fn tick(&mut self, index: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        let report = node.report();
+        let sends = node.membership.tick(now, &report, &mut node.rng);
+        let peers = node.membership.peers(now);
+        let actions = match &mut node.life {
+            Life::Starting(router) => router.spread_mut().tick(now, &peers, &mut node.rng),
+            Life::Serving(router) => router.spread_mut().tick(now, &peers, &mut node.rng),
+        };
+        node.try_serve(now, &peers);
+        for send in sends {
+            let message = Message::Heartbeat(send.heartbeat);
+            self.send(index, usize::from(send.to.port()) - 1, message, MAX_DATAGRAM_BYTES);
+        }
+        self.act(index, actions);
+    }
+
+    fn act(&mut self, index: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Poll(state) => self.poll(index, state),
+                Action::Pull(peer, request) => {
+                    self.send(index, index_of(&peer), Message::Request(request), MAX_STREAM_BYTES);
+                }
+                Action::Push(peer, records) => {
+                    let bundle = Bundle::from(&Reply::Records(records));
+                    self.send(index, index_of(&peer), Message::Reply(bundle), MAX_STREAM_BYTES);
+                }
+                Action::Alarm(error) => self.nodes[index].alarms.push(error),
+            }
+        }
+    }
+
+    fn poll(&mut self, index: usize, state: State) {
+        let domain = self.nodes[index].domain;
+        let result = if self.net.table_cut[domain] {
+            Err(Error::Platform(mimosashift::platform::Refusal::Unavailable))
+        } else {
+            call::run(&self.table, Poll::new(state))
+        };
+        if self.install_any
+            && let Err(Error::Stale { .. }) = result
+            && let Ok(state) = call::run(&self.table, Load::new(0))
+        {
+            // The fault: a fresh store takes the place of the installed one.
+            let name = self.nodes[index].membership.own().node.clone();
+            self.nodes[index].life = Life::Starting(Router::new(name, self.now));
+            let progress = Progress::from(state);
+            self.nodes[index].spread_mut().take_in(&progress, &[]);
+            return;
+        }
+        let peers = self.nodes[index].membership.peers(self.now);
+        let now = self.now;
+        let actions = self.nodes[index].spread_mut().on_poll(now, result, &peers);
+        self.act(index, actions);
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: Message, limit: usize) {
+        let node = &mut self.nodes[from];
+        node.sequence += 1;
+        let incarnation = node.membership.own().incarnation;
+        let frame = Frame { incarnation, sequence: node.sequence, message };
+        let bytes = self.ring.seal(&frame, limit).unwrap();
+        node.bytes += HEADER_BYTES + bytes.len();
+        if self.rng.random_bool(self.net.drop) {
+            return;
+        }
+        let copies = 1 + usize::from(self.rng.random_bool(self.net.duplicate));
+        for _ in 0..copies {
+            let steps = self.rng.random_range(1..=self.net.delay);
+            let due = self.now + STEP * u32::try_from(steps).unwrap();
+            self.queued += 1;
+            self.queue.insert((due, self.queued), (from, to, bytes.clone()));
+        }
+    }
+
+    fn deliver(&mut self) {
+        while let Some(entry) = self.queue.first_entry() {
+            if entry.key().0 > self.now {
+                return;
+            }
+            let (from, to, bytes) = entry.remove();
+            let sides = &self.net.side;
+            let cut = sides[self.nodes[from].domain] != sides[self.nodes[to].domain];
+            if !cut && self.nodes[to].up && !self.nodes[to].paused {
+                self.receive(from, to, &bytes);
+            }
+        }
+    }
+
+    fn receive(&mut self, from: usize, to: usize, bytes: &[u8]) {
+        let now = self.now;
+        let frame = self.ring.open(bytes, MAX_STREAM_BYTES).unwrap();
+        let node = &mut self.nodes[to];
+        node.bytes += HEADER_BYTES + bytes.len();
+        if !node.seen.accept(frame.incarnation, frame.sequence) {
+            return;
+        }
+        let peer = Name::try_from(format!("router-{from}")).unwrap();
+        match frame.message {
+            Message::Heartbeat(heartbeat) => {
+                node.membership.on_heartbeat(now, heartbeat);
+            }
+            Message::Request(request) => {
+                let bundle = Bundle::from(&node.spread().answer(&request));
+                self.send(to, from, Message::Reply(bundle), MAX_STREAM_BYTES);
+            }
+            Message::Reply(bundle) => {
+                let reply = Reply::try_from(&bundle).unwrap();
+                let actions = node.spread_mut().on_reply(now, &peer, reply);
+                self.act(to, actions);
+            }
+        }
+    }
+
+    fn check(&mut self) -> Result<(), String> {
+        for (index, node) in self.nodes.iter().enumerate().filter(|(_, node)| node.up) {
+            let revision = node.version().revision;
+            if revision < self.highest[index] {
+                return Err(format!("router {index} went back to revision {revision}"));
+            }
+            let changed = revision != self.highest[index];
+            self.highest[index] = revision;
+            let accepted = self.register.get(&revision);
+            if changed && accepted != Some(node.spread().store().state().snapshot()) {
+                return Err(format!("router {index} holds another revision {revision}"));
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Node {
+    pub fn spread(&self) -> &Spread {
+        match &self.life {
+            Life::Starting(router) => router.spread(),
+            Life::Serving(router) => router.spread(),
+        }
+    }
+
+    pub fn spread_mut(&mut self) -> &mut Spread {
+        match &mut self.life {
+            Life::Starting(router) => router.spread_mut(),
+            Life::Serving(router) => router.spread_mut(),
+        }
+    }
+
+    pub fn version(&self) -> Version {
+        self.spread().store().version()
+    }
+
+    pub fn serves(&self) -> bool {
+        matches!(self.life, Life::Serving(_))
+    }
+
+    /// Why it does not serve.
+    pub fn reason(&self, now: Instant) -> Option<Reason> {
+        match &self.life {
+            Life::Starting(router) => router.reason(now, &self.membership.peers(now)),
+            Life::Serving(_) => None,
+        }
+    }
+
+    pub fn report(&self) -> Report {
+        let payloads = vec![Payload { tag: 1, bytes: vec![7; REPORT_BYTES] }];
+        Report { version: self.version(), polled: self.spread().polled(), payloads }
+    }
+
+    fn try_serve(&mut self, now: Instant, peers: &[Peer]) {
+        let name = self.membership.own().node.clone();
+        let hollow = Life::Starting(Router::new(name, now));
+        self.life = match std::mem::replace(&mut self.life, hollow) {
+            Life::Starting(router) => match router.serve(now, peers) {
+                Ok(serving) => Life::Serving(serving),
+                Err(starting) => Life::Starting(starting),
+            },
+            serving @ Life::Serving(_) => serving,
+        };
+    }
+}
+
+fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], u16::try_from(index + 1).unwrap()))
+}
+
+fn index_of(node: &Name) -> usize {
+    node.as_str().rsplit('-').next().unwrap().parse().unwrap()
+}
--- /dev/null
+++ b/mimosashift/tests/spread.rs
@@ -0,0 +1,198 @@
+//! Configuration spreads to every router, under faults of network and table.
+
+mod fake;
+
+use std::time::Duration;
+
+use fake::change;
+use fake::cluster::Cluster;
+use mimosashift::config::Error;
+use mimosashift::config::phase::Reason;
+use mimosashift::resource::Kind;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use test_case::test_case;
+
+/// Time in which a cluster finds itself and starts to serve.
+const START: Duration = Duration::from_secs(6);
+
+#[test_case(12, 3, Duration::from_secs(2); "12 routers in 3 domains")]
+#[test_case(370, 11, Duration::from_secs(7); "370 routers in 11 domains")]
+fn change_is_in_force_in_time(routers: usize, domains: usize, limit: Duration) {
+    let mut cluster = Cluster::new(routers, domains, 1);
+    cluster.run(START).unwrap();
+    let mut slowest = Duration::ZERO;
+    for id in 1..=10 {
+        let through = usize::try_from(id * 7).unwrap() % routers;
+        let revision = cluster.commit(through, change(id, "urgent", 1)).unwrap();
+        slowest = slowest.max(cluster.run_until(revision, limit).unwrap());
+    }
+    println!("{routers} routers: slowest of 10 changes in force after {slowest:?}");
+    cluster.run(Duration::from_secs(4)).unwrap();
+    let node = &cluster.nodes[0];
+    let in_force = node.membership.in_force(cluster.now, &node.report(), 10);
+    let installed: usize = in_force.values().map(|count| count.installed).sum();
+    assert_eq!((in_force.len(), installed), (domains, routers), "{in_force:?}");
+    assert!(cluster.nodes.iter().all(|n| n.serves() && n.alarms.is_empty()));
+}
+
+/// One random event; the table and network may fail in any combination.
+fn disturb(cluster: &mut Cluster, rng: &mut Pcg64Mcg, backups: &mut Vec<fake::Rows>) {
+    let domains = cluster.net.side.len();
+    let domain = rng.random_range(0..domains);
+    let router = rng.random_range(0..cluster.nodes.len());
+    match rng.random_range(0..9) {
+        0 => cluster.net.side[domain] = rng.random_range(0..2),
+        1 => cluster.net.table_cut[domain] = rng.random_bool(0.5),
+        2 => cluster.restart(router),
+        3 => cluster.nodes[router].paused = rng.random_bool(0.5),
+        4 => backups.push(cluster.table.rows()),
+        5 => {
+            let stale = rng.random_bool(0.5).then(|| backups.last().cloned()).flatten();
+            cluster.table.with(|inner| inner.stale = stale);
+        }
+        6 => {
+            let faults = [fake::Fault::LostAfterEffect, fake::Fault::Down];
+            cluster.table.with(|inner| inner.commits = faults.to_vec());
+        }
+        7 => cluster.table.with(|inner| inner.down = rng.random_bool(0.5)),
+        _ => cluster.net.drop = rng.random_range(0.0..0.3),
+    }
+}
+
+fn heal(cluster: &mut Cluster) {
+    cluster.net.side.fill(0);
+    cluster.net.table_cut.fill(false);
+    cluster.net.drop = 0.0;
+    cluster.nodes.iter_mut().for_each(|node| node.paused = false);
+    cluster.table.with(|inner| {
+        inner.down = false;
+        inner.stale = None;
+        inner.commits.clear();
+    });
+}
+
+/// Runs a random history; fails when a router goes back, holds what was
+/// never accepted, or does not catch up after the faults have ended.
+fn random_history(seed: u64, install_any: bool) -> Result<u64, String> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut cluster = Cluster::new(12, 3, seed);
+    cluster.net.duplicate = 0.05;
+    cluster.net.delay = 4;
+    cluster.install_any = install_any;
+    cluster.run(START)?;
+    let mut backups = Vec::new();
+    for id in 1..=60 {
+        disturb(&mut cluster, &mut rng, &mut backups);
+        let router = rng.random_range(0..cluster.nodes.len());
+        let mut wanted = change(id, &format!("p{}", rng.random_range(0..4)), 1);
+        if rng.random_bool(0.2) {
+            wanted.spec = None;
+        }
+        // Refused, lost and unknown changes are part of the history.
+        let _ = cluster.commit(router, wanted);
+        let pause = rng.random_range(50..1_500);
+        cluster.run(Duration::from_millis(pause))?;
+    }
+    heal(&mut cluster);
+    let mut last = change(1_000, "last", 1);
+    last.kind = Kind::Priority;
+    let revision = (0..40)
+        .find_map(|id| {
+            last.id.0 += id;
+            let router = usize::try_from(id % 12).unwrap();
+            cluster.run(Duration::from_millis(100)).ok()?;
+            cluster.commit(router, last.clone()).ok()
+        })
+        .ok_or("no change was accepted after the faults had ended")?;
+    cluster.run_until(revision, Duration::from_secs(7))?;
+    Ok(revision)
+}
+
+#[test]
+fn no_router_ever_goes_back() {
+    let mut accepted = 0;
+    for seed in 0..40 {
+        accepted += random_history(seed, false).unwrap_or_else(|e| panic!("seed {seed}: {e}"));
+    }
+    assert!(accepted > 400, "only {accepted} changes were accepted in all histories");
+}
+
+#[test]
+fn installing_any_revision_is_noticed() {
+    let failed = (0..10).filter(|seed| random_history(*seed, true).is_err()).count();
+    assert!(failed > 0, "the fault was not noticed in any history");
+}
+
+#[test]
+fn older_table_raises_an_alarm_and_is_not_followed() {
+    let mut cluster = Cluster::new(4, 2, 1);
+    cluster.run(START).unwrap();
+    cluster.commit(0, change(1, "urgent", 1)).unwrap();
+    let backup = cluster.table.rows();
+    cluster.commit(0, change(2, "urgent", 2)).unwrap();
+    cluster.run_until(2, Duration::from_secs(2)).unwrap();
+    cluster.table.restore(backup);
+    cluster.run(Duration::from_secs(5)).unwrap();
+    assert!(cluster.nodes.iter().all(|node| node.version().revision == 2));
+    let stale = Error::Stale { installed: 2, table: 1 };
+    assert!(cluster.nodes.iter().any(|node| node.alarms.contains(&stale)));
+    assert_eq!(cluster.commit(1, change(3, "urgent", 3)), Err(stale));
+}
+
+#[test]
+fn router_starts_from_peers_while_the_table_is_down() {
+    let mut cluster = Cluster::new(4, 2, 1);
+    cluster.run(START).unwrap();
+    cluster.commit(0, change(1, "urgent", 1)).unwrap();
+    cluster.run_until(1, Duration::from_secs(2)).unwrap();
+    cluster.table.with(|inner| inner.down = true);
+    cluster.restart(2);
+    cluster.run(START).unwrap();
+    assert!(cluster.nodes.iter().all(|n| n.serves() && n.version().revision == 1));
+}
+
+#[test]
+fn router_without_any_source_says_so() {
+    let mut cluster = Cluster::new(2, 2, 1);
+    cluster.table.with(|inner| inner.down = true);
+    cluster.run(START).unwrap();
+    for node in &cluster.nodes {
+        assert_eq!(node.reason(cluster.now), Some(Reason::Nothing));
+    }
+    cluster.table.with(|inner| inner.down = false);
+    cluster.run(START).unwrap();
+    assert!(cluster.nodes.iter().all(|node| node.serves()));
+}
+
+#[test]
+fn one_router_of_a_domain_polls() {
+    let mut cluster = Cluster::new(12, 3, 1);
+    cluster.run(START).unwrap();
+    let polls = |c: &Cluster| c.nodes.iter().map(|n| n.spread().polls()).collect::<Vec<_>>();
+    let before = polls(&cluster);
+    cluster.run(Duration::from_secs(20)).unwrap();
+    let polled: Vec<_> = polls(&cluster).iter().zip(&before).map(|(a, b)| a - b).collect();
+    let total: u64 = polled.iter().sum();
+    println!("12 routers in 3 domains made {total} polls in 20 s: {polled:?}");
+    // Three domains at two polls a second are 120; jitter makes them fewer.
+    assert!(total <= 120, "{polled:?}");
+    let poller = polled.iter().position(|n| *n > 0).unwrap();
+    cluster.nodes[poller].up = false;
+    cluster.commit((poller + 1) % 12, change(1, "urgent", 1)).unwrap();
+    cluster.run_until(1, Duration::from_secs(7)).unwrap();
+}
+
+#[test]
+fn long_silence_is_made_up_by_a_snapshot_in_chunks() {
+    let mut cluster = Cluster::new(3, 1, 1);
+    cluster.run(START).unwrap();
+    for id in 1..=1_500 {
+        cluster.commit(0, change(id, &format!("p{id}"), 1)).unwrap();
+    }
+    cluster.run_until(1_500, Duration::from_secs(5)).unwrap();
+    cluster.table.with(|inner| inner.down = true);
+    cluster.restart(1);
+    cluster.run_until(1_500, Duration::from_secs(10)).unwrap();
+    assert_eq!(cluster.nodes[1].spread().store().state().snapshot().len(), 1_500);
+}
