Tell senders apart by name as well as by incarnation

Cause: of 370 routers started at once, two drew the same incarnation, shared a replay window and dropped each other's frames; one stayed behind. Change: a frame names its sender and the window is kept per sender and incarnation. Tests of membership.

--- a/mimosashift/src/wire/mod.rs
+++ b/mimosashift/src/wire/mod.rs
@@ -8,6 +8,8 @@
 use serde::{Deserialize, Serialize};
 use sha2::Sha256;
 
+use crate::resource::Name;
+
 pub mod message;
 pub mod replay;
 
@@ -71,7 +73,9 @@
 /// A message with what its receiver needs against replay.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Frame {
-    /// Incarnation of the sending process, unique to it.
+    /// Name of the sending router.
+    pub sender: Name,
+    /// Incarnation of its process.
     pub incarnation: u64,
     /// Number of the frame within the incarnation, rising from 1.
     pub sequence: u64,
--- a/mimosashift/src/wire/replay.rs
+++ b/mimosashift/src/wire/replay.rs
@@ -2,6 +2,8 @@
 
 use std::collections::HashMap;
 
+use crate::resource::Name;
+
 /// Sequence numbers below the highest that may still arrive, once each.
 const WINDOW: u64 = 128;
 
@@ -16,10 +18,12 @@
     seen: u128,
 }
 
-/// Windows of all senders, by incarnation.
+/// Windows of all senders.
+///
+/// An incarnation alone does not tell senders apart: many start at once.
 #[derive(Debug, Default)]
 pub struct Seen {
-    windows: HashMap<u64, Window>,
+    windows: HashMap<(u64, Name), Window>,
 }
 
 impl Window {
@@ -46,18 +50,17 @@
 
 impl Seen {
     /// Whether the frame is new; it counts as seen afterwards.
-    pub fn accept(&mut self, incarnation: u64, sequence: u64) -> bool {
-        let known = self.windows.contains_key(&incarnation);
-        if !known && self.windows.len() >= MAX_SENDERS {
+    pub fn accept(&mut self, sender: &Name, incarnation: u64, sequence: u64) -> bool {
+        let key = (incarnation, sender.clone());
+        if !self.windows.contains_key(&key) && self.windows.len() >= MAX_SENDERS {
             self.forget_oldest();
         }
-        self.windows.entry(incarnation).or_default().accept(sequence)
+        self.windows.entry(key).or_default().accept(sequence)
     }
 
-    /// Incarnations rise with time, so the lowest belongs to the process that
-    /// started first.
+    /// Incarnations rise with time, so the lowest started first.
     fn forget_oldest(&mut self) {
-        if let Some(oldest) = self.windows.keys().min().copied() {
+        if let Some(oldest) = self.windows.keys().min().cloned() {
             self.windows.remove(&oldest);
         }
     }
--- a/mimosashift/tests/fake/cluster.rs
+++ b/mimosashift/tests/fake/cluster.rs
@@ -272,11 +272,12 @@
     fn send(&mut self, from: usize, to: usize, message: Message, limit: usize) {
         let node = &mut self.nodes[from];
         node.sequence += 1;
-        let incarnation = node.membership.own().incarnation;
-        let frame = Frame { incarnation, sequence: node.sequence, message };
+        let own = node.membership.own();
+        let (sender, incarnation) = (own.node.clone(), own.incarnation);
+        let frame = Frame { sender, incarnation, sequence: node.sequence, message };
         let bytes = self.ring.seal(&frame, limit).unwrap();
         node.bytes += HEADER_BYTES + bytes.len();
-        if self.rng.random_bool(self.net.drop) {
+        if self.net.drop > 0.0 && self.rng.random_bool(self.net.drop) {
             return;
         }
         let copies = 1 + usize::from(self.rng.random_bool(self.net.duplicate));
@@ -307,10 +308,10 @@
         let frame = self.ring.open(bytes, MAX_STREAM_BYTES).unwrap();
         let node = &mut self.nodes[to];
         node.bytes += HEADER_BYTES + bytes.len();
-        if !node.seen.accept(frame.incarnation, frame.sequence) {
+        if !node.seen.accept(&frame.sender, frame.incarnation, frame.sequence) {
             return;
         }
-        let peer = Name::try_from(format!("router-{from}")).unwrap();
+        let peer = frame.sender;
         match frame.message {
             Message::Heartbeat(heartbeat) => {
                 node.membership.on_heartbeat(now, heartbeat);
