--- a/mimosashift/src/config/change.rs
+++ b/mimosashift/src/config/change.rs
@@ -16,6 +16,10 @@
 /// Most transactions sent for one change.
 const MAX_TRIES: u32 = 8;
 
+/// Most bytes of a specification as JSON, so that a record with the one before
+/// and the one after fits a frame between routers.
+const MAX_SPEC_BYTES: usize = 64 * 1_024;
+
 /// Identifies a change over all tries; the client may choose it, so that it
 /// can repeat a change whose outcome it does not know.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -258,6 +262,9 @@
             return Err(Error::Precondition { kind: *kind, name: name.clone(), found, by });
         }
         match &self.change.spec {
+            Some(spec) if spec.to_json().to_string().len() > MAX_SPEC_BYTES => {
+                return Err(Error::TooLarge { limit: MAX_SPEC_BYTES });
+            }
             Some(spec) => snapshot.check(spec)?,
             None => snapshot.check_delete(*kind, name)?,
         }
--- a/mimosashift/src/config/mod.rs
+++ b/mimosashift/src/config/mod.rs
@@ -78,6 +78,10 @@
             from()
             display("{}", error)
         }
+        /// The specification is too large to be spread.
+        TooLarge { limit: usize } {
+            display("the specification has more than {} bytes", limit)
+        }
         /// Other operators' changes came first in every try.
         Contended { tries: u32, winner: String, revision: u64 } {
             display(
--- a/mimosashift/src/config/transfer.rs
+++ b/mimosashift/src/config/transfer.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Error, Record, State, Store, Version};
-use crate::resource::{Kind, Name, Resource, Snapshot};
+use crate::resource::{Kind, Name, Resource, Snapshot, Spec};
 
 /// Most bytes of records or resources in one reply, by estimate of their
 /// JSON; one more entry may exceed it.
@@ -86,8 +86,7 @@
         if request.part.is_none()
             && let Ok(records) = store.watch(request.have.revision)
         {
-            let size = |record: &Record| record.after.as_ref().map_or(0, spec_bytes);
-            return Reply::Records(bounded(records, size).0);
+            return Reply::Records(bounded(records, record_bytes).0);
         }
         Reply::Chunk(self.chunk(store, request.part.as_ref()))
     }
@@ -154,6 +153,11 @@
     (taken, false)
 }
 
-fn spec_bytes(spec: &crate::resource::Spec) -> usize {
+fn record_bytes(record: &Record) -> usize {
+    let before = record.before.as_ref().map_or(0, |before| before.to_string().len());
+    before + record.after.as_ref().map_or(0, spec_bytes)
+}
+
+fn spec_bytes(spec: &Spec) -> usize {
     spec.to_json().to_string().len()
 }
--- a/mimosashift/src/member/mod.rs
+++ b/mimosashift/src/member/mod.rs
@@ -21,6 +21,7 @@
 
 mod domain;
 mod peer;
+pub mod transport;
 
 use domain::Domains;
 
--- a/mimosashift/src/resource/sorted.rs
+++ b/mimosashift/src/resource/sorted.rs
@@ -46,23 +46,39 @@
 
     /// Sets the value of a key.
     pub(super) fn insert(&mut self, key: K, value: V) {
-        let last = self.chunks.len().saturating_sub(1);
-        let index = self.chunk_of(|k| *k < key).min(last);
-        let Some(chunk) = self.chunks.get_mut(index) else {
-            self.chunks.push(Arc::new(vec![(key, value)]));
+        let index = self.chunk_of(|k| *k < key);
+        if index == self.chunks.len() {
+            self.append(key, value);
             return;
-        };
-        let entries = Arc::make_mut(chunk);
+        }
+        let entries = Arc::make_mut(&mut self.chunks[index]);
         match entries.binary_search_by(|(k, _)| k.cmp(&key)) {
             Ok(at) => entries[at].1 = value,
-            Err(at) => entries.insert(at, (key, value)),
+            Err(at) => {
+                // Spare room would add up over hundreds of chunks.
+                entries.reserve_exact(1);
+                entries.insert(at, (key, value));
+            }
         }
         if entries.len() > MAX_CHUNK_ENTRIES {
             let upper = entries.split_off(entries.len() / 2);
+            entries.shrink_to_fit();
             self.chunks.insert(index + 1, Arc::new(upper));
         }
     }
 
+    /// Adds a key above all others; a full last chunk stays full.
+    fn append(&mut self, key: K, value: V) {
+        match self.chunks.last_mut().filter(|chunk| chunk.len() < MAX_CHUNK_ENTRIES) {
+            Some(chunk) => {
+                let entries = Arc::make_mut(chunk);
+                entries.reserve_exact(1);
+                entries.push((key, value));
+            }
+            None => self.chunks.push(Arc::new(vec![(key, value)])),
+        }
+    }
+
     /// Removes a key.
     pub(super) fn remove(&mut self, key: &K) {
         let index = self.chunk_of(|k| k < key);
--- a/mimosashift/tests/config.rs
+++ b/mimosashift/tests/config.rs
@@ -245,3 +245,15 @@
     };
     assert_eq!(result, Err(Error::Incomplete(2)));
 }
+
+#[test]
+fn oversized_specification_is_refused() {
+    let table = Fake::default();
+    let teams: Vec<_> = (0..2_000).map(|n| format!("\"{n:040}\"")).collect();
+    let body = format!(r#"{{"model":"m","pipeline":"p","teams":[{}]}}"#, teams.join(","));
+    let mut wanted = change(1, "r", 0);
+    wanted.kind = Kind::Route;
+    wanted.spec = Some(Spec::decode(Kind::Route, body.as_bytes()).unwrap());
+    let result = commit(&table, wanted, &State::default());
+    assert_eq!(result, Err(Error::TooLarge { limit: 65_536 }));
+}
