--- a/mimosashift/src/config/mod.rs
+++ b/mimosashift/src/config/mod.rs
@@ -13,13 +13,20 @@
 pub mod catchup;
 pub mod change;
 pub mod load;
+pub mod phase;
+pub mod poll;
 pub mod record;
 mod row;
+pub mod spread;
 pub mod state;
+pub mod store;
+pub mod transfer;
 
 pub use change::{Change, ChangeId, Committed, Precondition};
 pub use record::{Entry, Record};
+pub use spread::Spread;
 pub use state::{State, Version};
+pub use store::Store;
 
 quick_error! {
     /// Why a change did not happen or a table could not be used.
@@ -71,6 +78,10 @@
             from()
             display("{}", error)
         }
+        /// The specification is too large to be spread.
+        TooLarge { limit: usize } {
+            display("the specification has more than {} bytes", limit)
+        }
         /// Other operators' changes came first in every try.
         Contended { tries: u32, winner: String, revision: u64 } {
             display(
