--- a/mimosashift/src/platform/mod.rs
+++ b/mimosashift/src/platform/mod.rs
@@ -6,6 +6,9 @@
 
 use serde::{Deserialize, Serialize};
 
+pub mod breaker;
+pub mod budget;
+
 /// How a call that may change something ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Outcome<T> {
