--- a/mimosashift/src/lib.rs
+++ b/mimosashift/src/lib.rs
@@ -5,6 +5,7 @@
 //! `docs/DESIGN.md` gives the reasons and a picture of the modules.
 
 pub mod engine;
+pub mod order;
 pub mod platform;
 pub mod posting;
 pub mod resource;
