Test postings against a naive version and under fault schedules

The same schedules with one nonce for all tries double. A batch of 64 claims is one write, one more for each conflicting member and one more for a lost answer.

--- /dev/null
+++ b/mimosashift/tests/order.rs
@@ -0,0 +1,162 @@
+//! Leases, dispatch, pacing and placement.
+
+use std::time::Duration;
+
+use mimosashift::order::dispatch::{Dispatch, MIN_REPEAT};
+use mimosashift::order::lease::{Lease, Settings};
+use mimosashift::order::pace::Pacer;
+use mimosashift::order::placement::{Candidate, Policy, Range, host, plan};
+use mimosashift::order::{FencingNumber, Target};
+use mimosashift::platform::{Check, Outcome, Refusal, Row, Transaction, Write};
+use mimosashift::resource::Name;
+use mimosashift::time::Instant;
+
+const SETTINGS: Settings = Settings {
+    duration: Duration::from_secs(10),
+    margin: Duration::from_secs(2),
+    drift_ppm: 100_000,
+};
+
+fn name(text: &str) -> Name {
+    Name::try_from(text).unwrap()
+}
+
+fn secs(seconds: u64) -> Instant {
+    Instant::from_millis(seconds * 1_000)
+}
+
+fn lease(holder: &str) -> Lease {
+    Lease::new(SETTINGS, &name("group"), name(holder), 1)
+}
+
+fn written(transaction: &Transaction, revision: u64) -> Row {
+    let Write::Put(key, value) = transaction.writes[0].clone() else { panic!("a put expected") };
+    Row { key, revision, value }
+}
+
+/// A lease held by `a` from time 0 and its row.
+fn held() -> (Lease, Row) {
+    let mut a = lease("a");
+    let write = a.write(false, secs(0)).unwrap();
+    a.committed(&Outcome::Done(1), secs(3));
+    (a, written(&write, 1))
+}
+
+#[test]
+fn lease_counts_from_before_the_write() {
+    let (a, _) = held();
+    assert_eq!(a.authority(true, secs(6)), Some(FencingNumber(1)));
+    assert_eq!(a.authority(true, secs(7)), None);
+}
+
+#[test]
+fn takeover_waits_for_unchecked_endpoints() {
+    let (_, row) = held();
+    let mut b = lease("b");
+    b.observe(Some(&row), secs(4));
+    assert_eq!(b.write(false, secs(14)), None, "the old lease may still run");
+    let write = b.write(true, secs(5)).unwrap();
+    assert_eq!(write.checks, [Check::Revision(b.key().clone(), 1)]);
+    b.committed(&Outcome::Done(2), secs(5));
+    assert_eq!(b.authority(true, secs(6)), Some(FencingNumber(2)));
+    assert_eq!(b.authority(false, secs(6)), None);
+    let renewal = b.write(false, secs(10)).unwrap();
+    assert_eq!(renewal.checks, [Check::Revision(b.key().clone(), 2)]);
+    b.committed(&Outcome::Done(3), secs(10));
+    assert_eq!(b.authority(false, secs(14)), None);
+    assert_eq!(b.authority(false, secs(15)), Some(FencingNumber(2)));
+}
+
+#[test]
+fn lost_renewal_is_repeated_and_recognised() {
+    let (mut a, _) = held();
+    let write = a.write(false, secs(4)).unwrap();
+    a.committed(&Outcome::Unknown, secs(5));
+    assert_eq!(a.write(false, secs(6)).as_ref(), Some(&write));
+    let landed = written(&write, 2);
+    a.committed(&Outcome::NotDone(Refusal::Conflict(Some(landed))), secs(6));
+    assert_eq!(a.authority(true, secs(10)), Some(FencingNumber(1)));
+    assert_eq!(a.authority(true, secs(11)), None, "counted from the first write");
+}
+
+#[test]
+fn conflict_ends_the_lease() {
+    let (mut a, row) = held();
+    let mut b = lease("b");
+    b.observe(Some(&row), secs(1));
+    let theirs = written(&b.write(true, secs(1)).unwrap(), 2);
+    a.write(false, secs(4)).unwrap();
+    a.committed(&Outcome::NotDone(Refusal::Conflict(Some(theirs))), secs(4));
+    assert_eq!(a.authority(true, secs(4)), None);
+}
+
+#[test]
+fn order_is_repeated_only_after_a_late_report() {
+    let (a, _) = held();
+    let mut dispatch = Dispatch::new(true);
+    dispatch.want(Target::Role(name("decode")));
+    dispatch.want(Target::Role(name("decode")));
+    assert_eq!(dispatch.len(), 1);
+    let order = dispatch.next(&a, secs(1)).unwrap();
+    assert_eq!(order.number, FencingNumber(1));
+    assert_eq!(dispatch.next(&a, secs(2)), None);
+    dispatch.observe(secs(60), |_| false);
+    assert_eq!(dispatch.next(&a, secs(2)), None, "the report may be from before");
+    dispatch.observe(secs(1) + MIN_REPEAT, |_| false);
+    assert_eq!(dispatch.next(&a, secs(8)), None, "the lease has ended");
+    assert!(dispatch.next(&a, secs(2)).is_some());
+    dispatch.observe(secs(3), |_| true);
+    assert!(dispatch.is_empty());
+}
+
+#[test]
+fn loads_keep_the_stores_rate() {
+    let mut pacer = Pacer::new(4, 100);
+    let started = (0..100).filter(|second| {
+        let starts = pacer.start(1_000, secs(*second));
+        if starts {
+            pacer.finish();
+        }
+        starts
+    });
+    assert_eq!(started.count(), 11, "10 s each, the last one just begun");
+    let mut pacer = Pacer::new(2, 1_000_000);
+    assert_eq!((0..5).filter(|_| pacer.start(1, secs(0))).count(), 2);
+}
+
+const fn range(wanted: u16, live: u16, loading: u16) -> Range {
+    Range { wanted, live, loading }
+}
+
+/// Names each policy and the ranges that it copies, in order.
+macro_rules! plans {
+    ($($case:ident: $policy:expr => $chosen:expr;)*) => {$(
+        #[test]
+        fn $case() {
+            let ranges = [range(10, 9, 0), range(10, 7, 0), range(4, 1, 1), range(2, 2, 0)];
+            assert_eq!(plan($policy, &ranges, 8)[..], $chosen);
+        }
+    )*};
+}
+
+plans! {
+    plan_wait: Policy::Wait => [0; 0];
+    plan_every_loss: Policy::EveryLoss => [2, 2, 1, 1, 1, 0];
+    plan_below_80: Policy::Below(80) => [2, 2, 1];
+    plan_below_50: Policy::Below(50) => [0; 0];
+}
+
+#[test]
+fn host_spreads_over_domains() {
+    let candidate = |endpoint, domain, domain_copies, free_bytes| Candidate {
+        endpoint: name(endpoint),
+        domain: name(domain),
+        domain_copies,
+        free_bytes,
+    };
+    let candidates =
+        [candidate("a", "x", 2, 90), candidate("b", "y", 1, 20), candidate("c", "y", 1, 30)];
+    assert_eq!(host(&candidates, 10).map(|c| c.endpoint.as_str()), Some("c"));
+    assert_eq!(host(&candidates, 50).map(|c| c.endpoint.as_str()), Some("a"));
+    assert_eq!(host(&candidates, 100), None);
+}
--- /dev/null
+++ b/mimosashift/tests/posting.rs
@@ -0,0 +1,342 @@
+//! Claims, group commit, resolving, and the platform's budget and breaker.
+
+#[path = "common/posting_sim.rs"]
+mod posting_sim;
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use mimosashift::platform::breaker::{self, Breaker};
+use mimosashift::platform::budget::{Budget, Class};
+use mimosashift::platform::{Check, Key, Outcome, Refusal, Row, Transaction, Write};
+use mimosashift::posting::batch::{Batch, Member, Queue};
+use mimosashift::posting::resolve::{self, Verdict};
+use mimosashift::posting::{
+    Action, Answer, Body, Delivery, Digest, Entry, MAX_RECORDED_BODY_BYTES, Machine, Nonce, Reply,
+    Request, Settings, State, TABLE, claim_key,
+};
+use mimosashift::resource::Name;
+use mimosashift::time::Instant;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+const NOW: Instant = Instant::ZERO;
+
+fn key(text: &str) -> Key {
+    Key { table: TABLE.to_owned(), key: text.to_owned() }
+}
+
+fn reply(body: &[u8]) -> Reply {
+    Reply { status: 200, headers: Vec::new(), body: Body::Whole(body.to_vec()) }
+}
+
+fn row(text: &str, state: State) -> Row {
+    let digest = Digest::new("POST", "/", b"");
+    let entry = Entry { nonce: Nonce(1), digest, unix_ms: 0, state };
+    Row { key: key(text), revision: 7, value: entry.encode() }
+}
+
+/// A table without faults.
+#[derive(Default)]
+struct Rows {
+    rows: HashMap<Key, Row>,
+    revision: u64,
+}
+
+impl Rows {
+    fn commit(&mut self, transaction: &Transaction) -> Outcome<u64> {
+        let (key, wanted) = match &transaction.checks[0] {
+            Check::Absent(key) => (key, None),
+            Check::Revision(key, revision) => (key, Some(*revision)),
+        };
+        let row = self.rows.get(key);
+        if row.map(|row| row.revision) != wanted {
+            return Outcome::NotDone(Refusal::Conflict(row.cloned()));
+        }
+        self.revision += 1;
+        let Write::Put(key, value) = &transaction.writes[0] else { panic!("a put expected") };
+        let row = Row { key: key.clone(), revision: self.revision, value: value.clone() };
+        self.rows.insert(key.clone(), row);
+        Outcome::Done(self.revision)
+    }
+
+    /// Runs one try to its end with the given result of each send.
+    fn call(&mut self, request: Request, delivery: &Delivery) -> Answer {
+        let (mut machine, actions) = Machine::new(Settings::default(), request, NOW);
+        let mut todo: Vec<Action> = actions.into_iter().rev().collect();
+        let mut answers = Vec::new();
+        while let Some(action) = todo.pop() {
+            match action {
+                Action::Commit { transaction, .. } => {
+                    let outcome = self.commit(&transaction);
+                    todo.extend(machine.committed(&outcome, NOW).into_iter().rev());
+                }
+                Action::Send { .. } => todo.extend(machine.delivered(delivery.clone(), NOW)),
+                Action::Answer(answer) => answers.push(answer),
+            }
+        }
+        assert_eq!(answers.len(), 1);
+        answers.remove(0)
+    }
+}
+
+/// The reference: one process that never fails.
+#[derive(Default)]
+struct Naive(HashMap<Key, (Digest, Option<Reply>)>);
+
+impl Naive {
+    fn call(&mut self, request: &Request, delivery: &Delivery) -> Answer {
+        let used = request.key.as_ref().and_then(|key| self.0.get(key));
+        match used {
+            Some((digest, _)) if *digest != request.digest => return Answer::Mismatch,
+            Some((_, Some(reply))) => return Answer::Recorded(reply.clone()),
+            Some((_, None)) => return Answer::Unknown,
+            None => {}
+        }
+        let (answer, reply) = match delivery {
+            Delivery::NotConnected => return Answer::NotRun,
+            Delivery::Replied(reply) => (Answer::Replied(reply.clone()), Some(reply.clone())),
+            Delivery::Lost => (Answer::Unknown, None),
+        };
+        if let Some(key) = &request.key {
+            self.0.insert(key.clone(), (request.digest, reply));
+        }
+        answer
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 500,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(11),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn equals_naive(history in prop::collection::vec((0..4u8, 0..2u8, 0..3u8), 1..40)) {
+        let (mut rows, mut naive) = (Rows::default(), Naive::default());
+        for (nonce, (id, body, fate)) in history.into_iter().enumerate() {
+            let request = Request {
+                key: (id > 0).then(|| key(&id.to_string())),
+                nonce: Nonce(nonce as u64),
+                digest: Digest::new("POST", "/", &[body]),
+                unix_ms: 0,
+            };
+            let delivery = match fate {
+                0 => Delivery::NotConnected,
+                1 => Delivery::Replied(reply(&nonce.to_be_bytes())),
+                _ => Delivery::Lost,
+            };
+            let wanted = naive.call(&request, &delivery);
+            prop_assert_eq!(rows.call(request, &delivery), wanted);
+        }
+    }
+}
+
+#[test]
+fn fault_schedules_never_double() {
+    let mut total = posting_sim::Counts::default();
+    for seed in 0..5_000 {
+        let counts = posting_sim::run(seed, true);
+        let broken = (counts.doubled, counts.false_not_run, counts.invented);
+        assert_eq!(broken, (0, 0, 0), "seed {seed}: {counts:?}");
+        total += counts;
+    }
+    eprintln!("{total:?}");
+    assert!(total.run * 10 > total.posted * 9, "most calls run: {total:?}");
+    assert!(total.unknown > 0 && total.refused > 0, "the faults were felt: {total:?}");
+}
+
+#[test]
+fn fault_schedules_show_a_shared_nonce() {
+    let doubled: u64 = (0..50).map(|seed| posting_sim::run(seed, false).doubled).sum();
+    assert!(doubled > 0);
+}
+
+fn members(count: usize) -> Vec<Member<usize>> {
+    let member = |tag: usize| {
+        let digest = Digest::new("POST", "/", b"");
+        let request = Request {
+            key: Some(key(&tag.to_string())),
+            nonce: Nonce(tag as u64),
+            digest,
+            unix_ms: 0,
+        };
+        let (_, mut actions) = Machine::new(Settings::default(), request, NOW);
+        let Some(Action::Commit { transaction, repeat }) = actions.pop() else {
+            panic!("no claim")
+        };
+        Member { tag, transaction, repeat }
+    };
+    (0..count).map(member).collect()
+}
+
+fn batch(members: Vec<Member<usize>>) -> Batch<usize> {
+    let mut queue = Queue::new(members.len(), Duration::from_millis(3));
+    for member in members {
+        queue.push(member, NOW);
+    }
+    queue.take(NOW).unwrap()
+}
+
+#[test]
+fn batch_of_64_claims_is_one_write() {
+    let batch = batch(members(64));
+    assert_eq!(batch.transaction().writes.len(), 64);
+    let settled = batch.settle(Outcome::Done(9));
+    assert!(settled.rest.is_empty());
+    assert_eq!(settled.outcomes.len(), 64);
+    assert!(settled.outcomes.iter().all(|(_, outcome)| *outcome == Outcome::Done(9)));
+}
+
+#[test]
+fn batch_conflict_refuses_one_member() {
+    let conflict = Outcome::NotDone(Refusal::Conflict(Some(row("5", State::Claimed))));
+    let mut settled = batch(members(64)).settle(conflict.clone());
+    assert_eq!(settled.outcomes, [(5, conflict)]);
+    let rest = settled.rest.pop().unwrap().settle(Outcome::Done(9));
+    assert_eq!(rest.outcomes.len(), 63);
+    assert!(rest.rest.is_empty());
+}
+
+#[test]
+fn batch_lost_answer_costs_one_more_write() {
+    let members = members(64);
+    let Write::Put(key, value) = members[3].transaction.writes[0].clone() else { panic!() };
+    let mut settled = batch(members).settle(Outcome::Unknown);
+    assert!(settled.outcomes.is_empty());
+    let own = Row { key, revision: 9, value };
+    let conflict = Outcome::NotDone(Refusal::Conflict(Some(own)));
+    let rest = settled.rest.pop().unwrap().settle(conflict);
+    assert!(rest.rest.is_empty());
+    assert!(rest.outcomes.iter().all(|(_, outcome)| *outcome == Outcome::Done(9)));
+}
+
+#[test]
+fn batch_never_holds_a_row_twice() {
+    let mut queue = Queue::new(8, Duration::from_millis(3));
+    for member in [members(1), members(1)].concat() {
+        queue.push(member, NOW);
+    }
+    let later = NOW + Duration::from_millis(3);
+    assert_eq!(queue.take(NOW), None);
+    assert_eq!(queue.take(later).unwrap().len(), 1);
+    assert_eq!(queue.take(later).unwrap().len(), 1);
+    assert_eq!(queue.take(later), None);
+}
+
+#[test]
+fn table_outage_refuses_at_once() {
+    let request =
+        |key| Request { key, nonce: Nonce(1), digest: Digest::new("", "", b""), unix_ms: 0 };
+    let (mut keyed, _) = Machine::new(Settings::default(), request(Some(key("k"))), NOW);
+    let actions = keyed.committed(&Outcome::NotDone(Refusal::Unavailable), NOW);
+    assert_eq!(actions[..], [Action::Answer(Answer::NotRun)]);
+    assert!(keyed.is_finished());
+    let (mut unkeyed, actions) = Machine::new(Settings::default(), request(None), NOW);
+    assert!(matches!(actions[..], [Action::Send { .. }]));
+    let actions = unkeyed.delivered(Delivery::Lost, NOW);
+    assert_eq!(actions[..], [Action::Answer(Answer::Unknown)]);
+}
+
+#[test]
+fn large_body_is_recorded_as_digest() {
+    let reply = reply(&vec![1; MAX_RECORDED_BODY_BYTES + 1]);
+    let record = reply.to_record();
+    assert!(matches!(record.body, Body::Digest(_)));
+    let row = row("k", State::Replied(record.clone()));
+    assert_eq!(Entry::try_from(&row).unwrap().state, State::Replied(record));
+    assert!(row.value.len() < 1_024);
+}
+
+#[test]
+fn claim_keys_are_scoped_and_checked() {
+    let name = |text: &str| Name::try_from(text).unwrap();
+    let scoped = claim_key(&name("a"), &name("b"), "c/d").unwrap();
+    assert_eq!(scoped.key, "a/b/c/d");
+    for bad in ["", "a b", "\u{e9}", &"x".repeat(256)] {
+        assert!(claim_key(&name("a"), &name("b"), bad).is_err(), "{bad:?}");
+    }
+}
+
+#[test]
+fn only_old_unknown_claims_are_resolved() {
+    let audit = Write::Put(Key { table: "audit".to_owned(), key: "1".to_owned() }, "{}".to_owned());
+    let old = u64::try_from(resolve::MIN_RESOLVE_AGE.as_millis()).unwrap();
+    let claimed = row("k", State::Claimed);
+    let resolve = |row, at| resolve::resolve(row, Verdict::NotRun, audit.clone(), at);
+    assert!(matches!(resolve(&claimed, old - 1), Err(resolve::Error::TooYoung(..))));
+    let transaction = resolve(&claimed, old).unwrap();
+    assert_eq!(transaction.checks, [Check::Revision(key("k"), 7)]);
+    assert_eq!(
+        transaction.writes,
+        [Write::Put(key("k"), row("k", State::Released).value), audit.clone()]
+    );
+    let settled = resolve(&row("k", State::Ran), old);
+    assert!(matches!(settled, Err(resolve::Error::Settled(_))));
+    assert_eq!(resolve::unresolved(&[claimed, row("r", State::Ran)], old).count(), 1);
+}
+
+#[test]
+fn rows_expire_after_retention_only() {
+    let rows = [row("a", State::Claimed), row("b", State::Ran), row("c", State::Released)];
+    let day = Duration::from_secs(86_400);
+    let expire = |at, limit| resolve::expire(&rows, at, day, limit);
+    assert_eq!(expire(86_399_999, 9), None);
+    let deletes = |t: Transaction| t.writes;
+    assert_eq!(
+        deletes(expire(86_400_000, 9).unwrap()),
+        [Write::Delete(key("b")), Write::Delete(key("c"))]
+    );
+    assert_eq!(deletes(expire(86_400_000, 1).unwrap()), [Write::Delete(key("b"))]);
+}
+
+#[test]
+fn budgets_of_370_routers_keep_the_platforms_rate() {
+    const RATE: u32 = 300;
+    const ROUTERS: u32 = 370;
+    const SECONDS: u64 = 100;
+    let mut budgets = vec![Budget::new(RATE, ROUTERS, 4, NOW); ROUTERS as usize];
+    let mut taken = 0;
+    for ms in 0..SECONDS * 1_000 {
+        let now = Instant::from_millis(ms);
+        taken +=
+            budgets.iter_mut().filter_map(|b| b.take(Class::Config, now).then_some(())).count();
+    }
+    let bound = u64::from(RATE) * SECONDS + u64::from(4 * ROUTERS);
+    assert!(taken as u64 <= bound, "{taken} of {bound}");
+    assert!(taken as u64 * 10 > bound * 9, "{taken} of {bound}");
+}
+
+#[test]
+fn cleanup_and_postings_leave_a_reserve() {
+    let mut budget = Budget::new(1, 1, 8, NOW);
+    let mut count =
+        |class| std::iter::repeat_with(|| budget.take(class, NOW)).take_while(|b| *b).count();
+    assert_eq!(count(Class::Cleanup), 2);
+    assert_eq!(count(Class::Posting), 4);
+    assert_eq!(count(Class::Config), 2);
+}
+
+#[test]
+fn breaker_opens_probes_and_closes() {
+    let settings = breaker::Settings::default();
+    let mut breaker = Breaker::new(settings);
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    for _ in 0..settings.failures {
+        assert!(breaker.admit(NOW));
+        breaker.failed(NOW, &mut rng);
+    }
+    assert!(!breaker.admit(NOW + settings.min_pause.mul_f64(0.49)));
+    let probe_at = NOW + settings.min_pause;
+    assert!(breaker.admit(probe_at));
+    assert!(!breaker.admit(probe_at), "one probe at a time");
+    breaker.failed(probe_at, &mut rng);
+    assert!(!breaker.admit(probe_at + settings.min_pause.mul_f64(0.99)), "the pause doubles");
+    assert!(breaker.admit(probe_at + settings.min_pause * 2));
+    breaker.succeeded();
+    assert!(breaker.is_closed());
+}
