--- a/mimosashift/src/order/placement.rs
+++ b/mimosashift/src/order/placement.rs
@@ -64,6 +64,13 @@
     }
 }
 
+impl Default for Policy {
+    /// Close to every loss for few copies, and rarely a copy for many.
+    fn default() -> Self {
+        Self::Below(98)
+    }
+}
+
 /// The ranges to copy next, those with the fewest live copies first; a range
 /// appears once for each copy, and copies of one range follow their count.
 pub fn plan(policy: Policy, ranges: &[Range], max_loads: usize) -> SmallVec<[usize; 8]> {
