Answer unknown for a repeated batch that is refused; observe before ordering

A batch whose first commit had an unknown outcome and whose repeat was refused as invalid, or in conflict without a row, told its members that nothing was written, which could leave a key claimed. It stays unknown now. A new lease holder orders nothing before the endpoint's first report.

--- a/mimosashift/src/order/dispatch.rs
+++ b/mimosashift/src/order/dispatch.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{FencingNumber, Order, Target, lease::Lease};
+use super::{Order, Target, lease::Lease};
 use crate::time::Instant;
 
 /// Time after a send before a report may show that the order was not carried
@@ -13,6 +13,7 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Dispatch {
     checks_fencing: bool,
+    observed: bool,
     open: Vec<Open>,
 }
 
@@ -25,7 +26,7 @@
 impl Dispatch {
     /// No orders for an endpoint that does or does not check fencing numbers.
     pub const fn new(checks_fencing: bool) -> Self {
-        Self { checks_fencing, open: Vec::new() }
+        Self { checks_fencing, observed: false, open: Vec::new() }
     }
 
     /// Asks for `target` to be reached, unless it is asked for already.
@@ -35,21 +36,26 @@
         }
     }
 
-    /// Takes in a report taken by the endpoint at `taken_at` of whether it has
-    /// reached each target.
+    /// Takes in the endpoint's report, asked for at `asked_at`, of whether it
+    /// has reached each target.
     ///
-    /// An order is given again only after a report that is `MIN_REPEAT`
-    /// younger than the order shows its target still not reached.
-    pub fn observe(&mut self, taken_at: Instant, reached: impl Fn(&Target) -> bool) {
+    /// An order is given again only when a report asked for `MIN_REPEAT` after
+    /// it shows its target still not reached.
+    pub fn observe(&mut self, asked_at: Instant, reached: impl Fn(&Target) -> bool) {
+        self.observed = true;
         self.open.retain(|open| !reached(&open.target));
         for open in &mut self.open {
-            open.sent_at = open.sent_at.filter(|sent| taken_at < *sent + MIN_REPEAT);
+            open.sent_at = open.sent_at.filter(|sent| asked_at < *sent + MIN_REPEAT);
         }
     }
 
-    /// The next order to send, if `lease` allows one right now.
+    /// The next order to send, if `lease` allows one right now; none before
+    /// the first report, since an earlier holder may have given the order.
     pub fn next(&mut self, lease: &Lease, now: Instant) -> Option<Order> {
-        let number: FencingNumber = lease.authority(self.checks_fencing, now)?;
+        if !self.observed {
+            return None;
+        }
+        let number = lease.authority(self.checks_fencing, now)?;
         let open = self.open.iter_mut().find(|open| open.sent_at.is_none())?;
         open.sent_at = Some(now);
         Some(Order { number, target: open.target.clone() })
--- a/mimosashift/src/posting/batch.rs
+++ b/mimosashift/src/posting/batch.rs
@@ -8,6 +8,12 @@
 use crate::platform::{Check, Key, Outcome, Refusal, Row, Transaction, Write};
 use crate::time::Instant;
 
+/// Most writes in one batch.
+pub const MAX_MEMBERS: usize = 64;
+
+/// Longest time that a write waits for others while the budget allows a commit.
+pub const LINGER: Duration = Duration::from_millis(3);
+
 /// One call's write; `T` tells whose it is.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Member<T> {
@@ -67,6 +73,9 @@
 
     /// Takes the next batch if it is due.
     ///
+    /// Take a token of the write budget first: while there is none, writes
+    /// gather here, so that batches grow as the budget gets short.
+    ///
     /// Two writes of the same row never share a batch: both preconditions
     /// would hold although only one may win.
     pub fn take(&mut self, now: Instant) -> Option<Batch<T>> {
@@ -143,9 +152,7 @@
                 let second = Self { members: second, ..self.empty() };
                 Settled { outcomes: Vec::new(), rest: vec![self, second] }
             }
-            Outcome::Done(_) | Outcome::NotDone(Refusal::Conflict(None) | Refusal::Invalid(_)) => {
-                self.settle_all(&outcome)
-            }
+            Outcome::Done(_) => self.settle_all(&outcome),
             Outcome::NotDone(_) if !self.uncertain => self.settle_all(&outcome),
             Outcome::NotDone(_) | Outcome::Unknown if self.repeats_left == 0 => {
                 self.settle_all(&Outcome::Unknown)
@@ -187,3 +194,9 @@
         Self { members: Vec::new(), uncertain: self.uncertain, repeats_left: self.repeats_left }
     }
 }
+
+impl<T> Default for Queue<T> {
+    fn default() -> Self {
+        Self::new(MAX_MEMBERS, LINGER)
+    }
+}
--- a/mimosashift/tests/order.rs
+++ b/mimosashift/tests/order.rs
@@ -97,6 +97,8 @@
     dispatch.want(Target::Role(name("decode")));
     dispatch.want(Target::Role(name("decode")));
     assert_eq!(dispatch.len(), 1);
+    assert_eq!(dispatch.next(&a, secs(1)), None, "not observed yet");
+    dispatch.observe(secs(0), |_| false);
     let order = dispatch.next(&a, secs(1)).unwrap();
     assert_eq!(order.number, FencingNumber(1));
     assert_eq!(dispatch.next(&a, secs(2)), None);
--- a/mimosashift/tests/posting.rs
+++ b/mimosashift/tests/posting.rs
@@ -215,6 +215,28 @@
     assert!(rest.outcomes.iter().all(|(_, outcome)| *outcome == Outcome::Done(9)));
 }
 
+/// Names each refusal of a repeated batch; none proves that the first commit
+/// failed.
+macro_rules! stays_unknown {
+    ($($case:ident: $refusal:expr;)*) => {$(
+        #[test]
+        fn $case() {
+            let mut settled = batch(members(1)).settle(Outcome::Unknown);
+            for _ in 0..3 {
+                let Some(batch) = settled.rest.pop() else { break };
+                settled = batch.settle(Outcome::NotDone($refusal));
+            }
+            assert_eq!(settled.outcomes, [(0, Outcome::Unknown)]);
+        }
+    )*};
+}
+
+stays_unknown! {
+    batch_unknown_then_unavailable: Refusal::Unavailable;
+    batch_unknown_then_invalid: Refusal::Invalid(String::new());
+    batch_unknown_then_conflict: Refusal::Conflict(None);
+}
+
 #[test]
 fn batch_never_holds_a_row_twice() {
     let mut queue = Queue::new(8, Duration::from_millis(3));
@@ -228,6 +250,38 @@
     assert_eq!(queue.take(later), None);
 }
 
+/// One of 370 routers that share 300 writes a second, offered its part of
+/// 1,000 postings a second: two writes each.
+#[test]
+fn batches_grow_when_the_budget_is_short() {
+    const ROUTERS: u32 = 370;
+    const RATE: u32 = 300;
+    const WRITES: u64 = 540;
+    const SECONDS: u64 = 100;
+    let mut budget = Budget::new(RATE, ROUTERS, 4, NOW);
+    let mut queue = Queue::default();
+    let mut waiting = members(WRITES as usize).into_iter();
+    let (mut commits, mut taken, mut longest) = (0, 0, Duration::ZERO);
+    for ms in 0..(SECONDS + 2) * 1_000 {
+        let now = Instant::from_millis(ms);
+        if ms < SECONDS * 1_000
+            && ms * WRITES / (SECONDS * 1_000) != (ms + 1) * WRITES / (SECONDS * 1_000)
+        {
+            queue.push(waiting.next().unwrap(), now);
+        }
+        if queue.due_at().is_some_and(|due| due <= now) && budget.take(Class::Posting, now) {
+            longest = longest.max(now.since(queue.due_at().unwrap()));
+            taken += queue.take(now).unwrap().len();
+            commits += 1;
+        }
+    }
+    eprintln!("{commits} commits of {taken} writes, longest wait {longest:?}");
+    assert_eq!(taken as u64, WRITES);
+    assert!(commits <= (SECONDS + 2) * u64::from(RATE) / u64::from(ROUTERS) + 4, "{commits}");
+    let token = Duration::from_millis(1_000 * u64::from(ROUTERS) / u64::from(RATE));
+    assert!(longest <= token + Duration::from_millis(2), "{longest:?}");
+}
+
 #[test]
 fn table_outage_refuses_at_once() {
     let request =
