--- a/mimosashift/src/posting/batch.rs
+++ b/mimosashift/src/posting/batch.rs
@@ -149,7 +149,7 @@
                 if self.members.len() > 1 =>
             {
                 let second = self.members.split_off(self.members.len() / 2);
-                let second = Self { members: second, ..self.empty() };
+                let second = Self { members: second, ..self };
                 Settled { outcomes: Vec::new(), rest: vec![self, second] }
             }
             Outcome::Done(_) => self.settle_all(&outcome),
@@ -189,10 +189,6 @@
         let outcomes = self.members.into_iter().map(|m| (m.tag, outcome.clone())).collect();
         Settled { outcomes, rest: Vec::new() }
     }
-
-    const fn empty(&self) -> Self {
-        Self { members: Vec::new(), uncertain: self.uncertain, repeats_left: self.repeats_left }
-    }
 }
 
 impl<T> Default for Queue<T> {
--- a/mimosashift/tests/common/posting_sim.rs
+++ b/mimosashift/tests/common/posting_sim.rs
@@ -1,10 +1,10 @@
 //! Four routers before a faulty table and service, in virtual time.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::collections::{BTreeSet, BinaryHeap};
 use std::time::Duration;
 
-use mimosashift::platform::{Check, Key, Outcome, Refusal, Row, Transaction, Write};
+use mimosashift::platform::{Key, Outcome, Refusal, Transaction};
 use mimosashift::posting::batch::{Batch, Member, Queue};
 use mimosashift::posting::{
     Action, Actions, Answer, Body, Delivery, Digest, Machine, Nonce, Reply, Request, Settings,
@@ -14,6 +14,8 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use super::rows::Rows;
+
 const ROUTERS: usize = 4;
 const CALLS: usize = 24;
 const TRIES: u8 = 4;
@@ -70,8 +72,7 @@
     now: Instant,
     events: BinaryHeap<Reverse<(Instant, u64, Event)>>,
     sequence: u64,
-    rows: BTreeMap<Key, Row>,
-    revision: u64,
+    rows: Rows,
     outage: (Instant, Instant),
     queues: Vec<Queue<usize>>,
     attempts: Vec<Attempt>,
@@ -96,8 +97,7 @@
         now: Instant::ZERO,
         events: BinaryHeap::new(),
         sequence: 0,
-        rows: BTreeMap::new(),
-        revision: 0,
+        rows: Rows::default(),
         outage,
         queues: vec![queue; ROUTERS],
         attempts: Vec::new(),
@@ -143,7 +143,7 @@
             Event::Flush(router) => self.flush(router),
             Event::Apply(commit) => {
                 let transaction = self.commits[commit].transaction.clone();
-                let outcome = self.apply(&transaction);
+                let outcome = self.rows.commit(&transaction);
                 if self.now <= self.commits[commit].answer_at {
                     self.commits[commit].outcome = outcome;
                 }
@@ -294,26 +294,6 @@
         }
     }
 
-    fn apply(&mut self, transaction: &Transaction) -> Outcome<u64> {
-        for check in &transaction.checks {
-            let (key, wanted) = match check {
-                Check::Absent(key) => (key, None),
-                Check::Revision(key, revision) => (key, Some(*revision)),
-            };
-            let row = self.rows.get(key);
-            if row.map(|row| row.revision) != wanted {
-                return Outcome::NotDone(Refusal::Conflict(row.cloned()));
-            }
-        }
-        self.revision += 1;
-        for write in &transaction.writes {
-            let Write::Put(key, value) = write else { panic!("claims are never deleted") };
-            let row = Row { key: key.clone(), revision: self.revision, value: value.clone() };
-            self.rows.insert(key.clone(), row);
-        }
-        Outcome::Done(self.revision)
-    }
-
     /// Ends a router without warning; another takes its place.
     fn crash(&mut self, router: usize) {
         self.queues[router] = Queue::new(8, Duration::from_millis(3));
--- a/mimosashift/tests/common/posting_world.rs
+++ b/mimosashift/tests/common/posting_world.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use mimosashift::platform::{Check, Key, Outcome, Refusal, Row, Write};
+use mimosashift::posting::resolve::{MIN_RESOLVE_AGE, Verdict, resolve};
 use mimosashift::posting::{
     Action, Actions, Answer, Body, Delivery, Digest, Entry, Machine, Nonce, Reply, Request,
     Settings, State, TABLE,
@@ -20,6 +21,7 @@
     WithdrawAfterSend,
     TrustStaleAbsent,
     DeleteOnWithdraw,
+    ResolveYoungClaim,
 }
 
 /// How often each kind of event may still happen.
@@ -28,6 +30,7 @@
     pub tries: u8,
     pub faults: u8,
     pub crashes: u8,
+    pub resolves: u8,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -279,6 +282,34 @@
         next
     }
 
+    /// An operator resolves the claim after finding out what is true, and after
+    /// the claim's router can no longer send.
+    fn resolved(&self) -> Option<Self> {
+        let (revision, value) = self.row.clone()?;
+        let row = Row { key: key(), revision, value };
+        let owner = self.entry()?.nonce.0;
+        let may_send = |r: &Router| {
+            r.nonce == owner
+                && !r.machine.is_finished()
+                && r.now < Instant::ZERO + SETTINGS.send_window
+        };
+        let young = self.routers.iter().flatten().any(may_send);
+        let on_the_way = self.delayed_calls.contains(&owner);
+        if on_the_way || (young && self.mistake != Mistake::ResolveYoungClaim) {
+            return None;
+        }
+        let ran = self.executed.contains(&owner);
+        let verdict = if ran { Verdict::Ran } else { Verdict::NotRun };
+        let age = u64::try_from(MIN_RESOLVE_AGE.as_millis()).unwrap();
+        let audit = Write::Delete(key());
+        let transaction = resolve(&row, verdict, audit, age).ok()?;
+        let Write::Put(_, value) = &transaction.writes[0] else { panic!("a put expected") };
+        let mut next = self.clone();
+        next.left.resolves -= 1;
+        next.apply(&Pending { over: Some(revision), value: Some(value.clone()) });
+        Some(next)
+    }
+
     fn is_quiescent(&self) -> bool {
         let finished = |r: &Option<Router>| r.as_ref().is_none_or(|r| r.machine.is_finished());
         self.routers.iter().all(finished)
@@ -299,6 +330,9 @@
                 self.router_steps(index, router, &mut out);
             }
         }
+        if self.left.resolves > 0 {
+            out.extend(self.resolved());
+        }
         for at in 0..self.delayed_writes.len() {
             let mut next = self.clone();
             let write = next.delayed_writes.remove(at);
--- a/mimosashift/tests/model_check.rs
+++ b/mimosashift/tests/model_check.rs
@@ -29,7 +29,7 @@
     ($($case:ident: $mistake:ident => $violation:literal;)*) => {$(
         #[test]
         fn $case() {
-            let left = Allowance { tries: 2, faults: 2, crashes: 0 };
+            let left = Allowance { tries: 2, faults: 2, crashes: 0, resolves: 1 };
             let violation = posting(Mistake::$mistake, left).violation.unwrap();
             assert!(violation.contains($violation), "{violation}");
         }
@@ -41,19 +41,20 @@
     shared_nonce: SharedNonce => "executed twice";
     withdraw_after_send: WithdrawAfterSend => "executed twice";
     trust_stale_absent: TrustStaleAbsent => "stays claimed";
+    resolve_young_claim: ResolveYoungClaim => "executed twice";
     delete_on_withdraw: DeleteOnWithdraw => "stays claimed";
 }
 
 #[test]
 fn posting_holds_with_faults() {
-    let report = posting(Mistake::None, Allowance { tries: 2, faults: 3, crashes: 0 });
+    let report = posting(Mistake::None, Allowance { tries: 2, faults: 3, crashes: 0, resolves: 0 });
     assert_eq!(report.violation, None);
     assert!(report.complete);
 }
 
 #[test]
-fn posting_holds_with_crash() {
-    let report = posting(Mistake::None, Allowance { tries: 3, faults: 2, crashes: 1 });
+fn posting_holds_with_crash_and_operator() {
+    let report = posting(Mistake::None, Allowance { tries: 3, faults: 2, crashes: 1, resolves: 1 });
     assert_eq!(report.violation, None);
     assert!(report.complete);
 }
--- a/mimosashift/tests/posting.rs
+++ b/mimosashift/tests/posting.rs
@@ -2,6 +2,8 @@
 
 #[path = "common/posting_sim.rs"]
 mod posting_sim;
+#[path = "common/rows.rs"]
+mod rows;
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -21,6 +23,7 @@
 use proptest::test_runner::RngSeed;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
+use rows::Rows;
 
 const NOW: Instant = Instant::ZERO;
 
@@ -38,48 +41,23 @@
     Row { key: key(text), revision: 7, value: entry.encode() }
 }
 
-/// A table without faults.
-#[derive(Default)]
-struct Rows {
-    rows: HashMap<Key, Row>,
-    revision: u64,
-}
-
-impl Rows {
-    fn commit(&mut self, transaction: &Transaction) -> Outcome<u64> {
-        let (key, wanted) = match &transaction.checks[0] {
-            Check::Absent(key) => (key, None),
-            Check::Revision(key, revision) => (key, Some(*revision)),
-        };
-        let row = self.rows.get(key);
-        if row.map(|row| row.revision) != wanted {
-            return Outcome::NotDone(Refusal::Conflict(row.cloned()));
-        }
-        self.revision += 1;
-        let Write::Put(key, value) = &transaction.writes[0] else { panic!("a put expected") };
-        let row = Row { key: key.clone(), revision: self.revision, value: value.clone() };
-        self.rows.insert(key.clone(), row);
-        Outcome::Done(self.revision)
-    }
-
-    /// Runs one try to its end with the given result of each send.
-    fn call(&mut self, request: Request, delivery: &Delivery) -> Answer {
-        let (mut machine, actions) = Machine::new(Settings::default(), request, NOW);
-        let mut todo: Vec<Action> = actions.into_iter().rev().collect();
-        let mut answers = Vec::new();
-        while let Some(action) = todo.pop() {
-            match action {
-                Action::Commit { transaction, .. } => {
-                    let outcome = self.commit(&transaction);
-                    todo.extend(machine.committed(&outcome, NOW).into_iter().rev());
-                }
-                Action::Send { .. } => todo.extend(machine.delivered(delivery.clone(), NOW)),
-                Action::Answer(answer) => answers.push(answer),
+/// Runs one try to its end with the given result of each send.
+fn call(rows: &mut Rows, request: Request, delivery: &Delivery) -> Answer {
+    let (mut machine, actions) = Machine::new(Settings::default(), request, NOW);
+    let mut todo: Vec<Action> = actions.into_iter().rev().collect();
+    let mut answers = Vec::new();
+    while let Some(action) = todo.pop() {
+        match action {
+            Action::Commit { transaction, .. } => {
+                let outcome = rows.commit(&transaction);
+                todo.extend(machine.committed(&outcome, NOW).into_iter().rev());
             }
+            Action::Send { .. } => todo.extend(machine.delivered(delivery.clone(), NOW)),
+            Action::Answer(answer) => answers.push(answer),
         }
-        assert_eq!(answers.len(), 1);
-        answers.remove(0)
     }
+    assert_eq!(answers.len(), 1);
+    answers.remove(0)
 }
 
 /// The reference: one process that never fails.
@@ -131,7 +109,7 @@
                 _ => Delivery::Lost,
             };
             let wanted = naive.call(&request, &delivery);
-            prop_assert_eq!(rows.call(request, &delivery), wanted);
+            prop_assert_eq!(call(&mut rows, request, &delivery), wanted);
         }
     }
 }
@@ -375,6 +353,16 @@
     assert_eq!(count(Class::Config), 2);
 }
 
+#[test]
+fn budget_follows_the_number_of_routers() {
+    let mut budget = Budget::new(10, 1, 4, NOW);
+    budget.set_routers(10, NOW);
+    while budget.take(Class::Config, NOW) {}
+    assert!(!budget.take(Class::Config, Instant::from_millis(999)));
+    assert!(budget.take(Class::Config, Instant::from_millis(1_000)));
+    assert!(!budget.take(Class::Config, Instant::from_millis(1_000)));
+}
+
 #[test]
 fn breaker_opens_probes_and_closes() {
     let settings = breaker::Settings::default();
