--- a/mimosashift/src/lib.rs
+++ b/mimosashift/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod http;
 pub mod member;
 pub mod node;
+pub mod order;
 pub mod pipeline;
 pub mod platform;
 pub mod posting;
--- a/mimosashift/src/platform/mod.rs
+++ b/mimosashift/src/platform/mod.rs
@@ -6,6 +6,8 @@
 
 use serde::{Deserialize, Serialize};
 
+pub mod breaker;
+pub mod budget;
 pub mod http;
 
 /// How a call that may change something ended.
--- /dev/null
+++ b/mimosashift/tests/model_check.rs
@@ -0,0 +1,96 @@
+//! Explores the protocols' own code over all short fault sequences.
+
+#[path = "common/explore.rs"]
+mod explore;
+#[path = "common/lease_world.rs"]
+mod lease_world;
+#[path = "common/posting_world.rs"]
+mod posting_world;
+
+use explore::explore;
+use posting_world::{Allowance, Mistake, World};
+
+const MAX_STATES: usize = 1_500_000;
+
+fn posting(mistake: Mistake, left: Allowance) -> explore::Report {
+    let report = explore(World::new(mistake, left), MAX_STATES);
+    eprintln!("posting {mistake:?} {left:?}: {report:?}");
+    report
+}
+
+fn lease(mistake: lease_world::Mistake, checks: bool, faults: u8) -> explore::Report {
+    let report = explore(lease_world::World::new(mistake, checks, faults), MAX_STATES);
+    eprintln!("lease {mistake:?}, endpoint checks {checks}, {faults} faults: {report:?}");
+    report
+}
+
+/// Names each mistake and the violation by which it must be caught.
+macro_rules! caught {
+    ($($case:ident: $mistake:ident => $violation:literal;)*) => {$(
+        #[test]
+        fn $case() {
+            let left = Allowance { tries: 2, faults: 2, crashes: 0, resolves: 1 };
+            let violation = posting(Mistake::$mistake, left).violation.unwrap();
+            assert!(violation.contains($violation), "{violation}");
+        }
+    )*};
+}
+
+caught! {
+    send_before_claim: SendBeforeClaim => "said not run";
+    shared_nonce: SharedNonce => "executed twice";
+    withdraw_after_send: WithdrawAfterSend => "executed twice";
+    trust_stale_absent: TrustStaleAbsent => "stays claimed";
+    resolve_young_claim: ResolveYoungClaim => "executed twice";
+    delete_on_withdraw: DeleteOnWithdraw => "stays claimed";
+}
+
+#[test]
+fn posting_holds_with_faults() {
+    let report = posting(Mistake::None, Allowance { tries: 2, faults: 3, crashes: 0, resolves: 0 });
+    assert_eq!(report.violation, None);
+    assert!(report.complete);
+}
+
+#[test]
+fn posting_holds_with_crash_and_operator() {
+    let report = posting(Mistake::None, Allowance { tries: 3, faults: 2, crashes: 1, resolves: 1 });
+    assert_eq!(report.violation, None);
+    assert!(report.complete);
+}
+
+/// Names each mistake in the lease protocol, whether the endpoint checks the
+/// number, and the violation.
+macro_rules! lease_caught {
+    ($($case:ident: $mistake:ident, $checks:literal => $violation:literal;)*) => {$(
+        #[test]
+        fn $case() {
+            let report = lease(lease_world::Mistake::$mistake, $checks, 0);
+            let violation = report.violation.unwrap();
+            assert!(violation.contains($violation), "{violation}");
+        }
+    )*};
+}
+
+lease_caught! {
+    lease_without_wait: NoWaitForUncheckedEndpoint, false => "old order may arrive after";
+    lease_without_margin: NoMargin, false => "old order may arrive after";
+    lease_forgetful_endpoint: EndpointForgetsNumber, true => "old order may arrive after";
+}
+
+/// Names each case in which the lease protocol must hold.
+macro_rules! lease_holds {
+    ($($case:ident: $checks:literal, $faults:literal;)*) => {$(
+        #[test]
+        fn $case() {
+            let report = lease(lease_world::Mistake::None, $checks, $faults);
+            assert_eq!(report.violation, None);
+            assert!(report.complete);
+        }
+    )*};
+}
+
+lease_holds! {
+    lease_holds_at_unchecked_endpoint: false, 1;
+    lease_holds_at_checking_endpoint: true, 1;
+}
