--- a/mimosashift/src/admit/share.rs
+++ b/mimosashift/src/admit/share.rs
@@ -17,9 +17,11 @@
 pub const REPORT_INTERVAL: Duration = Duration::from_millis(250);
 /// Silence after which a peer's demand no longer counts.
 pub const PEER_TIMEOUT: Duration = Duration::from_secs(1);
-/// Most entries of one report.
-pub const MAX_ENTRIES: usize = 128;
+/// Bytes that a router may spend on reports to all its peers.
+pub const BYTES_PER_SECOND: usize = 9 * 1_024;
 
+/// Most bytes of an encoded entry.
+const ENTRY_BYTES: usize = 7;
 /// Time constant of the average of demand.
 const AVERAGE_SECONDS: f64 = 0.4;
 /// Time after which an unchanged entry is repeated, since reports can be lost.
@@ -68,6 +70,14 @@
     demand: HashMap<TeamId, Demand>,
 }
 
+/// Most entries of a report that goes to each of `peers` routers.
+pub const fn max_entries(peers: usize) -> usize {
+    let reports = 1_000 / REPORT_INTERVAL.as_millis() as usize;
+    let peers = if peers == 0 { 1 } else { peers };
+    let entries = BYTES_PER_SECOND / (reports * peers * ENTRY_BYTES);
+    if entries == 0 { 1 } else { entries }
+}
+
 impl Share {
     /// Notes a request of `cost` tokens, whether or not it is admitted.
     pub fn observe(&mut self, now: Instant, team: TeamId, cost: u32) {
@@ -91,8 +101,9 @@
         self.own.len()
     }
 
-    /// The next report to every peer: the largest changes first.
-    pub fn export(&mut self, now: Instant) -> Report {
+    /// The next report, the same to every peer: the largest changes first, at
+    /// most `entries` of them, see [`max_entries`].
+    pub fn export(&mut self, now: Instant, entries: usize) -> Report {
         let mut due: Vec<(f64, TeamId, Demand)> = Vec::new();
         for (team, own) in &mut self.own {
             own.decay(now);
@@ -101,7 +112,7 @@
             }
         }
         due.sort_by(|a, b| b.0.total_cmp(&a.0));
-        due.truncate(MAX_ENTRIES);
+        due.truncate(entries);
         for (_, team, demand) in &due {
             if let Some(own) = self.own.get_mut(team) {
                 own.reported = *demand;
--- a/mimosashift/src/lib.rs
+++ b/mimosashift/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admit;
 pub mod engine;
 pub mod event;
+pub mod meter;
 pub mod platform;
 pub mod resource;
 pub mod route;
