Rank reported demand by each team's limit, and leave out unlimited teams

A team of large demand far below its limit no longer takes the place of one that is at its limit. Two cases with 1,000 other active teams were added.

--- a/mimosashift/src/admit/mod.rs
+++ b/mimosashift/src/admit/mod.rs
@@ -129,6 +129,16 @@
     since: Instant,
 }
 
+impl Request<'_> {
+    /// The team's tighter limit, in tokens a second for requests like this
+    /// one; `None` when it has no limit.
+    fn token_limit(&self) -> Option<f64> {
+        let tokens = f64::from(self.team.tokens_per_second);
+        let requests = f64::from(self.team.requests_per_second) * f64::from(self.cost);
+        [tokens, requests].into_iter().filter(|limit| *limit > 0.0).reduce(f64::min)
+    }
+}
+
 impl Admission {
     /// An empty admission.
     pub fn new(bounds: Bounds) -> Self {
@@ -150,7 +160,9 @@
     pub fn submit(&mut self, now: Instant, request: &Request<'_>, out: &mut Vec<Action>) -> Ticket {
         let ticket = Ticket(self.next);
         self.next += 1;
-        self.share.observe(now, TeamId::from(request.name), request.cost);
+        if let Some(limit) = request.token_limit() {
+            self.share.observe(now, TeamId::from(request.name), request.cost, limit);
+        }
         let wait = self.wait(request);
         let end = now + wait + request.service;
         if end > request.deadline {
--- a/mimosashift/src/admit/share.rs
+++ b/mimosashift/src/admit/share.rs
@@ -59,6 +59,7 @@
 }
 
 struct Own {
+    limit: f64,
     average: f64,
     updated: Instant,
     reported: Demand,
@@ -79,10 +80,12 @@
 }
 
 impl Share {
-    /// Notes a request of `cost` tokens, whether or not it is admitted.
-    pub fn observe(&mut self, now: Instant, team: TeamId, cost: u32) {
+    /// Notes a request of `cost` tokens, whether or not it is admitted, of a
+    /// team limited to `limit` tokens a second.
+    pub fn observe(&mut self, now: Instant, team: TeamId, cost: u32, limit: f64) {
         let own = self.own.entry(team).or_insert_with(|| Own::new(now));
         own.decay(now);
+        own.limit = limit;
         own.average += f64::from(cost) / AVERAGE_SECONDS;
     }
 
@@ -101,8 +104,8 @@
         self.own.len()
     }
 
-    /// The next report, the same to every peer: the largest changes first, at
-    /// most `entries` of them, see [`max_entries`].
+    /// The next report, the same to every peer: the largest changes, each by its team's limit, come
+    /// first, at most `entries` of them, see [`max_entries`].
     pub fn export(&mut self, now: Instant, entries: usize) -> Report {
         let mut due: Vec<(f64, TeamId, Demand)> = Vec::new();
         for (team, own) in &mut self.own {
@@ -177,7 +180,13 @@
 
 impl Own {
     fn new(now: Instant) -> Self {
-        Self { average: 0.0, updated: now, reported: Demand::default(), reported_at: now }
+        Self {
+            limit: 0.0,
+            average: 0.0,
+            updated: now,
+            reported: Demand::default(),
+            reported_at: now,
+        }
     }
 
     fn decay(&mut self, now: Instant) {
@@ -194,14 +203,15 @@
         self.reported.milli() as f64 / 1_000.0
     }
 
-    /// How much an entry would tell, or `None` when it would tell nothing.
+    /// How much an entry would tell, as a part of the team's limit, or `None`
+    /// when it would tell nothing.
     fn change(&self, now: Instant) -> Option<f64> {
         let demand = Demand::from(self.average);
         let reported = self.reported.milli() as f64 / 1_000.0;
         let change = (self.average - reported).abs();
         let changed = demand != self.reported && change > REPORT_CHANGE * reported;
         let repeat = now.since(self.reported_at) >= REPEAT_INTERVAL && self.average >= IDLE_DEMAND;
-        (changed || repeat).then_some(change)
+        (changed || repeat).then_some(change / self.limit)
     }
 }
 
--- a/mimosashift/tests/admit.rs
+++ b/mimosashift/tests/admit.rs
@@ -374,6 +374,9 @@
     parts: usize,
     team: Team,
     who: Name,
+    /// Other teams that ask for one request a second each, far below their
+    /// limits, and compete for room in the reports.
+    crowd: Vec<Name>,
 }
 
 const COST: u32 = 50;
@@ -394,6 +397,7 @@
             parts: 1,
             team: team(1, 0, REQUESTS_PER_SECOND * COST),
             who: name("counter"),
+            crowd: Vec::new(),
         }
     }
 
@@ -406,22 +410,27 @@
         while self.now < end {
             self.now = self.now + STEP;
             self.exchange();
+            if self.rng.random_bool(self.crowd.len() as f64 * STEP.as_secs_f64()) {
+                let who = self.crowd[self.rng.random_range(0..self.crowd.len())].clone();
+                let at = self.rng.random_range(0..self.routers.len());
+                self.submit(at, &who);
+            }
             if self.rng.random_bool(chance) {
                 let mut draw = self.rng.random_range(0.0..total);
                 let at = weights.iter().position(|weight| {
                     draw -= weight;
                     draw < 0.0
                 });
-                admitted += u32::from(self.submit(at.unwrap_or(0)));
+                admitted += u32::from(self.submit(at.unwrap_or(0), &self.who.clone()));
             }
         }
         f64::from(admitted) / (f64::from(REQUESTS_PER_SECOND) * time.as_secs_f64())
     }
 
-    fn submit(&mut self, at: usize) -> bool {
+    fn submit(&mut self, at: usize, who: &Name) -> bool {
         let mut out = Vec::new();
         let request = Request {
-            name: &self.who,
+            name: who,
             team: &self.team,
             level: 0,
             cost: COST,
@@ -472,25 +481,28 @@
     assert!((admitted - 1.0).abs() <= 0.05, "{what}: {admitted}");
 }
 
-/// Names each number of routers and seed over which a limit must hold.
+/// Names each number of routers, of other teams and seed over which a limit must hold.
 macro_rules! limits {
-    ($($case:ident: $routers:literal $seed:literal;)*) => {$(
+    ($($case:ident: $routers:literal $crowd:literal $seed:literal;)*) => {$(
         #[test]
         fn $case() {
-            limit_holds($routers, $seed);
+            limit_holds($routers, $crowd, $seed);
         }
     )*};
 }
 
 limits! {
-    limit_holds_over_4_routers: 4 21;
-    limit_holds_over_4_routers_again: 4 22;
-    limit_holds_over_40_routers: 40 23;
-    limit_holds_over_40_routers_again: 40 24;
+    limit_holds_over_4_routers: 4 0 21;
+    limit_holds_over_4_routers_again: 4 0 22;
+    limit_holds_over_40_routers: 40 0 23;
+    limit_holds_over_40_routers_again: 40 0 24;
+    limit_holds_over_4_routers_in_a_crowd: 4 1_000 25;
+    limit_holds_over_40_routers_in_a_crowd: 40 1_000 26;
 }
 
-fn limit_holds(routers: usize, seed: u64) {
+fn limit_holds(routers: usize, crowd: usize, seed: u64) {
     let mut cluster = Cluster::new(seed, routers);
+    cluster.crowd = (0..crowd).map(|i| name(&format!("t{i}"))).collect();
     let skewed: Vec<f64> = (0..routers).map(|i| 0.85_f64.powi(i as i32)).collect();
     let turned: Vec<f64> = skewed.iter().rev().copied().collect();
     let mut only_one = vec![0.0; routers];
@@ -499,12 +511,15 @@
         [(skewed, "skewed"), (turned, "turned round"), (only_one, "one router only")]
     {
         let shifting = cluster.run(SETTLE, &weights);
-        println!("{what}, {routers} routers, first 2 s: {:+.2}%", (shifting - 1.0) * 100.0);
+        println!(
+            "{what}, {routers} routers, {crowd} others, first 2 s: {:+.2}%",
+            (shifting - 1.0) * 100.0
+        );
         let second = Duration::from_secs(1);
         let windows: Vec<_> = (0..5).map(|_| cluster.run(second, &weights)).collect();
-        println!("{what}, {routers} routers, each second: {windows:.3?}");
+        println!("{what}, {routers} routers, {crowd} others, each second: {windows:.3?}");
         let steady = windows.iter().sum::<f64>() / windows.len() as f64;
-        within_5_percent(steady, &format!("{what}, {routers} routers, next 5 s"));
+        within_5_percent(steady, &format!("{what}, {routers} routers, {crowd} others, next 5 s"));
     }
 }
 
@@ -528,8 +543,8 @@
 fn silent_peer_no_longer_counts() {
     let (mut share, peer, team) = (Share::default(), name("r2"), TeamId::from(&name("a")));
     let mut other = Share::default();
-    other.observe(Instant::ZERO, team, 100);
-    share.observe(Instant::ZERO, team, 100);
+    other.observe(Instant::ZERO, team, 100, 1e3);
+    share.observe(Instant::ZERO, team, 100, 1e3);
     share.merge(Instant::ZERO, &peer, &other.export(Instant::ZERO, 9));
     assert!((share.fraction(team) - 0.5).abs() < 0.01);
     share.expire(Instant::ZERO + PEER_TIMEOUT);
@@ -542,7 +557,7 @@
     let mut now = Instant::ZERO;
     for at in 0..31_000 {
         now = now + Duration::from_millis(1);
-        share.observe(now, TeamId::from(&name(&format!("t{at}"))), 100);
+        share.observe(now, TeamId::from(&name(&format!("t{at}"))), 100, 1e3);
         if at % 250 == 0 {
             share.export(now, 128);
         }
@@ -582,7 +597,7 @@
         for _ in 0..500 {
             now = now + REPORT_INTERVAL / 500;
             let at = rng.random_range(0..1_000);
-            share.observe(now, TeamId::from(&name(&format!("t{at}"))), 50);
+            share.observe(now, TeamId::from(&name(&format!("t{at}"))), 50, 1e3);
         }
         let report = share.export(now, share::max_entries(peers));
         bytes += postcard::to_stdvec(&report).unwrap().len() * peers;
--- a/mimosashiftd/src/flags.rs
+++ b/mimosashiftd/src/flags.rs
@@ -5,24 +5,17 @@
 use mimosashift::settings::Raw;
 use xflags::rt::Parser;
 
-/// What the command line asks for.
-pub(crate) enum Command {
-    /// Print the help text.
-    Help,
-    /// Run with these settings.
-    Run(Raw),
-}
-
 /// Reads the arguments after the program's name.
 ///
-/// A flag's value follows as the next argument or after `=`.
-pub(crate) fn parse(args: Vec<OsString>) -> xflags::Result<Command> {
+/// A flag's value follows as the next argument or after `=`. The result is
+/// `None` when the help text is asked for.
+pub(crate) fn parse(args: Vec<OsString>) -> xflags::Result<Option<Raw>> {
     let mut raw = Raw::default();
     let mut parser = Parser::new(args);
     while let Some(arg) = parser.pop_flag() {
         let arg = arg.map_err(|arg| parser.unexpected_arg(arg))?;
         if arg == "--help" || arg == "-h" {
-            return Ok(Command::Help);
+            return Ok(None);
         }
         let (flag, value) = match arg.split_once('=') {
             Some((flag, value)) => (flag.to_owned(), value.to_owned()),
@@ -37,5 +30,5 @@
             return Err(xflags::Error::new(format!("flag specified more than once: `{flag}`")));
         }
     }
-    Ok(Command::Run(raw))
+    Ok(Some(raw))
 }
--- a/mimosashiftd/src/main.rs
+++ b/mimosashiftd/src/main.rs
@@ -6,19 +6,17 @@
 
 use mimosashift::settings::{Setting, Settings};
 
-use crate::flags::Command;
-
 /// Exit code when the settings are wrong.
 const EXIT_USAGE: u8 = 2;
 
 fn main() -> ExitCode {
     let args = std::env::args_os().skip(1).collect();
     let raw = match flags::parse(args) {
-        Ok(Command::Help) => {
+        Ok(None) => {
             eprint!("{}", Setting::help_text());
             return ExitCode::SUCCESS;
         }
-        Ok(Command::Run(raw)) => raw,
+        Ok(Some(raw)) => raw,
         Err(error) => return usage(&error),
     };
     match Settings::try_from(raw.fill(|name| std::env::var(name).ok())) {
