Count the time before a report at the share that held then

Allowances were filled only when a request arrived, at the share of that moment, which is at its lowest after a pause. They are now also filled before each report, and keep at least two requests.

--- a/mimosashift/src/admit/limit.rs
+++ b/mimosashift/src/admit/limit.rs
@@ -10,6 +10,10 @@
 /// Time for which an unused allowance is kept.
 pub const BURST: Duration = Duration::from_millis(500);
 
+/// Requests for which an unused allowance is kept, however low the rate.
+const BURST_REQUESTS: f64 = 2.0;
+/// Time without a request after which a team is idle.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Longest hint when to try again.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(60);
 
@@ -23,6 +27,7 @@
     requests: Bucket,
     tokens: Bucket,
     refilled: Instant,
+    charged: Instant,
 }
 
 /// A token bucket that may go into debt by one request.
@@ -31,6 +36,11 @@
 /// admit requests at that rate.
 #[derive(Default)]
 struct Bucket {
+    /// Limit over all routers, a second; 0 means none.
+    limit: u32,
+    /// Cost of the latest request.
+    cost: f64,
+    /// This router's part of the limit, a second.
     rate: f64,
     balance: f64,
 }
@@ -49,13 +59,12 @@
         if team.requests_per_second == 0 && team.tokens_per_second == 0 {
             return Ok(());
         }
-        let fraction = share.fraction(TeamId::from(name));
         let allowance = self.teams.entry(name.clone()).or_insert_with(|| Allowance::new(now));
-        let elapsed = now.since(allowance.refilled).as_secs_f64();
-        allowance.refilled = now;
-        allowance.requests.refill(elapsed, fraction, team.requests_per_second, 1.0);
-        allowance.tokens.refill(elapsed, fraction, team.tokens_per_second, f64::from(cost));
-        let wait = allowance.requests.wait().max(allowance.tokens.wait());
+        allowance.requests.set(team.requests_per_second, 1.0);
+        allowance.tokens.set(team.tokens_per_second, f64::from(cost));
+        allowance.refill(now, share.fraction(TeamId::from(name)));
+        allowance.charged = now;
+        let wait = allowance.wait();
         if wait > Duration::ZERO {
             return Err(wait);
         }
@@ -79,12 +88,20 @@
         }
     }
 
-    /// Drops teams that were idle until their debt was paid.
+    /// Adds to every allowance what it gained up to now.
+    ///
+    /// Call it before this router's share changes, so that time already past
+    /// counts at the share that held then.
+    pub fn refill(&mut self, now: Instant, share: &Share) {
+        for (name, allowance) in &mut self.teams {
+            allowance.refill(now, share.fraction(TeamId::from(name)));
+        }
+    }
+
+    /// Drops teams that were idle and owe nothing.
     pub fn expire(&mut self, now: Instant) {
         self.teams.retain(|_, allowance| {
-            let idle = now.since(allowance.refilled);
-            let owed = allowance.requests.wait().max(allowance.tokens.wait());
-            idle < BURST.max(owed)
+            now.since(allowance.charged) < IDLE_TIMEOUT || allowance.wait() > Duration::ZERO
         });
     }
 
@@ -96,23 +113,41 @@
 
 impl Allowance {
     fn new(now: Instant) -> Self {
-        Self { requests: Bucket::default(), tokens: Bucket::default(), refilled: now }
+        let (requests, tokens) = (Bucket::default(), Bucket::default());
+        Self { requests, tokens, refilled: now, charged: now }
+    }
+
+    fn refill(&mut self, now: Instant, fraction: f64) {
+        let elapsed = now.since(self.refilled).as_secs_f64();
+        self.refilled = now;
+        self.requests.refill(elapsed, fraction);
+        self.tokens.refill(elapsed, fraction);
+    }
+
+    fn wait(&self) -> Duration {
+        self.requests.wait().max(self.tokens.wait())
     }
 }
 
 impl Bucket {
-    fn refill(&mut self, elapsed: f64, fraction: f64, limit: u32, cost: f64) {
-        self.rate = f64::from(limit) * fraction;
-        let most = (self.rate * BURST.as_secs_f64()).max(cost);
-        self.balance = (self.balance + self.rate * elapsed).min(most);
-        if limit == 0 {
-            (self.rate, self.balance) = (f64::INFINITY, 0.0);
+    fn set(&mut self, limit: u32, cost: f64) {
+        self.limit = limit;
+        self.cost = cost;
+    }
+
+    fn refill(&mut self, elapsed: f64, fraction: f64) {
+        if self.limit == 0 {
+            self.balance = 0.0;
+            return;
         }
+        self.rate = f64::from(self.limit) * fraction;
+        let most = (self.rate * BURST.as_secs_f64()).max(BURST_REQUESTS * self.cost);
+        self.balance = (self.balance + self.rate * elapsed).min(most);
     }
 
     /// Time until the balance is no longer negative.
     fn wait(&self) -> Duration {
-        if self.balance >= 0.0 {
+        if self.limit == 0 || self.balance >= 0.0 {
             return Duration::ZERO;
         }
         let seconds = -self.balance / self.rate;
--- a/mimosashift/src/admit/mod.rs
+++ b/mimosashift/src/admit/mod.rs
@@ -17,7 +17,7 @@
 
 use limit::Limits;
 use queue::{Item, Queue};
-use share::{Share, TeamId};
+use share::{Report, Share, TeamId};
 use slots::Slots;
 
 /// Least time that a caller is told to wait.
@@ -220,16 +220,24 @@
         self.dispatch(now, out);
     }
 
-    /// Drops the state of idle teams and silent peers; call it with each
-    /// report.
-    pub fn expire(&mut self, now: Instant) {
+    /// The demand to report to each of `peers` routers; call it every
+    /// [`share::REPORT_INTERVAL`]. Drops the state of idle teams and silent
+    /// peers.
+    pub fn report(&mut self, now: Instant, peers: usize) -> Report {
+        self.limits.refill(now, &self.share);
         self.limits.expire(now);
         self.share.expire(now);
+        self.share.export(now, share::max_entries(peers))
     }
 
-    /// Demand shared with peers.
-    pub const fn share_mut(&mut self) -> &mut Share {
-        &mut self.share
+    /// Takes in a peer's report.
+    pub fn merge(&mut self, now: Instant, peer: &Name, report: &Report) {
+        self.share.merge(now, peer, report);
+    }
+
+    /// Drops the demand of a peer that announced its shutdown.
+    pub fn remove_peer(&mut self, peer: &Name) {
+        self.share.remove(peer);
     }
 
     /// Queued requests.
--- a/mimosashift/tests/admit.rs
+++ b/mimosashift/tests/admit.rs
@@ -454,9 +454,8 @@
             // Routers report at different moments of the interval.
             let phase = at as u64 * 7_500 % interval;
             if micros / 500 % (interval / 500) == phase / 500 {
-                self.routers[at].expire(self.now);
-                let entries = share::max_entries(self.routers.len() - 1);
-                let report = self.routers[at].share_mut().export(self.now, entries);
+                let peers = self.routers.len() - 1;
+                let report = self.routers[at].report(self.now, peers);
                 self.in_flight.push((self.now + LATENCY, at, report));
             }
         }
@@ -466,7 +465,7 @@
             for to in 0..self.routers.len() {
                 if to != from && to % self.parts == from % self.parts {
                     let peer = &self.names[from];
-                    self.routers[to].share_mut().merge(now, peer, &report);
+                    self.routers[to].merge(now, peer, &report);
                 }
             }
         }
