Weigh reported demand by how near the limit it is; test small limits

Entries of teams far below their limit no longer crowd out those at it. Refunds and corrected tokens have tests now: leaving out the refund passed every test before.

--- a/mimosashift/src/admit/share.rs
+++ b/mimosashift/src/admit/share.rs
@@ -110,8 +110,9 @@
         let mut due: Vec<(f64, TeamId, Demand)> = Vec::new();
         for (team, own) in &mut self.own {
             own.decay(now);
+            let others = self.others.get(team).map_or(0.0, |milli| *milli as f64 / 1_000.0);
             if let Some(change) = own.change(now) {
-                due.push((change, *team, Demand::from(own.average)));
+                due.push((change * own.pressure(others), *team, Demand::from(own.average)));
             }
         }
         due.sort_by(|a, b| b.0.total_cmp(&a.0));
@@ -203,6 +204,13 @@
         self.reported.milli() as f64 / 1_000.0
     }
 
+    /// Weight of an entry, by the demand on all routers as a part of the limit:
+    /// far below the limit, no request is refused whatever the shares are.
+    fn pressure(&self, others: f64) -> f64 {
+        let demand = self.average.max(self.counted()) + others;
+        (demand / self.limit).min(1.0).powi(2)
+    }
+
     /// How much an entry would tell, as a part of the team's limit, or `None`
     /// when it would tell nothing.
     fn change(&self, now: Instant) -> Option<f64> {
--- a/mimosashift/tests/admit.rs
+++ b/mimosashift/tests/admit.rs
@@ -348,6 +348,45 @@
     assert_eq!(out.len(), 1);
 }
 
+/// A team that may run 1,000 tokens a second, on a router with one slot.
+fn limited() -> (Admission, Name, Team) {
+    let bounds = Bounds { queued: 2, queued_bytes: 10_000, start_slots: 1, max_slots: 1 };
+    (Admission::new(bounds), name("a"), team(1, 0, 1_000))
+}
+
+/// Whether a request is refused by the team's limit.
+fn over_limit(admission: &mut Admission, now: Instant, who: &Name, team: &Team) -> bool {
+    let mut out = Vec::new();
+    let ticket = admission.submit(now, &request(who, team, 0, 100_000), &mut out);
+    refusals(&out).contains(&(ticket.0, Refusal::OverLimit))
+}
+
+#[test]
+fn request_that_never_ran_is_not_charged() {
+    let (mut admission, a, team) = limited();
+    assert!(!over_limit(&mut admission, Instant::ZERO, &a, &team));
+    // The debt of 100 tokens is paid after 100 ms.
+    assert!(over_limit(&mut admission, Instant::from_millis(99), &a, &team));
+    let now = Instant::from_millis(101);
+    assert!(!over_limit(&mut admission, now, &a, &team));
+    assert!(over_limit(&mut admission, now, &a, &team));
+    assert!(admission.cancel(Ticket(2)), "the second one is queued");
+    assert!(!over_limit(&mut admission, now, &a, &team));
+}
+
+#[test]
+fn tokens_are_charged_as_used_in_the_end() {
+    let (mut admission, a, team) = limited();
+    let usage = |tokens| Usage { tokens, overloaded: false };
+    assert!(!over_limit(&mut admission, Instant::ZERO, &a, &team));
+    admission.release(Instant::ZERO, Ticket(0), usage(600), &mut Vec::new());
+    assert!(over_limit(&mut admission, Instant::from_millis(599), &a, &team));
+    let now = Instant::from_millis(601);
+    assert!(!over_limit(&mut admission, now, &a, &team));
+    admission.release(now, Ticket(2), usage(0), &mut Vec::new());
+    assert!(!over_limit(&mut admission, now, &a, &team));
+}
+
 #[test]
 fn slots_shrink_on_overload_and_grow_when_full() {
     let mut slots = Slots::new(10, 20);
@@ -373,6 +412,8 @@
     /// Reports between routers of different parts are lost.
     parts: usize,
     team: Team,
+    /// The limit, in requests a second.
+    limit: u32,
     who: Name,
     /// Other teams that ask for one request a second each, far below their
     /// limits, and compete for room in the reports.
@@ -380,12 +421,11 @@
 }
 
 const COST: u32 = 50;
-const REQUESTS_PER_SECOND: u32 = 400;
 const STEP: Duration = Duration::from_micros(500);
 const LATENCY: Duration = Duration::from_millis(60);
 
 impl Cluster {
-    fn new(seed: u64, routers: usize) -> Self {
+    fn new(seed: u64, routers: usize, limit: u32) -> Self {
         let bounds =
             Bounds { queued: 9, queued_bytes: 9_999, start_slots: 9_999, max_slots: 9_999 };
         Self {
@@ -395,7 +435,8 @@
             names: (0..routers).map(|i| name(&format!("r{i}"))).collect(),
             in_flight: Vec::new(),
             parts: 1,
-            team: team(1, 0, REQUESTS_PER_SECOND * COST),
+            team: team(1, 0, limit * COST),
+            limit,
             who: name("counter"),
             crowd: Vec::new(),
         }
@@ -405,7 +446,7 @@
     /// the limit that was admitted.
     fn run(&mut self, time: Duration, weights: &[f64]) -> f64 {
         let (end, total) = (self.now + time, weights.iter().sum::<f64>());
-        let chance = 2.0 * f64::from(REQUESTS_PER_SECOND) * STEP.as_secs_f64();
+        let chance = 2.0 * f64::from(self.limit) * STEP.as_secs_f64();
         let mut admitted = 0;
         while self.now < end {
             self.now = self.now + STEP;
@@ -424,7 +465,7 @@
                 admitted += u32::from(self.submit(at.unwrap_or(0), &self.who.clone()));
             }
         }
-        f64::from(admitted) / (f64::from(REQUESTS_PER_SECOND) * time.as_secs_f64())
+        f64::from(admitted) / (f64::from(self.limit) * time.as_secs_f64())
     }
 
     fn submit(&mut self, at: usize, who: &Name) -> bool {
@@ -480,27 +521,32 @@
     assert!((admitted - 1.0).abs() <= 0.05, "{what}: {admitted}");
 }
 
-/// Names each number of routers, of other teams and seed over which a limit must hold.
+/// Names each number of routers, limit in requests a second, number of other
+/// teams and seed over which the limit must hold.
 macro_rules! limits {
-    ($($case:ident: $routers:literal $crowd:literal $seed:literal;)*) => {$(
+    ($($case:ident: $routers:literal $limit:literal $crowd:literal $seed:literal;)*) => {$(
         #[test]
         fn $case() {
-            limit_holds($routers, $crowd, $seed);
+            limit_holds($routers, $limit, $crowd, $seed);
         }
     )*};
 }
 
 limits! {
-    limit_holds_over_4_routers: 4 0 21;
-    limit_holds_over_4_routers_again: 4 0 22;
-    limit_holds_over_40_routers: 40 0 23;
-    limit_holds_over_40_routers_again: 40 0 24;
-    limit_holds_over_4_routers_in_a_crowd: 4 1_000 25;
-    limit_holds_over_40_routers_in_a_crowd: 40 1_000 26;
-}
-
-fn limit_holds(routers: usize, crowd: usize, seed: u64) {
-    let mut cluster = Cluster::new(seed, routers);
+    limit_holds_over_4_routers: 4 400 0 21;
+    limit_holds_over_4_routers_again: 4 400 0 22;
+    limit_holds_over_4_routers_in_a_crowd: 4 400 1_000 25;
+    limit_holds_over_40_routers: 40 400 0 23;
+    limit_holds_over_40_routers_again: 40 400 0 24;
+    limit_holds_over_40_routers_in_a_crowd: 40 400 1_000 26;
+    small_limit_holds_over_4_routers: 4 10 0 27;
+    small_limit_holds_over_4_routers_in_a_crowd: 4 10 1_000 28;
+    small_limit_holds_over_40_routers: 40 10 0 29;
+    small_limit_holds_over_40_routers_in_a_crowd: 40 10 1_000 30;
+}
+
+fn limit_holds(routers: usize, limit: u32, crowd: usize, seed: u64) {
+    let mut cluster = Cluster::new(seed, routers, limit);
     cluster.crowd = (0..crowd).map(|i| name(&format!("t{i}"))).collect();
     let skewed: Vec<f64> = (0..routers).map(|i| 0.85_f64.powi(i as i32)).collect();
     let turned: Vec<f64> = skewed.iter().rev().copied().collect();
@@ -511,20 +557,26 @@
     {
         let shifting = cluster.run(SETTLE, &weights);
         println!(
-            "{what}, {routers} routers, {crowd} others, first 2 s: {:+.2}%",
+            "{what}, {limit} requests/s, {routers} routers, {crowd} others, first 2 s: {:+.2}%",
             (shifting - 1.0) * 100.0
         );
-        let second = Duration::from_secs(1);
-        let windows: Vec<_> = (0..5).map(|_| cluster.run(second, &weights)).collect();
-        println!("{what}, {routers} routers, {crowd} others, each second: {windows:.3?}");
+        // Small limits need longer windows, in which one request weighs little.
+        let window = Duration::from_secs(if limit < 100 { 12 } else { 1 });
+        let windows: Vec<_> = (0..5).map(|_| cluster.run(window, &weights)).collect();
+        println!(
+            "{what}, {limit} requests/s, {routers} routers, {crowd} others, windows: {windows:.3?}"
+        );
         let steady = windows.iter().sum::<f64>() / windows.len() as f64;
-        within_5_percent(steady, &format!("{what}, {routers} routers, {crowd} others, next 5 s"));
+        within_5_percent(
+            steady,
+            &format!("{what}, {limit} requests/s, {routers} routers, {crowd} others, settled"),
+        );
     }
 }
 
 #[test]
 fn each_part_of_a_partition_serves_at_most_the_limit() {
-    let mut cluster = Cluster::new(31, 12);
+    let mut cluster = Cluster::new(31, 12, 400);
     let even = [1.0; 12];
     cluster.run(SETTLE, &even);
     cluster.parts = 3;
