--- a/mimosashift/tests/admit.rs
+++ b/mimosashift/tests/admit.rs
@@ -517,7 +517,7 @@
 const WINDOW: Duration = Duration::from_secs(5);
 
 fn within_5_percent(admitted: f64, what: &str) {
-    println!("{what}: {:+.2}% of the limit", (admitted - 1.0) * 100.0);
+    eprintln!("{what}: {:+.2}% of the limit", (admitted - 1.0) * 100.0);
     assert!((admitted - 1.0).abs() <= 0.05, "{what}: {admitted}");
 }
 
@@ -556,14 +556,14 @@
         [(skewed, "skewed"), (turned, "turned round"), (only_one, "one router only")]
     {
         let shifting = cluster.run(SETTLE, &weights);
-        println!(
+        eprintln!(
             "{what}, {limit} requests/s, {routers} routers, {crowd} others, first 2 s: {:+.2}%",
             (shifting - 1.0) * 100.0
         );
         // Small limits need longer windows, in which one request weighs little.
         let window = Duration::from_secs(if limit < 100 { 12 } else { 1 });
         let windows: Vec<_> = (0..5).map(|_| cluster.run(window, &weights)).collect();
-        println!(
+        eprintln!(
             "{what}, {limit} requests/s, {routers} routers, {crowd} others, windows: {windows:.3?}"
         );
         let steady = windows.iter().sum::<f64>() / windows.len() as f64;
@@ -582,7 +582,7 @@
     cluster.parts = 3;
     cluster.run(SETTLE, &even);
     let parted = cluster.run(WINDOW, &even);
-    println!("3 parts: {parted:.2} of the limit");
+    eprintln!("3 parts: {parted:.2} of the limit");
     // Demand is twice the limit, so that three parts take all of it.
     assert!(parted > 1.5 && parted <= 3.0 * 1.05, "{parted}");
     cluster.parts = 1;
@@ -653,6 +653,6 @@
         let report = share.export(now, share::max_entries(peers));
         bytes += postcard::to_stdvec(&report).unwrap().len() * peers;
     }
-    println!("1,000 active teams, {peers} peers: {} bytes a second", bytes / seconds);
+    eprintln!("1,000 active teams, {peers} peers: {} bytes a second", bytes / seconds);
     assert!(bytes / seconds < BUDGET_BYTES_PER_SECOND * 3 / 4, "{bytes}");
 }
