Let reported demand fade on all routers alike

With many teams and peers, values that found no room in a report stayed at their last peak on every peer. They now fade with a time constant of 4 s on the sender and its peers alike, so that the shares still add up.

--- a/mimosashift/src/admit/limit.rs
+++ b/mimosashift/src/admit/limit.rs
@@ -62,7 +62,7 @@
         let allowance = self.teams.entry(name.clone()).or_insert_with(|| Allowance::new(now));
         allowance.requests.set(team.requests_per_second, 1.0);
         allowance.tokens.set(team.tokens_per_second, f64::from(cost));
-        allowance.refill(now, share.fraction(TeamId::from(name)));
+        allowance.refill(now, share.fraction(now, TeamId::from(name)));
         allowance.charged = now;
         let wait = allowance.wait();
         if wait > Duration::ZERO {
@@ -94,7 +94,7 @@
     /// counts at the share that held then.
     pub fn refill(&mut self, now: Instant, share: &Share) {
         for (name, allowance) in &mut self.teams {
-            allowance.refill(now, share.fraction(TeamId::from(name)));
+            allowance.refill(now, share.fraction(now, TeamId::from(name)));
         }
     }
 
--- a/mimosashift/src/admit/mod.rs
+++ b/mimosashift/src/admit/mod.rs
@@ -236,8 +236,8 @@
     }
 
     /// Drops the demand of a peer that announced its shutdown.
-    pub fn remove_peer(&mut self, peer: &Name) {
-        self.share.remove(peer);
+    pub fn remove_peer(&mut self, now: Instant, peer: &Name) {
+        self.share.remove(now, peer);
     }
 
     /// Queued requests.
--- a/mimosashift/src/admit/share.rs
+++ b/mimosashift/src/admit/share.rs
@@ -24,8 +24,9 @@
 const ENTRY_BYTES: usize = 7;
 /// Time constant of the average of demand.
 const AVERAGE_SECONDS: f64 = 0.4;
-/// Time after which an unchanged entry is repeated, since reports can be lost.
-const REPEAT_INTERVAL: Duration = Duration::from_secs(2);
+/// Time constant by which every router lets a reported value fade until the
+/// next report of it.
+const FADE_SECONDS: f64 = 4.0;
 /// Change, relative to the value last reported, that is worth an entry.
 const REPORT_CHANGE: f64 = 0.1;
 /// Steps of a reported value for each doubling of demand.
@@ -55,20 +56,26 @@
 pub struct Share {
     own: BTreeMap<TeamId, Own>,
     peers: HashMap<Name, Peer>,
-    others: HashMap<TeamId, u64>,
+    others: HashMap<TeamId, Value>,
 }
 
 struct Own {
     limit: f64,
     average: f64,
     updated: Instant,
-    reported: Demand,
-    reported_at: Instant,
+    reported: Value,
 }
 
 struct Peer {
     heard: Instant,
-    demand: HashMap<TeamId, Demand>,
+    demand: HashMap<TeamId, Value>,
+}
+
+/// A reported value that fades, in tokens a second.
+#[derive(Clone, Copy)]
+struct Value {
+    value: f64,
+    at: Instant,
 }
 
 /// Most entries of a report that goes to each of `peers` routers.
@@ -90,12 +97,12 @@
     }
 
     /// This router's part of the team's limits, from 0 to 1.
-    pub fn fraction(&self, team: TeamId) -> f64 {
-        let others = self.others.get(&team).map_or(0.0, |milli| *milli as f64 / 1_000.0);
-        if others == 0.0 {
+    pub fn fraction(&self, now: Instant, team: TeamId) -> f64 {
+        let others = self.others.get(&team).map_or(0.0, |sum| sum.now(now));
+        if others < IDLE_DEMAND {
             return 1.0;
         }
-        let own = self.own.get(&team).map_or(0.0, Own::counted);
+        let own = self.own.get(&team).map_or(0.0, |own| own.counted(now));
         own / (own + others)
     }
 
@@ -110,20 +117,19 @@
         let mut due: Vec<(f64, TeamId, Demand)> = Vec::new();
         for (team, own) in &mut self.own {
             own.decay(now);
-            let others = self.others.get(team).map_or(0.0, |milli| *milli as f64 / 1_000.0);
+            let others = self.others.get(team).map_or(0.0, |sum| sum.now(now));
             if let Some(change) = own.change(now) {
-                due.push((change * own.pressure(others), *team, Demand::from(own.average)));
+                due.push((change * own.pressure(now, others), *team, Demand::from(own.average)));
             }
         }
         due.sort_by(|a, b| b.0.total_cmp(&a.0));
         due.truncate(entries);
         for (_, team, demand) in &due {
             if let Some(own) = self.own.get_mut(team) {
-                own.reported = *demand;
-                own.reported_at = now;
+                own.reported = Value::new(now, *demand);
             }
         }
-        self.own.retain(|_, own| own.average >= IDLE_DEMAND || own.reported != Demand::default());
+        self.own.retain(|_, own| own.average >= IDLE_DEMAND || !own.reported.is_idle(now));
         Report { entries: due.into_iter().map(|(_, team, demand)| (team, demand)).collect() }
     }
 
@@ -135,59 +141,67 @@
             .or_insert_with(|| Peer { heard: now, demand: HashMap::new() });
         peer.heard = now;
         for (team, demand) in &report.entries {
-            let before = if *demand == Demand::default() {
-                peer.demand.remove(team)
-            } else {
-                peer.demand.insert(*team, *demand)
-            };
-            let others = self.others.entry(*team).or_default();
-            *others = *others + demand.milli() - before.unwrap_or_default().milli();
-            if *others == 0 {
-                self.others.remove(team);
-            }
+            let reported = Value::new(now, *demand);
+            let before = peer.demand.insert(*team, reported);
+            let change = reported.value - before.map_or(0.0, |before| before.now(now));
+            let sum = self.others.entry(*team).or_insert(Value { value: 0.0, at: now });
+            sum.add(now, change);
         }
     }
 
-    /// Drops the demand of peers that have been silent.
+    /// Drops the demand of peers that have been silent and of idle teams.
     pub fn expire(&mut self, now: Instant) {
         let others = &mut self.others;
         self.peers.retain(|_, peer| {
             let alive = now.since(peer.heard) < PEER_TIMEOUT;
             if !alive {
-                forget(others, peer);
+                forget(now, others, peer);
             }
+            peer.demand.retain(|_, value| !value.is_idle(now));
             alive
         });
+        others.retain(|_, sum| !sum.is_idle(now));
     }
 
     /// Drops a peer that announced its shutdown.
-    pub fn remove(&mut self, peer: &Name) {
+    pub fn remove(&mut self, now: Instant, peer: &Name) {
         if let Some(peer) = self.peers.remove(peer) {
-            forget(&mut self.others, &peer);
+            forget(now, &mut self.others, &peer);
         }
     }
 }
 
-fn forget(others: &mut HashMap<TeamId, u64>, peer: &Peer) {
-    for (team, demand) in &peer.demand {
+fn forget(now: Instant, others: &mut HashMap<TeamId, Value>, peer: &Peer) {
+    for (team, value) in &peer.demand {
         if let Some(sum) = others.get_mut(team) {
-            *sum -= demand.milli();
-            if *sum == 0 {
-                others.remove(team);
-            }
+            sum.add(now, -value.now(now));
         }
     }
 }
 
+impl Value {
+    fn new(now: Instant, demand: Demand) -> Self {
+        Self { value: demand.tokens_per_second(), at: now }
+    }
+
+    /// What is left of it.
+    fn now(&self, now: Instant) -> f64 {
+        self.value * (-now.since(self.at).as_secs_f64() / FADE_SECONDS).exp()
+    }
+
+    fn add(&mut self, now: Instant, value: f64) {
+        self.value = (self.now(now) + value).max(0.0);
+        self.at = now;
+    }
+
+    fn is_idle(&self, now: Instant) -> bool {
+        self.now(now) < IDLE_DEMAND
+    }
+}
+
 impl Own {
     fn new(now: Instant) -> Self {
-        Self {
-            limit: 0.0,
-            average: 0.0,
-            updated: now,
-            reported: Demand::default(),
-            reported_at: now,
-        }
+        Self { limit: 0.0, average: 0.0, updated: now, reported: Value { value: 0.0, at: now } }
     }
 
     fn decay(&mut self, now: Instant) {
@@ -197,39 +211,34 @@
     }
 
     /// Demand that this router reckons with.
-    fn counted(&self) -> f64 {
-        if self.reported == Demand::default() {
-            return self.average;
-        }
-        self.reported.milli() as f64 / 1_000.0
+    fn counted(&self, now: Instant) -> f64 {
+        let reported = self.reported.now(now);
+        if reported < IDLE_DEMAND { self.average } else { reported }
     }
 
     /// Weight of an entry, by the demand on all routers as a part of the limit:
     /// far below the limit, no request is refused whatever the shares are.
-    fn pressure(&self, others: f64) -> f64 {
-        let demand = self.average.max(self.counted()) + others;
+    fn pressure(&self, now: Instant, others: f64) -> f64 {
+        let demand = self.average.max(self.counted(now)) + others;
         (demand / self.limit).min(1.0).powi(2)
     }
 
     /// How much an entry would tell, as a part of the team's limit, or `None`
     /// when it would tell nothing.
     fn change(&self, now: Instant) -> Option<f64> {
-        let demand = Demand::from(self.average);
-        let reported = self.reported.milli() as f64 / 1_000.0;
+        let reported = self.reported.now(now);
         let change = (self.average - reported).abs();
-        let changed = demand != self.reported && change > REPORT_CHANGE * reported;
-        let repeat = now.since(self.reported_at) >= REPEAT_INTERVAL && self.average >= IDLE_DEMAND;
-        (changed || repeat).then_some(change / self.limit)
+        let changed = change > REPORT_CHANGE * reported && change >= IDLE_DEMAND;
+        changed.then_some(change / self.limit)
     }
 }
 
 impl Demand {
-    /// Thousandths of a token a second.
-    fn milli(self) -> u64 {
+    fn tokens_per_second(self) -> f64 {
         if self.0 == 0 {
-            return 0;
+            return 0.0;
         }
-        (f64::from(self.0) / STEPS_PER_DOUBLING).exp2() as u64
+        (f64::from(self.0) / STEPS_PER_DOUBLING).exp2() / 1_000.0
     }
 }
 
--- a/mimosashift/tests/admit.rs
+++ b/mimosashift/tests/admit.rs
@@ -597,9 +597,10 @@
     other.observe(Instant::ZERO, team, 100, 1e3);
     share.observe(Instant::ZERO, team, 100, 1e3);
     share.merge(Instant::ZERO, &peer, &other.export(Instant::ZERO, 9));
-    assert!((share.fraction(team) - 0.5).abs() < 0.01);
-    share.expire(Instant::ZERO + PEER_TIMEOUT);
-    assert_eq!(share.fraction(team), 1.0);
+    assert!((share.fraction(Instant::ZERO, team) - 0.5).abs() < 0.01);
+    let now = Instant::ZERO + PEER_TIMEOUT;
+    share.expire(now);
+    assert_eq!(share.fraction(now, team), 1.0);
 }
 
 #[test]
