--- a/mimosashift/src/admit/mod.rs
+++ b/mimosashift/src/admit/mod.rs
@@ -17,7 +17,7 @@
 
 use limit::Limits;
 use queue::{Item, Queue};
-use share::{Share, TeamId};
+use share::{Report, Share, TeamId};
 use slots::Slots;
 
 /// Least time that a caller is told to wait.
@@ -129,6 +129,16 @@
     since: Instant,
 }
 
+impl Request<'_> {
+    /// The team's tighter limit, in tokens a second for requests like this
+    /// one; `None` when it has no limit.
+    fn token_limit(&self) -> Option<f64> {
+        let tokens = f64::from(self.team.tokens_per_second);
+        let requests = f64::from(self.team.requests_per_second) * f64::from(self.cost);
+        [tokens, requests].into_iter().filter(|limit| *limit > 0.0).reduce(f64::min)
+    }
+}
+
 impl Admission {
     /// An empty admission.
     pub fn new(bounds: Bounds) -> Self {
@@ -150,7 +160,9 @@
     pub fn submit(&mut self, now: Instant, request: &Request<'_>, out: &mut Vec<Action>) -> Ticket {
         let ticket = Ticket(self.next);
         self.next += 1;
-        self.share.observe(now, TeamId::from(request.name), request.cost);
+        if let Some(limit) = request.token_limit() {
+            self.share.observe(now, TeamId::from(request.name), request.cost, limit);
+        }
         let wait = self.wait(request);
         let end = now + wait + request.service;
         if end > request.deadline {
@@ -208,16 +220,24 @@
         self.dispatch(now, out);
     }
 
-    /// Drops the state of idle teams and silent peers; call it with each
-    /// report.
-    pub fn expire(&mut self, now: Instant) {
+    /// The demand to report to each of `peers` routers; call it every
+    /// [`share::REPORT_INTERVAL`]. Drops the state of idle teams and silent
+    /// peers.
+    pub fn report(&mut self, now: Instant, peers: usize) -> Report {
+        self.limits.refill(now, &self.share);
         self.limits.expire(now);
         self.share.expire(now);
+        self.share.export(now, share::max_entries(peers))
+    }
+
+    /// Takes in a peer's report.
+    pub fn merge(&mut self, now: Instant, peer: &Name, report: &Report) {
+        self.share.merge(now, peer, report);
     }
 
-    /// Demand shared with peers.
-    pub const fn share_mut(&mut self) -> &mut Share {
-        &mut self.share
+    /// Drops the demand of a peer that announced its shutdown.
+    pub fn remove_peer(&mut self, now: Instant, peer: &Name) {
+        self.share.remove(now, peer);
     }
 
     /// Queued requests.
--- a/mimosashift/src/lib.rs
+++ b/mimosashift/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod health;
 pub mod http;
 pub mod member;
+pub mod meter;
 pub mod node;
 pub mod order;
 pub mod pipeline;
--- a/mimosashift/src/node/gate.rs
+++ b/mimosashift/src/node/gate.rs
@@ -7,6 +7,7 @@
 use crossbeam::channel::{self, RecvTimeoutError, Sender};
 
 use super::clock::Clock;
+use crate::admit::share::Report;
 use crate::admit::{Action, Admission, Bounds, Refusal, Request, Ticket, Usage};
 
 /// Time between two looks whether a waiting caller is still there.
@@ -85,9 +86,11 @@
         self.step(|admission, _, out| admission.poll(self.clock.now(), out));
     }
 
-    /// Forgets idle teams and silent peers; to be called about once a second.
-    pub fn expire(&self) {
-        self.lock().admission.expire(self.clock.now());
+    /// The demand to report to each of `peers` routers; forgets idle teams
+    /// and silent peers.
+    pub fn report(&self, peers: usize) -> Report {
+        let now = self.clock.now();
+        self.lock().admission.report(now, peers)
     }
 
     /// Reads or changes what is shared with other routers.
--- a/mimosashift/src/node/operators.rs
+++ b/mimosashift/src/node/operators.rs
@@ -109,7 +109,7 @@
                 let revision = committed.revision;
                 if !dry_run {
                     emit!(self.0.log, Event::ConfigAccepted, "revision" => revision);
-                    self.0.install(committed.state);
+                    self.0.install(committed.progress.state);
                 }
                 let body =
                     json!({"change": id.to_string(), "revision": revision, "dry_run": dry_run});
--- a/mimosashift/src/node/relay.rs
+++ b/mimosashift/src/node/relay.rs
@@ -159,6 +159,8 @@
                 let replacement = self.replace(&avoid, scope);
                 self.input(|context| machine.on_chain(context, replacement))
             }
+            // Hedges are off: one exchange is made at a time.
+            Action::NeedHedge { .. } => Actions::new(),
             Action::Emit(_) | Action::CancelEngine { .. } | Action::Finish(_) => Actions::new(),
         }
     }
--- a/mimosashift/src/node/upkeep.rs
+++ b/mimosashift/src/node/upkeep.rs
@@ -20,7 +20,7 @@
     spawn(node, "queue", QUEUE_INTERVAL, |node| node.gate.poll())?;
     let mut rng = Pcg64Mcg::seed_from_u64(rand::random());
     spawn(node, "sweep", SWEEP_INTERVAL, move |node| {
-        node.gate.expire();
+        node.gate.report(0);
         node.lock_health().sweep(node.clock.now(), &mut rng);
     })
 }
