Keep recording outcomes through long outages

A record was given up after 10 minutes, so that an outage of the table of that length left the claims of answered calls unknown. It is repeated for 2 hours now, with pauses that double from 0.2 s to 12.8 s.

--- a/mimosashift/src/posting/machine.rs
+++ b/mimosashift/src/posting/machine.rs
@@ -6,6 +6,9 @@
 use crate::platform::{Check, Key, Outcome, Refusal, Row, Transaction, Write};
 use crate::time::Instant;
 
+/// Times that the pause between two tries of a write doubles.
+const MAX_DOUBLINGS: u8 = 6;
+
 /// One try of a call that may not be repeated.
 ///
 /// It has at most one commit and one send outstanding, and answers the caller
@@ -20,6 +23,8 @@
     until: Instant,
     /// When to repeat a commit of which nothing is outstanding.
     retry_at: Option<Instant>,
+    /// Repeats in the current phase.
+    retries: u8,
     answered: bool,
 }
 
@@ -77,7 +82,8 @@
             Phase::Sending { claim: None, connects: 1 }
         };
         let until = now + settings.send_window;
-        let machine = Self { settings, request, phase, until, retry_at: None, answered: false };
+        let machine =
+            Self { settings, request, phase, until, retry_at: None, retries: 0, answered: false };
         let first =
             if keyed { machine.commit(false) } else { smallvec![Action::Send { before: until }] };
         (machine, first)
@@ -208,6 +214,7 @@
             return self.finish(Answer::NotRun);
         };
         self.until = now + self.settings.settle_window;
+        self.retries = 0;
         self.phase = Phase::Releasing { claim };
         let mut actions = self.answer(Answer::NotRun);
         actions.extend(self.commit(false));
@@ -219,6 +226,7 @@
             return self.finish(Answer::Replied(reply));
         };
         self.until = now + self.settings.settle_window;
+        self.retries = 0;
         self.phase = Phase::Recording { claim, reply: reply.to_record() };
         let mut actions = self.answer(Answer::Replied(reply));
         actions.extend(self.commit(false));
@@ -245,7 +253,9 @@
         if now >= last {
             return self.finish(Answer::NotRun);
         }
-        self.retry_at = Some(now + self.settings.retry_pause);
+        let doublings = self.retries.min(MAX_DOUBLINGS);
+        self.retry_at = Some(now + self.settings.retry_pause * (1 << doublings));
+        self.retries = doublings + 1;
         Actions::new()
     }
 
--- a/mimosashift/src/posting/mod.rs
+++ b/mimosashift/src/posting/mod.rs
@@ -60,7 +60,7 @@
     pub send_window: Duration,
     /// Time in which an outcome is recorded or a claim withdrawn.
     pub settle_window: Duration,
-    /// Time between two tries of the same write.
+    /// Time before the first repeat of a write; it doubles up to 64 times this.
     pub retry_pause: Duration,
     /// Most connection attempts to the service.
     pub connects: u8,
@@ -124,7 +124,7 @@
     fn default() -> Self {
         Self {
             send_window: Duration::from_secs(5),
-            settle_window: Duration::from_secs(600),
+            settle_window: Duration::from_secs(7_200),
             retry_pause: Duration::from_millis(200),
             connects: 3,
         }
--- a/mimosashift/tests/posting.rs
+++ b/mimosashift/tests/posting.rs
@@ -274,6 +274,27 @@
     assert_eq!(actions[..], [Action::Answer(Answer::Unknown)]);
 }
 
+#[test]
+fn record_is_repeated_with_growing_pauses_through_an_outage() {
+    let settings = Settings::default();
+    let digest = Digest::new("", "", b"");
+    let request = Request { key: Some(key("k")), nonce: Nonce(1), digest, unix_ms: 0 };
+    let (mut machine, _) = Machine::new(settings, request, NOW);
+    machine.committed(&Outcome::Done(1), NOW);
+    machine.delivered(Delivery::Replied(reply(b"")), NOW);
+    let (mut now, mut pauses) = (NOW, Vec::new());
+    loop {
+        machine.committed(&Outcome::NotDone(Refusal::Unavailable), now);
+        let Some(at) = machine.wake_at() else { break };
+        pauses.push(at.since(now).as_millis());
+        now = at;
+        assert!(matches!(machine.tick(now)[..], [Action::Commit { repeat: true, .. }]));
+    }
+    assert!(machine.is_finished());
+    assert_eq!(pauses[..8], [200, 400, 800, 1_600, 3_200, 6_400, 12_800, 12_800]);
+    assert!(now >= NOW + settings.settle_window);
+}
+
 #[test]
 fn large_body_is_recorded_as_digest() {
     let reply = reply(&vec![1; MAX_RECORDED_BODY_BYTES + 1]);
