Test stale lookups, foreign records, waiting starts and watches

Cause: with faults put in as a trial, three went unnoticed: no check that the change id is absent, no check of the lineage of a record, and serving before the highest revision heard is installed. Change: a test for each, and for watches at both ends of the log. Conclusion: each of these checks is needed and its loss is noticed.

--- a/mimosashift/tests/config.rs
+++ b/mimosashift/tests/config.rs
@@ -257,3 +257,37 @@
     let result = commit(&table, wanted, &State::default());
     assert_eq!(result, Err(Error::TooLarge { limit: 65_536 }));
 }
+
+/// The first lookup reads from before the earlier try of the same change.
+#[test]
+fn stale_lookup_does_not_double_a_change() {
+    let table = Fake::default();
+    let before = table.rows();
+    commit(&table, change(7, "urgent", 0), &State::default()).unwrap();
+    let mut machine = Commit::new(change(7, "urgent", 0), load(&table));
+    let mut step = machine.start();
+    table.with(|inner| inner.stale = Some(before));
+    let result = loop {
+        match step {
+            Step::Call(call) => {
+                step = machine.answer(call::perform(&table, &call));
+                table.with(|inner| inner.stale = None);
+            }
+            Step::Done(result) => break result.map(|committed| committed.revision),
+        }
+    };
+    assert_eq!(result, Ok(1));
+    assert_eq!(records(&table).len(), 1);
+}
+
+#[test]
+fn record_of_another_history_is_refused() {
+    let table = Fake::default();
+    commit(&table, change(1, "urgent", 0), &State::default()).unwrap();
+    let installed = load(&table);
+    let other = Fake::default();
+    commit(&other, change(2, "urgent", 0), &State::default()).unwrap();
+    commit(&other, change(3, "urgent", 1), &State::default()).unwrap();
+    let next = records(&other).pop().unwrap();
+    assert_eq!(installed.apply(&next), Err(Error::Diverged(2)));
+}
--- a/mimosashift/tests/spread.rs
+++ b/mimosashift/tests/spread.rs
@@ -7,7 +7,8 @@
 use fake::change;
 use fake::cluster::Cluster;
 use mimosashift::config::Error;
-use mimosashift::config::phase::Reason;
+use mimosashift::config::phase::{Reason, Router};
+use mimosashift::config::store::Gone;
 use mimosashift::resource::Kind;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -196,3 +197,35 @@
     cluster.run_until(1_500, Duration::from_secs(10)).unwrap();
     assert_eq!(cluster.nodes[1].spread().store().state().snapshot().len(), 1_500);
 }
+
+#[test]
+fn starting_router_waits_for_the_highest_revision() {
+    let mut cluster = Cluster::new(4, 2, 1);
+    cluster.run(START).unwrap();
+    cluster.commit(0, change(1, "urgent", 1)).unwrap();
+    cluster.run_until(1, Duration::from_secs(2)).unwrap();
+    let peers = cluster.nodes[0].membership.peers(cluster.now);
+    let node = cluster.nodes[0].membership.own().node.clone();
+    let starting = Router::new(node, cluster.now);
+    let later = cluster.now + START;
+    let behind = Reason::Behind { installed: 0, wanted: 1 };
+    assert_eq!(starting.reason(later, &peers), Some(behind));
+    assert!(starting.serve(later, &peers).is_err());
+}
+
+#[test]
+fn watch_resumes_or_is_told_to_list_again() {
+    let mut cluster = Cluster::new(1, 1, 1);
+    cluster.run(START).unwrap();
+    for id in 1..=1_500 {
+        cluster.commit(0, change(id, "urgent", 1)).unwrap();
+    }
+    let store = cluster.nodes[0].spread().store();
+    let watched: Vec<_> = store.watch(1_498).unwrap().map(|record| record.revision).collect();
+    assert_eq!(watched, [1_499, 1_500]);
+    assert_eq!(store.watch(1_500).unwrap().count(), 0);
+    assert_eq!(store.watch(476).unwrap().count(), 1_024);
+    for revision in [0, 475, 1_501] {
+        assert_eq!(store.watch(revision).err(), Some(Gone { current: 1_500 }), "{revision}");
+    }
+}
