--- a/mimosashift/src/lib.rs
+++ b/mimosashift/src/lib.rs
@@ -5,10 +5,16 @@
 //! `docs/DESIGN.md` gives the reasons and a picture of the modules.
 
 pub mod admit;
+pub mod config;
 pub mod engine;
 pub mod event;
+pub mod health;
+pub mod http;
 pub mod meter;
+pub mod node;
+pub mod pipeline;
 pub mod platform;
+pub mod posting;
 pub mod resource;
 pub mod route;
 pub mod settings;
--- a/mimosashiftd/src/flags.rs
+++ b/mimosashiftd/src/flags.rs
@@ -5,17 +5,32 @@
 use mimosashift::settings::Raw;
 use xflags::rt::Parser;
 
+/// What the command line asks for.
+pub enum Command {
+    /// Print the help text.
+    Help,
+    /// Check these settings and exit.
+    Check(Box<Raw>),
+    /// Run with these settings.
+    Run(Box<Raw>),
+}
+
 /// Reads the arguments after the program's name.
 ///
-/// A flag's value follows as the next argument or after `=`. The result is
-/// `None` when the help text is asked for.
-pub(crate) fn parse(args: Vec<OsString>) -> xflags::Result<Option<Raw>> {
-    let mut raw = Raw::default();
+/// A flag's value follows as the next argument or after `=`.
+pub fn parse(args: Vec<OsString>) -> xflags::Result<Command> {
+    let mut raw = Box::<Raw>::default();
+    let mut check = false;
     let mut parser = Parser::new(args);
     while let Some(arg) = parser.pop_flag() {
         let arg = arg.map_err(|arg| parser.unexpected_arg(arg))?;
-        if arg == "--help" || arg == "-h" {
-            return Ok(None);
+        match arg.as_str() {
+            "--help" | "-h" => return Ok(Command::Help),
+            "--check" => {
+                check = true;
+                continue;
+            }
+            _ => {}
         }
         let (flag, value) = match arg.split_once('=') {
             Some((flag, value)) => (flag.to_owned(), value.to_owned()),
@@ -30,5 +45,5 @@
             return Err(xflags::Error::new(format!("flag specified more than once: `{flag}`")));
         }
     }
-    Ok(Some(raw))
+    Ok(if check { Command::Check(raw) } else { Command::Run(raw) })
 }
--- a/mimosashiftd/src/main.rs
+++ b/mimosashiftd/src/main.rs
@@ -1,31 +1,79 @@
 //! The router daemon.
 
-mod flags;
-
+use std::fmt::Display;
 use std::process::ExitCode;
 
+use mimosashift::emit;
+use mimosashift::event::{self, Event};
+use mimosashift::node::{self, Running};
 use mimosashift::settings::{Setting, Settings};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+use crate::flags::Command;
+
+mod flags;
+
+/// Exit code when the router cannot start.
+const EXIT_START: u8 = 1;
 
 /// Exit code when the settings are wrong.
 const EXIT_USAGE: u8 = 2;
 
+/// Exit code when the drain time ended before every request was answered.
+const EXIT_CUT_OFF: u8 = 3;
+
 fn main() -> ExitCode {
     let args = std::env::args_os().skip(1).collect();
-    let raw = match flags::parse(args) {
-        Ok(None) => {
-            eprint!("{}", Setting::help_text());
+    let (raw, check) = match flags::parse(args) {
+        Ok(Command::Help) => {
+            print_help();
             return ExitCode::SUCCESS;
         }
-        Ok(Some(raw)) => raw,
-        Err(error) => return usage(&error),
+        Ok(Command::Check(raw)) => (raw, true),
+        Ok(Command::Run(raw)) => (raw, false),
+        Err(error) => return stop(EXIT_USAGE, &error),
     };
     match Settings::try_from(raw.fill(|name| std::env::var(name).ok())) {
-        Ok(_settings) => ExitCode::SUCCESS,
-        Err(error) => usage(&error),
+        Ok(_) if check => ExitCode::SUCCESS,
+        Ok(settings) => run(&settings),
+        Err(error) => stop(EXIT_USAGE, &error),
     }
 }
 
-fn usage(error: &dyn std::fmt::Display) -> ExitCode {
-    eprintln!("{error}");
-    ExitCode::from(EXIT_USAGE)
+#[allow(clippy::print_stdout)] // Help goes to the standard output.
+fn print_help() {
+    println!("mimosashiftd: a router for model pipelines.\n");
+    println!("  --check\n      Checks the settings and exits.\n");
+    print!("{}", Setting::help_text());
+}
+
+fn run(settings: &Settings) -> ExitCode {
+    let (log, _guard) = event::logger(&settings.log);
+    // Signals that arrive from here on are kept until they are waited for.
+    let mut signals = match Signals::new([SIGTERM, SIGINT]) {
+        Ok(signals) => signals,
+        Err(error) => return stop(EXIT_START, &error),
+    };
+    let started = node::Settings::try_from(settings).and_then(|s| Running::start(s, log.clone()));
+    let router = match started {
+        Ok(router) => router,
+        Err(error) => return stop(EXIT_START, &error),
+    };
+    let handle = signals.handle();
+    let drain = router.drain_handle();
+    std::thread::spawn(move || {
+        if signals.forever().next().is_some() {
+            drain.request();
+        }
+    });
+    let cut_off = router.wait();
+    handle.close();
+    emit!(log, Event::NodeStopped, "cut_off" => cut_off);
+    if cut_off == 0 { ExitCode::SUCCESS } else { ExitCode::from(EXIT_CUT_OFF) }
+}
+
+fn stop(code: u8, error: &dyn Display) -> ExitCode {
+    eprintln!("mimosashiftd: {error}");
+    ExitCode::from(code)
 }
