Add the local run of a whole system with faults

Cause: a newcomer has nothing to look at, and the parts meet nowhere in one command. Change: a world of four routers, two domains and two kinds of accelerator in one process, a sample that checks each step, four faults; the drain waits on a condition instead of a parker, so that a running router can be shared. Conclusion: the sample is the acceptance of what is being joined.

--- a/mimosashift/src/node/drain.rs
+++ b/mimosashift/src/node/drain.rs
@@ -1,12 +1,10 @@
 //! Graceful shutdown.
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crossbeam::sync::{Parker, Unparker};
-
 /// Least time between not being ready and no longer accepting, so that the
 /// balancer has looked in between.
 const BALANCER_TIME: Duration = Duration::from_secs(2);
@@ -18,13 +16,19 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Asks a router to shut down gracefully.
-#[derive(Clone)]
+#[derive(Clone, Default)]
 pub struct Handle {
-    requested: Arc<AtomicBool>,
-    unparker: Unparker,
+    shared: Arc<Shared>,
+}
+
+#[derive(Default)]
+struct Shared {
+    requested: Mutex<bool>,
+    changed: Condvar,
 }
 
 /// Whether a shutdown was asked for, and what still arrives.
+#[derive(Default)]
 pub struct Drain {
     handle: Handle,
     arrivals: AtomicU64,
@@ -33,25 +37,27 @@
 impl Handle {
     /// Starts the shutdown; further calls do nothing.
     pub fn request(&self) {
-        self.requested.store(true, Ordering::Release);
-        self.unparker.unpark();
+        *self.lock() = true;
+        self.shared.changed.notify_all();
     }
 
     /// Whether the shutdown has started.
     pub fn is_requested(&self) -> bool {
-        self.requested.load(Ordering::Acquire)
+        *self.lock()
     }
-}
 
-impl Drain {
-    /// A drain that was not asked for, and what waits for it.
-    pub fn new() -> (Self, Parker) {
-        let parker = Parker::new();
-        let requested = Arc::new(AtomicBool::new(false));
-        let handle = Handle { requested, unparker: parker.unparker().clone() };
-        (Self { handle, arrivals: AtomicU64::new(0) }, parker)
+    /// Waits until the shutdown is asked for.
+    pub fn wait(&self) {
+        let requested = self.shared.changed.wait_while(self.lock(), |requested| !*requested);
+        drop(requested.expect("no holder of this lock panics"));
+    }
+
+    fn lock(&self) -> MutexGuard<'_, bool> {
+        self.shared.requested.lock().expect("no holder of this lock panics")
     }
+}
 
+impl Drain {
     /// Lets others ask for the shutdown.
     pub fn handle(&self) -> Handle {
         self.handle.clone()
@@ -67,13 +73,6 @@
         self.arrivals.fetch_add(1, Ordering::Relaxed);
     }
 
-    /// Waits until the shutdown is asked for.
-    pub fn wait_requested(&self, parker: &Parker) {
-        while !self.is_requested() {
-            parker.park();
-        }
-    }
-
     /// Waits until the balancer has turned away, or for `limit`.
     pub fn wait_quiet(&self, limit: Duration) {
         let start = Instant::now();
--- a/mimosashift/src/node/mod.rs
+++ b/mimosashift/src/node/mod.rs
@@ -11,7 +11,6 @@
 
 use arc_swap::ArcSwap;
 use crossbeam::channel::{self, Receiver, Sender};
-use crossbeam::sync::Parker;
 
 use crate::admit::Bounds;
 use crate::config::State;
@@ -86,7 +85,6 @@
 /// A router that serves.
 pub struct Running {
     node: Arc<Node>,
-    drained: Parker,
     callers: Server,
     operators: Server,
 }
@@ -94,9 +92,8 @@
 impl Running {
     /// Starts a router.
     pub fn start(settings: Settings, log: Logger) -> Result<Self, Error> {
-        let (drain, drained) = drain::Drain::new();
         let (cancels, cancelled) = channel::bounded(MAX_CANCELS);
-        let node = Arc::new(Node::new(settings, log, drain, cancels)?);
+        let node = Arc::new(Node::new(settings, log, cancels)?);
         emit!(node.log, Event::NodeStarted,
             "node" => node.settings.node.name.as_str(),
             "domain" => node.settings.node.domain.as_str());
@@ -110,7 +107,7 @@
         let callers = node.listen("callers", Arc::new(callers::Surface(Arc::clone(&node))))?;
         let operators =
             node.listen("operators", Arc::new(operators::Surface(Arc::clone(&node))))?;
-        Ok(Self { node, drained, callers, operators })
+        Ok(Self { node, callers, operators })
     }
 
     /// Where callers connect.
@@ -136,8 +133,8 @@
     /// Serves until a graceful shutdown was asked for and has ended; returns
     /// how many requests were cut off.
     pub fn wait(self) -> usize {
-        let Self { node, drained, callers, operators } = self;
-        node.drain.wait_requested(&drained);
+        let Self { node, callers, operators } = self;
+        node.drain.handle().wait();
         emit!(node.log, Event::NodeDraining, "pending" => callers.pending());
         let end = Instant::now() + node.settings.node.drain;
         node.drain.wait_quiet(end.saturating_duration_since(Instant::now()));
@@ -151,12 +148,7 @@
 }
 
 impl Node {
-    fn new(
-        settings: Settings,
-        log: Logger,
-        drain: drain::Drain,
-        cancels: Sender<Cancel>,
-    ) -> Result<Self, Error> {
+    fn new(settings: Settings, log: Logger, cancels: Sender<Cancel>) -> Result<Self, Error> {
         let clock = Clock::new();
         let client = Arc::new(Client::new(client::Settings::default()));
         let crossing = settings.peer.cross_domain_latency;
@@ -165,7 +157,7 @@
             log,
             clock,
             meter: Meter::new()?,
-            drain,
+            drain: drain::Drain::default(),
             engines: engine::http::Adapter::new(Arc::clone(&client)),
             client,
             cancels,
--- a/mimosastandin/src/main.rs
+++ b/mimosastandin/src/main.rs
@@ -6,6 +6,7 @@
 use std::thread;
 
 use mimosashift::resource::{Engine, Layers, Name};
+use mimosastandin::demo::{self, Plan};
 use mimosastandin::{engine, platform, service};
 use quick_error::quick_error;
 
@@ -17,6 +18,11 @@
         Listen(address: SocketAddr, error: std::io::Error) {
             display("cannot listen on {}: {}", address, error)
         }
+        /// The local run failed.
+        Demo(error: demo::Error) {
+            from()
+            display("{}", error)
+        }
         /// A name or range is not allowed.
         Resource(error: mimosashift::resource::Error) {
             from()
@@ -33,10 +39,20 @@
 mod flags {
     use std::net::SocketAddr;
 
+    use mimosastandin::demo::Fault;
+
     xflags::xflags! {
         /// Stand-ins for the systems around a router, for tests and
         /// demonstrations.
         cmd mimosastandin {
+            /// Runs a whole system in one process, and a sample of what it does.
+            cmd demo {
+                /// Ends after the sample.
+                optional --once
+                /// Breaks something while requests run: kill-stage,
+                /// silence-connections, lose-domain or stop-table.
+                optional --fault name: Fault
+            }
             /// Runs the platform: tables and the list of VMs.
             cmd platform {
                 /// Address to listen on.
@@ -87,6 +103,9 @@
 
 fn run(flags: flags::Mimosastandin) -> Result<(), Error> {
     match flags.subcommand {
+        flags::MimosastandinCmd::Demo(demo) => {
+            Ok(demo::run(Plan { once: demo.once, fault: demo.fault })?)
+        }
         flags::MimosastandinCmd::Platform(platform) => run_platform(&platform),
         flags::MimosastandinCmd::Engine(engine) => run_engine(&engine),
         flags::MimosastandinCmd::Service(service) => run_service(&service),
--- a/mimosastandin/tests/path.rs
+++ b/mimosastandin/tests/path.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use mimosashift::http::client::{Answer, Call, Client};
@@ -26,7 +26,7 @@
     callers: SocketAddr,
     operators: SocketAddr,
     /// Keeps the router running.
-    _router: Mutex<Running>,
+    _router: Running,
     engines: Vec<engine::Instance>,
 }
 
@@ -76,7 +76,7 @@
             client: Client::new(Default::default()),
             callers: router.callers(),
             operators: router.operators(),
-            _router: Mutex::new(router),
+            _router: router,
             engines: Vec::new(),
         };
         let digest = hex::encode(Sha256::digest(CALLER));
