Measure the decision code in virtual time beside a naive baseline

Four routers with their own state choose, admit and recover over fake engines that batch, hold caches and fail.

--- a/mimosabench/src/main.rs
+++ b/mimosabench/src/main.rs
@@ -3,14 +3,13 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use load::{Plan, Work};
-use report::Outcome;
-
-mod load;
-mod report;
+use mimosabench::load::{self, Plan, Work};
+use mimosabench::policy::{self, measure};
+use mimosabench::report::{Outcome, Report};
 
 mod flags {
     use std::net::SocketAddr;
+    use std::path::PathBuf;
 
     xflags::xflags! {
         /// Measures routers and their policies.
@@ -42,6 +41,21 @@
                 /// Prints JSON.
                 optional --json
             }
+            /// Measures the decision code in virtual time, beside a baseline.
+            cmd policy {
+                /// Folder for the plots; none are drawn unless given.
+                optional --plots folder: PathBuf
+                /// Replicas of the model; 40 unless given.
+                optional --replicas count: usize
+                /// Seconds measured; 60 unless given.
+                optional --seconds number: u64
+                /// Seed; 1 unless given.
+                optional --seed number: u64
+                /// Only this mix: board or aksu.
+                optional --mix name: String
+                /// Prints why requests were refused or lost.
+                optional --causes
+            }
         }
     }
 }
@@ -50,6 +64,7 @@
     let flags = flags::Mimosabench::from_env_or_exit();
     match flags.subcommand {
         flags::MimosabenchCmd::Load(flags) => run_load(&flags),
+        flags::MimosabenchCmd::Policy(flags) => run_policy(&flags),
     }
 }
 
@@ -84,10 +99,32 @@
     if report.of(Outcome::Wrong) == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
-fn print_report(report: &report::Report, json: bool) {
+fn print_report(report: &Report, json: bool) {
     if json {
         println!("{:#}", report.to_json());
     } else {
         print!("{}", report.to_text());
     }
 }
+
+fn run_policy(flags: &flags::Policy) -> ExitCode {
+    let scale = measure::Scale {
+        replicas: flags.replicas.unwrap_or(40),
+        measured: Duration::from_secs(flags.seconds.unwrap_or(60)),
+        seed: flags.seed.unwrap_or(1),
+    };
+    let (throughputs, recoveries) = measure::all(scale, flags.mix.as_deref());
+    println!("{}", policy::throughputs(&throughputs));
+    println!("{}", policy::recoveries(&recoveries));
+    if flags.causes {
+        print!("{}", policy::causes(&throughputs, &recoveries));
+    }
+    let Some(folder) = &flags.plots else { return ExitCode::SUCCESS };
+    match policy::draw(folder, &throughputs, &recoveries) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("mimosabench: cannot draw into {}: {error}", folder.display());
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/mimosabench/src/policy/bound.rs
@@ -0,0 +1,39 @@
+//! The flow that the hardware and links could carry, from declared speeds.
+
+use mimosashift::health::model;
+
+use super::fleet::{Fleet, HIDDEN_BYTES, Mix, STAGES};
+
+/// Requests a second that `fleet` could complete with the `live` endpoints,
+/// if every batch were full and every choice perfect.
+///
+/// All endpoints hold whole stages, so the flow is the least over the stages
+/// of what the holders of the stage carry together. What one endpoint carries
+/// is the least of its compute and of either direction of its link.
+pub fn bound(fleet: &Fleet, mix: &Mix, live: impl Fn(usize) -> bool) -> f64 {
+    let stages = usize::from(STAGES);
+    let flow = |stage: usize| -> f64 {
+        let holders = (stage..fleet.endpoints.len()).step_by(stages);
+        holders.filter(|&number| live(number)).map(|number| carried(fleet, number, mix)).sum()
+    };
+    (0..stages).map(flow).fold(f64::INFINITY, f64::min)
+}
+
+/// Engine time of a request in one-token steps of a batch of one, when every
+/// batch is full.
+pub fn work(prompt: f64, answer: f64, slots: u32) -> f64 {
+    let step = f64::from(model::batch_weight(slots)) / f64::from(slots);
+    let prefill = f64::from(model::step_weight(prompt as f32) - 1.0);
+    answer * step + prefill
+}
+
+fn carried(fleet: &Fleet, number: usize, mix: &Mix) -> f64 {
+    let engine = fleet.engine(number);
+    let (prompt, answer) = mix.means();
+    let layers = engine.holds[0].layers;
+    let step = f64::from(engine.layer_us) * f64::from(layers.count()) / 1e6;
+    let compute = 1.0 / (step * work(prompt, answer, u32::from(engine.slots)));
+    let bytes = (prompt + answer - 1.0) * f64::from(HIDDEN_BYTES);
+    let link = engine.link_bytes_per_second as f64 / bytes;
+    compute.min(link)
+}
