Join the routers: heartbeats, spread of configuration, probes, watches

A router saw only its own changes. It now exchanges heartbeats and configuration with its peers, polls the table by turn, divides probes of endpoints, and answers the operators' queries, watches and drain.

--- a/mimosashift/src/config/mod.rs
+++ b/mimosashift/src/config/mod.rs
@@ -9,6 +9,7 @@
 use crate::platform::Refusal;
 use crate::resource::{self, Kind, Name};
 
+pub mod audit;
 pub mod call;
 pub mod catchup;
 pub mod change;
--- a/mimosashift/src/engine/mod.rs
+++ b/mimosashift/src/engine/mod.rs
@@ -89,6 +89,14 @@
     pub kv_free_tokens: u64,
     /// Whether the engine is shutting down.
     pub leaving: bool,
+    /// Rises with each start of the engine under one address; 1 from engines
+    /// that do not say.
+    #[serde(default = "first_incarnation")]
+    pub incarnation: u64,
+}
+
+const fn first_incarnation() -> u64 {
+    1
 }
 
 quick_error! {
--- a/mimosashift/src/health/leaving.rs
+++ b/mimosashift/src/health/leaving.rs
@@ -53,7 +53,8 @@
         self.own = self.own.max(other.own);
     }
 
-    pub(super) fn is_leaving(&self) -> bool {
+    /// Whether the endpoint is shutting down.
+    pub fn is_leaving(&self) -> bool {
         let listed = self.listed.leaving && self.listed.incarnation >= self.own.incarnation;
         listed || self.own.leaving
     }
--- a/mimosashift/src/node/callers.rs
+++ b/mimosashift/src/node/callers.rs
@@ -49,8 +49,14 @@
     fn handle(&self, request: Request, responder: Responder) {
         let path = request.uri.path();
         match (&request.method, path) {
-            (&Method::GET, "/healthz") => responder.json(StatusCode::OK, b"{}".to_vec()),
-            (&Method::GET, "/readyz") => self.ready(responder),
+            (&Method::GET, "/healthz") => return responder.json(StatusCode::OK, b"{}".to_vec()),
+            (&Method::GET, "/readyz") => return self.ready(responder),
+            _ => {}
+        }
+        if let Some(problem) = self.0.without_configuration() {
+            return responder.problem(&problem);
+        }
+        match (&request.method, path) {
             (&Method::GET, "/v1/models") => self.models(&request, responder),
             (&Method::POST, "/v1/completions") => self.complete(Form::Text, request, responder),
             (&Method::POST, "/v1/chat/completions") => {
@@ -67,12 +73,10 @@
 
 impl Surface {
     fn ready(&self, responder: Responder) {
-        if self.0.drain.is_requested() {
-            let detail = "the router is shutting down";
-            let status = StatusCode::SERVICE_UNAVAILABLE;
-            return responder.problem(&Problem::not_run(status, "not-ready", detail));
+        match self.0.not_ready() {
+            Some(problem) => responder.problem(&problem),
+            None => responder.json(StatusCode::OK, b"{}".to_vec()),
         }
-        responder.json(StatusCode::OK, b"{}".to_vec());
     }
 
     fn models(&self, request: &Request, responder: Responder) {
--- a/mimosashift/src/node/mod.rs
+++ b/mimosashift/src/node/mod.rs
@@ -12,6 +12,7 @@
 use arc_swap::ArcSwap;
 use crossbeam::channel::{self, Receiver, Sender};
 use crossbeam::sync::Parker;
+use hyper::StatusCode;
 
 use crate::admit::Bounds;
 use crate::config::State;
@@ -20,6 +21,7 @@
 use crate::event::{Event, Logger};
 use crate::health::{self, Registry};
 use crate::http::client::{self, Client};
+use crate::http::problem::Problem;
 use crate::http::{self, Handler, Server};
 use crate::pipeline::retry::{Budget, Share};
 use crate::route::affinity::{self, Affinity};
@@ -27,10 +29,12 @@
 mod auth;
 mod callers;
 mod clock;
+mod cluster;
 mod drain;
 mod gate;
 mod installed;
 mod operators;
+mod probes;
 mod relay;
 mod services;
 mod settings;
@@ -40,6 +44,7 @@
 pub use settings::{Error, Settings};
 
 use clock::Clock;
+use cluster::Cluster;
 use gate::Gate;
 use installed::Installed;
 use relay::Cancel;
@@ -62,7 +67,7 @@
 
 /// The shared tables of a router.
 ///
-/// Lock order: `gate`, `health`, `affinity`, `budget`. `installed` is read without a
+/// Lock order: `cluster`, `gate`, `health`, `affinity`, `budget`. `installed` is read without a
 /// lock, and a request keeps the one that admitted it.
 pub struct Node {
     settings: Settings,
@@ -73,6 +78,7 @@
     engines: engine::http::Adapter,
     cancels: Sender<Cancel>,
     installed: ArcSwap<Installed>,
+    cluster: Cluster,
     gate: Gate,
     health: Mutex<Registry>,
     affinity: Mutex<Affinity>,
@@ -92,7 +98,8 @@
     pub fn start(settings: Settings, log: Logger) -> Result<Self, Error> {
         let (drain, drained) = drain::Drain::new();
         let (cancels, cancelled) = channel::bounded(MAX_CANCELS);
-        let node = Arc::new(Node::new(settings, log, drain, cancels));
+        let (node, work) = Node::new(settings, log, drain, cancels);
+        let node = Arc::new(node);
         emit!(node.log, Event::NodeStarted,
             "node" => node.settings.node.name.as_str(),
             "domain" => node.settings.node.domain.as_str());
@@ -103,9 +110,11 @@
                 .spawn(move || send_cancels(&engines, &cancelled))?;
         }
         upkeep::start(&node)?;
+        node.start_cluster(work)?;
+        probes::start(&node)?;
         let callers = node.listen("callers", Arc::new(callers::Surface(Arc::clone(&node))))?;
         let operators =
-            node.listen("operators", Arc::new(operators::Surface(Arc::clone(&node))))?;
+            node.listen("operators", Arc::new(operators::Surface::new(Arc::clone(&node))))?;
         Ok(Self { node, drained, callers, operators })
     }
 
@@ -137,6 +146,8 @@
         emit!(node.log, Event::NodeDraining, "pending" => callers.pending());
         let end = Instant::now() + node.settings.node.drain;
         node.drain.wait_quiet(end.saturating_duration_since(Instant::now()));
+        node.cluster.leave();
+        node.tick_cluster();
         let cut_off = callers.shutdown(end.saturating_duration_since(Instant::now()));
         operators.shutdown(Duration::ZERO);
         if cut_off > 0 {
@@ -147,12 +158,18 @@
 }
 
 impl Node {
-    fn new(settings: Settings, log: Logger, drain: drain::Drain, cancels: Sender<Cancel>) -> Self {
+    fn new(
+        settings: Settings,
+        log: Logger,
+        drain: drain::Drain,
+        cancels: Sender<Cancel>,
+    ) -> (Self, cluster::Work) {
         let clock = Clock::new();
+        let (cluster, work) = Cluster::new(&settings, clock.now());
         let client = Arc::new(Client::new(client::Settings::default()));
         let crossing = settings.peer.cross_domain_latency;
         let installed = Installed::new(State::default(), settings.domain(), crossing);
-        Self {
+        let node = Self {
             log,
             clock,
             drain,
@@ -160,12 +177,14 @@
             client,
             cancels,
             installed: ArcSwap::from_pointee(installed),
+            cluster,
             gate: Gate::new(bounds(&settings), clock),
             health: Mutex::new(Registry::new(health::Settings::default())),
             affinity: Mutex::new(Affinity::new(AFFINITY)),
             budget: Mutex::new(Budget::new(Share::default(), clock.now())),
             settings,
-        }
+        };
+        (node, work)
     }
 
     /// The configuration in force here.
@@ -173,6 +192,22 @@
         self.installed.load_full()
     }
 
+    /// Why the router takes no new work, `None` when it does.
+    fn not_ready(&self) -> Option<Problem> {
+        let detail = if self.drain.is_requested() {
+            "the router is shutting down".to_owned()
+        } else {
+            self.cluster.reason(self.clock.now())?.to_string()
+        };
+        Some(Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "not-ready", detail))
+    }
+
+    /// Why nothing can be looked up: no configuration has been fetched yet.
+    fn without_configuration(&self) -> Option<Problem> {
+        let empty = self.installed.load().state().version().revision == 0;
+        if empty { self.not_ready() } else { None }
+    }
+
     /// Puts a configuration in force, unless a later one is.
     fn install(&self, state: State) {
         let crossing = self.settings.peer.cross_domain_latency;
--- /dev/null
+++ b/mimosashift/src/node/probes.rs
@@ -0,0 +1,189 @@
+//! Looks at endpoints without being asked by a request.
+//!
+//! Each endpoint is probed by one live router about once a second; the others
+//! hear of the result with heartbeats. One router of each failure domain reads
+//! the platform's list of virtual machines every second, the others seldom.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+use crossbeam::channel::{self, Receiver, Sender};
+use hyper::Method;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+use super::{Error, Node, upkeep};
+use crate::engine::Failure;
+use crate::health::{Exchange, probe};
+use crate::http::client::Call;
+use crate::platform::Outcome;
+use crate::resource::{Name, Role};
+
+/// Time between two probes of an endpoint.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time between two reads of the list of virtual machines.
+const LIST_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time for a plain service to answer a probe.
+const SERVICE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Intervals between two reads of the list by the other routers.
+const INTERVALS_PER_SPARE_READ: u32 = 10;
+
+/// Threads that probe.
+const THREADS: usize = 8;
+
+/// Probes that may wait for slow endpoints.
+const MAX_WAITING: usize = 1_024;
+
+/// Path of a plain service that is asked; any answer shows that it lives.
+const SERVICE_PATH: &str = "/healthz";
+
+/// One endpoint to probe.
+struct Target {
+    name: Name,
+    address: SocketAddr,
+    engine: bool,
+    /// Number of the probe, rising within this process.
+    sequence: u64,
+}
+
+/// Endpoints whose probe waits or is under way; locked for a look only.
+type Pending = Arc<Mutex<HashSet<Name>>>;
+
+/// Starts the threads.
+pub fn start(node: &Arc<Node>) -> Result<(), Error> {
+    let (sender, receiver) = channel::bounded(MAX_WAITING);
+    let pending = Pending::default();
+    for _ in 0..THREADS {
+        let (node, receiver, pending) =
+            (Arc::downgrade(node), receiver.clone(), Arc::clone(&pending));
+        thread::Builder::new().name("probe".to_owned()).spawn(move || {
+            let receiver: Receiver<Target> = receiver;
+            for target in receiver {
+                let Some(node) = node.upgrade() else { return };
+                probe(&node, &target);
+                lock(&pending).remove(&target.name);
+            }
+        })?;
+    }
+    let mut sequence = 0;
+    upkeep::spawn(node, "probes", PROBE_INTERVAL, move |node| {
+        sequence += 1;
+        submit(node, sequence, &sender, &pending);
+    })?;
+    let mut intervals = 0;
+    upkeep::spawn(node, "machines", LIST_INTERVAL, move |node| {
+        intervals = (intervals + 1) % INTERVALS_PER_SPARE_READ;
+        if intervals == 0 || reads_list(node) {
+            read_list(node);
+        }
+    })
+}
+
+/// Hands out the probes of this router's endpoints, except those still under
+/// way.
+fn submit(node: &Node, sequence: u64, sender: &Sender<Target>, pending: &Pending) {
+    for target in targets(node, sequence) {
+        let name = target.name.clone();
+        if lock(pending).insert(name.clone()) && sender.try_send(target).is_err() {
+            lock(pending).remove(&name);
+        }
+    }
+}
+
+fn targets(node: &Node, sequence: u64) -> Vec<Target> {
+    let installed = node.installed();
+    let own = node.settings.node.name.as_str();
+    node.cluster.with_routers(node.clock.now(), |routers| {
+        let mine = |name: &Name, domain: &Name| {
+            probe::poller(name, domain, routers).is_some_and(|router| router.name == own)
+        };
+        let endpoints = installed.snapshot().endpoints();
+        endpoints
+            .filter(|(name, endpoint)| mine(name, &endpoint.domain))
+            .map(|(name, endpoint)| Target {
+                name: name.clone(),
+                address: endpoint.address,
+                engine: matches!(endpoint.role, Role::Engine(_)),
+                sequence,
+            })
+            .collect()
+    })
+}
+
+fn probe(node: &Node, target: &Target) {
+    if target.engine { probe_engine(node, target) } else { probe_service(node, target) }
+}
+
+/// An engine that reports its load may still fail at steps, so the answer does
+/// not end a row of failures.
+fn probe_engine(node: &Node, target: &Target) {
+    let sent = node.clock.now();
+    let answer = node.engines.load(target.address);
+    let now = node.clock.now();
+    let mut health = node.lock_health();
+    match answer {
+        Ok(load) => health.poll(&target.name, load.incarnation, &load, target.sequence, now),
+        Err(failure) => health.fail(&target.name, &failure, sent, now, &mut rng()),
+    }
+}
+
+fn probe_service(node: &Node, target: &Target) {
+    let sent = node.clock.now();
+    let answer = node.client.call(&Call {
+        address: target.address,
+        method: Method::GET,
+        path: SERVICE_PATH,
+        headers: &[],
+        body: &[],
+        timeout: SERVICE_TIMEOUT,
+        fresh: false,
+    });
+    let now = node.clock.now();
+    let mut health = node.lock_health();
+    match answer {
+        Ok(answer) => {
+            let bytes = answer.body.len() as u64;
+            let total = now.since(sent);
+            let exchange = Exchange { layers: 0, tokens: 0, bytes, total, service: None };
+            health.succeed(&target.name, &exchange, now);
+        }
+        Err(failure) => {
+            health.fail(&target.name, &Failure::from(failure), sent, now, &mut rng());
+        }
+    }
+}
+
+/// Whether this router reads the list for its failure domain.
+fn reads_list(node: &Node) -> bool {
+    let domain = node.settings.domain();
+    let own = node.settings.node.name.as_str();
+    node.cluster.with_routers(node.clock.now(), |routers| {
+        probe::poller(domain, domain, routers).is_some_and(|router| router.name == own)
+    })
+}
+
+/// Takes in the list of virtual machines.
+fn read_list(node: &Node) {
+    let Some(machines) = &node.settings.machines else { return };
+    let Outcome::Done(list) = machines.vms() else { return };
+    let leaving: HashSet<SocketAddr> =
+        list.vms.iter().filter(|vm| vm.leaving).map(|vm| vm.address).collect();
+    let installed = node.installed();
+    let is_leaving =
+        |name: &Name| installed.address(name).is_some_and(|address| leaving.contains(&address));
+    node.lock_health().list(list.generation, is_leaving);
+}
+
+fn rng() -> Pcg64Mcg {
+    Pcg64Mcg::seed_from_u64(rand::random())
+}
+
+fn lock(pending: &Pending) -> std::sync::MutexGuard<'_, HashSet<Name>> {
+    pending.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/mimosashift/src/node/settings.rs
+++ b/mimosashift/src/node/settings.rs
@@ -8,7 +8,7 @@
 
 use crate::http;
 use crate::http::client::Client;
-use crate::platform::{self, Table};
+use crate::platform::{self, Machines, Table};
 use crate::resource::Name;
 use crate::settings;
 
@@ -55,6 +55,8 @@
     pub peer: settings::Peer,
     /// The platform's tables.
     pub table: Arc<dyn Table>,
+    /// The platform's list of virtual machines, if it is to be followed.
+    pub machines: Option<Arc<dyn Machines>>,
 }
 
 impl Settings {
@@ -72,7 +74,7 @@
         let address = url.trim_start_matches("http://").parse();
         let address = address.map_err(|_| Error::Platform(url.clone()))?;
         let client = Arc::new(Client::new(http::client::Settings::default()));
-        let table = platform::http::Adapter::new(client, address, PLATFORM_TIMEOUT);
+        let platform = Arc::new(platform::http::Adapter::new(client, address, PLATFORM_TIMEOUT));
         Ok(Self {
             node: settings.node.clone(),
             callers: settings.caller.listen,
@@ -85,7 +87,8 @@
             operators: settings.operator.listen,
             bootstrap_digest: settings.operator.bootstrap_digest,
             peer: settings.peer.clone(),
-            table: Arc::new(table),
+            table: Arc::clone(&platform) as _,
+            machines: Some(platform),
         })
     }
 }
--- a/mimosashift/src/node/upkeep.rs
+++ b/mimosashift/src/node/upkeep.rs
@@ -20,12 +20,12 @@
     spawn(node, "queue", QUEUE_INTERVAL, |node| node.gate.poll())?;
     let mut rng = Pcg64Mcg::seed_from_u64(rand::random());
     spawn(node, "sweep", SWEEP_INTERVAL, move |node| {
-        node.gate.report(0);
         node.lock_health().sweep(node.clock.now(), &mut rng);
     })
 }
 
-fn spawn(
+/// Calls `act` again and again until the router is gone.
+pub fn spawn(
     node: &Arc<Node>,
     name: &str,
     interval: Duration,
--- a/mimosashift/src/platform/http.rs
+++ b/mimosashift/src/platform/http.rs
@@ -8,7 +8,7 @@
 use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
 use serde::{Deserialize, Serialize};
 
-use super::{Key, Outcome, Page, Refusal, Row, Table, Transaction};
+use super::{Key, Machines, Outcome, Page, Refusal, Row, Table, Transaction};
 use crate::http::client::{Answer, Call, Client, Failure};
 
 /// Answer to a transaction that took effect.
@@ -57,11 +57,6 @@
         Self { client, address, timeout }
     }
 
-    /// Reads the list of virtual machines.
-    pub fn vms(&self) -> Outcome<VmList> {
-        self.get("/v1/vms")
-    }
-
     fn get<T: for<'de> Deserialize<'de>>(&self, path: &str) -> Outcome<T> {
         let answer = match self.call(Method::GET, path, &[]) {
             Ok(answer) if answer.status == StatusCode::OK => answer,
@@ -80,6 +75,12 @@
     }
 }
 
+impl Machines for Adapter {
+    fn vms(&self) -> Outcome<VmList> {
+        self.get("/v1/vms")
+    }
+}
+
 impl Table for Adapter {
     fn commit(&self, transaction: &Transaction) -> Outcome<u64> {
         let body = serde_json::to_vec(transaction).expect("a transaction has only string keys");
--- a/mimosashift/src/platform/mod.rs
+++ b/mimosashift/src/platform/mod.rs
@@ -6,6 +6,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use self::http::VmList;
+
 pub mod breaker;
 pub mod budget;
 pub mod http;
@@ -106,3 +108,9 @@
     /// and starts with `prefix`.
     fn scan(&self, table: &str, prefix: &str, after: &str, limit: usize) -> Outcome<Page>;
 }
+
+/// The platform's list of virtual machines.
+pub trait Machines: Send + Sync {
+    /// Reads the list; it lags behind the truth.
+    fn vms(&self) -> Outcome<VmList>;
+}
--- a/mimosashift/src/wire/message.rs
+++ b/mimosashift/src/wire/message.rs
@@ -22,6 +22,8 @@
     Request(Request),
     /// Configuration asked for or pushed.
     Reply(Bundle),
+    /// Small reports that are due more often than heartbeats.
+    Reports(Vec<Payload>),
 }
 
 /// What a router tells about itself.
--- a/mimosastandin/src/engine.rs
+++ b/mimosastandin/src/engine.rs
@@ -241,6 +241,7 @@
             running: u32::from(self.spec.slots - free),
             kv_free_tokens: 1 << 20,
             leaving: fault == Fault::Leaving,
+            incarnation: 1,
         }
     }
 
--- a/mimosastandin/tests/path.rs
+++ b/mimosastandin/tests/path.rs
@@ -70,6 +70,7 @@
             bootstrap_digest: Some(settings::Digest(Sha256::digest(OPERATOR).into())),
             peer,
             table: Arc::new(platform),
+            machines: None,
         };
         let router = Running::start(settings, Logger::root(Discard, o!())).unwrap();
         let path = Self {
