Claim calls with an idempotency key before they are sent

The router only forwarded calls to services, so that a call repeated at another router ran again. Each such call now runs through posting::Machine: one thread runs the machines, one commits their writes in groups behind the platform's budget and breaker, and the caller's thread sends over a connection of its own. Shutdown waits for unsettled claims within the drain time.

While the breaker is open, a thread probes by a read, so that no caller's claim is left in doubt by a probe.

--- a/mimosashift/src/node/callers.rs
+++ b/mimosashift/src/node/callers.rs
@@ -193,8 +193,9 @@
         self.0.drain.note_arrival();
         let installed = self.0.installed();
         let snapshot = installed.snapshot();
-        let checked = auth::team(request, snapshot).and_then(|_| service_path(request));
-        let (name, path) = match checked {
+        let checked =
+            auth::team(request, snapshot).and_then(|(team, _)| Ok((team, service_path(request)?)));
+        let (team, (name, path)) = match checked {
             Ok(checked) => checked,
             Err(problem) => return responder.problem(&problem),
         };
@@ -204,6 +205,7 @@
             return responder.problem(&problem);
         };
         let target = Target {
+            team,
             service: &name,
             path: &path,
             timeout: Duration::from_millis(spec.timeout_ms),
--- a/mimosashift/src/node/mod.rs
+++ b/mimosashift/src/node/mod.rs
@@ -22,6 +22,7 @@
 use crate::http::client::{self, Client};
 use crate::http::{self, Handler, Server};
 use crate::pipeline::retry::{Budget, Share};
+use crate::platform::budget::Class;
 use crate::route::affinity::{self, Affinity};
 
 mod auth;
@@ -31,6 +32,8 @@
 mod gate;
 mod installed;
 mod operators;
+mod platform;
+mod postings;
 mod relay;
 mod services;
 mod settings;
@@ -42,6 +45,8 @@
 use clock::Clock;
 use gate::Gate;
 use installed::Installed;
+use platform::Guard;
+use postings::Postings;
 use relay::Cancel;
 
 /// Requests of operators handled at once, watches included.
@@ -72,6 +77,8 @@
     client: Arc<Client>,
     engines: engine::http::Adapter,
     cancels: Sender<Cancel>,
+    platform: Guard,
+    postings: Postings,
     installed: ArcSwap<Installed>,
     gate: Gate,
     health: Mutex<Registry>,
@@ -92,7 +99,7 @@
     pub fn start(settings: Settings, log: Logger) -> Result<Self, Error> {
         let (drain, drained) = drain::Drain::new();
         let (cancels, cancelled) = channel::bounded(MAX_CANCELS);
-        let node = Arc::new(Node::new(settings, log, drain, cancels));
+        let node = Arc::new(Node::new(settings, log, drain, cancels)?);
         emit!(node.log, Event::NodeStarted,
             "node" => node.settings.node.name.as_str(),
             "domain" => node.settings.node.domain.as_str());
@@ -103,6 +110,7 @@
                 .spawn(move || send_cancels(&engines, &cancelled))?;
         }
         upkeep::start(&node)?;
+        postings::start_upkeep(&node)?;
         let callers = node.listen("callers", Arc::new(callers::Surface(Arc::clone(&node))))?;
         let operators =
             node.listen("operators", Arc::new(operators::Surface(Arc::clone(&node))))?;
@@ -138,6 +146,10 @@
         let end = Instant::now() + node.settings.node.drain;
         node.drain.wait_quiet(end.saturating_duration_since(Instant::now()));
         let cut_off = callers.shutdown(end.saturating_duration_since(Instant::now()));
+        let unsettled = node.postings.settle(end.saturating_duration_since(Instant::now()));
+        if unsettled > 0 {
+            emit!(node.log, Event::PostingUnknown, "unsettled" => unsettled);
+        }
         operators.shutdown(Duration::ZERO);
         if cut_off > 0 {
             emit!(node.log, Event::NodeCutOff, "cut_off" => cut_off);
@@ -147,25 +159,35 @@
 }
 
 impl Node {
-    fn new(settings: Settings, log: Logger, drain: drain::Drain, cancels: Sender<Cancel>) -> Self {
+    fn new(
+        mut settings: Settings,
+        log: Logger,
+        drain: drain::Drain,
+        cancels: Sender<Cancel>,
+    ) -> Result<Self, Error> {
         let clock = Clock::new();
+        let platform = Guard::new(Arc::clone(&settings.table), clock, log.clone());
+        settings.table = Arc::new(platform.with_class(Class::Config));
+        let postings = Postings::start(&platform.with_class(Class::Posting), clock, &log)?;
         let client = Arc::new(Client::new(client::Settings::default()));
         let crossing = settings.peer.cross_domain_latency;
         let installed = Installed::new(State::default(), settings.domain(), crossing);
-        Self {
+        Ok(Self {
             log,
             clock,
             drain,
             engines: engine::http::Adapter::new(Arc::clone(&client)),
             client,
             cancels,
+            platform,
+            postings,
             installed: ArcSwap::from_pointee(installed),
             gate: Gate::new(bounds(&settings), clock),
             health: Mutex::new(Registry::new(health::Settings::default())),
             affinity: Mutex::new(Affinity::new(AFFINITY)),
             budget: Mutex::new(Budget::new(Share::default(), clock.now())),
             settings,
-        }
+        })
     }
 
     /// The configuration in force here.
--- a/mimosashift/src/node/operators.rs
+++ b/mimosashift/src/node/operators.rs
@@ -5,6 +5,7 @@
 use hyper::{Method, StatusCode};
 use serde_json::{Value, json};
 
+use super::postings::operate;
 use super::{Node, auth};
 use crate::config::call;
 use crate::config::change::Commit;
@@ -42,6 +43,10 @@
             path.strip_prefix("/api/v1/").map_or(Vec::new(), |rest| rest.split('/').collect());
         match (&request.method, parts.as_slice()) {
             (&Method::GET, ["status"]) => Ok((StatusCode::OK, self.status())),
+            (&Method::GET, ["postings"]) => operate::list(&self.0, request),
+            (&Method::POST, ["postings", "resolve"]) => {
+                operate::resolve(&self.0, request, &operator)
+            }
             (&Method::GET, [kind]) => self.list(kind),
             (&Method::GET, [kind, name]) => self.get(kind, name),
             (&Method::PUT | &Method::DELETE, [kind, name]) => {
--- a/mimosashift/src/node/services.rs
+++ b/mimosashift/src/node/services.rs
@@ -6,6 +6,7 @@
 
 use super::Node;
 use super::installed::Installed;
+use super::postings;
 use crate::health::{Exchange, Standing, View};
 use crate::http::client::{Answer, Call, Failure};
 use crate::http::problem::{Effect, Problem};
@@ -17,6 +18,8 @@
 
 /// A call to one service.
 pub struct Target<'a> {
+    /// Who calls.
+    pub team: &'a Name,
     /// The service.
     pub service: &'a Name,
     /// Path and query at the service.
@@ -35,6 +38,9 @@
     request: &Request,
     responder: Responder,
 ) {
+    if !target.idempotent {
+        return postings::post(node, installed, target, request, responder);
+    }
     let mut tried = Vec::new();
     loop {
         let Some((name, endpoint)) = pick(node, installed, target.service, &tried) else {
@@ -43,11 +49,6 @@
         match exchange(node, name, endpoint, target, request) {
             Ok(answer) => return pass_on(responder, answer),
             Err(Failure::NotSent { .. }) => tried.push(name.clone()),
-            Err(lost) if !target.idempotent => {
-                let problem =
-                    Problem::not_run(StatusCode::BAD_GATEWAY, "answer-lost", lost.to_string());
-                return responder.problem(&problem.with_effect(Effect::Unknown));
-            }
             Err(lost) => {
                 tried.push(name.clone());
                 if node.lock_budget().take(node.clock.now()).is_err() {
