--- a/mimosashift/src/node/cluster/mod.rs
+++ b/mimosashift/src/node/cluster/mod.rs
@@ -201,7 +201,9 @@
         let demand = self.demand(&mut shared, now);
         let routers = shared.membership.alive(now).count() + 1;
         drop(shared);
-        self.lock_health().set_routers(u32::try_from(routers).unwrap_or(u32::MAX));
+        let routers = u32::try_from(routers).unwrap_or(u32::MAX);
+        self.platform.set_routers(routers);
+        self.lock_health().set_routers(routers);
         if let Some(transport) = self.cluster.transport.get() {
             transport.set_incarnation(incarnation);
             // Whoever is not reached counts as silent in time.
--- a/mimosashift/src/node/mod.rs
+++ b/mimosashift/src/node/mod.rs
@@ -24,6 +24,7 @@
 use crate::http::{self, Handler, Server};
 use crate::meter::Meter;
 use crate::pipeline::retry::{Budget, Share};
+use crate::platform::budget::Class;
 use crate::route::affinity::{self, Affinity};
 
 mod auth;
@@ -35,6 +36,8 @@
 mod installed;
 mod operators;
 mod outcome;
+mod platform;
+mod postings;
 mod probes;
 mod relay;
 mod services;
@@ -49,6 +52,8 @@
 use cluster::Cluster;
 use gate::Gate;
 use installed::Installed;
+use platform::Guard;
+use postings::Postings;
 use relay::Cancel;
 
 /// Requests of operators handled at once, watches included.
@@ -80,6 +85,8 @@
     client: Arc<Client>,
     engines: engine::http::Adapter,
     cancels: Sender<Cancel>,
+    platform: Guard,
+    postings: Postings,
     installed: ArcSwap<Installed>,
     cluster: Cluster,
     gate: Gate,
@@ -113,6 +120,7 @@
         upkeep::start(&node)?;
         node.start_cluster(work)?;
         probes::start(&node)?;
+        postings::start_upkeep(&node)?;
         let callers = node.listen("callers", Arc::new(callers::Surface(Arc::clone(&node))))?;
         let operators =
             node.listen("operators", Arc::new(operators::Surface::new(Arc::clone(&node))))?;
@@ -150,6 +158,10 @@
         node.cluster.leave();
         node.tick_cluster();
         let cut_off = callers.shutdown(end.saturating_duration_since(Instant::now()));
+        let unsettled = node.postings.settle(end.saturating_duration_since(Instant::now()));
+        if unsettled > 0 {
+            emit!(node.log, Event::PostingUnknown, "unsettled" => unsettled);
+        }
         operators.shutdown(Duration::ZERO);
         if cut_off > 0 {
             emit!(node.log, Event::NodeCutOff, "cut_off" => cut_off);
@@ -160,11 +172,14 @@
 
 impl Node {
     fn new(
-        settings: Settings,
+        mut settings: Settings,
         log: Logger,
         cancels: Sender<Cancel>,
     ) -> Result<(Self, cluster::Work), Error> {
         let clock = Clock::new();
+        let platform = Guard::new(Arc::clone(&settings.table), clock, log.clone());
+        settings.table = Arc::new(platform.with_class(Class::Config));
+        let postings = Postings::start(&platform.with_class(Class::Posting), clock, &log)?;
         let (cluster, work) = Cluster::new(&settings, clock.now());
         let client = Arc::new(Client::new(client::Settings::default()));
         let crossing = settings.peer.cross_domain_latency;
@@ -177,6 +192,8 @@
             engines: engine::http::Adapter::new(Arc::clone(&client)),
             client,
             cancels,
+            platform,
+            postings,
             installed: ArcSwap::from_pointee(installed),
             cluster,
             gate: Gate::new(bounds(&settings), clock),
--- a/mimosashift/src/node/operators/mod.rs
+++ b/mimosashift/src/node/operators/mod.rs
@@ -6,6 +6,7 @@
 use hyper::{Method, StatusCode};
 use serde_json::{Value, json};
 
+use super::postings::operate;
 use super::{Node, auth};
 use crate::http::problem::Problem;
 use crate::http::{Handler, Request, Responder};
@@ -64,6 +65,10 @@
             (&Method::GET, ["in-force"]) => queries::in_force(node, request),
             (&Method::GET, ["audit"]) => queries::audit(node, request),
             (&Method::GET, ["explain"]) => queries::explain(node, request),
+            (&Method::GET, ["postings"]) => reply(operate::list(node, request)),
+            (&Method::POST, ["postings", "resolve"]) => {
+                reply(operate::resolve(node, request, &operator))
+            }
             (&Method::GET, [kind]) => queries::list(node, kind),
             (&Method::GET, [kind, name]) => queries::get(node, kind, name),
             (&Method::POST, ["drain"]) => Ok(commands::drain(node)),
@@ -117,6 +122,11 @@
     }
 }
 
+/// A status and body as an answer.
+fn reply(answered: Result<(StatusCode, Value), Problem>) -> Answer {
+    answered.map(|(status, body)| Reply { status, revision: None, body })
+}
+
 /// The parts of a path below the API's root.
 fn parts(path: &str) -> Vec<&str> {
     path.strip_prefix("/api/v1/").map_or(Vec::new(), |rest| rest.split('/').collect())
