Keep a dropped server listening; send what precedes a cut answer

Cause: tests of hostile input got no answers. Dropping a Server closed its shutdown channel, which the listener took for a shutdown of zero time, against its documentation. And an error right after a piece made hyper drop the piece, so a caller never saw the error event of a stream cut short. Change: only a shutdown asked for ends the listener; the body pauses once before its error.

--- a/mimosashift/src/http/server.rs
+++ b/mimosashift/src/http/server.rs
@@ -164,7 +164,7 @@
     /// Starts an answer that is sent piece by piece.
     pub fn stream(self, headers: &[(HeaderName, &str)]) -> Stream {
         let (sender, receiver) = mpsc::channel(STREAM_CHUNKS);
-        let body = Pieces(receiver).boxed();
+        let body = Pieces { receiver, cut: None }.boxed();
         let _ = self.sender.send(Ok(answer(StatusCode::OK, headers, body)));
         Stream { sender, runtime: self.runtime, finished: false }
     }
@@ -264,7 +264,7 @@
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
-                _ = stopped.changed() => break,
+                () = shutdown_asked(&mut stopped) => break,
             };
             let Ok((socket, _)) = accepted else {
                 // Out of file descriptors: wait until some are closed.
@@ -328,6 +328,14 @@
     }
 }
 
+/// Waits until the shutdown is asked for; for ever when the [`Server`] that
+/// could ask was dropped.
+async fn shutdown_asked(stopped: &mut watch::Receiver<Option<Duration>>) {
+    if stopped.wait_for(Option::is_some).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
 impl fmt::Display for Aborted {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("the handler closed the connection")
@@ -373,7 +381,11 @@
 }
 
 /// A body fed by a [`Stream`].
-struct Pieces(mpsc::Receiver<io::Result<Bytes>>);
+struct Pieces {
+    receiver: mpsc::Receiver<io::Result<Bytes>>,
+    /// Why the answer is cut short, until the connection has been told.
+    cut: Option<io::Error>,
+}
 
 impl hyper::body::Body for Pieces {
     type Data = Bytes;
@@ -383,6 +395,17 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
-        self.0.poll_recv(context).map(|piece| piece.map(|bytes| bytes.map(Frame::data)))
+        if let Some(cut) = self.cut.take() {
+            return Poll::Ready(Some(Err(cut)));
+        }
+        match self.receiver.poll_recv(context) {
+            Poll::Ready(Some(Err(cut))) => {
+                // An error drops what is buffered; a pause lets it be sent.
+                self.cut = Some(cut);
+                context.waker().wake_by_ref();
+                Poll::Pending
+            }
+            polled => polled.map(|piece| piece.map(|bytes| bytes.map(Frame::data))),
+        }
     }
 }
