--- a/mimosashiftd/tests/common/mod.rs
+++ b/mimosashiftd/tests/common/mod.rs
@@ -164,20 +164,9 @@
         History { body: body.to_owned(), said }
     }
 
-    /// Posts from several callers at once, each with bodies of its own, while
-    /// `disturb` runs.
+    /// Posts from several callers at once while `disturb` runs.
     pub fn load(&self, load: Load, disturb: impl FnOnce()) -> Vec<History> {
-        let caller = |caller: usize| {
-            let body = |n| format!("posting-{caller}-{n}");
-            let post = |n| self.post_until_run(caller, &body(n), load);
-            (0..load.postings).map(post).collect::<Vec<_>>()
-        };
-        thread::scope(|scope| {
-            let callers: Vec<_> =
-                (0..load.callers).map(|n| scope.spawn(move || caller(n))).collect();
-            disturb();
-            callers.into_iter().flat_map(|caller| caller.join().unwrap()).collect()
-        })
+        run(load, disturb, |caller, body| self.post_until_run(caller, &body, load))
     }
 
     /// Postings that have run so far.
@@ -295,9 +284,10 @@
 
 /// Posts straight to the service and sends again whenever an answer is lost,
 /// as a router without claims would.
-pub fn naive(service: &service::Instance, load: Load) -> Vec<History> {
+pub fn naive(service: &service::Instance, load: Load, disturb: impl FnOnce()) -> Vec<History> {
     let client = Client::new(Default::default());
-    let post = |body: String| {
+    run(load, disturb, |_, body| {
+        let body = format!("naive-{body}");
         let mut said = Vec::new();
         while said.len() < load.tries && !said.contains(&Said::Success) {
             let sent = client.call(&Call {
@@ -312,6 +302,23 @@
             said.push(told(&sent));
         }
         History { body, said }
+    })
+}
+
+/// Runs callers at once, each with bodies of its own, while `disturb` runs.
+fn run(
+    load: Load,
+    disturb: impl FnOnce(),
+    post: impl Fn(usize, String) -> History + Sync,
+) -> Vec<History> {
+    let post = &post;
+    let caller = |caller| {
+        let body = |n| format!("posting-{caller}-{n}");
+        (0..load.postings).map(|n| post(caller, body(n))).collect::<Vec<_>>()
     };
-    (0..load.callers * load.postings).map(|n| post(format!("naive-{n}"))).collect()
+    thread::scope(|scope| {
+        let callers: Vec<_> = (0..load.callers).map(|n| scope.spawn(move || caller(n))).collect();
+        disturb();
+        callers.into_iter().flat_map(|caller| caller.join().unwrap()).collect()
+    })
 }
--- a/mimosashiftd/tests/postings.rs
+++ b/mimosashiftd/tests/postings.rs
@@ -21,6 +21,9 @@
 /// Longer than the time in which a router may send a claimed call.
 const PAUSE: Duration = Duration::from_secs(6);
 
+/// About the time of one call at the slow service.
+const CALL_TIME: Duration = Duration::from_millis(20);
+
 /// Bounds every wait for something that must come.
 const WAIT_LIMIT: Duration = Duration::from_secs(60);
 
@@ -113,7 +116,7 @@
     let counts = report("service loses answers", &cluster, &histories);
     counts.assert_true();
     assert_eq!((counts.run, counts.unknown), (counts.posted, counts.posted));
-    let baseline = naive(&cluster.service, load);
+    let baseline = naive(&cluster.service, load, || {});
     let doubled = report("service loses answers, naive", &cluster, &baseline).doubled;
     assert!(doubled > 0, "the fault doubles nothing without claims");
 }
@@ -164,8 +167,13 @@
     report("router killed", &cluster, &histories).assert_true();
     let served = cluster.run_count();
     assert!(served >= 150, "only {served} ran with two of three routers left");
-    let hasty = Load { timeout: Duration::from_millis(10), ..load };
-    report("answers given up, naive", &cluster, &naive(&cluster.service, hasty));
+    let baseline = naive(&cluster.service, load, || {
+        wait_for(|| cluster.run_count() >= served + 60);
+        cluster.service.set_fault(service::Fault::LoseAnswers);
+        thread::sleep(CALL_TIME);
+        cluster.service.set_fault(service::Fault::Slow(20));
+    });
+    report("calls in flight lost, naive", &cluster, &baseline);
 }
 
 #[test]
@@ -183,6 +191,16 @@
         }
     });
     report("router paused", &cluster, &histories).assert_true();
+    let served = cluster.run_count();
+    let baseline = naive(&cluster.service, load, || {
+        wait_for(|| cluster.run_count() >= served + 30);
+        cluster.service.set_fault(service::Fault::Slow(PAUSE.as_millis() as u64));
+        thread::sleep(PAUSE);
+        cluster.service.set_fault(service::Fault::Slow(10));
+    });
+    // Calls that were given up still run.
+    thread::sleep(PAUSE);
+    report("calls paused, naive", &cluster, &baseline);
 }
 
 fn post(cluster: &Cluster, router: usize, key: &str, body: &str) -> Said {
