--- a/mimosashiftd/tests/postings.rs
+++ b/mimosashiftd/tests/postings.rs
@@ -21,6 +21,12 @@
 /// Longer than the time in which a router may send a claimed call.
 const PAUSE: Duration = Duration::from_secs(6);
 
+/// Longer than a shutdown with nothing in flight.
+const DRAIN_TIME: Duration = Duration::from_secs(5);
+
+/// About the time of one call at the slow service.
+const CALL_TIME: Duration = Duration::from_millis(20);
+
 /// Bounds every wait for something that must come.
 const WAIT_LIMIT: Duration = Duration::from_secs(60);
 
@@ -28,13 +34,7 @@
 fn same_key_at_two_routers_runs_once_and_replays() {
     let cluster = Cluster::start(2);
     assert_eq!(post(&cluster, 0, "k1", "a"), Said::Success);
-    wait_for(|| match post(&cluster, 1, "k1", "a") {
-        Said::Replayed => true,
-        said => {
-            assert_eq!(said, Said::Unknown);
-            false
-        }
-    });
+    replays(&cluster, 1, Said::Unknown);
     assert_eq!(cluster.service.runs()["a"], 1);
 }
 
@@ -56,9 +56,12 @@
         cluster.platform.set_fault(platform::Fault::Down);
         assert_eq!(posted.join().unwrap(), Said::Success);
     });
+    cluster.routers[0].signal("TERM");
+    // The router would have stopped by then if it did not wait for its claim.
+    thread::sleep(DRAIN_TIME);
     cluster.platform.set_fault(platform::Fault::None);
-    assert_eq!(cluster.routers[0].drain(), Some(0));
-    assert_eq!(post(&cluster, 1, "k1", "a"), Said::Replayed);
+    assert_eq!(cluster.routers[0].exit_code(), Some(0));
+    replays(&cluster, 1, Said::NotRun);
 }
 
 #[test]
@@ -113,7 +116,7 @@
     let counts = report("service loses answers", &cluster, &histories);
     counts.assert_true();
     assert_eq!((counts.run, counts.unknown), (counts.posted, counts.posted));
-    let baseline = naive(&cluster.service, load);
+    let baseline = naive(&cluster.service, load, || {});
     let doubled = report("service loses answers, naive", &cluster, &baseline).doubled;
     assert!(doubled > 0, "the fault doubles nothing without claims");
 }
@@ -164,8 +167,13 @@
     report("router killed", &cluster, &histories).assert_true();
     let served = cluster.run_count();
     assert!(served >= 150, "only {served} ran with two of three routers left");
-    let hasty = Load { timeout: Duration::from_millis(10), ..load };
-    report("answers given up, naive", &cluster, &naive(&cluster.service, hasty));
+    let baseline = naive(&cluster.service, load, || {
+        wait_for(|| cluster.run_count() >= served + 60);
+        cluster.service.set_fault(service::Fault::LoseAnswers);
+        thread::sleep(CALL_TIME);
+        cluster.service.set_fault(service::Fault::Slow(20));
+    });
+    report("calls in flight lost, naive", &cluster, &baseline);
 }
 
 #[test]
@@ -183,12 +191,33 @@
         }
     });
     report("router paused", &cluster, &histories).assert_true();
+    let served = cluster.run_count();
+    let baseline = naive(&cluster.service, load, || {
+        wait_for(|| cluster.run_count() >= served + 30);
+        cluster.service.set_fault(service::Fault::Slow(PAUSE.as_millis() as u64));
+        thread::sleep(PAUSE);
+        cluster.service.set_fault(service::Fault::Slow(10));
+    });
+    // Calls that were given up still run.
+    thread::sleep(PAUSE);
+    report("calls paused, naive", &cluster, &baseline);
 }
 
 fn post(cluster: &Cluster, router: usize, key: &str, body: &str) -> Said {
     told(&cluster.post(router, Some(key), body, TIMEOUT))
 }
 
+/// Posts again until the recorded answer comes; `meanwhile` is told before.
+fn replays(cluster: &Cluster, router: usize, meanwhile: Said) {
+    wait_for(|| match post(cluster, router, "k1", "a") {
+        Said::Replayed => true,
+        said => {
+            assert_eq!(said, meanwhile);
+            false
+        }
+    });
+}
+
 fn report(scenario: &str, cluster: &Cluster, histories: &[History]) -> Counts {
     let counts = Counts::new(histories, &cluster.service.runs());
     println!("{scenario}: {counts:?}");
