Measure what each role of a router costs by size

`mimosabench slopes` runs the library's own code at four or more sizes per role and fits a line. Bytes are counted by the allocator, time by the thread's processor clock.

--- /dev/null
+++ b/mimosabench/src/lib.rs
@@ -0,0 +1,3 @@
+//! Measurements of the router's library.
+
+pub mod slopes;
--- a/mimosabench/src/main.rs
+++ b/mimosabench/src/main.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use load::{Plan, Work};
+use mimosabench::slopes;
 use report::Outcome;
 
 mod load;
@@ -11,6 +12,7 @@
 
 mod flags {
     use std::net::SocketAddr;
+    use std::path::PathBuf;
 
     xflags::xflags! {
         /// Measures routers and their policies.
@@ -42,6 +44,13 @@
                 /// Prints JSON.
                 optional --json
             }
+            /// Measures what each role of a router costs by size.
+            cmd slopes {
+                /// Measures only this role.
+                optional --role name: String
+                /// Writes the table into the block of this page.
+                optional --write path: PathBuf
+            }
         }
     }
 }
@@ -50,6 +59,7 @@
     let flags = flags::Mimosabench::from_env_or_exit();
     match flags.subcommand {
         flags::MimosabenchCmd::Load(flags) => run_load(&flags),
+        flags::MimosabenchCmd::Slopes(flags) => run_slopes(&flags),
     }
 }
 
@@ -91,3 +101,17 @@
         print!("{}", report.to_text());
     }
 }
+
+fn run_slopes(flags: &flags::Slopes) -> ExitCode {
+    let written = slopes::measure(flags.role.as_deref()).and_then(|all| {
+        print!("{}", slopes::to_text(&all));
+        flags.write.iter().try_for_each(|path| slopes::page::write(path, &all))
+    });
+    match written {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("mimosabench: slopes: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/mimosabench/src/slopes/config.rs
@@ -0,0 +1,302 @@
+//! Configuration: size, changes, the spread to other routers and the reads of
+//! the table.
+
+use std::io;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use mimosashift::config::call::run;
+use mimosashift::config::change::Commit;
+use mimosashift::config::load::Load;
+use mimosashift::config::poll::Poll;
+use mimosashift::config::spread::{Action, Peer, Spread};
+use mimosashift::config::transfer::{Part, Reply, Request};
+use mimosashift::config::{Change, ChangeId, Precondition, Record, State};
+use mimosashift::platform::{self, Outcome, Page, Row, Table, Transaction};
+use mimosashift::resource::{Kind, Resource};
+use mimosashift::time::Instant;
+use mimosashift::wire::message::Bundle;
+use mimosashift::wire::{Frame, Key, MAX_STREAM_BYTES, Message, Ring};
+use mimosastandin::platform::{Instance, Rates};
+use mimosastandin::world::ANY;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+use super::series::series;
+use super::{Error, Series, cpu, fleet, memory};
+
+const ROLE: &str = "configuration";
+const RESOURCES: [usize; 5] = [1_000, 4_000, 8_000, 16_000, 35_001];
+const TABLE_RESOURCES: [usize; 4] = [250, 1_000, 2_000, 4_000];
+const DOMAINS: [usize; 4] = [1, 3, 6, 11];
+
+/// Routers of each failure domain in the measurement of polls; only one of
+/// them polls, however many there are.
+const ROUTERS: usize = 4;
+
+/// Time in which the pollers of the domains settle.
+const SETTLE: Duration = Duration::from_secs(10);
+
+/// Time for which polls are counted.
+const COUNTED: Duration = Duration::from_secs(100);
+
+/// Time between two ticks of a router.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Costs by resources and by failure domains.
+pub fn measure() -> Result<Vec<Series>, Error> {
+    let mut table_calls = Vec::new();
+    let mut transfer_bytes = Vec::new();
+    for resources in TABLE_RESOURCES {
+        let (table, state) = committed(resources)?;
+        table_calls.push((resources as f64, load_calls(&table)? as f64));
+        transfer_bytes.push((resources as f64, transfer(&state)? as f64));
+    }
+    let mut polls = Vec::new();
+    for domains in DOMAINS {
+        polls.push((domains as f64, polls_per_second(domains)?));
+    }
+    let of = |quantity, unit, size, points| Series { role: ROLE, quantity, unit, size, points };
+    Ok(vec![
+        series([ROLE, "snapshot", "bytes", "resources"], &RESOURCES, snapshot_bytes),
+        series([ROLE, "change applied", "µs", "resources"], &RESOURCES, micros_per_change),
+        series([ROLE, "revision kept beside it", "bytes", "resources"], &RESOURCES, kept_bytes),
+        of("snapshot sent to a new router", "bytes", "resources", transfer_bytes),
+        of("table calls of a full load", "1", "resources", table_calls),
+        of("table reads of all pollers", "1/s", "domains", polls),
+    ])
+}
+
+/// Teams and endpoints in the proportion of a large deployment.
+pub fn mix(resources: usize) -> (usize, usize) {
+    let endpoints = resources * 4 / 35;
+    (resources - endpoints, endpoints)
+}
+
+/// Bytes that a snapshot holds.
+pub fn snapshot_bytes(resources: usize) -> f64 {
+    let (teams, endpoints) = mix(resources);
+    memory::retained(|| fleet::snapshot(teams, endpoints)).1
+}
+
+/// Reads a second that the pollers of all failure domains make.
+pub fn polls_per_second(domains: usize) -> Result<f64, Error> {
+    let (table, _) = committed(1)?;
+    let table = Counting::new(&table);
+    let mut now = Instant::from_millis(1_000_000);
+    let mut groups: Vec<_> = (0..domains).map(Group::new).collect();
+    let mut step = |groups: &mut Vec<Group>, time: Duration| {
+        let end = now + time;
+        while now < end {
+            now = now + TICK;
+            groups.iter_mut().for_each(|group| group.tick(now, &table));
+        }
+    };
+    step(&mut groups, SETTLE);
+    let before = table.reads();
+    step(&mut groups, COUNTED);
+    Ok((table.reads() - before) as f64 / COUNTED.as_secs_f64())
+}
+
+/// Calls that a router without peers makes to load everything.
+pub fn load_calls(table: &Instance) -> Result<u64, Error> {
+    let counting = Counting::new(table);
+    run(&counting, Load::new(0)).map_err(|error| Error::Call(error.to_string()))?;
+    Ok(counting.reads())
+}
+
+/// A table in which so many teams and endpoints were declared, one by one,
+/// and the state that this led to.
+pub fn committed(resources: usize) -> Result<(Instance, State), Error> {
+    let (teams, endpoints) = mix(resources);
+    let table = unlimited_table()?;
+    let mut state = State::default();
+    let declared = (0..teams).map(fleet::team).chain((0..endpoints).map(fleet::endpoint));
+    for resource in fleet::base().into_iter().chain(declared) {
+        state = commit(&table, state, resource)?.0;
+    }
+    Ok((table, state))
+}
+
+/// Declares a resource; returns the state after it and its record.
+pub(super) fn commit(
+    table: &Instance,
+    state: State,
+    resource: Resource,
+) -> Result<(State, Vec<Record>), Error> {
+    let id = ChangeId(u128::from(state.version().revision) + 1);
+    let committed = run(table, Commit::new(change(id, resource), state));
+    let progress = committed.map_err(|error| Error::Call(error.to_string()))?.progress;
+    Ok((progress.state, progress.records))
+}
+
+/// A table that refuses nothing for its rate.
+pub(super) fn unlimited_table() -> io::Result<Instance> {
+    Instance::start(ANY, Rates { writes_per_second: 1e12, reads_per_second: 1e12 })
+}
+
+/// Bytes of a frame that carries records to a peer.
+pub(super) fn frame_bytes(reply: &Reply) -> Result<usize, Error> {
+    let key = Key::new(1, *b"0123456789abcdef").expect("the secret is long enough");
+    let frame = Frame {
+        sender: fleet::name("router-1"),
+        incarnation: 1,
+        sequence: 1,
+        message: Message::Reply(Bundle::from(reply)),
+    };
+    let sealed = Ring::new(key, None).seal(&frame, MAX_STREAM_BYTES);
+    Ok(sealed.map_err(|error| Error::Call(error.to_string()))?.len())
+}
+
+fn change(id: ChangeId, resource: Resource) -> Change {
+    Change {
+        id,
+        operator: "operator".to_owned(),
+        origin: "127.0.0.1".to_owned(),
+        at_unix_ms: 1,
+        kind: resource.spec.kind(),
+        name: resource.name,
+        spec: Some(resource.spec),
+        precondition: Precondition::Any,
+        dry_run: false,
+    }
+}
+
+/// Bytes of all chunks that take a snapshot to a router that has nothing.
+fn transfer(state: &State) -> Result<usize, Error> {
+    let mut source = Spread::new(fleet::name("router-1"));
+    source.take_in(&state.clone().into(), &[]);
+    let mut request = Request { have: Default::default(), part: None };
+    let mut bytes = 0;
+    loop {
+        let reply = source.answer(&request);
+        bytes += frame_bytes(&reply)?;
+        let Reply::Chunk(chunk) = reply else { return Ok(bytes) };
+        let Some(last) = chunk.resources.last().filter(|_| chunk.more) else { return Ok(bytes) };
+        let (kind, name) = (last.spec.kind(), last.name.clone());
+        request.part = Some(Part { version: chunk.version, kind, name });
+    }
+}
+
+fn micros_per_change(resources: usize) -> f64 {
+    let (teams, endpoints) = mix(resources);
+    let snapshot = fleet::snapshot(teams, endpoints);
+    let mut next = 0;
+    cpu::micros_per_call(|| {
+        let Resource { name, spec, .. } = fleet_team(&snapshot, next * 31 % teams);
+        next += 1;
+        snapshot.with(2, Kind::Team, &name, Some(spec));
+    })
+}
+
+/// Bytes that one more revision holds beside the one before.
+fn kept_bytes(resources: usize) -> f64 {
+    const REVISIONS: usize = 100;
+    let (teams, endpoints) = mix(resources);
+    let first = fleet::snapshot(teams, endpoints);
+    let changed = || {
+        let mut last = first.clone();
+        let mut kept = Vec::with_capacity(REVISIONS);
+        for revision in 0..REVISIONS {
+            let Resource { name, spec, .. } = fleet_team(&last, revision * 31 % teams);
+            last = last.with(revision as u64 + 2, Kind::Team, &name, Some(spec));
+            kept.push(last.clone());
+        }
+        kept
+    };
+    memory::retained(changed).1 / REVISIONS as f64
+}
+
+fn fleet_team(snapshot: &mimosashift::resource::Snapshot, number: usize) -> Resource {
+    let name = fleet::name(&format!("team-{number:05}"));
+    snapshot.get(Kind::Team, &name).expect("the team was declared").clone()
+}
+
+/// The routers of one failure domain.
+struct Group {
+    routers: Vec<(String, Spread)>,
+    rng: Pcg64Mcg,
+}
+
+impl Group {
+    fn new(domain: usize) -> Self {
+        let router = |router| {
+            let name = format!("router-{domain}-{router}");
+            let spread = Spread::new(fleet::name(&name));
+            (name, spread)
+        };
+        let routers = (0..ROUTERS).map(router).collect();
+        Self { routers, rng: Pcg64Mcg::seed_from_u64(domain as u64) }
+    }
+
+    fn tick(&mut self, now: Instant, table: &dyn Table) {
+        for index in 0..self.routers.len() {
+            let peers = self.peers(index);
+            let spread = &mut self.routers[index].1;
+            for action in spread.tick(now, &peers, &mut self.rng) {
+                self.act(index, action, now, table);
+            }
+        }
+    }
+
+    fn act(&mut self, index: usize, action: Action, now: Instant, table: &dyn Table) {
+        match action {
+            Action::Poll(state) => {
+                let peers = self.peers(index);
+                let result = run(table, Poll::new(state));
+                self.routers[index].1.on_poll(now, result, &peers);
+            }
+            Action::Pull(peer, request) => {
+                let from = self.routers.iter().find(|(name, _)| name == peer.as_str());
+                let reply = from.expect("a router pulls from its peers").1.answer(&request);
+                for next in self.routers[index].1.on_reply(now, &peer, reply) {
+                    self.act(index, next, now, table);
+                }
+            }
+            Action::Push(..) | Action::Alarm(_) => {}
+        }
+    }
+
+    fn peers(&self, index: usize) -> Vec<Peer> {
+        let others = self.routers.iter().enumerate().filter(|(other, _)| *other != index);
+        let peer = |(_, (name, spread)): (usize, &(String, Spread))| Peer {
+            node: fleet::name(name),
+            near: true,
+            version: spread.store().version(),
+            polled: spread.polled(),
+        };
+        others.map(peer).collect()
+    }
+}
+
+/// A table that counts the calls that read.
+struct Counting<'a> {
+    table: &'a Instance,
+    reads: AtomicU64,
+}
+
+impl<'a> Counting<'a> {
+    fn new(table: &'a Instance) -> Self {
+        Self { table, reads: AtomicU64::new(0) }
+    }
+
+    fn reads(&self) -> u64 {
+        self.reads.load(Ordering::Relaxed)
+    }
+}
+
+impl Table for Counting<'_> {
+    fn commit(&self, transaction: &Transaction) -> Outcome<u64> {
+        self.table.commit(transaction)
+    }
+
+    fn read(&self, key: &platform::Key) -> Outcome<Option<Row>> {
+        self.reads.fetch_add(1, Ordering::Relaxed);
+        self.table.read(key)
+    }
+
+    fn scan(&self, table: &str, prefix: &str, after: &str, limit: usize) -> Outcome<Page> {
+        self.reads.fetch_add(1, Ordering::Relaxed);
+        self.table.scan(table, prefix, after, limit)
+    }
+}
--- /dev/null
+++ b/mimosabench/src/slopes/health.rs
@@ -0,0 +1,80 @@
+//! State of endpoints.
+
+use mimosashift::engine::Load;
+use mimosashift::health::{Registry, Settings, Share};
+use mimosashift::resource::Snapshot;
+use mimosashift::time::Instant;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+use super::choice::distances;
+use super::series::series;
+use super::{Series, cpu, fleet, memory};
+
+const ROLE: &str = "endpoints";
+const SIZES: [usize; 5] = [160, 800, 1_600, 2_800, 4_000];
+const NOW: Instant = Instant::from_millis(10_000);
+
+/// Time, memory and bytes by endpoints.
+pub fn measure() -> Vec<Series> {
+    vec![
+        series([ROLE, "state", "bytes", "endpoints"], &SIZES, |endpoints| {
+            state_bytes(&fleet::snapshot(0, endpoints))
+        }),
+        series([ROLE, "all reports, shared", "bytes", "endpoints"], &SIZES, |endpoints| {
+            share_bytes(endpoints) as f64
+        }),
+        series([ROLE, "all polls taken in", "µs", "endpoints"], &SIZES, |endpoints| {
+            let snapshot = fleet::snapshot(0, endpoints);
+            let mut registry = polled(&snapshot, NOW);
+            cpu::micros_per_call(|| poll(&mut registry, &snapshot, NOW))
+        }),
+        series([ROLE, "all reports merged", "µs", "endpoints"], &SIZES, |endpoints| {
+            let snapshot = fleet::snapshot(0, endpoints);
+            let share = polled(&snapshot, NOW).share(Instant::ZERO);
+            let mut registry = install(&snapshot);
+            cpu::micros_per_call(|| registry.merge(&share, NOW))
+        }),
+        series([ROLE, "sweep", "µs", "endpoints"], &SIZES, |endpoints| {
+            let mut registry = polled(&fleet::snapshot(0, endpoints), NOW);
+            let mut rng = Pcg64Mcg::seed_from_u64(1);
+            cpu::micros_per_call(|| registry.sweep(NOW, &mut rng))
+        }),
+        series([ROLE, "change installed", "µs", "endpoints"], &SIZES, |endpoints| {
+            let snapshot = fleet::snapshot(0, endpoints);
+            let mut registry = polled(&snapshot, NOW);
+            let distances = distances();
+            cpu::micros_per_call(|| registry.install(&snapshot, &distances))
+        }),
+    ]
+}
+
+/// Bytes that the state of a configuration's endpoints holds.
+pub fn state_bytes(snapshot: &Snapshot) -> f64 {
+    memory::retained(|| polled(snapshot, NOW)).1
+}
+
+/// Bytes of one report on each endpoint.
+pub fn share_bytes(endpoints: usize) -> usize {
+    let share: Share = polled(&fleet::snapshot(0, endpoints), NOW).share(Instant::ZERO);
+    postcard::to_stdvec(&share).expect("reports can be encoded").len()
+}
+
+fn install(snapshot: &Snapshot) -> Registry {
+    let mut registry = Registry::new(Settings::default());
+    registry.install(snapshot, &distances());
+    registry
+}
+
+fn polled(snapshot: &Snapshot, now: Instant) -> Registry {
+    let mut registry = install(snapshot);
+    poll(&mut registry, snapshot, now);
+    registry
+}
+
+fn poll(registry: &mut Registry, snapshot: &Snapshot, now: Instant) {
+    let load = Load { queued: 2, running: 12, kv_free_tokens: 1 << 20, leaving: false };
+    for (endpoint, _) in snapshot.endpoints() {
+        registry.poll(endpoint, 1, &load, 1, now);
+    }
+}
--- /dev/null
+++ b/mimosabench/src/slopes/membership.rs
@@ -0,0 +1,201 @@
+//! Heartbeats between routers, in virtual time.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use mimosashift::member::{Identity, Membership, Report};
+use mimosashift::time::Instant;
+use mimosashift::wire::message::Payload;
+use mimosashift::wire::{Frame, Key, MAX_DATAGRAM_BYTES, Message, Ring, Seen};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use super::{Series, cpu, fleet, memory};
+
+const ROLE: &str = "membership";
+const ROUTERS: [usize; 5] = [4, 44, 110, 220, 370];
+
+/// Virtual time of one step.
+const STEP: Duration = Duration::from_millis(50);
+
+/// Steps in which a cluster finds itself.
+const SETTLE_STEPS: usize = 600;
+
+/// Steps that are measured.
+const MEASURED_STEPS: usize = 400;
+
+/// Bytes of the IP and UDP headers of a datagram.
+const HEADER_BYTES: usize = 28;
+
+/// Bytes of reports of other parts in each heartbeat.
+const REPORT_BYTES: usize = 64;
+
+/// What one router spends on heartbeats.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Cost {
+    /// Bytes a second, sent and received, of the mean router.
+    pub mean_bytes: f64,
+    /// Bytes a second, sent and received, of the busiest router.
+    pub most_bytes: f64,
+    /// Datagrams a second, sent and received, of the mean router.
+    pub messages: f64,
+    /// Microseconds of processor time a second of the mean router, sealing
+    /// and opening included, sockets not.
+    pub micros: f64,
+    /// Bytes of memory of the mean router.
+    pub memory: f64,
+}
+
+/// Cost by routers.
+pub fn measure() -> Vec<Series> {
+    let costs: Vec<_> =
+        ROUTERS.iter().map(|&n| (n, cost(n, domains_of(n), REPORT_BYTES))).collect();
+    let series = |quantity, unit, value: fn(&Cost) -> f64| {
+        let points = costs.iter().map(|(n, cost)| (*n as f64, value(cost))).collect();
+        Series { role: ROLE, quantity, unit, size: "routers", points }
+    };
+    vec![
+        series("heartbeats, mean router", "bytes/s", |cost| cost.mean_bytes),
+        series("heartbeats, busiest router", "bytes/s", |cost| cost.most_bytes),
+        series("datagrams, sent and received", "1/s", |cost| cost.messages),
+        series("heartbeats, without sockets", "µs/s", |cost| cost.micros),
+        series("state", "bytes", |cost| cost.memory),
+    ]
+}
+
+/// What each of `routers` routers spends with `report_bytes` of reports in
+/// each heartbeat.
+pub fn cost(routers: usize, domains: usize, report_bytes: usize) -> Cost {
+    let (mut cluster, made) = memory::counted(|| {
+        let mut cluster = Cluster::new(routers, domains, report_bytes);
+        cluster.run(SETTLE_STEPS);
+        cluster.in_flight.clear();
+        cluster.in_flight.shrink_to_fit();
+        cluster
+    });
+    cluster.nodes.iter_mut().for_each(|node| (node.bytes, node.messages) = (0, 0));
+    let start = cpu::thread_nanos();
+    cluster.run(MEASURED_STEPS);
+    let micros = (cpu::thread_nanos() - start) as f64 / 1e3;
+    let seconds = (STEP * MEASURED_STEPS as u32).as_secs_f64();
+    let per_node = |total: f64| total / routers as f64;
+    let sum = |of: fn(&Node) -> usize| cluster.nodes.iter().map(of).sum::<usize>() as f64;
+    let most = cluster.nodes.iter().map(|node| node.bytes).max().unwrap_or_default();
+    Cost {
+        mean_bytes: per_node(sum(|node| node.bytes)) / seconds,
+        most_bytes: most as f64 / seconds,
+        messages: per_node(sum(|node| node.messages)) / seconds,
+        micros: per_node(micros) / seconds,
+        memory: per_node(made.retained as f64),
+    }
+}
+
+const fn domains_of(routers: usize) -> usize {
+    if routers < 11 { 3 } else { fleet::DOMAINS }
+}
+
+struct Node {
+    membership: Membership,
+    seen: Seen,
+    sequence: u64,
+    bytes: usize,
+    messages: usize,
+    rng: Pcg64Mcg,
+}
+
+/// All routers, driven in one loop; a datagram takes one step.
+struct Cluster {
+    now: Instant,
+    nodes: Vec<Node>,
+    ring: Ring,
+    report: Report,
+    in_flight: VecDeque<(usize, Vec<u8>)>,
+}
+
+impl Cluster {
+    fn new(routers: usize, domains: usize, report_bytes: usize) -> Self {
+        let mut rng = Pcg64Mcg::seed_from_u64(1);
+        let addresses: Vec<_> = (0..routers).map(address).collect();
+        let key = Key::new(1, *b"0123456789abcdef").expect("the secret is long enough");
+        let payload = Payload { tag: 1, bytes: vec![1; report_bytes] };
+        let node = |index| {
+            let incarnation = mimosashift::member::incarnation(1_000_000, &mut rng);
+            let own = Identity {
+                node: fleet::name(&format!("router-{index}")),
+                domain: fleet::name(&format!("domain-{}", index % domains)),
+                address: address(index),
+                incarnation,
+            };
+            Node {
+                membership: Membership::new(own, &addresses),
+                seen: Seen::default(),
+                sequence: 0,
+                bytes: 0,
+                messages: 0,
+                rng: Pcg64Mcg::seed_from_u64(rng.random()),
+            }
+        };
+        Self {
+            now: Instant::from_millis(1_000_000),
+            nodes: (0..routers).map(node).collect(),
+            ring: Ring::new(key, None),
+            report: Report { payloads: vec![payload], ..Report::default() },
+            in_flight: VecDeque::new(),
+        }
+    }
+
+    fn run(&mut self, steps: usize) {
+        for _ in 0..steps {
+            self.now = self.now + STEP;
+            for (to, bytes) in std::mem::take(&mut self.in_flight) {
+                self.receive(to, &bytes);
+            }
+            (0..self.nodes.len()).for_each(|index| self.tick(index));
+        }
+    }
+
+    fn tick(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        for send in node.membership.tick(self.now, &self.report, &mut node.rng) {
+            node.sequence += 1;
+            let own = node.membership.own();
+            let frame = Frame {
+                sender: own.node.clone(),
+                incarnation: own.incarnation,
+                sequence: node.sequence,
+                message: Message::Heartbeat(send.heartbeat),
+            };
+            let sealed = self.ring.seal(&frame, MAX_DATAGRAM_BYTES);
+            let bytes = sealed.expect("a heartbeat fits a datagram");
+            node.count(&bytes);
+            self.in_flight.push_back((index_of(send.to), bytes));
+        }
+    }
+
+    fn receive(&mut self, to: usize, bytes: &[u8]) {
+        let opened = self.ring.open(bytes, MAX_DATAGRAM_BYTES);
+        let frame = opened.expect("a sealed frame can be opened");
+        let node = &mut self.nodes[to];
+        node.count(bytes);
+        let is_new = node.seen.accept(&frame.sender, frame.incarnation, frame.sequence);
+        if let (true, Message::Heartbeat(heartbeat)) = (is_new, frame.message) {
+            node.membership.on_heartbeat(self.now, heartbeat);
+        }
+    }
+}
+
+impl Node {
+    fn count(&mut self, bytes: &[u8]) {
+        self.bytes += HEADER_BYTES + bytes.len();
+        self.messages += 1;
+    }
+}
+
+fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], index as u16 + 1))
+}
+
+fn index_of(address: SocketAddr) -> usize {
+    usize::from(address.port()) - 1
+}
--- /dev/null
+++ b/mimosabench/src/slopes/text.rs
@@ -0,0 +1,60 @@
+//! Tables of measured series.
+
+use super::Series;
+
+/// A table for the terminal.
+pub fn to_text(all: &[Series]) -> String {
+    let row = |series: &Series| {
+        let line = series.line();
+        format!(
+            "{:<13} {:<34} {:>12} {:>12} {:>10}  {} by {}\n{:<13} {}\n",
+            series.role,
+            series.quantity,
+            number(line.base),
+            number(line.slope),
+            number(line.residual),
+            series.unit,
+            series.size,
+            "",
+            points(series),
+        )
+    };
+    let head = format!(
+        "{:<13} {:<34} {:>12} {:>12} {:>10}  {}\n",
+        "role", "quantity", "base", "slope", "residual", "unit"
+    );
+    head + &all.iter().map(row).collect::<String>()
+}
+
+/// A table for a page.
+pub fn to_markdown(all: &[Series]) -> String {
+    let row = |series: &Series| {
+        let line = series.line();
+        format!(
+            "| {} | {}, {} | {} | {} | {} | {} | {} |\n",
+            series.role,
+            series.quantity,
+            series.unit,
+            series.size,
+            number(line.base),
+            number(line.slope),
+            number(line.residual),
+            points(series),
+        )
+    };
+    let head = "| Role | Quantity, unit | Size | Base | Slope | Residual | Size: value |\n\
+                |---|---|---|---|---|---|---|\n";
+    head.to_owned() + &all.iter().map(row).collect::<String>()
+}
+
+fn points(series: &Series) -> String {
+    let point = |(size, value): &(f64, f64)| format!("{size}: {}", number(*value));
+    series.points.iter().map(point).collect::<Vec<_>>().join(", ")
+}
+
+/// Four significant digits, without an exponent.
+fn number(value: f64) -> String {
+    let magnitude = if value == 0.0 { 0.0 } else { value.abs().log10().floor() };
+    let decimals = (3.0 - magnitude).clamp(0.0, 6.0) as usize;
+    format!("{value:.decimals$}")
+}
