--- a/mimosabench/src/main.rs
+++ b/mimosabench/src/main.rs
@@ -3,12 +3,12 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use load::{Plan, Work};
+use mimosabench::added;
+use mimosabench::clients;
+use mimosabench::load::{self, Plan, Work};
+use mimosabench::policy::{self, measure};
+use mimosabench::report::{Outcome, Report};
 use mimosabench::slopes;
-use report::Outcome;
-
-mod load;
-mod report;
 
 mod flags {
     use std::net::SocketAddr;
@@ -17,6 +17,14 @@
     xflags::xflags! {
         /// Measures routers and their policies.
         cmd mimosabench {
+            /// Compares token times through a router with those without one.
+            cmd added {
+                /// Requests of each kind; 200 unless given.
+                optional --requests count: u32
+            }
+            /// Compares HTTP clients and servers over loopback.
+            cmd clients {
+            }
             /// Sends load to routers and checks every answer.
             cmd load {
                 /// Callers' address of a router.
@@ -44,6 +52,21 @@
                 /// Prints JSON.
                 optional --json
             }
+            /// Measures the decision code in virtual time, beside a baseline.
+            cmd policy {
+                /// Folder for the plots; none are drawn unless given.
+                optional --plots folder: PathBuf
+                /// Replicas of the model; 40 unless given.
+                optional --replicas count: usize
+                /// Seconds measured; 60 unless given.
+                optional --seconds number: u64
+                /// Seed; 1 unless given.
+                optional --seed number: u64
+                /// Only this mix: board or aksu.
+                optional --mix name: String
+                /// Prints why requests were refused or lost.
+                optional --causes
+            }
             /// Measures what each role of a router costs by size.
             cmd slopes {
                 /// Measures only this role.
@@ -58,11 +81,32 @@
 fn main() -> ExitCode {
     let flags = flags::Mimosabench::from_env_or_exit();
     match flags.subcommand {
+        flags::MimosabenchCmd::Added(flags) => run_added(&flags),
+        flags::MimosabenchCmd::Clients(_) => run_clients(),
         flags::MimosabenchCmd::Load(flags) => run_load(&flags),
+        flags::MimosabenchCmd::Policy(flags) => run_policy(&flags),
         flags::MimosabenchCmd::Slopes(flags) => run_slopes(&flags),
     }
 }
 
+fn run_added(flags: &flags::Added) -> ExitCode {
+    exit(added::run(flags.requests.unwrap_or(200)))
+}
+
+fn run_clients() -> ExitCode {
+    exit(clients::run())
+}
+
+fn exit(ended: Result<(), impl std::fmt::Display>) -> ExitCode {
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("mimosabench: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn run_load(flags: &flags::Load) -> ExitCode {
     let seed = flags.seed.unwrap_or(1);
     let work = match &flags.service {
@@ -94,7 +138,7 @@
     if report.of(Outcome::Wrong) == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
-fn print_report(report: &report::Report, json: bool) {
+fn print_report(report: &Report, json: bool) {
     if json {
         println!("{:#}", report.to_json());
     } else {
@@ -102,16 +146,31 @@
     }
 }
 
-fn run_slopes(flags: &flags::Slopes) -> ExitCode {
-    let written = slopes::measure(flags.role.as_deref()).and_then(|all| {
-        print!("{}", slopes::to_text(&all));
-        flags.write.iter().try_for_each(|path| slopes::page::write(path, &all))
-    });
-    match written {
+fn run_policy(flags: &flags::Policy) -> ExitCode {
+    let scale = measure::Scale {
+        replicas: flags.replicas.unwrap_or(40),
+        measured: Duration::from_secs(flags.seconds.unwrap_or(60)),
+        seed: flags.seed.unwrap_or(1),
+    };
+    let (throughputs, recoveries) = measure::all(scale, flags.mix.as_deref());
+    println!("{}", policy::throughputs(&throughputs));
+    println!("{}", policy::recoveries(&recoveries));
+    if flags.causes {
+        print!("{}", policy::causes(&throughputs, &recoveries));
+    }
+    let Some(folder) = &flags.plots else { return ExitCode::SUCCESS };
+    match policy::draw(folder, &throughputs, &recoveries) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("mimosabench: slopes: {error}");
+            eprintln!("mimosabench: cannot draw into {}: {error}", folder.display());
             ExitCode::FAILURE
         }
     }
 }
+
+fn run_slopes(flags: &flags::Slopes) -> ExitCode {
+    exit(slopes::measure(flags.role.as_deref()).and_then(|all| {
+        print!("{}", slopes::to_text(&all));
+        flags.write.iter().try_for_each(|path| slopes::page::write(path, &all))
+    }))
+}
