--- a/mimosabench/src/slopes/metrics.rs
+++ b/mimosabench/src/slopes/metrics.rs
@@ -51,6 +51,11 @@
     ]
 }
 
+/// Bytes that the metrics hold before anything is recorded.
+pub fn state_bytes() -> f64 {
+    memory::retained(|| recorded(0)).1
+}
+
 /// Bytes of a scrape with so many series recorded.
 pub fn scrape_bytes(count: usize) -> usize {
     recorded(count).render().expect("the metrics can be rendered").len()
