--- a/mimosabench/src/main.rs
+++ b/mimosabench/src/main.rs
@@ -8,6 +8,7 @@
 use mimosabench::load::{self, Plan, Work};
 use mimosabench::policy::{self, measure};
 use mimosabench::report::{Outcome, Report};
+use mimosabench::slopes;
 
 mod flags {
     use std::net::SocketAddr;
@@ -66,6 +67,13 @@
                 /// Prints why requests were refused or lost.
                 optional --causes
             }
+            /// Measures what each role of a router costs by size.
+            cmd slopes {
+                /// Measures only this role.
+                optional --role name: String
+                /// Writes the table into the block of this page.
+                optional --write path: PathBuf
+            }
         }
     }
 }
@@ -77,6 +85,7 @@
         flags::MimosabenchCmd::Clients(_) => run_clients(),
         flags::MimosabenchCmd::Load(flags) => run_load(&flags),
         flags::MimosabenchCmd::Policy(flags) => run_policy(&flags),
+        flags::MimosabenchCmd::Slopes(flags) => run_slopes(&flags),
     }
 }
 
@@ -158,3 +167,10 @@
         }
     }
 }
+
+fn run_slopes(flags: &flags::Slopes) -> ExitCode {
+    exit(slopes::measure(flags.role.as_deref()).and_then(|all| {
+        print!("{}", slopes::to_text(&all));
+        flags.write.iter().try_for_each(|path| slopes::page::write(path, &all))
+    }))
+}
