--- a/mimosabench/src/slopes/caller.rs
+++ b/mimosabench/src/slopes/caller.rs
@@ -225,6 +225,7 @@
 
 fn settings(table: Instance) -> Settings {
     Settings {
+        machines: None,
         node: settings::Node {
             name: fleet::name("router-1"),
             domain: fleet::name("domain-0"),
--- a/mimosabench/src/slopes/health.rs
+++ b/mimosabench/src/slopes/health.rs
@@ -73,7 +73,8 @@
 }
 
 fn poll(registry: &mut Registry, snapshot: &Snapshot, now: Instant) {
-    let load = Load { queued: 2, running: 12, kv_free_tokens: 1 << 20, leaving: false };
+    let load =
+        Load { queued: 2, running: 12, kv_free_tokens: 1 << 20, leaving: false, incarnation: 1 };
     for (endpoint, _) in snapshot.endpoints() {
         registry.poll(endpoint, 1, &load, 1, now);
     }
