--- a/mimosashiftd/tests/common/mod.rs
+++ b/mimosashiftd/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! Routers as processes before a platform and a service in the test process.
 
+#![allow(dead_code)] // Each test program uses a part of it.
+
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
@@ -16,7 +18,7 @@
 
 const ANY: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 const OPERATOR: &str = "operator-token";
-const CALLER: &str = "caller-token";
+pub const CALLER: &str = "caller-token";
 
 /// Time for a router to start.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
@@ -211,6 +213,11 @@
         Some(router)
     }
 
+    /// Where callers connect.
+    pub const fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
     /// Sends a signal, for example `STOP`.
     pub fn signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
