--- a/mimosabench/src/lib.rs
+++ b/mimosabench/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod load;
 pub mod policy;
 pub mod report;
+pub mod slopes;
