--- a/mimosabench/src/policy/fleet.rs
+++ b/mimosabench/src/policy/fleet.rs
@@ -184,6 +184,6 @@
     Endpoint {
         address: ([127, 0, 0, 1], 9_000).into(),
         domain: domain_name(replica % DOMAINS),
-        role: Role::Engine(engine),
+        role: Role::Engine(Box::new(engine)),
     }
 }
--- a/mimosashift/src/resource/spec.rs
+++ b/mimosashift/src/resource/spec.rs
@@ -110,7 +110,7 @@
 #[serde(rename_all = "lowercase")]
 pub enum Role {
     /// Runs a range of layers of one or more models.
-    Engine(Engine),
+    Engine(Box<Engine>),
     /// Answers calls of a plain service.
     Service(Name),
 }
