--- a/mimosashift/src/http/client.rs
+++ b/mimosashift/src/http/client.rs
@@ -19,6 +19,9 @@
 use ureq::unversioned::resolver::{ResolvedSocketAddrs, Resolver};
 use ureq::unversioned::transport::{DefaultConnector, NextTimeout};
 
+/// Bytes of each of a connection's two buffers; a head must fit into one.
+const BUFFER_BYTES: usize = 32 << 10;
+
 quick_error! {
     /// Why a call has no answer.
     #[derive(Clone, Debug, PartialEq, Eq)]
@@ -171,6 +174,8 @@
         .allow_non_standard_methods(true)
         .timeout_connect(Some(settings.connect_timeout))
         .max_idle_age(settings.max_idle_age)
+        .input_buffer_size(BUFFER_BYTES)
+        .output_buffer_size(BUFFER_BYTES)
         .max_idle_connections(max_idle)
         .max_idle_connections_per_host(max_idle)
         .user_agent("mimosashift")
