--- a/mimosabench/src/slopes/config.rs
+++ b/mimosabench/src/slopes/config.rs
@@ -190,7 +190,7 @@
 }
 
 /// Bytes that one more revision holds beside the one before.
-fn kept_bytes(resources: usize) -> f64 {
+pub fn kept_bytes(resources: usize) -> f64 {
     const REVISIONS: usize = 100;
     let (teams, endpoints) = mix(resources);
     let first = fleet::snapshot(teams, endpoints);
--- a/mimosabench/tests/slopes.rs
+++ b/mimosabench/tests/slopes.rs
@@ -45,7 +45,9 @@
 fn control_state_fits_its_memory(teams: usize, endpoints: usize) {
     const ACTIVE_TEAMS: usize = 1_000;
     const PREFIXES: usize = 16_384;
+    const REPORTED_TEAMS: usize = 20_000;
     const LOGGED: f64 = 1_024.0;
+    const KEPT_STATES: f64 = 16.0;
     let _alone = alone();
     let (snapshot, resources) = memory::retained(|| fleet::snapshot(teams, endpoints));
     let record = audit::record(1);
@@ -55,6 +57,8 @@
         ("table of chains", choice::table_bytes(&snapshot)),
         ("prefix index", choice::index_bytes(PREFIXES)),
         ("own demand", admission::state_bytes(ACTIVE_TEAMS.min(teams))),
+        ("demand of peers", memory::retained(|| admission::heard(REPORTED_TEAMS.min(teams))).1),
+        ("states kept", config::kept_bytes(teams + endpoints) * KEPT_STATES),
         ("log", memory::retained(|| record.clone()).1 * LOGGED),
         ("metrics", metrics::state_bytes()),
     ];
