--- a/mimosabench/src/policy/engine.rs
+++ b/mimosabench/src/policy/engine.rs
@@ -98,7 +98,13 @@
         let resident = self.sequences.len() as u32;
         let running = resident.min(self.slots);
         let leaving = self.health == Health::Leaving;
-        Load { queued: resident - running, running, kv_free_tokens: 1 << 20, leaving }
+        Load {
+            queued: resident - running,
+            running,
+            kv_free_tokens: 1 << 20,
+            leaving,
+            incarnation: 1,
+        }
     }
 
     /// Takes a step in, or refuses it.
--- a/mimosashift/src/node/callers.rs
+++ b/mimosashift/src/node/callers.rs
@@ -46,8 +46,14 @@
     fn handle(&self, request: Request, responder: Responder) {
         let path = request.uri.path();
         match (&request.method, path) {
-            (&Method::GET, "/healthz") => responder.json(StatusCode::OK, b"{}".to_vec()),
-            (&Method::GET, "/readyz") => self.ready(responder),
+            (&Method::GET, "/healthz") => return responder.json(StatusCode::OK, b"{}".to_vec()),
+            (&Method::GET, "/readyz") => return self.ready(responder),
+            _ => {}
+        }
+        if let Some(problem) = self.0.without_configuration() {
+            return responder.problem(&problem);
+        }
+        match (&request.method, path) {
             (&Method::GET, "/v1/models") => self.models(&request, responder),
             (&Method::POST, "/v1/completions") => self.complete(Form::Text, request, responder),
             (&Method::POST, "/v1/chat/completions") => {
@@ -64,12 +70,10 @@
 
 impl Surface {
     fn ready(&self, responder: Responder) {
-        if self.0.drain.is_requested() {
-            let detail = "the router is shutting down";
-            let status = StatusCode::SERVICE_UNAVAILABLE;
-            return responder.problem(&Problem::not_run(status, "not-ready", detail));
+        match self.0.not_ready() {
+            Some(problem) => responder.problem(&problem),
+            None => responder.json(StatusCode::OK, b"{}".to_vec()),
         }
-        responder.json(StatusCode::OK, b"{}".to_vec());
     }
 
     fn models(&self, request: &Request, responder: Responder) {
@@ -204,8 +208,9 @@
         self.0.drain.note_arrival();
         let installed = self.0.installed();
         let snapshot = installed.snapshot();
-        let checked = auth::team(request, snapshot).and_then(|_| service_path(request));
-        let (name, path) = match checked {
+        let checked =
+            auth::team(request, snapshot).and_then(|(team, _)| Ok((team, service_path(request)?)));
+        let (team, (name, path)) = match checked {
             Ok(checked) => checked,
             Err(problem) => return responder.problem(&problem),
         };
@@ -215,6 +220,7 @@
             return responder.problem(&problem);
         };
         let target = Target {
+            team,
             service: &name,
             path: &path,
             timeout: Duration::from_millis(spec.timeout_ms),
--- a/mimosashift/tests/fake/cluster.rs
+++ b/mimosashift/tests/fake/cluster.rs
@@ -325,6 +325,7 @@
                 let actions = node.spread_mut().on_reply(now, &peer, reply);
                 self.act(to, actions);
             }
+            Message::Reports(_) => unreachable!("no router here sends reports of other parts"),
         }
     }
 
--- a/mimosastandin/src/world.rs
+++ b/mimosastandin/src/world.rs
@@ -165,8 +165,8 @@
     peers: &[SocketAddr],
     platform: SocketAddr,
 ) -> Result<node::Settings, Error> {
-    let client = std::sync::Arc::new(Client::new(http::client::Settings::default()));
-    let table = protocol::http::Adapter::new(client, platform, PLATFORM_TIMEOUT);
+    let client = Arc::new(Client::new(http::client::Settings::default()));
+    let platform = Arc::new(protocol::http::Adapter::new(client, platform, PLATFORM_TIMEOUT));
     let others = peers.iter().enumerate().filter(|(i, _)| *i != index).map(|(_, peer)| *peer);
     Ok(node::Settings {
         node: settings::Node {
@@ -186,7 +186,8 @@
             keys: vec![settings::Key { id: 1, secret: PEER_KEY }],
             cross_domain_latency: Duration::from_micros(500),
         },
-        table: Arc::new(table),
+        table: Arc::clone(&platform) as _,
+        machines: Some(platform),
     })
 }
 
