--- a/mimosabench/src/slopes/admission.rs
+++ b/mimosabench/src/slopes/admission.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
-use mimosashift::admit::share;
+use mimosashift::admit::share::{self, Report};
 use mimosashift::admit::{Action, Admission, Bounds, Request, Usage};
 use mimosashift::resource::{Name, Team};
 use mimosashift::time::Instant;
+use mimosashift::wire::Message;
+use mimosashift::wire::message::Payload;
 
 use super::series::series;
 use super::{Series, cpu, fleet, memory};
@@ -44,6 +46,11 @@
             cpu::micros_per_call(|| admission.report(NOW, 33))
         }),
         series([ROLE, "reports to all peers", "bytes/s", "peers"], &PEERS, report_bytes_per_second),
+        series(
+            [ROLE, "reports to all peers, datagrams sent", "bytes/s", "peers"],
+            &PEERS,
+            sent_bytes_per_second,
+        ),
     ]
 }
 
@@ -87,14 +94,31 @@
     heard
 }
 
-/// Bytes a second of reports to all of `peers` routers in a crowd.
+/// Bytes a second of reports to all of `peers` routers in a crowd, without
+/// the frames around them.
 pub fn report_bytes_per_second(peers: usize) -> f64 {
+    encode(&crowd_report(peers)).len() as f64 * reports_per_second() * peers as f64
+}
+
+/// Bytes a second that these reports take on the network, sent only.
+pub fn sent_bytes_per_second(peers: usize) -> f64 {
+    let payload = Payload { tag: 2, bytes: encode(&crowd_report(peers)) };
+    let bytes = super::membership::datagram_bytes(Message::Reports(vec![payload]));
+    bytes as f64 * reports_per_second() * peers as f64
+}
+
+fn crowd_report(peers: usize) -> Report {
     let mut busy = Busy::new(4_000);
     busy.all();
-    let report = busy.admission.report(busy.now, peers);
-    let bytes = postcard::to_stdvec(&report).expect("a report can be encoded").len();
-    let reports = 1.0 / share::REPORT_INTERVAL.as_secs_f64();
-    bytes as f64 * reports * peers as f64
+    busy.admission.report(busy.now, peers)
+}
+
+fn encode(report: &Report) -> Vec<u8> {
+    postcard::to_stdvec(report).expect("a report can be encoded")
+}
+
+fn reports_per_second() -> f64 {
+    1.0 / share::REPORT_INTERVAL.as_secs_f64()
 }
 
 /// An admission and the teams that use it.
--- a/mimosabench/src/slopes/membership.rs
+++ b/mimosabench/src/slopes/membership.rs
@@ -31,6 +31,9 @@
 /// Bytes of reports of other parts in each heartbeat.
 const REPORT_BYTES: usize = 64;
 
+/// Most bytes of reports that a heartbeat of the node carries.
+pub const MAX_REPORT_BYTES: usize = 480;
+
 /// What one router spends on heartbeats.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Cost {
@@ -49,8 +52,10 @@
 
 /// Cost by routers.
 pub fn measure() -> Vec<Series> {
-    let costs: Vec<_> =
-        ROUTERS.iter().map(|&n| (n, cost(n, domains_of(n), REPORT_BYTES))).collect();
+    let all = |report_bytes| -> Vec<_> {
+        ROUTERS.iter().map(|&n| (n, cost(n, domains_of(n), report_bytes))).collect()
+    };
+    let (costs, full) = (all(REPORT_BYTES), all(MAX_REPORT_BYTES));
     let series = |quantity, unit, value: fn(&Cost) -> f64| {
         let points = costs.iter().map(|(n, cost)| (*n as f64, value(cost))).collect();
         Series { role: ROLE, quantity, unit, size: "routers", points }
@@ -58,6 +63,13 @@
     vec![
         series("heartbeats, mean router", "bytes/s", |cost| cost.mean_bytes),
         series("heartbeats, busiest router", "bytes/s", |cost| cost.most_bytes),
+        Series {
+            role: ROLE,
+            quantity: "heartbeats full of reports, mean router",
+            unit: "bytes/s",
+            size: "routers",
+            points: full.iter().map(|(n, cost)| (*n as f64, cost.mean_bytes)).collect(),
+        },
         series("datagrams, sent and received", "1/s", |cost| cost.messages),
         series("heartbeats, without sockets", "µs/s", |cost| cost.micros),
         series("state", "bytes", |cost| cost.memory),
@@ -91,6 +103,23 @@
     }
 }
 
+/// Bytes of the datagram that carries a message, headers included.
+pub fn datagram_bytes(message: Message) -> usize {
+    let frame = Frame {
+        sender: fleet::name("router-100"),
+        incarnation: 1_700_000_000_000_000 << 10,
+        sequence: 1_000_000,
+        message,
+    };
+    let sealed = ring().seal(&frame, MAX_DATAGRAM_BYTES);
+    HEADER_BYTES + sealed.expect("a small message fits a datagram").len()
+}
+
+fn ring() -> Ring {
+    let key = Key::new(1, *b"0123456789abcdef").expect("the secret is long enough");
+    Ring::new(key, None)
+}
+
 const fn domains_of(routers: usize) -> usize {
     if routers < 11 { 3 } else { fleet::DOMAINS }
 }
@@ -117,7 +146,6 @@
     fn new(routers: usize, domains: usize, report_bytes: usize) -> Self {
         let mut rng = Pcg64Mcg::seed_from_u64(1);
         let addresses: Vec<_> = (0..routers).map(address).collect();
-        let key = Key::new(1, *b"0123456789abcdef").expect("the secret is long enough");
         let payload = Payload { tag: 1, bytes: vec![1; report_bytes] };
         let node = |index| {
             let incarnation = mimosashift::member::incarnation(1_000_000, &mut rng);
@@ -139,7 +167,7 @@
         Self {
             now: Instant::from_millis(1_000_000),
             nodes: (0..routers).map(node).collect(),
-            ring: Ring::new(key, None),
+            ring: ring(),
             report: Report { payloads: vec![payload], ..Report::default() },
             in_flight: VecDeque::new(),
         }
--- a/mimosabench/tests/slopes.rs
+++ b/mimosabench/tests/slopes.rs
@@ -102,6 +102,19 @@
     assert!(bytes > 0.0 && bytes <= MAX_BYTES_PER_SECOND, "{bytes} B/s");
 }
 
+#[test]
+fn all_control_traffic_of_370_routers_fits() {
+    /// Live routers to which one of 370 reports its demand: its own domain and
+    /// those of other domains that were heard of late.
+    const REPORTED_TO: usize = 42;
+    let _alone = alone();
+    let full = membership::MAX_REPORT_BYTES;
+    let heartbeats = membership::cost(ROUTERS, fleet::DOMAINS, full).mean_bytes;
+    let demand = 2.0 * admission::sent_bytes_per_second(REPORTED_TO);
+    let sum = heartbeats + demand;
+    assert!(sum <= MAX_BYTES_PER_SECOND, "{sum} B/s: {heartbeats} heartbeats, {demand} demand");
+}
+
 #[test]
 fn scrape_does_not_grow_with_what_is_recorded() {
     let _alone = alone();
--- a/mimosashift/src/meter/mod.rs
+++ b/mimosashift/src/meter/mod.rs
@@ -60,8 +60,7 @@
             .scope_info_enabled(false)
             .build()
             .map_err(|error| Error::Exporter(error.to_string()))?;
-        let provider =
-            SdkMeterProvider::builder().with_reader(exporter).with_view(bounded).build();
+        let provider = SdkMeterProvider::builder().with_reader(exporter).with_view(bounded).build();
         Ok(Self { registry, provider })
     }
 
