--- a/mimosabench/tests/slopes.rs
+++ b/mimosabench/tests/slopes.rs
@@ -45,7 +45,9 @@
 fn control_state_fits_its_memory(teams: usize, endpoints: usize) {
     const ACTIVE_TEAMS: usize = 1_000;
     const PREFIXES: usize = 16_384;
+    const REPORTED_TEAMS: usize = 20_000;
     const LOGGED: f64 = 1_024.0;
+    const KEPT_STATES: f64 = 16.0;
     let _alone = alone();
     let (snapshot, resources) = memory::retained(|| fleet::snapshot(teams, endpoints));
     let record = audit::record(1);
@@ -55,6 +57,8 @@
         ("table of chains", choice::table_bytes(&snapshot)),
         ("prefix index", choice::index_bytes(PREFIXES)),
         ("own demand", admission::state_bytes(ACTIVE_TEAMS.min(teams))),
+        ("demand of peers", memory::retained(|| admission::heard(REPORTED_TEAMS.min(teams))).1),
+        ("states kept", config::kept_bytes(teams + endpoints) * KEPT_STATES),
         ("log", memory::retained(|| record.clone()).1 * LOGGED),
         ("metrics", metrics::state_bytes()),
     ];
@@ -98,6 +102,19 @@
     assert!(bytes > 0.0 && bytes <= MAX_BYTES_PER_SECOND, "{bytes} B/s");
 }
 
+#[test]
+fn all_control_traffic_of_370_routers_fits() {
+    /// Live routers to which one of 370 reports its demand: its own domain and
+    /// those of other domains that were heard of late.
+    const REPORTED_TO: usize = 42;
+    let _alone = alone();
+    let full = membership::MAX_REPORT_BYTES;
+    let heartbeats = membership::cost(ROUTERS, fleet::DOMAINS, full).mean_bytes;
+    let demand = 2.0 * admission::sent_bytes_per_second(REPORTED_TO);
+    let sum = heartbeats + demand;
+    assert!(sum <= MAX_BYTES_PER_SECOND, "{sum} B/s: {heartbeats} heartbeats, {demand} demand");
+}
+
 #[test]
 fn scrape_does_not_grow_with_what_is_recorded() {
     let _alone = alone();
