--- a/mimosashift/src/admit/slots.rs
+++ b/mimosashift/src/admit/slots.rs
@@ -1,7 +1,9 @@
 //! Number of requests dispatched at once, adapted to what the endpoints take.
 //!
-//! Additive increase while all slots are in use, multiplicative decrease when
-//! endpoints refuse for load, at most once per [`DECREASE_INTERVAL`].
+//! While all slots are in use, the limit doubles in the time that its requests
+//! take until endpoints first refuse for load, and rises by one in that time
+//! from then on. A refusal for load lowers it by a part, at most once per
+//! [`DECREASE_INTERVAL`].
 
 use std::time::Duration;
 
@@ -53,7 +55,8 @@
         if overloaded {
             self.decrease(now);
         } else if full {
-            self.limit = (self.limit + 1.0 / self.limit).min(self.max);
+            let step = if self.decreased.is_none() { 1.0 } else { 1.0 / self.limit };
+            self.limit = (self.limit + step).min(self.max);
         }
     }
 
