--- a/mimosashift/src/node/installed.rs
+++ b/mimosashift/src/node/installed.rs
@@ -52,26 +52,11 @@
 
     /// What recovery costs on a chain.
     pub fn recovery_cost(&self, chain: &Chain) -> Cost {
-        let pipeline = self.snapshot().pipeline(chain.pipeline());
-        let mut cost = Cost {
-            kv_bytes: pipeline.map_or(0, |p| p.kv_bytes),
-            link_bytes_per_second: u64::MAX,
-            link_latency: Duration::ZERO,
-            prefill_base: Duration::ZERO,
-            prefill_token: Duration::ZERO,
-        };
-        for stage in chain.stages() {
-            let Some(engine) = self.engine(&stage.endpoint) else { continue };
-            let compute = engine.layer_us * u32::from(stage.layers.count());
-            let trip = Duration::from_micros(u64::from(engine.link_us) * 2);
-            cost.prefill_base += trip + Duration::from_micros(u64::from(compute));
-            let weight = crate::health::model::step_weight(2.0) - 1.0;
-            cost.prefill_token += Duration::from_micros(u64::from(compute)).mul_f32(weight);
-            cost.link_latency = cost.link_latency.max(trip);
-            cost.link_bytes_per_second =
-                cost.link_bytes_per_second.min(engine.link_bytes_per_second);
-        }
-        cost
+        let snapshot = self.snapshot();
+        let pipeline = snapshot.pipeline(chain.pipeline()).expect("a chain's pipeline is declared");
+        let stages = chain.stages().iter();
+        let engines = stages.filter_map(|s| Some((self.engine(&s.endpoint)?, s.layers)));
+        Cost::new(pipeline, engines)
     }
 
     fn endpoint(&self, name: &Name) -> Option<&Endpoint> {
--- a/mimosashift/src/pipeline/recovery.rs
+++ b/mimosashift/src/pipeline/recovery.rs
@@ -4,7 +4,8 @@
 
 use smallvec::SmallVec;
 
-use crate::resource::{Layers, Name};
+use crate::health::model;
+use crate::resource::{Engine, Layers, Name, Pipeline};
 use crate::route::{Chain, Stage};
 
 /// What the ways of recovery cost on a chain.
@@ -23,6 +24,33 @@
 }
 
 impl Cost {
+    /// Cost on a chain of `stages` of `pipeline`, from declared speeds.
+    pub fn new<'a>(
+        pipeline: &Pipeline,
+        stages: impl IntoIterator<Item = (&'a Engine, Layers)>,
+    ) -> Self {
+        let mut cost = Self {
+            kv_bytes: pipeline.kv_bytes,
+            link_bytes_per_second: u64::MAX,
+            link_latency: Duration::ZERO,
+            prefill_base: Duration::ZERO,
+            prefill_token: Duration::ZERO,
+        };
+        let token_bytes = 2.0 * f64::from(pipeline.hidden_bytes);
+        for (engine, layers) in stages {
+            let compute = Duration::from_micros(u64::from(engine.layer_us));
+            let compute = compute * u32::from(layers.count());
+            let trip = Duration::from_micros(u64::from(engine.link_us) * 2);
+            let bandwidth = engine.link_bytes_per_second.max(1);
+            cost.prefill_base += trip + compute;
+            cost.prefill_token += compute.mul_f32(model::step_weight(2.0) - 1.0);
+            cost.prefill_token += Duration::from_secs_f64(token_bytes / bandwidth as f64);
+            cost.link_latency = cost.link_latency.max(trip);
+            cost.link_bytes_per_second = cost.link_bytes_per_second.min(bandwidth);
+        }
+        cost
+    }
+
     /// Expected time to copy the caches one after the other.
     pub fn import_time(&self, transfers: &[Transfer]) -> Duration {
         let times = transfers.iter().map(|transfer| self.transfer_time(transfer));
