Allow a step for the prompts beside it, and a recovery for each request

A timeout of 50 ms was less than an engine's iteration with another request's prompt in it: at half load of the board mix no request was answered, all were lost to the spent budget. The floor is 400 ms now. The burst of the budget covers each request that a router may run, so that a mass loss loses none.

--- a/mimosashift/src/pipeline/progress.rs
+++ b/mimosashift/src/pipeline/progress.rs
@@ -87,7 +87,7 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
-            floor: Duration::from_millis(50),
+            floor: Duration::from_millis(400),
             ceiling: Duration::from_millis(800),
             initial: Duration::from_millis(400),
             factor: 6,
--- a/mimosashift/src/pipeline/retry.rs
+++ b/mimosashift/src/pipeline/retry.rs
@@ -71,7 +71,7 @@
 
 impl Default for Share {
     fn default() -> Self {
-        Self { per_request: 0.2, per_second: 1.0, burst: 50.0 }
+        Self { per_request: 0.2, per_second: 1.0, burst: 500.0 }
     }
 }
 
