--- a/mimosabench/src/policy/engine.rs
+++ b/mimosabench/src/policy/engine.rs
@@ -93,12 +93,14 @@
         self.queue.drain(..).chain(self.batch.drain(..)).collect()
     }
 
-    /// What the engine reports: sequences beyond its slots wait.
+    /// What the engine reports: the steps that it runs and those that wait.
     pub fn load(&self) -> Load {
-        let resident = self.sequences.len() as u32;
-        let running = resident.min(self.slots);
-        let leaving = self.health == Health::Leaving;
-        Load { queued: resident - running, running, kv_free_tokens: 1 << 20, leaving }
+        Load {
+            queued: self.queue.len() as u32,
+            running: self.batch.len() as u32,
+            kv_free_tokens: 1 << 20,
+            leaving: self.health == Health::Leaving,
+        }
     }
 
     /// Takes a step in, or refuses it.
@@ -118,11 +120,27 @@
         if !self.batch.is_empty() || self.queue.is_empty() {
             return None;
         }
-        let size = self.queue.len().min(self.slots as usize);
-        self.batch.extend(self.queue.drain(..size));
+        self.fill_batch();
+        let size = self.batch.len() as u32;
         let prefill = |job: &Job| model::step_weight(job.step.label.count as f32) - 1.0;
         let prefills: f32 = self.batch.iter().map(prefill).sum();
-        Some(self.iteration.mul_f32(model::batch_weight(size as u32) + prefills))
+        Some(self.iteration.mul_f32(model::batch_weight(size) + prefills))
+    }
+
+    /// Takes steps in order of arrival, with one prompt at most: engines bound
+    /// the tokens of an iteration.
+    fn fill_batch(&mut self) {
+        let mut place = 0;
+        let mut prompts = 0;
+        while place < self.queue.len() && self.batch.len() < self.slots as usize {
+            let is_prompt = self.queue[place].step.label.count > 1;
+            if is_prompt && prompts > 0 {
+                place += 1;
+                continue;
+            }
+            prompts += usize::from(is_prompt);
+            self.batch.extend(self.queue.remove(place));
+        }
     }
 
     /// Ends the iteration with the answers to its steps.
--- a/mimosabench/src/policy/link.rs
+++ b/mimosabench/src/policy/link.rs
@@ -1,4 +1,7 @@
-//! The link of an engine: latency, and bandwidth shared in order of arrival.
+//! The link of an engine: latency, and bandwidth shared by transfers.
+//!
+//! Short transfers pass long ones, as on connections of their own; what they
+//! take is taken from the long ones.
 
 use std::time::Duration;
 
@@ -13,20 +16,30 @@
 /// Bytes of headers around a step's body.
 const OVERHEAD_BYTES: u64 = 512;
 
+/// Transfers of more bytes are long.
+const SHORT_BYTES: u64 = 64 << 10;
+
+/// One direction of a link: when its transfers are through.
+#[derive(Clone, Copy, Debug, Default)]
+struct Lane {
+    short: Instant,
+    long: Instant,
+}
+
 /// A link with a queue in each direction.
 #[derive(Debug)]
 pub struct Link {
     bytes_per_second: f64,
     factor: u32,
-    inwards: Instant,
-    outwards: Instant,
+    inwards: Lane,
+    outwards: Lane,
 }
 
 impl Link {
     /// An idle link.
     pub fn new(engine: &Engine) -> Self {
         let bytes_per_second = engine.link_bytes_per_second as f64;
-        Self { bytes_per_second, factor: 1, inwards: Instant::ZERO, outwards: Instant::ZERO }
+        Self { bytes_per_second, factor: 1, inwards: Lane::default(), outwards: Lane::default() }
     }
 
     /// Makes latency longer and bandwidth less by `factor`.
@@ -40,16 +53,15 @@
             Input::Tokens(tokens) => tokens.len() as u64 * size_of::<u32>() as u64,
             Input::Hidden(digests) => activation_bytes(digests),
         };
-        let time = self.time(bytes + OVERHEAD_BYTES);
-        self.inwards = self.inwards.max(now) + time;
-        self.inwards.since(now) + latency * self.factor
+        let bytes = bytes + OVERHEAD_BYTES;
+        let time = self.time(bytes);
+        self.inwards.pass(bytes, time, now) + latency * self.factor
     }
 
     /// Time until an answer of `bytes` bytes is at the router.
     pub fn reply(&mut self, bytes: u64, now: Instant, latency: Duration) -> Duration {
         let time = self.time(bytes);
-        self.outwards = self.outwards.max(now) + time;
-        self.outwards.since(now) + latency * self.factor
+        self.outwards.pass(bytes, time, now) + latency * self.factor
     }
 
     /// Time until a cache is copied from one engine to another.
@@ -64,8 +76,7 @@
         let bytes = cells * u64::from(KV_BYTES);
         let sent = links[from].reply(bytes, now, Duration::ZERO);
         let time = links[to].time(bytes);
-        links[to].inwards = links[to].inwards.max(now) + time;
-        sent.max(links[to].inwards.since(now))
+        sent.max(links[to].inwards.pass(bytes, time, now))
     }
 
     /// Bytes of an answer.
@@ -82,6 +93,21 @@
     }
 }
 
+impl Lane {
+    /// Time until a transfer that takes `time` alone is through.
+    fn pass(&mut self, bytes: u64, time: Duration, now: Instant) -> Duration {
+        if bytes > SHORT_BYTES {
+            self.long = self.long.max(now) + time;
+            return self.long.since(now);
+        }
+        self.short = self.short.max(now) + time;
+        if self.long > now {
+            self.long = self.long + time;
+        }
+        self.short.since(now)
+    }
+}
+
 fn activation_bytes(digests: &[u8]) -> u64 {
     (digests.len() / DIGEST_BYTES) as u64 * u64::from(HIDDEN_BYTES)
 }
--- a/mimosabench/src/policy/measure.rs
+++ b/mimosabench/src/policy/measure.rs
@@ -26,7 +26,7 @@
 /// Offered loads, as shares of the bound.
 pub const LOADS: [f64; 4] = [0.5, 0.8, 0.95, 1.2];
 /// Runs made at once.
-const THREADS: usize = 4;
+const THREADS: usize = 6;
 /// Slots of every engine, for the weights of requests.
 const SLOTS: u32 = 4;
 
--- a/mimosabench/src/policy/print.rs
+++ b/mimosabench/src/policy/print.rs
@@ -70,7 +70,9 @@
 }
 
 fn cause(tally: &Tally) -> String {
-    let Tally { refused, lost, no_chain, violations, .. } = tally;
+    let Tally { failed, refused, lost, no_chain, violations, .. } = tally;
     let first = violations.first();
-    format!("refused {refused:?}, no chain {no_chain}, lost {lost:?}, first breach {first:?}")
+    format!(
+        "refused {refused:?}, no chain {no_chain}, lost {lost:?}, failed steps {failed:?}, first breach {first:?}"
+    )
 }
--- a/mimosabench/src/policy/router.rs
+++ b/mimosabench/src/policy/router.rs
@@ -5,7 +5,7 @@
 
 use mimosashift::admit::{self, Admission, Bounds, Ticket};
 use mimosashift::engine::{Failure, RequestId, Step};
-use mimosashift::health::{self, Exchange, Registry, Standing, View, model};
+use mimosashift::health::{self, Exchange, Registry, Standing, View};
 use mimosashift::pipeline::recovery::Cost;
 use mimosashift::pipeline::retry::{Budget, Share};
 use mimosashift::pipeline::{Context, Replacement, Request, Scope};
@@ -17,7 +17,7 @@
 use rand_pcg::Pcg64Mcg;
 use smallvec::SmallVec;
 
-use super::fleet::{self, Fleet, KV_BYTES, ROUTERS, VERSION};
+use super::fleet::{self, Fleet, ROUTERS, VERSION};
 
 /// Teams that take turns to send.
 const TEAMS: usize = 10;
@@ -257,26 +257,11 @@
     RequestId(call as u128)
 }
 
-/// What recovery costs on a chain, from declared speeds.
+/// What recovery costs on a chain.
 pub fn cost(fleet: &Fleet, chain: &Chain) -> Cost {
-    let mut cost = Cost {
-        kv_bytes: KV_BYTES,
-        link_bytes_per_second: u64::MAX,
-        link_latency: Duration::ZERO,
-        prefill_base: Duration::ZERO,
-        prefill_token: Duration::ZERO,
-    };
-    for stage in chain.stages() {
-        let engine = fleet.engine(fleet::number(&stage.endpoint));
-        let layers = u32::from(stage.layers.count());
-        let compute = Duration::from_micros(u64::from(engine.layer_us)) * layers;
-        let trip = Duration::from_micros(u64::from(engine.link_us) * 2);
-        cost.prefill_base += trip + compute;
-        cost.prefill_token += compute.mul_f32(model::step_weight(2.0) - 1.0);
-        cost.link_latency = cost.link_latency.max(trip);
-        cost.link_bytes_per_second = cost.link_bytes_per_second.min(engine.link_bytes_per_second);
-    }
-    cost
+    let pipeline = fleet.snapshot.pipeline(&fleet.pipeline).expect("the fleet has a pipeline");
+    let engine = |stage: &Stage| fleet.engine(fleet::number(&stage.endpoint));
+    Cost::new(pipeline, chain.stages().iter().map(|stage| (engine(stage), stage.layers)))
 }
 
 fn team() -> Team {
--- a/mimosabench/src/policy/run.rs
+++ b/mimosabench/src/policy/run.rs
@@ -407,6 +407,7 @@
         sent: Instant,
     ) {
         let now = self.now;
+        self.tally.fail(failure, label);
         let name = &self.plan.fleet.endpoints[from].0;
         let call = &mut self.calls[number];
         let router = &mut self.routers[call.router];
--- a/mimosabench/src/policy/tally.rs
+++ b/mimosabench/src/policy/tally.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use mimosashift::admit::Refusal;
+use mimosashift::engine::{Failure, Label};
 use mimosashift::pipeline::Outcome;
 use mimosashift::time::Instant;
 
@@ -40,6 +41,8 @@
     pub no_chain: u64,
     /// Admitted requests that were not answered, by outcome.
     pub lost: BTreeMap<String, u64>,
+    /// Steps without an answer, by cause and kind of step.
+    pub failed: BTreeMap<String, u64>,
     /// Refusals, by cause.
     pub refused: BTreeMap<&'static str, u64>,
     /// Breaches of what must always hold.
@@ -55,6 +58,7 @@
             steps: 0,
             no_chain: 0,
             lost: BTreeMap::new(),
+            failed: BTreeMap::new(),
             refused: BTreeMap::new(),
             violations: Vec::new(),
             fault,
@@ -116,6 +120,20 @@
         *self.refused.entry(cause).or_default() += 1;
     }
 
+    pub(super) fn fail(&mut self, failure: &Failure, label: &Label) {
+        let kind = match failure {
+            Failure::Silent(_) => "silent",
+            Failure::Unreachable(_) => "unreachable",
+            Failure::NoCache => "no cache",
+            Failure::Leaving => "leaving",
+            Failure::Overloaded => "overloaded",
+            Failure::Refused(reason) => reason,
+            Failure::Malformed(_) => "malformed",
+        };
+        let step = if label.count > 1 { "prompt" } else { "token" };
+        *self.failed.entry(format!("{step} {kind}")).or_default() += 1;
+    }
+
     pub(super) fn lose(&mut self, outcome: &Outcome, arrived: Instant) {
         let before = self.fault.is_some_and(|fault| arrived < fault);
         let cause = match outcome {
