--- /dev/null
+++ b/mimosactl/tests/cli.rs
@@ -0,0 +1,129 @@
+//! The client against a whole system, by its output and exit codes.
+
+use std::io::Write;
+use std::process::{Command, Output, Stdio};
+
+use mimosastandin::world::{OPERATOR_TOKEN, World};
+use serde_json::Value;
+use slog::{Discard, Logger, o};
+
+const EXAMPLES: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../examples");
+
+/// Runs the client against the first router of a world.
+fn ctl(world: &World, args: &[&str], input: &str) -> Output {
+    let server = world.routers[0].operators().to_string();
+    run(&server, args, input)
+}
+
+fn run(server: &str, args: &[&str], input: &str) -> Output {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_mimosactl"))
+        .args(["--server", server])
+        .args(args)
+        .env("MIMOSACTL_TOKEN", OPERATOR_TOKEN)
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    // The client may end before it has read its input.
+    let _ = child.stdin.take().unwrap().write_all(input.as_bytes());
+    child.wait_with_output().unwrap()
+}
+
+fn world() -> World {
+    World::start(&Logger::root(Discard, o!())).unwrap()
+}
+
+fn code(output: &Output) -> Option<i32> {
+    output.status.code()
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+fn json(output: &Output) -> Value {
+    serde_json::from_slice(&output.stdout).unwrap_or_else(|_| panic!("{}", text(&output.stdout)))
+}
+
+#[test]
+fn examples_apply_and_are_in_force() {
+    let world = world();
+    for user in ["board", "aksu"] {
+        let folder = format!("{EXAMPLES}/{user}");
+        let applied = ctl(&world, &["apply", "--file", &folder, "--wait"], "");
+        assert_eq!(code(&applied), Some(0), "{}", text(&applied.stderr));
+    }
+    let teams = json(&ctl(&world, &["--output", "json", "list", "team"], ""));
+    assert_eq!(teams["items"].as_array().map(Vec::len), Some(7));
+    let table = text(&ctl(&world, &["list", "route"], "").stdout);
+    assert!(table.starts_with("NAME") && table.contains("drafting"), "{table}");
+}
+
+#[test]
+fn changes_show_in_get_audit_and_status() {
+    let world = world();
+    let spec = r#"{"kind":"priority","name":"urgent","spec":{"level":3}}"#;
+    assert_eq!(code(&ctl(&world, &["apply", "-f", "-"], spec)), Some(0));
+    let got = json(&ctl(&world, &["-o", "json", "get", "priority", "urgent"], ""));
+    assert_eq!((&got["spec"]["level"], &got["revision"]), (&3.into(), &1.into()));
+    let audit = json(&ctl(&world, &["-o", "json", "audit", "--kind", "priority"], ""));
+    assert_eq!(audit["items"][0]["name"], "urgent");
+    assert_eq!(audit["items"][0]["operator"], "bootstrap");
+    let status = json(&ctl(&world, &["-o", "json", "status"], ""));
+    assert_eq!(status["revision"], 1);
+}
+
+#[test]
+fn dry_run_changes_nothing() {
+    let world = world();
+    let spec = r#"{"kind":"priority","name":"urgent","spec":{"level":3}}"#;
+    assert_eq!(code(&ctl(&world, &["apply", "-f", "-", "--dry-run"], spec)), Some(0));
+    assert_eq!(code(&ctl(&world, &["get", "priority", "urgent"], "")), Some(3));
+}
+
+#[test]
+fn changed_resource_is_not_deleted_at_its_old_revision() {
+    let world = world();
+    for level in [1, 2] {
+        let spec = format!(r#"{{"kind":"priority","name":"urgent","spec":{{"level":{level}}}}}"#);
+        assert_eq!(code(&ctl(&world, &["apply", "-f", "-"], &spec)), Some(0));
+    }
+    let old = ctl(&world, &["delete", "priority", "urgent", "--revision", "1"], "");
+    assert_eq!(code(&old), Some(4), "{}", text(&old.stderr));
+    let new = ctl(&world, &["delete", "priority", "urgent", "--revision", "2"], "");
+    assert_eq!(code(&new), Some(0), "{}", text(&new.stderr));
+}
+
+#[test]
+fn every_wrong_resource_of_a_file_is_named() {
+    let bad = r#"[{"kind":"team","name":"a","spec":{"priority":"p","weight":0}},
+        {"kind":"nothing","name":"b","spec":{}},
+        {"kind":"priority","name":"C","spec":{"level":1}}]"#;
+    let output = run("127.0.0.1:1", &["apply", "-f", "-"], bad);
+    assert_eq!(code(&output), Some(2));
+    let errors = text(&output.stderr);
+    for part in ["item 0", "weight", "item 1", "\"nothing\"", "item 2", "\"C\""] {
+        assert!(errors.contains(part), "{part} is missing: {errors}");
+    }
+}
+
+/// Names each call with its exit code, one per line.
+macro_rules! exits {
+    ($($case:ident: $args:expr => $code:literal;)*) => {$(
+        #[test]
+        fn $case() {
+            let output = run("127.0.0.1:1", &$args, "");
+            assert_eq!(code(&output), Some($code), "{}", text(&output.stderr));
+        }
+    )*};
+}
+
+exits! {
+    no_router: ["status"] => 1;
+    unknown_form: ["--output", "xml", "status"] => 2;
+    apply_without_file: ["apply"] => 2;
+    missing_file: ["apply", "-f", "/nonexistent.json"] => 2;
+    resolve_without_finding: ["resolve", "key"] => 2;
+    completions: ["completions"] => 0;
+}
