--- a/mimosabench/src/policy/engine.rs
+++ b/mimosabench/src/policy/engine.rs
@@ -103,15 +103,13 @@
         }
     }
 
-    /// Takes a step in, or refuses it.
-    pub fn enqueue(&mut self, job: Job) -> Result<(), (Job, Failure)> {
-        match self.check(&job) {
-            Ok(()) => {
-                self.queue.push_back(job);
-                Ok(())
-            }
-            Err(failure) => Err((job, failure)),
+    /// Takes a step in, or gives it back with the refusal.
+    pub fn enqueue(&mut self, job: Job) -> Option<(Job, Failure)> {
+        if let Err(failure) = self.check(&job) {
+            return Some((job, failure));
         }
+        self.queue.push_back(job);
+        None
     }
 
     /// Starts an iteration if there is work and none runs; says how long it
--- a/mimosabench/src/policy/run.rs
+++ b/mimosabench/src/policy/run.rs
@@ -470,8 +470,8 @@
             return self.reply(to, job, Err(failure));
         }
         match self.engines[to].enqueue(job) {
-            Ok(()) => self.iterate(to),
-            Err((job, failure)) => self.reply(to, job, Err(failure)),
+            None => self.iterate(to),
+            Some((job, failure)) => self.reply(to, job, Err(failure)),
         }
     }
 
