--- a/mimosashift/src/member/mod.rs
+++ b/mimosashift/src/member/mod.rs
@@ -346,7 +346,9 @@
     }
 
     /// Adds a few addresses of other routers, of the target's domain if that
-    /// is known: those are the ones it has to find.
+    /// is known: those are the ones it has to find. One of another domain
+    /// keeps each domain in touch with the rest, whomever its routers greeted
+    /// first.
     fn send(
         &self,
         now: Instant,
@@ -359,8 +361,13 @@
             let domain = &member.heartbeat.domain;
             member.heartbeat.address != to && target.domain.as_ref().is_none_or(|d| d == domain)
         };
-        let others = self.alive(now).filter(helps).map(|member| member.heartbeat.address);
+        let address = |member: &Member| member.heartbeat.address;
+        let others = self.alive(now).filter(helps).map(address);
         heartbeat.peers = others.sample(rng, SAMPLED_PEERS).into();
+        if let Some(domain) = &target.domain {
+            let far = self.alive(now).filter(|m| m.heartbeat.domain != *domain).map(address);
+            heartbeat.peers.extend(far.filter(|far| *far != to).choose(rng));
+        }
         Send { to, heartbeat }
     }
 
--- a/mimosashift/src/member/transport.rs
+++ b/mimosashift/src/member/transport.rs
@@ -70,6 +70,7 @@
     /// The only lock here; nothing is called while it is held.
     seen: Mutex<Seen>,
     refused: AtomicU64,
+    sent_bytes: AtomicU64,
     connections: AtomicUsize,
     stopping: AtomicBool,
     handler: Box<Handler>,
@@ -97,6 +98,7 @@
             sequence: AtomicU64::new(0),
             seen: Mutex::default(),
             refused: AtomicU64::new(0),
+            sent_bytes: AtomicU64::new(0),
             connections: AtomicUsize::new(0),
             stopping: AtomicBool::new(false),
             handler,
@@ -116,6 +118,11 @@
         self.shared.refused.load(Ordering::Relaxed)
     }
 
+    /// Bytes of frames sent so far, without the headers of IP, UDP and TCP.
+    pub fn sent_bytes(&self) -> u64 {
+        self.shared.sent_bytes.load(Ordering::Relaxed)
+    }
+
     /// Sends a message as one datagram; it may be lost.
     pub fn send(&self, to: SocketAddr, message: Message) -> Result<(), Error> {
         let bytes = self.shared.seal(message, MAX_DATAGRAM_BYTES)?;
@@ -191,7 +198,9 @@
             sequence: self.sequence.fetch_add(1, Ordering::Relaxed) + 1,
             message,
         };
-        Ok(self.ring.seal(&frame, limit)?)
+        let bytes = self.ring.seal(&frame, limit)?;
+        self.sent_bytes.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+        Ok(bytes)
     }
 
     fn open(&self, bytes: &[u8], limit: usize) -> Result<Frame, Error> {
--- a/mimosashift/src/node/cluster/mod.rs
+++ b/mimosashift/src/node/cluster/mod.rs
@@ -141,6 +141,11 @@
         act(&routers)
     }
 
+    /// Bytes sent to other routers, and frames of theirs refused.
+    pub fn traffic(&self) -> (u64, u64) {
+        self.transport.get().map_or((0, 0), |t| (t.sent_bytes(), t.refused()))
+    }
+
     /// Announces that this router leaves.
     pub fn leave(&self) {
         self.lock().membership.leave();
@@ -330,11 +335,14 @@
         emit!(self.log, event, "node" => peer.as_str());
     }
 
-    /// Logs which routers have fallen silent or leave.
+    /// Logs which routers of the own domain have fallen silent or leave; those
+    /// of other domains are heard at random times only.
     fn note_liveness(&self, shared: &mut Shared, now: Instant) {
+        let own = self.settings.domain();
         let latest: BTreeMap<Name, Liveness> = shared
             .membership
             .members()
+            .filter(|member| member.heartbeat.domain == *own)
             .map(|member| (member.heartbeat.node.clone(), member.liveness(now)))
             .collect();
         for (node, liveness) in &latest {
--- a/mimosashift/src/node/operators/queries.rs
+++ b/mimosashift/src/node/operators/queries.rs
@@ -82,11 +82,13 @@
         })
     });
     let members = node.cluster.members(now);
+    let (sent_bytes, refused) = node.cluster.traffic();
     json!({
         "node": own.name, "domain": own.domain, "region": own.region,
         "revision": installed.state().version().revision,
         "ready": node.not_ready().is_none(),
         "queue": queue,
+        "peers": {"sent_bytes": sent_bytes, "refused_frames": refused},
         "members": members.iter().map(|(m, liveness)| member(m, *liveness)).collect::<Vec<_>>(),
         "endpoints": endpoints(node, &installed),
     })
--- a/mimosashift/tests/fake/cluster.rs
+++ b/mimosashift/tests/fake/cluster.rs
@@ -83,7 +83,13 @@
 }
 
 impl Cluster {
+    /// Routers that greet all others first.
     pub fn new(nodes: usize, domains: usize, seed: u64) -> Self {
+        Self::with_seeds(nodes, domains, seed, nodes)
+    }
+
+    /// Routers that greet the first `seeds` of them first.
+    pub fn with_seeds(nodes: usize, domains: usize, seed: u64, seeds: usize) -> Self {
         let mut cluster = Self {
             now: Instant::from_millis(1_000_000),
             nodes: Vec::new(),
@@ -99,13 +105,13 @@
         };
         cluster.net.table_cut = vec![false; domains];
         for index in 0..nodes {
-            let node = cluster.start(index, index % domains, nodes);
+            let node = cluster.start(index, index % domains, seeds);
             cluster.nodes.push(node);
         }
         cluster
     }
 
-    fn start(&mut self, index: usize, domain: usize, nodes: usize) -> Node {
+    fn start(&mut self, index: usize, domain: usize, seeds: usize) -> Node {
         let mut rng = Pcg64Mcg::seed_from_u64(self.rng.random());
         let name = Name::try_from(format!("router-{index}")).unwrap();
         let own = Identity {
@@ -114,7 +120,7 @@
             address: address(index),
             incarnation: mimosashift::member::incarnation(self.now.as_micros(), &mut rng),
         };
-        let list: Vec<_> = (0..nodes).map(address).collect();
+        let list: Vec<_> = (0..seeds).map(address).collect();
         Node {
             membership: Membership::new(own, &list),
             life: Life::Starting(Router::new(name, self.now)),
@@ -325,6 +331,7 @@
                 let actions = node.spread_mut().on_reply(now, &peer, reply);
                 self.act(to, actions);
             }
+            Message::Reports(_) => unreachable!("routers here send no reports of other parts"),
         }
     }
 
--- a/mimosashift/tests/member.rs
+++ b/mimosashift/tests/member.rs
@@ -156,6 +156,18 @@
     assert_eq!(far(&cluster), 3);
 }
 
+/// Four routers in two domains that all greet the first: the third hears of
+/// the other domain only from the first.
+#[test]
+fn every_router_finds_every_domain_from_one_seed() {
+    let mut cluster = Cluster::with_seeds(4, 2, 1, 1);
+    cluster.run(SETTLE).unwrap();
+    for node in &cluster.nodes {
+        let domains = node.membership.in_force(cluster.now, &node.report(), 0);
+        assert_eq!(domains.len(), 2, "{:?} knows {domains:?}", node.membership.own().node);
+    }
+}
+
 #[test]
 fn largest_heartbeat_fits_a_datagram() {
     let long = |prefix: &str, n: usize| Name::try_from(format!("{prefix}{n:060}")).unwrap();
--- a/mimosashiftd/tests/cluster.rs
+++ b/mimosashiftd/tests/cluster.rs
@@ -381,6 +381,28 @@
     cluster.wait_in_force(0, 0, 1);
 }
 
+/// Prints what an idle cluster costs; only the absence of writes is a rule.
+#[test]
+fn idle_cluster_writes_nothing() {
+    const MEASURED: Duration = Duration::from_secs(10);
+    let cluster = Cluster::start(4);
+    let revision = cluster.put(0, "urgent", 0);
+    cluster.wait_in_force(0, revision, 4);
+    let sent = |index| cluster.get(index, "/api/v1/status")["peers"]["sent_bytes"].as_u64();
+    let (before, bytes) = (cluster.platform.counts(), [0, 1, 2, 3].map(sent));
+    thread::sleep(MEASURED);
+    let (after, bytes_after) = (cluster.platform.counts(), [0, 1, 2, 3].map(sent));
+    let seconds = MEASURED.as_secs_f64();
+    let reads = (after.reads - before.reads) as f64 / seconds;
+    let rates: Vec<f64> = bytes_after
+        .iter()
+        .zip(bytes)
+        .map(|(after, before)| (after.unwrap() - before.unwrap()) as f64 / seconds)
+        .collect();
+    eprintln!("idle: {reads} table reads/s, bytes sent to peers/s by router: {rates:?}");
+    assert_eq!(after.rows_written, before.rows_written);
+}
+
 /// Waits until `condition` holds; false when that takes too long.
 fn until(mut condition: impl FnMut() -> bool) -> bool {
     let end = Instant::now() + LIMIT;
