--- a/mimosashift/src/member/mod.rs
+++ b/mimosashift/src/member/mod.rs
@@ -50,6 +50,9 @@
 /// Addresses of other routers in one heartbeat.
 const SAMPLED_PEERS: usize = 2;
 
+/// Rounds in which a router gets one address of another failure domain.
+const ROUNDS_PER_FAR_ADDRESS: u32 = 4;
+
 /// Most routers remembered.
 const MAX_MEMBERS: usize = 2_048;
 
@@ -346,9 +349,7 @@
     }
 
     /// Adds a few addresses of other routers, of the target's domain if that
-    /// is known: those are the ones it has to find. One of another domain
-    /// keeps each domain in touch with the rest, whomever its routers greeted
-    /// first.
+    /// is known: those are the ones it has to find.
     fn send(
         &self,
         now: Instant,
@@ -364,13 +365,26 @@
         let address = |member: &Member| member.heartbeat.address;
         let others = self.alive(now).filter(helps).map(address);
         heartbeat.peers = others.sample(rng, SAMPLED_PEERS).into();
-        if let Some(domain) = &target.domain {
-            let far = self.alive(now).filter(|m| m.heartbeat.domain != *domain).map(address);
-            heartbeat.peers.extend(far.filter(|far| *far != to).choose(rng));
+        if target.domain.as_ref() == Some(&self.own.domain) {
+            heartbeat.peers.extend(self.far_address(now, rng));
         }
         Send { to, heartbeat }
     }
 
+    /// Now and then the address of a router of another domain, so that every
+    /// router of a domain gets in touch with the rest, whomever it greeted
+    /// first. All routers of the domain together send one such address to
+    /// each of them every [`ROUNDS_PER_FAR_ADDRESS`] rounds.
+    fn far_address(&self, now: Instant, rng: &mut Pcg64Mcg) -> Option<SocketAddr> {
+        let is_near = |member: &&Member| member.heartbeat.domain == self.own.domain;
+        let near = u32::try_from(self.alive(now).filter(is_near).count()).unwrap_or(u32::MAX);
+        if !rng.random_ratio(1, near.max(1).saturating_mul(ROUNDS_PER_FAR_ADDRESS)) {
+            return None;
+        }
+        let far = self.alive(now).filter(|member| !is_near(member));
+        far.map(|member| member.heartbeat.address).choose(rng)
+    }
+
     fn is_heard(&self, address: SocketAddr) -> bool {
         self.members.values().any(|member| member.heartbeat.address == address)
     }
