--- a/mimosabench/src/slopes/text.rs
+++ b/mimosabench/src/slopes/text.rs
@@ -7,7 +7,7 @@
     let row = |series: &Series| {
         let line = series.line();
         format!(
-            "{:<13} {:<34} {:>12} {:>12} {:>10}  {} by {}\n{:<13} {}\n",
+            "{:<14} {:<34} {:>12} {:>12} {:>10}  {} by {}\n{:<14} {}\n",
             series.role,
             series.quantity,
             number(line.base),
@@ -20,7 +20,7 @@
         )
     };
     let head = format!(
-        "{:<13} {:<34} {:>12} {:>12} {:>10}  {}\n",
+        "{:<14} {:<34} {:>12} {:>12} {:>10}  {}\n",
         "role", "quantity", "base", "slope", "residual", "unit"
     );
     head + &all.iter().map(row).collect::<String>()
