--- a/mimosabench/src/slopes/membership.rs
+++ b/mimosabench/src/slopes/membership.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use mimosashift::health::probe::{self, Router};
 use mimosashift::member::{Identity, Membership, Report};
+use mimosashift::resource::Name;
 use mimosashift::time::Instant;
 use mimosashift::wire::message::Payload;
 use mimosashift::wire::{Frame, Key, MAX_DATAGRAM_BYTES, Message, Ring, Seen};
@@ -50,6 +52,15 @@
     pub memory: f64,
 }
 
+/// What the mean router knows and probes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Division {
+    /// Other routers that count as alive.
+    pub alive: f64,
+    /// Endpoints that it probes in each round.
+    pub probes: f64,
+}
+
 /// Cost by routers.
 pub fn measure() -> Vec<Series> {
     let all = |report_bytes| -> Vec<_> {
@@ -103,6 +114,30 @@
     }
 }
 
+/// How `routers` divide the probes of `endpoints` among them.
+pub fn division(routers: usize, domains: usize, endpoints: usize) -> Division {
+    let mut cluster = Cluster::new(routers, domains, 0);
+    cluster.run(SETTLE_STEPS);
+    let all: Vec<_> = (0..endpoints)
+        .map(|n| (fleet::name(&format!("engine-{n:04}")), domain(n % domains)))
+        .collect();
+    let (mut alive, mut probes) = (0, 0);
+    for node in &cluster.nodes {
+        let own = node.membership.own();
+        let others = node.membership.alive(cluster.now).map(|member| &member.heartbeat);
+        let mut known: Vec<_> =
+            others.map(|h| Router { name: h.node.as_str(), domain: &h.domain }).collect();
+        alive += known.len();
+        known.push(Router { name: own.node.as_str(), domain: &own.domain });
+        let mine = |(name, domain): &&(Name, Name)| {
+            probe::poller(name, domain, &known).is_some_and(|r| r.name == own.node.as_str())
+        };
+        probes += all.iter().filter(mine).count();
+    }
+    let per_node = |count: usize| count as f64 / routers as f64;
+    Division { alive: per_node(alive), probes: per_node(probes) }
+}
+
 /// Bytes of the datagram that carries a message, headers included.
 pub fn datagram_bytes(message: Message) -> usize {
     let frame = Frame {
@@ -151,7 +186,7 @@
             let incarnation = mimosashift::member::incarnation(1_000_000, &mut rng);
             let own = Identity {
                 node: fleet::name(&format!("router-{index}")),
-                domain: fleet::name(&format!("domain-{}", index % domains)),
+                domain: domain(index % domains),
                 address: address(index),
                 incarnation,
             };
@@ -220,6 +255,10 @@
     }
 }
 
+fn domain(number: usize) -> Name {
+    fleet::name(&format!("domain-{number}"))
+}
+
 fn address(index: usize) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], index as u16 + 1))
 }
