Let the slots settle by the share of refused requests

Cause: one refusal for load by one endpoint lowered a router's slots by 15%, and they rose by one in the time of a whole generation of requests, some seconds. Change: each request without refusal adds 0.1 slot, each one with a refusal takes 1, so that one in eleven may meet a full endpoint.

--- a/mimosashift/src/admit/mod.rs
+++ b/mimosashift/src/admit/mod.rs
@@ -189,7 +189,7 @@
     pub fn release(&mut self, now: Instant, ticket: Ticket, usage: Usage, out: &mut Vec<Action>) {
         let running = self.running.remove(&ticket);
         let Running { item, since } = running.expect("only a dispatched request is released");
-        self.slots.release(now, usage.overloaded);
+        self.slots.release(usage.overloaded);
         self.limits.correct(&item.team, item.cost, usage.tokens);
         self.queue.correct(&item, usage.tokens);
         self.rate.add(usage.tokens, now.since(since));
--- a/mimosashift/src/admit/slots.rs
+++ b/mimosashift/src/admit/slots.rs
@@ -1,19 +1,16 @@
 //! Number of requests dispatched at once, adapted to what the endpoints take.
 //!
 //! While all slots are in use, the limit doubles in the time that its requests
-//! take until endpoints first refuse for load, and rises by one in that time
-//! from then on. A refusal for load lowers it by a part, at most once per
-//! [`DECREASE_INTERVAL`].
+//! take until endpoints first refuse one for load. From then on each request
+//! without a refusal raises it by [`RISE`] and each one with a refusal lowers
+//! it by [`FALL`], so that it settles where a small share of requests meets a
+//! full endpoint, whatever the rate.
 
-use std::time::Duration;
+/// Slots gained by a request that met no refusal while all were in use.
+pub const RISE: f64 = 0.1;
 
-use crate::time::Instant;
-
-/// Time in which all signs of overload count as one.
-pub const DECREASE_INTERVAL: Duration = Duration::from_millis(500);
-
-/// Part of the limit that a decrease leaves.
-const DECREASE_FACTOR: f64 = 0.85;
+/// Slots lost by a request that endpoints refused for load.
+pub const FALL: f64 = 1.0;
 
 /// The adaptive concurrency limit.
 #[derive(Clone, Debug)]
@@ -21,14 +18,15 @@
     limit: f64,
     max: f64,
     used: usize,
-    decreased: Option<Instant>,
+    /// Whether endpoints have refused for load.
+    refused: bool,
 }
 
 impl Slots {
     /// Starts at `start` slots and never exceeds `max`.
     pub fn new(start: usize, max: usize) -> Self {
         let max = max.max(1) as f64;
-        Self { limit: (start as f64).clamp(1.0, max), max, used: 0, decreased: None }
+        Self { limit: (start as f64).clamp(1.0, max), max, used: 0, refused: false }
     }
 
     /// Requests that may be dispatched at once.
@@ -49,22 +47,15 @@
     }
 
     /// Gives a slot back; `overloaded` tells that endpoints refused for load.
-    pub fn release(&mut self, now: Instant, overloaded: bool) {
+    pub fn release(&mut self, overloaded: bool) {
         let full = self.used >= self.limit();
         self.used = self.used.checked_sub(1).expect("every release follows its own take");
         if overloaded {
-            self.decrease(now);
+            self.refused = true;
+            self.limit = (self.limit - FALL).max(1.0);
         } else if full {
-            let step = if self.decreased.is_none() { 1.0 } else { 1.0 / self.limit };
+            let step = if self.refused { RISE } else { 1.0 };
             self.limit = (self.limit + step).min(self.max);
         }
     }
-
-    fn decrease(&mut self, now: Instant) {
-        let recent = self.decreased.is_some_and(|at| now.since(at) < DECREASE_INTERVAL);
-        if !recent {
-            self.limit = (self.limit * DECREASE_FACTOR).max(1.0);
-            self.decreased = Some(now);
-        }
-    }
 }
--- a/mimosashift/tests/admit.rs
+++ b/mimosashift/tests/admit.rs
@@ -12,6 +12,7 @@
 use mimosashift::time::Instant;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use test_case::test_case;
 
 fn name(text: &str) -> Name {
     Name::try_from(text).unwrap()
@@ -390,18 +391,30 @@
 #[test]
 fn slots_shrink_on_overload_and_grow_when_full() {
     let mut slots = Slots::new(10, 20);
-    let now = Instant::from_millis(1);
     while slots.take() {}
-    slots.release(now, true);
-    slots.release(now, true);
-    assert_eq!(slots.limit(), 8, "signs of one moment count once");
+    slots.release(true);
+    slots.release(true);
+    assert_eq!(slots.limit(), 8);
     for _ in 0..200 {
         while slots.take() {}
-        slots.release(now, false);
+        slots.release(false);
     }
     assert_eq!(slots.limit(), 20);
 }
 
+/// The limit follows the share of refused requests: it grows while fewer than
+/// one in eleven are refused, and falls while more are.
+#[test_case(20, 100; "one in twenty")]
+#[test_case(5, 1; "one in five")]
+fn slots_settle_by_the_share_of_refusals(one_in: usize, settled: usize) {
+    let mut slots = Slots::new(50, 100);
+    for request in 1..5_000 {
+        while slots.take() {}
+        slots.release(request % one_in == 0);
+    }
+    assert_eq!(slots.limit(), settled);
+}
+
 /// Routers that exchange demand reports, and a balancer in front of them.
 struct Cluster {
     rng: Pcg64Mcg,
