Count a sequence at a stage only for its share of the time

Cause: the cost of a chain took every sequence of an endpoint as holding a slot throughout, and its wait as the time of the whole model. A sequence is at one of four stages at a time, so endpoints looked full at a quarter of what they carry, and requests were refused as late. Change: sequences count by the share of the layers that the endpoint holds, and a wait is that of the endpoint's own layers. Engines report the sequences that they keep; the stand-in reported steps.

--- a/mimosabench/src/policy/engine.rs
+++ b/mimosabench/src/policy/engine.rs
@@ -93,11 +93,13 @@
         self.queue.drain(..).chain(self.batch.drain(..)).collect()
     }
 
-    /// What the engine reports: the steps that it runs and those that wait.
+    /// What the engine reports: sequences beyond its slots wait.
     pub fn load(&self) -> Load {
+        let resident = self.sequences.len() as u32;
+        let running = resident.min(self.slots);
         Load {
-            queued: self.queue.len() as u32,
-            running: self.batch.len() as u32,
+            queued: resident - running,
+            running,
             kv_free_tokens: 1 << 20,
             leaving: self.health == Health::Leaving,
             incarnation: 1,
--- a/mimosashift/src/route/cost.rs
+++ b/mimosashift/src/route/cost.rs
@@ -4,7 +4,7 @@
 
 use super::{Ask, Settings};
 use crate::health::{Condition, Standing, model};
-use crate::resource::Engine;
+use crate::resource::{Engine, Snapshot};
 
 /// Added to the cost of a returning endpoint that sits this choice out; more
 /// than any estimate, less than the next penalty.
@@ -21,6 +21,9 @@
 pub(super) struct Speed {
     layer_us: f32,
     slots: u32,
+    /// Share of a model's layers that the endpoint holds: about the share of
+    /// time that a sequence spends at it, and not at other stages.
+    share: f32,
     one_way_us: f32,
     bytes_per_second: f32,
 }
@@ -50,8 +53,9 @@
 }
 
 impl Speed {
-    pub(super) fn new(engine: &Engine, crossing: Duration) -> Self {
+    pub(super) fn new(engine: &Engine, snapshot: &Snapshot, crossing: Duration) -> Self {
         Self {
+            share: share(engine, snapshot),
             layer_us: engine.layer_us as f32,
             slots: u32::from(engine.slots),
             one_way_us: engine.link_us as f32 + crossing.as_secs_f32() * 1e6,
@@ -70,14 +74,16 @@
         if condition.standing == Standing::Leaving || condition.overloaded {
             return None;
         }
-        let batched = (condition.sequences + 1).min(self.slots);
+        // A sequence takes a slot only while it is at this stage.
+        let present = 1.0 + condition.sequences as f32 * self.share;
+        let batched = (present.ceil() as u32).min(self.slots);
         let slowed = self.layer_us * condition.service_factor * model::batch_weight(batched);
         let layer_us = f64::from(slowed * work.steps);
         let slots = f64::from(self.slots);
         let free_slots = slots * (1.0 - settings.reserved_share);
-        let ahead = (f64::from(condition.sequences) + 1.0 - free_slots).max(0.0);
+        let ahead = (f64::from(present) - free_slots).max(0.0);
         let turns = ahead / slots;
-        let wait_us = turns * layer_us * f64::from(work.layers);
+        let wait_us = turns * layer_us * f64::from(work.layers * self.share);
         if wait_us > settings.max_wait.as_secs_f64() * 1e6 {
             return None;
         }
@@ -102,6 +108,15 @@
     }
 }
 
+/// The largest share of a model's layers that an engine holds.
+fn share(engine: &Engine, snapshot: &Snapshot) -> f32 {
+    let shares = engine.holds.iter().map(|held| {
+        let layers = snapshot.pipeline(&held.pipeline).map_or(1, |pipeline| pipeline.layers);
+        f32::from(held.layers.count()) / f32::from(layers.max(1))
+    });
+    shares.fold(0.0, f32::max).min(1.0)
+}
+
 impl Work {
     /// Work of `ask` when the engines have `cached` tokens of its prompt.
     pub(super) fn new(ask: &Ask<'_>, layers: u16, hidden_bytes: u32, cached: f32) -> Self {
--- a/mimosashift/src/route/naive.rs
+++ b/mimosashift/src/route/naive.rs
@@ -42,7 +42,7 @@
         if ask.avoid.contains(name) || ask.avoid_domains.contains(&endpoint.domain) {
             continue;
         }
-        let speed = Speed::new(engine, distances.to(&endpoint.domain));
+        let speed = Speed::new(engine, snapshot, distances.to(&endpoint.domain));
         let condition = health.condition(name, now);
         let Some(estimate) = speed.estimate(&work, &condition, settings) else { continue };
         for held in &engine.holds {
--- a/mimosashift/src/route/table.rs
+++ b/mimosashift/src/route/table.rs
@@ -69,7 +69,7 @@
         for (name, endpoint) in snapshot.endpoints() {
             let Role::Engine(engine) = &endpoint.role else { continue };
             let entry = table.entries.len() as u32;
-            let speed = Speed::new(engine, distances.to(&endpoint.domain));
+            let speed = Speed::new(engine, snapshot, distances.to(&endpoint.domain));
             let domain = endpoint.domain.clone();
             table.entries.push(Entry { name: name.clone(), domain, speed });
             table.by_name.insert(name.clone(), entry);
