--- a/mimosashift/src/route/sample.rs
+++ b/mimosashift/src/route/sample.rs
@@ -17,6 +17,10 @@
 /// and repeated ones.
 const DRAWS_PER_CANDIDATE: usize = 2;
 
+/// Draws of each part kept back, so that a scan after fruitless draws stays
+/// within the bound on endpoints looked at.
+const SPARE_DRAWS: usize = 4;
+
 /// One draw in so many is uniform.
 const UNIFORM_EVERY: usize = 4;
 
@@ -86,7 +90,7 @@
     let enough = found.len() + quota;
     let octaves = (holders.len() as f32).log2();
     let mut seen: SmallVec<[u32; 64]> = SmallVec::new();
-    for draw in 0..quota * DRAWS_PER_CANDIDATE {
+    for draw in 0..(quota * DRAWS_PER_CANDIDATE).saturating_sub(SPARE_DRAWS) {
         if found.len() >= enough {
             return;
         }
