Start test routers again when their ports were taken

Change: a router that ends at its start is started with other ports; an answer not-run is checked against the audit trail, which must not have it.

--- a/mimosashiftd/tests/cluster.rs
+++ b/mimosashiftd/tests/cluster.rs
@@ -15,6 +15,9 @@
 /// Longest wait for something that must happen.
 const LIMIT: Duration = Duration::from_secs(60);
 
+/// Times that a router is started when its ports are taken.
+const START_TRIES: usize = 5;
+
 const LOOK_INTERVAL: Duration = Duration::from_millis(20);
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(30);
@@ -54,8 +57,16 @@
     }
 
     /// Starts one more router, which greets the first one only.
+    ///
+    /// Tries again with other ports when some program took one in between.
     fn add(&mut self) -> usize {
         let index = self.routers.len();
+        let started = (0..START_TRIES).find_map(|_| self.try_start(index));
+        self.routers.push(started.expect("no router started"));
+        index
+    }
+
+    fn try_start(&self, index: usize) -> Option<Router> {
         let [callers, operators, peers] = [free_address(), free_address(), free_address()];
         let seed = self.routers.first().map_or(String::new(), |first| first.peers.to_string());
         let digest = hex::encode(Sha256::digest(TOKEN));
@@ -71,8 +82,13 @@
             .stdout(Stdio::null())
             .spawn()
             .unwrap();
-        self.routers.push(Router { process, callers, operators, peers });
-        index
+        let mut router = Router { process, callers, operators, peers };
+        let mut ended = false;
+        let listens = until(|| {
+            ended = router.process.try_wait().unwrap().is_some();
+            ended || TcpStream::connect(operators).is_ok()
+        });
+        (listens && !ended).then_some(router)
     }
 
     fn send(
@@ -327,6 +343,10 @@
             assert_eq!(found, [change], "a change reported done is in the trail");
             continue;
         }
+        if answer["effect"] == "not-run" {
+            assert!(found.is_empty(), "change {round} was refused, and the trail has {found:?}");
+            continue;
+        }
         assert_eq!(answer["effect"], "unknown", "{answer}");
         let detail = answer["detail"].as_str().unwrap();
         assert!(found.iter().all(|id| detail.contains(id)), "{detail} names {found:?}");
