--- a/mimosashift/src/config/mod.rs
+++ b/mimosashift/src/config/mod.rs
@@ -69,10 +69,7 @@
         }
         /// The resource is not as the operator's precondition says.
         Precondition { kind: Kind, name: Name, found: Option<u64>, by: Option<String> } {
-            display(
-                "{} {:?} stands at revision {:?}, last changed by {:?}",
-                kind, name.as_str(), found, by
-            )
+            display("{} {:?} {}{}", kind, name.as_str(), standing(*found), changed_by(by.as_deref()))
         }
         /// The change breaks a rule on resources.
         Resource(error: resource::Error) {
@@ -102,6 +99,16 @@
     }
 }
 
+/// Where a resource stands, for operators.
+fn standing(found: Option<u64>) -> String {
+    found.map_or("does not exist".to_owned(), |revision| format!("stands at revision {revision}"))
+}
+
+/// Who changed a resource last, as far as the change itself was seen.
+fn changed_by(by: Option<&str>) -> String {
+    by.map_or("; the audit trail says by whom".to_owned(), |by| format!(", changed by {by:?}"))
+}
+
 impl Error {
     fn missing_record(revision: u64) -> Self {
         Self::Row { key: row::log(revision).key, reason: "the row does not exist".to_owned() }
