--- a/mimosabench/src/policy/run.rs
+++ b/mimosabench/src/policy/run/mod.rs
@@ -10,7 +10,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use super::call::{Call, Driver, End, Flight};
-use super::engine::{Engine, Health, Job};
+use super::engine::{Engine, Job};
 use super::event::{Event, Queue};
 use super::fault::Fault;
 use super::fleet::{self, Fleet, Mix, ROUTERS};
@@ -19,6 +19,9 @@
 use super::router::{Router, Sent, cost, request_id};
 use super::tally::Tally;
 
+mod engines;
+mod routers;
+
 /// Lag of load reports.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 /// Time between two polls and shares of a router.
@@ -455,206 +458,4 @@
         };
         self.act(number, actions);
     }
-
-    // Engines.
-
-    fn arrive(&mut self, to: usize, job: Job) {
-        if job.step.label.position == 0 {
-            self.check_leaving(to);
-        }
-        if self.engines[to].health == Health::Silent {
-            return;
-        }
-        if self.engines[to].health == Health::Crashed {
-            let failure = Failure::Unreachable("connection refused".to_owned());
-            return self.reply(to, job, Err(failure));
-        }
-        match self.engines[to].enqueue(job) {
-            None => self.iterate(to),
-            Some((job, failure)) => self.reply(to, job, Err(failure)),
-        }
-    }
-
-    /// New work must not reach an endpoint that has been leaving for long.
-    fn check_leaving(&mut self, to: usize) {
-        let leaving = self.engines[to].health == Health::Leaving;
-        let since = self.plan.fault.map(|(_, at)| self.now.since(at));
-        if leaving && since.is_some_and(|since| since > LEAVE_GRACE) {
-            self.tally.violation("new work for a leaving endpoint", self.now);
-        }
-    }
-
-    fn iterate(&mut self, at: usize) {
-        if let Some(time) = self.engines[at].start() {
-            let epoch = self.engines[at].epoch;
-            self.later(time, Event::Iterated { at, epoch });
-        }
-    }
-
-    fn iterated(&mut self, at: usize, epoch: u32) {
-        if self.engines[at].epoch != epoch {
-            return;
-        }
-        for (job, result) in self.engines[at].finish() {
-            if result.is_ok() {
-                self.calls[job.call].ran += 1;
-                self.tally.steps += 1;
-            }
-            self.reply(at, job, result);
-        }
-        self.iterate(at);
-    }
-
-    fn reply(&mut self, from: usize, job: Job, result: Result<Output, Failure>) {
-        let latency = self.plan.fleet.latency(job.router, from);
-        let bytes = result.as_ref().map_or(0, Link::bytes);
-        let after = self.links[from].reply(bytes, self.now, latency);
-        let label = job.step.label;
-        self.later(after, Event::Answer { call: job.call, from, label, result });
-    }
-
-    fn export(&mut self, call: usize, from: usize, to: usize, label: Label) {
-        let readable = matches!(self.engines[from].health, Health::Up | Health::Leaving);
-        let cache = if readable { self.engines[from].export(call, &label) } else { None };
-        let after = match &cache {
-            Some(_) => Link::copy(&mut self.links, from, to, &label, self.now),
-            None => Duration::from_millis(1),
-        };
-        self.later(after, Event::Import { call, to, label, cache });
-    }
-
-    fn import(&mut self, call: usize, to: usize, label: Label, cache: Option<Vec<u64>>) {
-        let router = self.calls[call].router;
-        let latency = self.plan.fleet.latency(router, to);
-        let result = match (cache, self.engines[to].health) {
-            (_, Health::Silent) => return,
-            (Some(cache), Health::Up | Health::Leaving) => {
-                self.check_leaving(to);
-                self.engines[to].import(call, label.attempt, cache);
-                Ok(())
-            }
-            _ => Err(Failure::NoCache),
-        };
-        self.later(latency, Event::Copied { call, to, label, result });
-    }
-
-    fn copied(&mut self, number: usize, to: usize, label: &Label, result: &Result<(), Failure>) {
-        let now = self.now;
-        let call = &mut self.calls[number];
-        let Driver::Machine { machine, .. } = &mut call.driver else { return };
-        let name = &self.plan.fleet.endpoints[to].0;
-        let router = &mut self.routers[call.router];
-        let result = result.as_ref().copied();
-        let actions = machine.on_import(&mut router.context(now), name, label, result);
-        self.act(number, actions);
-    }
-
-    // Routers.
-
-    fn sample(&mut self) {
-        for (report, engine) in self.reports.iter_mut().zip(&self.engines) {
-            let next = std::mem::replace(&mut report.1, engine.load());
-            report.0 = next;
-        }
-        self.later(REPORT_INTERVAL, Event::Sample);
-    }
-
-    fn upkeep(&mut self, number: usize) {
-        if !self.routers[number].up {
-            return;
-        }
-        let now = self.now;
-        let up: Vec<usize> = (0..ROUTERS).filter(|&at| self.routers[at].up).collect();
-        let place = up.iter().position(|&at| at == number).expect("it is up");
-        for (at, (name, _)) in self.plan.fleet.endpoints.iter().enumerate() {
-            if at % up.len() == place {
-                self.poll(number, at, name);
-            }
-        }
-        let router = &mut self.routers[number];
-        router.sweep(now);
-        let share = router.health.share(router.shared);
-        router.shared = now;
-        for other in up.into_iter().filter(|&other| other != number) {
-            self.routers[other].health.merge(&share, now);
-        }
-        self.later(UPKEEP_INTERVAL, Event::Upkeep { router: number });
-    }
-
-    fn poll(&mut self, router: usize, at: usize, name: &mimosashift::resource::Name) {
-        let now = self.now;
-        match self.engines[at].health {
-            Health::Up | Health::Leaving => {
-                let load = self.reports[at].0.clone();
-                self.routers[router].poll(name, &load, now);
-            }
-            Health::Crashed => {
-                let failure = Failure::Unreachable("connection refused".to_owned());
-                self.routers[router].fail(name, &failure, now, now);
-            }
-            Health::Silent => {
-                let failure = Failure::Silent(Duration::from_millis(500));
-                self.routers[router].fail(name, &failure, now, now);
-            }
-        }
-    }
-
-    fn look_at_queue(&mut self, number: usize) {
-        if !self.routers[number].up {
-            return;
-        }
-        let mut out = Vec::new();
-        self.routers[number].admission.poll(self.now, &mut out);
-        self.verdicts(number, out);
-        self.later(QUEUE_INTERVAL, Event::Queue { router: number });
-    }
-
-    // Faults.
-
-    fn fault(&mut self) {
-        let Some((fault, _)) = self.plan.fault else { return };
-        let hit = fault.hits(self.plan.fleet);
-        for &at in &hit.endpoints {
-            if let Some(health) = hit.health {
-                self.fail_engine(at, health);
-            }
-            if let Some(factor) = hit.slower {
-                self.links[at].degrade(factor);
-            }
-        }
-        for &router in &hit.routers {
-            self.routers[router].up = false;
-            for number in 0..self.calls.len() {
-                if self.calls[number].router == router && self.calls[number].end == End::Open {
-                    self.calls[number].driver = Driver::Done;
-                    self.calls[number].flight = None;
-                    self.close(number, End::CutOff);
-                }
-            }
-        }
-    }
-
-    fn fail_engine(&mut self, at: usize, health: Health) {
-        if health == Health::Leaving {
-            self.engines[at].health = health;
-            return;
-        }
-        let lost = self.engines[at].fail(health);
-        if health == Health::Crashed {
-            for job in lost {
-                self.reply(at, job, Err(Failure::Silent(Duration::ZERO)));
-            }
-        }
-    }
-
-    fn listed(&mut self) {
-        let Some((fault, _)) = self.plan.fault else { return };
-        let hit = fault.hits(self.plan.fleet);
-        if hit.health != Some(Health::Leaving) {
-            return;
-        }
-        for router in self.routers.iter_mut().filter(|router| router.up) {
-            router.health.list(1, |name| hit.endpoints.contains(&fleet::number(name)));
-        }
-    }
 }
