--- /dev/null
+++ b/mimosafront/src/relay/model.rs
@@ -0,0 +1,552 @@
+//! Streams from a model: a chain of engines, moved or resumed when a part of
+//! it fails.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::body::Bytes;
+use hyper::{Response, StatusCode};
+use mimosaplatform::{engine as wire, header};
+use mimosashift::deployment::{Engine, Kind};
+use mimosashift::emit;
+use mimosashift::event::Event;
+use mimosashift::exchange::{Order, Ordered};
+use mimosashift::fleet::{Chain, Claim, Demand, Hop, Shortage};
+use mimosashift::link::{Exchange, Failure};
+use mimosashift::meter::{Outcome, Recovery, RefusalReason};
+use mimosashift::stream::Events;
+use mimosashift::time::Instant;
+use smallvec::SmallVec;
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+use tokio::time::timeout;
+
+use super::{End, Job, is_idempotent, pass_on};
+use crate::body::{Answer, Piece};
+use crate::clock;
+use crate::front::{Front, millis};
+use crate::probe;
+
+/// Pieces that may wait for a slow client before its stream is held back.
+const PIECES: usize = 32;
+
+/// Time between two looks at whether a stream makes progress.
+const TICK: Duration = Duration::from_millis(60);
+
+/// Time without a first event after which the chain is examined: several
+/// times what reading a prompt takes when nothing fails.
+const FIRST_STALL: Duration = Duration::from_millis(500);
+
+/// Time without an event after which the chain is examined: several times the
+/// usual time between two, and within what a client takes for on time.
+const STALL: Duration = Duration::from_millis(220);
+
+/// Time to wait after a look at a chain before the next one.
+const NEXT_LOOK: Duration = Duration::from_millis(350);
+
+/// Time for an order that moves a request.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Sends that certainly did not run, beyond the route's attempts.
+const MAX_REJECTED: u32 = 2;
+
+/// Largest answer that is no stream.
+const MAX_ANSWER_BYTES: usize = 1024 * 1024;
+
+/// When a client is told to come back if no memory is free: streams end all
+/// the time, a few in each of these intervals.
+const FULL_RETRY: Duration = Duration::from_millis(300);
+
+/// When a client is told to come back if a layer has no endpoint: small
+/// ranges of layers load in about a second.
+const UNCOVERED_RETRY: Duration = Duration::from_millis(700);
+
+/// A stream and what has become of it so far.
+struct Session {
+    job: Job,
+    engine: Arc<Engine>,
+    demand: Demand,
+    claim: Option<Claim>,
+    events: Events,
+    /// Events passed on.
+    passed: usize,
+    /// Sends that may have run.
+    may_have_run: u32,
+    /// Sends that certainly did not.
+    rejected: u32,
+    avoid: SmallVec<[Hop; 4]>,
+    done: bool,
+}
+
+/// What a look at a chain that makes no progress led to.
+enum Look {
+    /// Every part answers.
+    Sound,
+    /// The request was moved to another chain.
+    Moved,
+    /// The request must be sent anew.
+    Lost(&'static str),
+}
+
+impl Drop for Session {
+    fn drop(&mut self) {
+        self.release();
+        if !self.done {
+            let front = &self.job.front;
+            front.meter.requests(1, Outcome::Cancelled);
+            let ms = millis(clock::now().since(self.job.arrived));
+            emit!(front.log, Event::RequestCutShort, "request" => &*self.job.id, "ms" => ms, "events" => self.passed);
+        }
+    }
+}
+
+/// Relays a request to a chain and its stream back.
+pub async fn relay(job: Job) -> Result<Response<Answer>, End> {
+    let engine = job.service.engine.clone().expect("only engines' requests come here");
+    let mut session = Session::new(job, engine);
+    let mut exchange = match session.open().await {
+        Ok(exchange) => exchange,
+        Err(end) => {
+            session.done = true;
+            return Err(end);
+        }
+    };
+    if !exchange.head.status().is_success() {
+        session.done = true;
+        return session.pass_failure(exchange).await;
+    }
+    let (sender, pieces) = mpsc::channel(PIECES);
+    let response = pass_on(&exchange.head, Answer::Pieces(pieces));
+    exchange.head.headers_mut().clear();
+    tokio::task::spawn_local(session.pump(exchange, sender));
+    Ok(response)
+}
+
+impl Session {
+    fn new(job: Job, engine: Arc<Engine>) -> Self {
+        let usual = engine.usual;
+        let demand = match job.tokens {
+            None => Demand { prompt: usual.prompt, output: usual.output },
+            Some(tokens) => {
+                let hint = tokens.output_hint.map_or(usual.output, f64::from);
+                let output = hint.min(f64::from(tokens.max_output));
+                Demand { prompt: f64::from(tokens.prompt), output }
+            }
+        };
+        let events = Events::after(job.last_event);
+        Self {
+            job,
+            engine,
+            demand,
+            claim: None,
+            events,
+            passed: 0,
+            may_have_run: 0,
+            rejected: 0,
+            avoid: SmallVec::new(),
+            done: false,
+        }
+    }
+
+    fn front(&self) -> &Rc<Front> {
+        &self.job.front
+    }
+
+    fn release(&mut self) {
+        if let Some(claim) = self.claim.take() {
+            self.front().fleet.borrow_mut().release(&claim);
+        }
+    }
+
+    /// Opens a stream at one chain after another until one answers.
+    async fn open(&mut self) -> Result<Exchange, End> {
+        let mut why = "no chain left";
+        loop {
+            if self.job.left().is_zero() {
+                return Err(self.end(StatusCode::GATEWAY_TIMEOUT, "deadline passed", FULL_RETRY));
+            }
+            let sends = self.may_have_run + self.rejected;
+            if sends > 0 {
+                let used_up = self.may_have_run > 0 && !is_idempotent(self.job.route.kind);
+                let attempts = self.may_have_run >= self.job.route.attempts;
+                if used_up || attempts || self.rejected > MAX_REJECTED || !self.take_retry(why) {
+                    return Err(self.end(StatusCode::BAD_GATEWAY, why, UNCOVERED_RETRY));
+                }
+            }
+            let chain = self.choose()?;
+            match self.send(chain, sends + 1).await {
+                Ok(exchange) => return Ok(exchange),
+                Err(reason) => why = reason,
+            }
+            self.release();
+        }
+    }
+
+    fn take_retry(&self, why: &str) -> bool {
+        let taken = self.front().take_retry(&self.job.service.name);
+        if taken {
+            let (request, last) = (&*self.job.id, self.events.last());
+            emit!(self.front().log, Event::RequestRetried, "request" => request, "attempt" => self.may_have_run + self.rejected + 1, "reason" => why, "after_event" => last);
+        }
+        taken
+    }
+
+    /// The end of a request that gets no answer.
+    fn end(&self, status: StatusCode, reason: &'static str, retry: Duration) -> End {
+        if self.may_have_run > 0 {
+            return End::Failed(status, reason);
+        }
+        End::Refused(RefusalReason::NoEndpoint, reason, retry)
+    }
+
+    fn choose(&self) -> Result<Chain, End> {
+        let (name, now) = (&self.job.service.name, clock::now());
+        let fleet = self.front().fleet.borrow();
+        let chain = fleet.chain(name, &self.engine, &self.demand, None, &self.avoid, now);
+        chain.map_err(|shortage| {
+            let (kind, reason, retry) = match shortage {
+                Shortage::Full(_) => (RefusalReason::Shed, "no memory free", FULL_RETRY),
+                Shortage::Uncovered(_) => {
+                    (RefusalReason::NoEndpoint, "layers without an endpoint", UNCOVERED_RETRY)
+                }
+            };
+            if self.may_have_run > 0 {
+                return End::Failed(StatusCode::BAD_GATEWAY, reason);
+            }
+            End::Refused(kind, reason, retry)
+        })
+    }
+
+    /// Sends the request to a chain; an answer that is no stream of its own is
+    /// an error that says why.
+    async fn send(&mut self, chain: Chain, attempt: u32) -> Result<Exchange, &'static str> {
+        let to: Vec<_> = chain.iter().map(|hop| format!("{}:{}", hop.id, hop.layers)).collect();
+        let Demand { prompt, output } = self.demand;
+        self.job.log_sent(attempt, &to.join(","), &format!("prompt={prompt} output={output}"));
+        let first = chain[0].clone();
+        let request = self.job.request(&first, &chain, self.events.last());
+        let claim = self.front().fleet.borrow_mut().claim(chain, &self.demand);
+        self.claim = Some(claim);
+        let pool = self.front().pool.clone();
+        let sending = pool.send(first.address, request, false);
+        match self.head(sending).await {
+            Ok(exchange) => self.judge(&first, exchange),
+            Err(Some(Failure::NotSent { reason, .. })) => {
+                self.front().doubt(&first.id, &reason);
+                self.avoid.push(first);
+                self.rejected += 1;
+                Err("not sent")
+            }
+            Err(Some(Failure::Lost { reason })) => {
+                self.front().doubt(&first.id, &reason);
+                self.front().pool.forget(first.address);
+                self.avoid.push(first);
+                self.may_have_run += 1;
+                Err("answer lost")
+            }
+            Err(None) => {
+                self.may_have_run += 1;
+                Err("chain lost")
+            }
+        }
+    }
+
+    /// Waits for the head of an answer and looks after the chain meanwhile;
+    /// `Err(None)` when the request must be sent anew.
+    async fn head(
+        &mut self,
+        sending: impl Future<Output = Result<Exchange, Failure>>,
+    ) -> Result<Exchange, Option<Failure>> {
+        let mut sending = std::pin::pin!(sending);
+        let sent = clock::now();
+        let mut look_at = sent + FIRST_STALL;
+        loop {
+            tokio::select! {
+                result = sending.as_mut() => return result.map_err(Some),
+                () = tokio::time::sleep(TICK) => {}
+            }
+            let now = clock::now();
+            if now >= self.job.deadline {
+                return Err(None);
+            }
+            if now >= look_at {
+                match self.look(sent).await {
+                    Look::Sound | Look::Moved => look_at = clock::now() + NEXT_LOOK,
+                    Look::Lost(_) => return Err(None),
+                }
+            }
+        }
+    }
+
+    fn judge(&mut self, first: &Hop, exchange: Exchange) -> Result<Exchange, &'static str> {
+        let status = exchange.head.status();
+        let said = header::answer(exchange.head.headers());
+        if !self.job.owns(&said, status) {
+            self.front().pool.forget(first.address);
+            self.may_have_run += 1;
+            return Err("answer to another request");
+        }
+        if said.not_run || status == StatusCode::MISDIRECTED_REQUEST {
+            self.rejected += 1;
+            self.blame(first, said.at_fault, status);
+            return Err("rejected by an endpoint");
+        }
+        self.may_have_run += 1;
+        if status.is_success() && !said.signed {
+            return Err("answer without a signature");
+        }
+        let again = self.may_have_run < self.job.route.attempts;
+        if status.is_server_error() && again && is_idempotent(self.job.route.kind) {
+            self.avoid.push(first.clone());
+            return Err("endpoint failed");
+        }
+        Ok(exchange)
+    }
+
+    /// Leaves out the endpoint that an answer names, or the first one.
+    fn blame(&mut self, first: &Hop, at_fault: Option<std::net::SocketAddr>, status: StatusCode) {
+        let chain = self.claim.as_ref().map(|claim| claim.chain.clone()).unwrap_or_default();
+        let named = chain.iter().find(|hop| Some(hop.address) == at_fault);
+        let hop = named.unwrap_or(first).clone();
+        if named.is_some() {
+            self.front().doubt(&hop.id, &format!("named by an answer with {status}"));
+        }
+        self.avoid.push(hop);
+    }
+
+    /// Looks at a chain through which nothing has come since, and moves the
+    /// request if a part of it is dead.
+    async fn look(&mut self, since: Instant) -> Look {
+        let Some(claim) = &self.claim else { return Look::Lost("no chain") };
+        let chain = claim.chain.clone();
+        let silent = self.front().fleet.borrow().silent(&chain, since);
+        let dead = dead(self.front(), &silent, &self.job.id).await;
+        if dead.is_empty() {
+            return Look::Sound;
+        }
+        for hop in &dead {
+            self.avoid.push(hop.clone());
+        }
+        if dead.iter().any(|hop| hop.id == chain[0].id) {
+            return Look::Lost("first endpoint is dead");
+        }
+        self.reroute(&chain[0]).await
+    }
+
+    async fn reroute(&mut self, first: &Hop) -> Look {
+        let (name, now) = (&self.job.service.name, clock::now());
+        let demand = self.demand_now();
+        let fleet = self.front().fleet.borrow();
+        let chain = fleet.chain(name, &self.engine, &demand, Some(first), &self.avoid, now);
+        drop(fleet);
+        let Ok(chain) = chain else { return Look::Lost("no chain from the first endpoint") };
+        let order = Order::Reroute { id: &self.job.id, chain: &chain };
+        let call = wire::order_call(first.address, &first.id, &order);
+        let ordering = async {
+            let mut exchange = self.front().pool.send(first.address, call, false).await.ok()?;
+            let body = exchange.collect(MAX_ANSWER_BYTES).await.ok()?;
+            Some(wire::ordered(exchange.head.status(), &body))
+        };
+        let ordered = timeout(ORDER_TIMEOUT, ordering).await.ok().flatten();
+        let to: Vec<_> = chain.iter().map(|hop| format!("{}:{}", hop.id, hop.layers)).collect();
+        let said = format!("{:?}", ordered.as_ref().unwrap_or(&Ordered::Unknown));
+        emit!(self.front().log, Event::RequestMoved, "request" => &*self.job.id, "to" => to.join(","), "said" => said, "after_event" => self.events.last());
+        if ordered != Some(Ordered::Taken) {
+            return Look::Lost("the request could not be moved");
+        }
+        self.front().meter.recoveries(1, Recovery::Rebuilt);
+        let mut claim = self.claim.take().expect("a request that is moved has a chain");
+        self.front().fleet.borrow_mut().reroute(&mut claim, chain);
+        self.claim = Some(claim);
+        Look::Moved
+    }
+
+    /// What the request needs from here on.
+    fn demand_now(&self) -> Demand {
+        let written = self.passed as f64 * f64::from(self.engine.stride);
+        let output = (self.demand.output - written).max(f64::from(self.engine.stride));
+        Demand { prompt: self.demand.prompt + written, output }
+    }
+
+    /// Passes on an answer that is no stream.
+    async fn pass_failure(&self, mut exchange: Exchange) -> Result<Response<Answer>, End> {
+        let Ok(body) = exchange.collect(MAX_ANSWER_BYTES).await else {
+            return Err(End::Failed(StatusCode::BAD_GATEWAY, "answer lost"));
+        };
+        self.front().meter.requests(1, Outcome::Failed);
+        self.job.log_answered(exchange.head.status(), "first of the chain", 0);
+        Ok(pass_on(&exchange.head, Answer::Whole(Some(body))))
+    }
+
+    /// Passes events on until the stream ends, and resumes it if it breaks.
+    async fn pump(mut self, exchange: Exchange, sender: mpsc::Sender<Piece>) {
+        let mut exchange = exchange;
+        loop {
+            let why = match self.pass(&mut exchange, &sender).await {
+                Passed::Whole => {
+                    self.finish(&sender).await;
+                    return;
+                }
+                // The client left: what is dropped here cancels the work.
+                Passed::Gone => return,
+                Passed::Late => "deadline passed",
+                Passed::Broken(why) => {
+                    self.release();
+                    let first = Kind::Stream { resumable: true };
+                    match self.resume(why).await {
+                        Ok(next) if self.job.route.kind == first => {
+                            exchange = next;
+                            continue;
+                        }
+                        _ => why,
+                    }
+                }
+            };
+            self.give_up(why);
+            return;
+        }
+    }
+
+    async fn resume(&mut self, why: &str) -> Result<Exchange, End> {
+        self.events.restart();
+        self.demand = self.demand_now();
+        emit!(self.front().log, Event::StageMoved, "request" => &*self.job.id, "reason" => why, "after_event" => self.events.last());
+        let exchange = self.open().await?;
+        if !exchange.head.status().is_success() {
+            return Err(End::Failed(StatusCode::BAD_GATEWAY, "endpoint failed"));
+        }
+        self.front().meter.recoveries(1, Recovery::Restarted);
+        Ok(exchange)
+    }
+
+    async fn finish(&mut self, sender: &mpsc::Sender<Piece>) {
+        let rest = self.events.rest();
+        if !rest.is_empty() {
+            // Bytes after the last event belong to the answer as well.
+            drop(sender.send(Piece::Data(rest.into())).await);
+        }
+        drop(sender.send(Piece::End).await);
+        self.done = true;
+        self.front().meter.requests(1, Outcome::Completed);
+        let by = self.claim.as_ref().map(|claim| claim.chain[0].id.clone());
+        self.job.log_answered(StatusCode::OK, by.as_deref().unwrap_or_default(), self.passed);
+    }
+
+    fn give_up(&mut self, why: &'static str) {
+        self.done = true;
+        self.front().meter.requests(1, Outcome::Failed);
+        let ms = millis(clock::now().since(self.job.arrived));
+        emit!(self.front().log, Event::RequestGaveUp, "request" => &*self.job.id, "reason" => why, "ms" => ms, "events" => self.passed, "after_event" => self.events.last());
+    }
+
+    /// Passes events on until something else happens.
+    async fn pass(&mut self, exchange: &mut Exchange, sender: &mpsc::Sender<Piece>) -> Passed {
+        let mut last = clock::now();
+        let mut look_at = last + FIRST_STALL;
+        loop {
+            let next = tokio::select! {
+                next = exchange.next() => next,
+                () = sender.closed() => return Passed::Gone,
+                () = tokio::time::sleep(TICK) => {
+                    let now = clock::now();
+                    if now >= self.job.deadline {
+                        return Passed::Late;
+                    }
+                    if now >= look_at {
+                        match self.look(last).await {
+                            Look::Sound | Look::Moved => look_at = clock::now() + NEXT_LOOK,
+                            Look::Lost(why) => return Passed::Broken(why),
+                        }
+                    }
+                    continue;
+                }
+            };
+            let data = match next {
+                Some(Ok(data)) => data,
+                Some(Err(_)) => return Passed::Broken("stream broke off"),
+                None => return Passed::Whole,
+            };
+            match self.take(&data, last) {
+                Err(why) => return Passed::Broken(why),
+                Ok(None) => {}
+                Ok(Some(whole)) => {
+                    last = clock::now();
+                    look_at = last + STALL;
+                    if sender.send(Piece::Data(whole)).await.is_err() {
+                        return Passed::Gone;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Takes in bytes of the stream; returns the events that are whole.
+    fn take(&mut self, data: &Bytes, last: Instant) -> Result<Option<Bytes>, &'static str> {
+        let whole = self.events.push(data).map_err(|_| "not a stream of events")?;
+        if whole.count == 0 {
+            return Ok(None);
+        }
+        let now = clock::now();
+        let front = self.job.front.clone();
+        let mut fleet = front.fleet.borrow_mut();
+        if let Some(claim) = &mut self.claim {
+            fleet.progress(&claim.chain, now);
+            fleet.begin(claim);
+        }
+        if self.passed == 0 {
+            front.meter.first_token(now.since(self.job.arrived).as_secs_f64());
+        } else {
+            front.meter.inter_token(now.since(last).as_secs_f64());
+        }
+        self.passed += whole.count;
+        front.meter.tokens(whole.count as u64 * u64::from(self.engine.stride));
+        Ok(Some(whole.bytes.into()))
+    }
+}
+
+/// How passing events on ended.
+enum Passed {
+    /// The stream is whole.
+    Whole,
+    /// The client left.
+    Gone,
+    /// The deadline passed.
+    Late,
+    /// The stream broke off.
+    Broken(&'static str),
+}
+
+/// Which of these endpoints give no report, or hold up the request by what the
+/// others report.
+async fn dead(front: &Rc<Front>, hops: &[Hop], request: &str) -> SmallVec<[Hop; 4]> {
+    let mut probes = JoinSet::new();
+    for hop in hops.iter().cloned() {
+        let front = front.clone();
+        probes.spawn_local(async move {
+            let report = probe::report(&front, &hop, true).await;
+            (hop, report)
+        });
+    }
+    let (mut dead, mut stalled_at) = (SmallVec::new(), Vec::new());
+    while let Some(Ok((hop, report))) = probes.join_next().await {
+        match report {
+            Ok(report) => {
+                let stalled = report.stalled.into_iter().filter(|(id, _)| id == request);
+                stalled_at.extend(stalled.map(|(_, address)| address));
+            }
+            Err(reason) => {
+                front.doubt(&hop.id, &reason);
+                front.pool.forget(hop.address);
+                dead.push(hop);
+            }
+        }
+    }
+    let stalled = hops.iter().filter(|hop| stalled_at.contains(&hop.address));
+    for hop in stalled {
+        if !dead.contains(hop) {
+            dead.push(hop.clone());
+        }
+    }
+    dead
+}
--- a/mimosashift/src/event/table.rs
+++ b/mimosashift/src/event/table.rs
@@ -67,6 +67,8 @@
     MemberRestarted "MS0405" Info "member restarted", "A router returned with a higher incarnation number.";
     MemberUnauthenticated "MS0406" Warning "bad authentication", "A datagram or frame carried no valid authentication code.";
     MemberReplayed "MS0407" Warning "replayed message", "A message repeated an earlier sequence number and was dropped.";
+    MemberUnreachable "MS0408" Info "peer unreachable", "A peer could not be sent to or did not hand over its configuration.";
+    MemberUnreadable "MS0409" Warning "unreadable digest", "A datagram is no digest of a router of this version.";
 
     EndpointEjected "MS0501" Warning "endpoint ejected", "An endpoint failed too often and gets no new work.";
     EndpointReturned "MS0502" Info "endpoint returned", "An ejected endpoint answers again and gets work step by step.";
@@ -99,4 +101,33 @@
     BreakerOpened "MS0901" Error "platform breaker opened", "Calls to the platform fail and are stopped for a while.";
     BreakerClosed "MS0902" Info "platform breaker closed", "The platform answers again.";
     OverBudget "MS0903" Warning "platform budget used up", "This router's share of the platform's rate is used up; calls were held back.";
+
+    FrontStarted "MS1001" Info "router started", "The event loop started and is fetching its configuration.";
+    FrontReady "MS1002" Info "router ready", "The router reports ready: it has a configuration in which keys may be used.";
+    FrontNotReady "MS1003" Warning "router not ready", "The router reports not ready, for the given reason.";
+    FrontStopping "MS1004" Info "router stopping", "SIGTERM arrived; requests in flight are finished.";
+    FrontStopped "MS1005" Info "router stopped", "The router ended; `cut_off` counts requests that it could not finish.";
+    SettingsReloaded "MS1006" Info "settings reloaded", "The settings file changed and the new settings are in force.";
+    SettingsInvalid "MS1007" Error "settings invalid", "The settings file changed and cannot be used; the earlier settings stay in force.";
+    MetricsUnavailable "MS1008" Error "metrics unavailable", "The address of the metrics cannot be listened on.";
+
+    StoreLost "MS1101" Error "store lost", "Calls to the store fail.";
+    StoreRegained "MS1102" Info "store regained", "The store answers again.";
+    ConfigUnreadable "MS1103" Error "configuration unreadable", "The store holds a configuration that cannot be decoded.";
+    ConfigFetched "MS1104" Info "configuration fetched from a peer", "A peer holds a newer configuration and the store cannot be reached.";
+    ConfigConfirmed "MS1105" Info "keys usable again", "The configuration was confirmed after a time in which keys could not be used.";
+    ConfigExpired "MS1106" Warning "keys not usable", "The configuration has not been confirmed within the revocation bound.";
+
+    EndpointJoined "MS1201" Info "endpoint joined", "An endpoint registered or started anew.";
+    EndpointGone "MS1202" Warning "endpoint gone", "An endpoint's entry is gone.";
+    EndpointUnreadable "MS1203" Warning "endpoint entry unreadable", "An entry in the directory cannot be decoded and names no endpoint to use.";
+    EndpointPlaced "MS1204" Info "endpoint holds other layers", "The layers that an endpoint holds changed.";
+    EndpointDoubted "MS1205" Warning "endpoint doubted", "An endpoint failed and is left out for a while.";
+    ReportMissing "MS1206" Info "report missing", "An engine gave no report when it was asked for its pace.";
+
+    RequestSent "MS1301" Info "request sent", "A request was sent to an endpoint.";
+    RequestAnswered "MS1302" Info "request answered", "An endpoint's answer was passed on whole.";
+    RequestRetried "MS1303" Info "request retried", "A request goes to another endpoint.";
+    RequestMoved "MS1304" Warning "request moved", "A running request was moved to another chain.";
+    RequestDenied "MS1305" Info "request denied", "A request was not allowed or not valid and was answered with a client error.";
 }
--- /dev/null
+++ b/mimosashift/src/fleet/chain.rs
@@ -0,0 +1,295 @@
+//! Chooses the chain of layers for a request.
+//!
+//! A shortest path over (layer, endpoint): each layer costs the time that the
+//! endpoint takes for it, more the fuller its memory, and each change of
+//! endpoint costs a wait there and the way. See `docs/design/fleet.md`.
+
+use smallvec::SmallVec;
+
+use super::{Chain, Fleet, Hop, Member};
+use crate::deployment::Engine;
+use crate::resource::Layers;
+use crate::time::Instant;
+
+/// Share of an endpoint's KV cache that admitted requests may be expected to
+/// use; the rest is for requests that write more than expected.
+const CACHE_SHARE: f64 = 0.9;
+
+/// Most parts of a chain that engines accept.
+const MAX_HOPS: usize = 32;
+
+/// Weight of a transfer between zones against time at an endpoint: all chains
+/// share the pipe, which binds before the endpoints do.
+const PIPE_WEIGHT: f64 = 10.0;
+
+/// Fill of the cache from which an endpoint costs no more than this.
+const MAX_COUNTED_FILL: f64 = 0.95;
+
+/// What a request needs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Demand {
+    /// Tokens to read.
+    pub prompt: f64,
+    /// Tokens that it is expected to write.
+    pub output: f64,
+}
+
+/// Why there is no chain.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Shortage {
+    /// No endpoint that may be used holds this layer.
+    Uncovered(u16),
+    /// The endpoints that hold this layer have no memory or slot free.
+    Full(u16),
+}
+
+/// An endpoint as a part of chains.
+struct Candidate<'a> {
+    member: &'a Member,
+    layers: Layers,
+    /// Cost of each layer, in ms.
+    layer_ms: f64,
+    /// Cost of passing through it at all, in ms.
+    hop_ms: f64,
+    /// Layers for which it has memory.
+    room: u16,
+    /// Whether it takes requests from routers.
+    has_slot: bool,
+}
+
+/// The best way to a layer that ends at one endpoint.
+#[derive(Clone, Copy)]
+struct Best {
+    cost: f64,
+    /// First layer at this endpoint.
+    start: u16,
+    /// The candidate before it, if any.
+    before: Option<u16>,
+}
+
+impl Demand {
+    /// Tokens that are in memory at the end.
+    pub fn tokens(&self) -> f64 {
+        self.prompt + self.output
+    }
+}
+
+impl Fleet {
+    /// The chain for a request, without the endpoints in `avoid`.
+    ///
+    /// A chain that has begun keeps its first part: `first`.
+    pub fn chain(
+        &self,
+        service: &str,
+        engine: &Engine,
+        demand: &Demand,
+        first: Option<&Hop>,
+        avoid: &[Hop],
+        now: Instant,
+    ) -> Result<Chain, Shortage> {
+        let usable = |member: &&Member| {
+            &*member.endpoint.service == service
+                && member.is_usable(now)
+                && !avoid.iter().any(|hop| hop.id == member.endpoint.id)
+        };
+        let candidates: Vec<Candidate<'_>> = self
+            .members
+            .values()
+            .filter(usable)
+            .filter_map(|member| Candidate::new(member, engine, demand))
+            .collect();
+        Search { engine, demand, candidates, table: Vec::new() }.run(first)
+    }
+}
+
+impl<'a> Candidate<'a> {
+    fn new(member: &'a Member, engine: &Engine, demand: &Demand) -> Option<Self> {
+        let layers = member.endpoint.layers?;
+        let card = engine.card(&member.endpoint)?;
+        let whole = f64::from(engine.layers);
+        let capacity = engine.capacity(card, layers.count());
+        let usage = member.usage();
+        let fill = (f64::from(usage.cache) / capacity.max(1.0)).min(MAX_COUNTED_FILL);
+        let free = (capacity * CACHE_SHARE - f64::from(usage.cache)).max(0.0);
+        let read_ms = card.read_factor / engine.read_per_ms * member.pace;
+        let step_ms = engine.step_ms * card.pace * member.pace;
+        let work_ms = demand.prompt * read_ms + demand.output * step_ms;
+        let pass_ms = f64::from(engine.stride) * step_ms * f64::from(layers.count()) / whole;
+        let passes = demand.output / f64::from(engine.stride);
+        Some(Self {
+            member,
+            layers,
+            layer_ms: work_ms / whole / (1.0 - fill),
+            // Work arrives in the middle of a pass on the average.
+            hop_ms: passes * pass_ms / 2.0 + f64::from(usage.reading) * read_ms / whole,
+            room: (free / demand.tokens().max(1.0)).min(whole) as u16,
+            has_slot: usage.requests < engine.slots,
+        })
+    }
+
+    fn holds(&self, layer: u16) -> bool {
+        self.layers.start() <= layer && layer < self.layers.end()
+    }
+
+    fn hop(&self, start: u16, end: u16) -> Hop {
+        let endpoint = &self.member.endpoint;
+        Hop {
+            id: endpoint.id.clone(),
+            address: endpoint.address,
+            incarnation: endpoint.incarnation,
+            layers: Layers::try_from((start, end)).expect("a part has a layer"),
+        }
+    }
+}
+
+struct Search<'a> {
+    engine: &'a Engine,
+    demand: &'a Demand,
+    candidates: Vec<Candidate<'a>>,
+    /// By layer, the best way to each candidate that holds it.
+    table: Vec<SmallVec<[(u16, Best); 8]>>,
+}
+
+impl Search<'_> {
+    fn run(mut self, first: Option<&Hop>) -> Result<Chain, Shortage> {
+        let from = match first {
+            None => 0,
+            Some(hop) => {
+                self.fix(hop);
+                hop.layers.end()
+            }
+        };
+        for layer in from..self.engine.layers {
+            let ways = self.layer(layer, first);
+            if ways.is_empty() {
+                let held = self.candidates.iter().any(|c| c.holds(layer));
+                return Err(if held { Shortage::Full(layer) } else { Shortage::Uncovered(layer) });
+            }
+            self.table.push(ways);
+        }
+        self.chain(first)
+    }
+
+    /// Enters the first part of a chain that has begun.
+    fn fix(&mut self, hop: &Hop) {
+        let place = self.candidates.iter().position(|c| c.member.endpoint.id == hop.id);
+        // A first part that is no candidate any more still runs the request.
+        let index = place.map_or(u16::MAX, |place| place as u16);
+        for _ in 0..hop.layers.end() {
+            let best = Best { cost: 0.0, start: 0, before: None };
+            self.table.push(SmallVec::from_iter([(index, best)]));
+        }
+    }
+
+    /// The best ways to `layer`, from those to the layer before.
+    fn layer(&self, layer: u16, first: Option<&Hop>) -> SmallVec<[(u16, Best); 8]> {
+        let mut ways = SmallVec::new();
+        for (index, candidate) in self.candidates.iter().enumerate() {
+            if !candidate.holds(layer) || candidate.room == 0 {
+                continue;
+            }
+            let index = index as u16;
+            let best = if layer == 0 {
+                self.begin(candidate)
+            } else {
+                self.reach(layer, index, candidate, first)
+            };
+            ways.extend(best.map(|best| (index, best)));
+        }
+        ways
+    }
+
+    fn begin(&self, candidate: &Candidate<'_>) -> Option<Best> {
+        let cost = candidate.hop_ms + candidate.layer_ms;
+        candidate.has_slot.then_some(Best { cost, start: 0, before: None })
+    }
+
+    fn reach(
+        &self,
+        layer: u16,
+        index: u16,
+        candidate: &Candidate<'_>,
+        first: Option<&Hop>,
+    ) -> Option<Best> {
+        let mut best: Option<Best> = None;
+        for (before, way) in &self.table[usize::from(layer) - 1] {
+            let next = if *before == index {
+                let fixed = first.is_some_and(|hop| layer == hop.layers.end());
+                if fixed || layer - way.start >= candidate.room {
+                    continue;
+                }
+                Best { cost: way.cost + candidate.layer_ms, ..*way }
+            } else {
+                let cost = way.cost + self.change_ms(*before, candidate) + candidate.layer_ms;
+                Best { cost, start: layer, before: Some(*before) }
+            };
+            let better = best.as_ref().is_none_or(|best| next.cost < best.cost);
+            if better && (*before == index || !self.passes(layer - 1, *before, index)) {
+                best = Some(next);
+            }
+        }
+        best
+    }
+
+    /// Whether the best way to (`layer`, `at`) passes through `index`.
+    fn passes(&self, layer: u16, at: u16, index: u16) -> bool {
+        let (mut layer, mut at) = (layer, at);
+        loop {
+            if at == index {
+                return true;
+            }
+            let best = self.best(layer, at);
+            let Some(before) = best.before else { return false };
+            (layer, at) = (best.start - 1, before);
+        }
+    }
+
+    fn best(&self, layer: u16, at: u16) -> Best {
+        let ways = &self.table[usize::from(layer)];
+        let way = ways.iter().find(|(index, _)| *index == at);
+        way.expect("a way leads over entered ones").1
+    }
+
+    /// Cost of going on at another endpoint.
+    fn change_ms(&self, before: u16, to: &Candidate<'_>) -> f64 {
+        let from = self.candidates.get(usize::from(before));
+        let zones = from.map(|from| (&from.member.endpoint.zone, &to.member.endpoint.zone));
+        let way_ms = match zones {
+            Some((from, to)) if from != to => self.crossing_ms(from, to),
+            _ => 0.0,
+        };
+        to.hop_ms + way_ms
+    }
+
+    fn crossing_ms(&self, from: &str, to: &str) -> f64 {
+        let bytes = self.demand.tokens() * self.engine.activation_bytes;
+        let pipe_ms = if self.engine.pipe_per_ms > 0.0 { bytes / self.engine.pipe_per_ms } else { 0.0 };
+        PIPE_WEIGHT * pipe_ms + self.demand.output * self.engine.delay_ms(from, to)
+    }
+
+    fn chain(&self, first: Option<&Hop>) -> Result<Chain, Shortage> {
+        let last = self.engine.layers - 1;
+        let ways = &self.table[usize::from(last)];
+        let cheapest = ways.iter().min_by(|a, b| a.1.cost.total_cmp(&b.1.cost));
+        let (mut at, _) = *cheapest.expect("every layer has a way");
+        let (mut layer, mut end) = (last, self.engine.layers);
+        let mut chain = Chain::new();
+        loop {
+            let best = self.best(layer, at);
+            match self.candidates.get(usize::from(at)) {
+                Some(candidate) if best.start > 0 || first.is_none() => {
+                    chain.push(candidate.hop(best.start, end));
+                }
+                _ => chain.extend(first.cloned()),
+            }
+            let Some(before) = best.before else { break };
+            end = best.start;
+            (layer, at) = (best.start - 1, before);
+        }
+        chain.reverse();
+        if chain.len() > MAX_HOPS {
+            return Err(Shortage::Full(0));
+        }
+        Ok(chain)
+    }
+}
--- /dev/null
+++ b/mimosashift/src/fleet/mod.rs
@@ -0,0 +1,403 @@
+//! What the router believes of the endpoints, and which of them a request
+//! gets: a chain of layers for a model, one endpoint for a plain service.
+//!
+//! Beliefs come from the directory, from this router's own work, from peers'
+//! digests and from reports. See `docs/design/fleet.md`.
+
+use std::collections::{BTreeMap, HashMap};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+
+use crate::deployment::{Endpoint, Standing};
+use crate::exchange::Report;
+use crate::resource::Layers;
+use crate::time::Instant;
+
+mod chain;
+mod plain;
+
+pub use chain::{Demand, Shortage};
+
+/// Time for which an endpoint is left out after a first failure.
+const FIRST_DOUBT: Duration = Duration::from_millis(400);
+
+/// Longest time for which an endpoint is left out after a failure; it then
+/// gets one more try, as an endpoint that is gone leaves the directory anyway.
+const MAX_DOUBT: Duration = Duration::from_secs(3);
+
+/// Weight of the latest answer in an endpoint's share of failures.
+const FAILURE_GAIN: f64 = 0.2;
+
+/// Time after which a digest of a peer no longer counts: several intervals.
+const PEER_LIFE: Duration = Duration::from_secs(3);
+
+/// A part of a chain: an endpoint and the layers it runs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Hop {
+    /// The endpoint.
+    pub id: Arc<str>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The start of the endpoint that is meant.
+    pub incarnation: u64,
+    /// Layers that it runs.
+    pub layers: Layers,
+}
+
+/// The endpoints of one request, in order of layers.
+pub type Chain = SmallVec<[Hop; 12]>;
+
+/// What requests use of one endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Usage {
+    /// KV cache, tokens x layers.
+    pub cache: f32,
+    /// Prompts that have not been read yet, tokens x layers.
+    pub reading: f32,
+    /// Requests that it received from a router.
+    pub requests: u32,
+}
+
+/// An endpoint and what is believed of it.
+#[derive(Clone, Debug)]
+pub struct Member {
+    /// Its entry in the directory.
+    pub endpoint: Endpoint,
+    /// Use by this router.
+    own: Usage,
+    /// Use by all peers.
+    peers: Usage,
+    /// How many times slower than its card it reports to be.
+    pace: f64,
+    /// Heartbeat of the entry that a report overrides: an entry that is as old
+    /// still shows the layers from before it.
+    reported_at: Option<u64>,
+    /// Last time that work that passes through it made progress.
+    progress: Instant,
+    /// It is left out until then.
+    doubted_until: Instant,
+    /// Failures in a row.
+    strikes: u32,
+    /// Share of recent answers that failed.
+    failures: f64,
+    /// When its entry was first missing.
+    missing_since: Option<Instant>,
+}
+
+/// What changed when the directory was read.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Change {
+    /// Endpoints that appeared or started anew.
+    pub joined: Vec<Arc<str>>,
+    /// Endpoints that began to leave.
+    pub leaving: Vec<Arc<str>>,
+    /// Endpoints that are gone.
+    pub gone: Vec<Arc<str>>,
+    /// Endpoints that hold other layers.
+    pub moved: Vec<Arc<str>>,
+}
+
+/// A request's use of its chain, to be released once.
+#[derive(Debug)]
+pub struct Claim {
+    /// The chain.
+    pub chain: Chain,
+    tokens: f32,
+    prompt: f32,
+    reading: bool,
+}
+
+/// The endpoints of all services.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    members: BTreeMap<Arc<str>, Member>,
+    digests: HashMap<Arc<str>, (Instant, HashMap<u64, Usage>)>,
+}
+
+/// The short name of an endpoint in digests.
+pub fn key(id: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    hasher.finish()
+}
+
+impl Usage {
+    fn add(&mut self, other: &Self) {
+        self.cache += other.cache;
+        self.reading += other.reading;
+        self.requests += other.requests;
+    }
+
+    fn subtract(&mut self, other: &Self) {
+        self.cache = (self.cache - other.cache).max(0.0);
+        self.reading = (self.reading - other.reading).max(0.0);
+        self.requests = self.requests.saturating_sub(other.requests);
+    }
+}
+
+impl Change {
+    /// Whether nothing changed.
+    pub fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
+impl Member {
+    fn new(endpoint: Endpoint, now: Instant) -> Self {
+        Self {
+            endpoint,
+            own: Usage::default(),
+            peers: Usage::default(),
+            pace: 1.0,
+            reported_at: None,
+            progress: now,
+            doubted_until: Instant::ZERO,
+            strikes: 0,
+            failures: 0.0,
+            missing_since: None,
+        }
+    }
+
+    /// Takes in the layers that it holds, newer than its entry.
+    fn hold(&mut self, layers: Option<Layers>) {
+        self.endpoint.layers = layers;
+        self.reported_at = Some(self.endpoint.heartbeat);
+    }
+
+    /// Whether it gets new work.
+    pub fn is_usable(&self, now: Instant) -> bool {
+        self.endpoint.standing == Standing::Ready
+            && self.missing_since.is_none()
+            && now >= self.doubted_until
+    }
+
+    /// Use by this router and its peers.
+    fn usage(&self) -> Usage {
+        let mut usage = self.own;
+        usage.add(&self.peers);
+        usage
+    }
+
+    /// The whole endpoint as a part of a chain; `None` while it holds nothing.
+    pub fn hop(&self) -> Option<Hop> {
+        let Endpoint { id, address, incarnation, layers, .. } = &self.endpoint;
+        let (address, incarnation) = (*address, *incarnation);
+        layers.map(|layers| Hop { id: id.clone(), address, incarnation, layers })
+    }
+
+    /// How many times slower than its card it reports to be.
+    pub const fn pace(&self) -> f64 {
+        self.pace
+    }
+
+    /// KV cache in use, tokens x layers.
+    pub fn cache(&self) -> f64 {
+        f64::from(self.usage().cache)
+    }
+}
+
+impl Fleet {
+    /// Takes in the directory as read at `now`.
+    ///
+    /// Entries that are missing stay for as long as `lapsed_until` says: after
+    /// an outage of the store, endpoints need time to register again.
+    pub fn observe(
+        &mut self,
+        entries: Vec<Endpoint>,
+        lapsed_until: Instant,
+        now: Instant,
+    ) -> Change {
+        let mut change = Change::default();
+        let mut listed = std::collections::HashSet::new();
+        for entry in entries {
+            listed.insert(entry.id.clone());
+            self.enter(entry, now, &mut change);
+        }
+        let missing = self.members.iter_mut().filter(|(id, _)| !listed.contains(*id));
+        for (id, member) in missing {
+            member.missing_since.get_or_insert(now);
+            if now >= lapsed_until {
+                change.gone.push(id.clone());
+            } else {
+                // Known from before the outage: as usable as it was.
+                member.missing_since = None;
+            }
+        }
+        for id in &change.gone {
+            self.members.remove(id);
+        }
+        change
+    }
+
+    fn enter(&mut self, entry: Endpoint, now: Instant, change: &mut Change) {
+        let id = entry.id.clone();
+        let Some(member) = self.members.get_mut(&id) else {
+            change.joined.push(id.clone());
+            self.members.insert(id, Member::new(entry, now));
+            return;
+        };
+        if member.endpoint.incarnation != entry.incarnation {
+            if member.endpoint.incarnation < entry.incarnation {
+                change.joined.push(id);
+                *member = Member::new(entry, now);
+            }
+            return;
+        }
+        if entry.standing == Standing::Draining && member.endpoint.standing == Standing::Ready {
+            change.leaving.push(id.clone());
+        }
+        member.missing_since = None;
+        if entry.heartbeat < member.endpoint.heartbeat {
+            return;
+        }
+        let mut entry = entry;
+        if member.reported_at == Some(entry.heartbeat) {
+            entry.layers = member.endpoint.layers;
+        }
+        if entry.layers != member.endpoint.layers {
+            change.moved.push(id);
+        }
+        member.endpoint = entry;
+    }
+
+    /// An endpoint by id.
+    pub fn get(&self, id: &str) -> Option<&Member> {
+        self.members.get(id)
+    }
+
+    /// Every endpoint.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// The endpoint that listens at an address.
+    pub fn at(&self, address: SocketAddr) -> Option<&Member> {
+        self.members.values().find(|member| member.endpoint.address == address)
+    }
+
+    /// Counts a request's use of its chain.
+    pub fn claim(&mut self, chain: Chain, demand: &Demand) -> Claim {
+        let (tokens, prompt) = (demand.tokens() as f32, demand.prompt as f32);
+        let claim = Claim { chain, tokens, prompt, reading: true };
+        self.apply(&claim, Usage::add);
+        claim
+    }
+
+    /// Notes that the prompt of a claim has been read.
+    pub fn begin(&mut self, claim: &mut Claim) {
+        if claim.reading {
+            self.apply(claim, Usage::subtract);
+            claim.reading = false;
+            self.apply(claim, Usage::add);
+        }
+    }
+
+    /// Moves a claim to another chain.
+    pub fn reroute(&mut self, claim: &mut Claim, chain: Chain) {
+        self.apply(claim, Usage::subtract);
+        claim.chain = chain;
+        self.apply(claim, Usage::add);
+    }
+
+    /// Gives a claim back.
+    pub fn release(&mut self, claim: &Claim) {
+        self.apply(claim, Usage::subtract);
+    }
+
+    fn apply(&mut self, claim: &Claim, change: fn(&mut Usage, &Usage)) {
+        for (place, hop) in claim.chain.iter().enumerate() {
+            let layers = f32::from(hop.layers.count());
+            let usage = Usage {
+                cache: claim.tokens * layers,
+                reading: if claim.reading { claim.prompt * layers } else { 0.0 },
+                requests: u32::from(place == 0),
+            };
+            let member = self.members.get_mut(&hop.id);
+            // Work at an earlier start of the endpoint is gone with it.
+            if let Some(member) = member.filter(|m| m.endpoint.incarnation == hop.incarnation) {
+                change(&mut member.own, &usage);
+            }
+        }
+    }
+
+    /// Notes that work made progress through a chain.
+    pub fn progress(&mut self, chain: &[Hop], now: Instant) {
+        for hop in chain {
+            if let Some(member) = self.members.get_mut(&hop.id) {
+                member.progress = now;
+                member.strikes = 0;
+            }
+        }
+    }
+
+    /// The endpoints of a chain through which nothing has passed since.
+    pub fn silent(&self, chain: &[Hop], since: Instant) -> SmallVec<[Hop; 4]> {
+        let silent = |hop: &&Hop| self.members.get(&hop.id).is_none_or(|m| m.progress <= since);
+        chain.iter().filter(silent).cloned().collect()
+    }
+
+    /// Notes that an endpoint failed; it is left out for a while.
+    pub fn fail(&mut self, id: &str, now: Instant) {
+        let Some(member) = self.members.get_mut(id) else { return };
+        let doubt = FIRST_DOUBT.saturating_mul(1 << member.strikes.min(8)).min(MAX_DOUBT);
+        member.strikes += 1;
+        member.failures += FAILURE_GAIN * (1.0 - member.failures);
+        member.doubted_until = now + doubt;
+    }
+
+    /// Notes how an endpoint answered.
+    pub fn answered(&mut self, id: &str, well: bool) {
+        let Some(member) = self.members.get_mut(id) else { return };
+        let failed = if well { 0.0 } else { 1.0 };
+        member.failures += FAILURE_GAIN * (failed - member.failures);
+        if well {
+            member.strikes = 0;
+        }
+    }
+
+    /// Takes in an endpoint's report.
+    pub fn report(&mut self, id: &str, report: &Report) {
+        let Some(member) = self.members.get_mut(id) else { return };
+        if member.endpoint.incarnation == report.incarnation {
+            member.pace = report.pace.max(1.0);
+            member.hold(report.layers);
+        }
+    }
+
+    /// Takes in the layers that an endpoint holds, as a peer knows them.
+    pub fn place(&mut self, id: u64, incarnation: u64, layers: Option<Layers>) -> bool {
+        let member = self.members.values_mut().find(|member| key(&member.endpoint.id) == id);
+        let Some(member) = member.filter(|m| m.endpoint.incarnation == incarnation) else {
+            return false;
+        };
+        let changed = member.endpoint.layers != layers;
+        member.hold(layers);
+        changed
+    }
+
+    /// What this router uses, for digests; only what is in use.
+    pub fn digest(&self) -> Vec<(u64, Usage)> {
+        let used = self.members.values().filter(|member| member.own != Usage::default());
+        used.map(|member| (key(&member.endpoint.id), member.own)).collect()
+    }
+
+    /// Takes in a peer's use.
+    pub fn merge(&mut self, peer: &Arc<str>, usage: &[(u64, Usage)], now: Instant) {
+        self.digests.insert(peer.clone(), (now, usage.iter().copied().collect()));
+        self.digests.retain(|_, (at, _)| now.since(*at) < PEER_LIFE);
+        for member in self.members.values_mut() {
+            let key = key(&member.endpoint.id);
+            member.peers = Usage::default();
+            for (_, digest) in self.digests.values() {
+                if let Some(usage) = digest.get(&key) {
+                    member.peers.add(usage);
+                }
+            }
+        }
+    }
+}
--- a/mimosashift/src/lib.rs
+++ b/mimosashift/src/lib.rs
@@ -6,19 +6,27 @@
 
 pub mod admit;
 pub mod config;
+pub mod currency;
+pub mod deployment;
 pub mod engine;
 pub mod event;
+pub mod exchange;
+pub mod fleet;
 pub mod health;
 pub mod http;
+pub mod layout;
+pub mod link;
 pub mod member;
 pub mod meter;
 pub mod node;
 pub mod order;
+pub mod peer;
 pub mod pipeline;
 pub mod platform;
 pub mod posting;
 pub mod resource;
 pub mod route;
 pub mod settings;
+pub mod stream;
 pub mod time;
 pub mod wire;
--- /dev/null
+++ b/mimosashift/src/link/mod.rs
@@ -0,0 +1,322 @@
+//! Kept connections to endpoints and the store, for an event loop.
+//!
+//! The pool says of each failed exchange whether the request may have been
+//! sent, since only that decides whether it may be sent elsewhere. An exchange
+//! that is dropped closes its connection, which cancels the work behind it.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Bytes, Incoming};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{CONNECTION, HeaderMap};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use quick_error::quick_error;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, timeout};
+
+/// Idle time after which a connection is not used again, unless its endpoint
+/// names a shorter one; below the idle timeouts that servers commonly have.
+const IDLE_LIMIT: Duration = Duration::from_secs(4);
+
+/// Time before the end of an endpoint's idle timeout in which a connection is
+/// not used: the timeout is given in whole seconds, and a request takes time
+/// to get there.
+const IDLE_MARGIN: Duration = Duration::from_millis(1_200);
+
+/// Most idle connections kept to one address.
+const MAX_IDLE: usize = 64;
+
+/// Limits of the pool.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// Time to open a connection.
+    pub connect_timeout: Duration,
+    /// Time without an acknowledgement of sent bytes after which a connection
+    /// counts as dead; also bounds the silence that keep-alive probes allow.
+    pub silence: Duration,
+}
+
+quick_error! {
+    /// Why an exchange gave no answer.
+    #[derive(Debug)]
+    #[allow(missing_docs)] // The macro takes no comments on fields.
+    pub enum Failure {
+        /// The request was certainly not sent.
+        NotSent { reason: String, refused: bool } {
+            display("not sent: {}", reason)
+        }
+        /// The request may have arrived.
+        Lost { reason: String } {
+            display("no answer: {}", reason)
+        }
+    }
+}
+
+/// Kept connections by address.
+pub struct Pool {
+    settings: Settings,
+    idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
+    opened: std::cell::Cell<u64>,
+}
+
+struct Idle {
+    connection: Connection,
+    until: Instant,
+    since: Instant,
+}
+
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+    opened: Instant,
+}
+
+/// An answer whose body is still to come.
+pub struct Exchange {
+    /// Status and headers.
+    pub head: Response<()>,
+    body: Incoming,
+    connection: Option<Connection>,
+    keep: Option<Duration>,
+    pool: Rc<Pool>,
+    address: SocketAddr,
+    /// Whether the connection had been used before.
+    pub reused: bool,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Failure {
+    fn lost(error: impl std::error::Error) -> Self {
+        Self::Lost { reason: chain(&error) }
+    }
+}
+
+/// An error with its sources, which hyper's own text leaves out.
+fn chain(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(next) = source {
+        text.push_str(": ");
+        text.push_str(&next.to_string());
+        source = next.source();
+    }
+    text
+}
+
+impl Pool {
+    /// An empty pool.
+    pub fn new(settings: Settings) -> Rc<Self> {
+        Rc::new(Self { settings, idle: RefCell::default(), opened: Default::default() })
+    }
+
+    /// Connections opened so far.
+    pub fn opened(&self) -> u64 {
+        self.opened.get()
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// A `fresh` exchange uses no kept connection. The caller bounds the time;
+    /// dropping the future closes the connection.
+    pub async fn send(
+        self: &Rc<Self>,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        fresh: bool,
+    ) -> Result<Exchange, Failure> {
+        let mut request = request;
+        while !fresh && let Some(connection) = self.take(address) {
+            match self.exchange(address, connection, request, true).await {
+                Err((_, Some(unsent))) => request = unsent,
+                Err((failure, None)) => return Err(failure),
+                Ok(exchange) => return Ok(exchange),
+            }
+        }
+        let connection = self.open(address).await?;
+        self.exchange(address, connection, request, false).await.map_err(|(failure, unsent)| {
+            match (failure, unsent) {
+                (Failure::Lost { reason }, Some(_)) => Failure::NotSent { reason, refused: false },
+                (failure, _) => failure,
+            }
+        })
+    }
+
+    /// Forgets the idle connections to an address, for example because one of
+    /// their age went silent.
+    pub fn forget(&self, address: SocketAddr) {
+        self.idle.borrow_mut().remove(&address);
+    }
+
+    /// Closes connections that have been idle for too long.
+    pub fn sweep(&self) {
+        let now = Instant::now();
+        let mut idle = self.idle.borrow_mut();
+        for connections in idle.values_mut() {
+            connections.retain(|c| c.until > now && !c.connection.sender.is_closed());
+        }
+        idle.retain(|_, connections| !connections.is_empty());
+    }
+
+    /// The connection that was used last, if one may be used again.
+    fn take(&self, address: SocketAddr) -> Option<Connection> {
+        let now = Instant::now();
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.get_mut(&address)?;
+        while let Some(idle) = connections.pop() {
+            if idle.until > now && idle.since <= now && idle.connection.sender.is_ready() {
+                return Some(idle.connection);
+            }
+        }
+        None
+    }
+
+    async fn open(&self, address: SocketAddr) -> Result<Connection, Failure> {
+        let not_sent = |reason: String, refused| Failure::NotSent { reason, refused };
+        let stream = match timeout(self.settings.connect_timeout, TcpStream::connect(address)).await
+        {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) => {
+                let refused = error.kind() == io::ErrorKind::ConnectionRefused
+                    || error.kind() == io::ErrorKind::ConnectionReset;
+                return Err(not_sent(format!("connect: {error}"), refused));
+            }
+            Err(_) => return Err(not_sent("connect: timed out".to_owned(), false)),
+        };
+        self.configure(&stream).map_err(|error| not_sent(format!("socket: {error}"), false))?;
+        self.opened.set(self.opened.get() + 1);
+        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| not_sent(chain(&error), false))?;
+        // The connection's end shows in the exchange that uses it.
+        let task = tokio::task::spawn_local(async move { drop(connection.await) });
+        Ok(Connection { sender, task: task.abort_handle(), opened: Instant::now() })
+    }
+
+    fn configure(&self, stream: &TcpStream) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        let silence = self.settings.silence;
+        let socket = SockRef::from(stream);
+        socket.set_tcp_user_timeout(Some(silence))?;
+        let probe = silence.max(Duration::from_secs(1));
+        socket.set_tcp_keepalive(
+            &TcpKeepalive::new().with_time(probe).with_interval(probe).with_retries(2),
+        )
+    }
+
+    /// One exchange; a failure brings the request back if it was not sent.
+    async fn exchange(
+        self: &Rc<Self>,
+        address: SocketAddr,
+        mut connection: Connection,
+        request: Request<Full<Bytes>>,
+        reused: bool,
+    ) -> Result<Exchange, (Failure, Option<Request<Full<Bytes>>>)> {
+        let response = match connection.sender.try_send_request(request).await {
+            Ok(response) => response,
+            Err(mut error) => {
+                let unsent = error.take_message();
+                return Err((Failure::lost(error.into_error()), unsent));
+            }
+        };
+        let (parts, body) = response.into_parts();
+        let keep = keep_for(&parts.headers);
+        let head = Response::from_parts(parts, ());
+        let pool = self.clone();
+        Ok(Exchange { head, body, connection: Some(connection), keep, pool, address, reused })
+    }
+
+    fn put_back(&self, address: SocketAddr, connection: Connection, keep: Duration) {
+        let now = Instant::now();
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.entry(address).or_default();
+        if connections.len() < MAX_IDLE {
+            connections.push(Idle { connection, until: now + keep, since: now });
+        }
+    }
+}
+
+/// How long a connection may be kept idle; `None` when it is to be closed.
+fn keep_for(headers: &HeaderMap) -> Option<Duration> {
+    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    let closing = text(CONNECTION.as_str()).is_some_and(|value| {
+        value.split(',').any(|option| option.trim().eq_ignore_ascii_case("close"))
+    });
+    if closing {
+        return None;
+    }
+    let timeout = text("keep-alive").and_then(|value| {
+        let seconds = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+        seconds.trim().parse().ok().map(Duration::from_secs)
+    });
+    let limit = timeout.map_or(IDLE_LIMIT, |t| t.saturating_sub(IDLE_MARGIN).min(IDLE_LIMIT));
+    (!limit.is_zero()).then_some(limit)
+}
+
+impl Exchange {
+    /// The next bytes of the body; `None` at its end.
+    ///
+    /// At the end the connection goes back to the pool.
+    pub async fn next(&mut self) -> Option<Result<Bytes, Failure>> {
+        loop {
+            match self.body.frame().await {
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(data) => return Some(Ok(data)),
+                    // Trailers say nothing that the router uses.
+                    Err(_) => continue,
+                },
+                Some(Err(error)) => {
+                    self.connection = None;
+                    return Some(Err(Failure::lost(error)));
+                }
+                None => {
+                    self.finish();
+                    return None;
+                }
+            }
+        }
+    }
+
+    /// The whole body, at most `limit` bytes.
+    pub async fn collect(&mut self, limit: usize) -> Result<Bytes, Failure> {
+        let mut whole = Vec::new();
+        while let Some(data) = self.next().await {
+            let data = data?;
+            if whole.len() + data.len() > limit {
+                self.connection = None;
+                return Err(Failure::Lost { reason: format!("answer exceeds {limit} bytes") });
+            }
+            whole.extend_from_slice(&data);
+        }
+        Ok(whole.into())
+    }
+
+    /// The address that answered.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Time since the connection was opened.
+    pub fn age(&self) -> Duration {
+        self.connection.as_ref().map_or(Duration::ZERO, |c| c.opened.elapsed())
+    }
+
+    fn finish(&mut self) {
+        if let (Some(connection), Some(keep)) = (self.connection.take(), self.keep) {
+            self.pool.put_back(self.address, connection, keep);
+        }
+    }
+}
--- a/mimosashift/src/order/lease.rs
+++ b/mimosashift/src/order/lease.rs
@@ -121,6 +121,12 @@
         (in_time && unopposed).then_some(held.number)
     }
 
+    /// The router that held the lease when its row was last seen, and the
+    /// row's revision.
+    pub fn seen(&self) -> Option<(&Name, u64)> {
+        self.seen.as_ref().map(|seen| (&seen.record.holder, seen.revision))
+    }
+
     /// Takes in the row as read; an older one than seen before is ignored.
     pub fn observe(&mut self, row: Option<&Row>, now: Instant) {
         let Some(row) = row else {
