Wait for the endpoints to settle before the first placement

Cause: the first plan ran 1.5 s after the first entry was seen; entries appear over more than a heartbeat, and a place that joined later found the layout cut for fewer.

--- a/mimosafront/src/placement.rs
+++ b/mimosafront/src/placement.rs
@@ -37,9 +37,9 @@
 /// Time before the lease's end in which nothing is ordered.
 const LEASE_MARGIN: Duration = Duration::from_millis(1_500);
 
-/// Time after the first endpoints were seen before the first plan, so that it
-/// sees all of them.
-const SETTLE: Duration = Duration::from_millis(1_500);
+/// Time on top of a heartbeat's interval in which no endpoint has joined before
+/// the first plan, so that it sees all of them: one reading of the directory.
+const SETTLE: Duration = Duration::from_millis(1_000);
 
 /// Time for an order's answer.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(700);
@@ -65,7 +65,8 @@
     front: Rc<Front>,
     lease: Option<Lease>,
     pending: HashMap<Arc<str>, Pending>,
-    settled: Option<Instant>,
+    /// Endpoints at the last plan of empty ones, and when they changed.
+    settled: (usize, Instant),
     /// Revision of the lease's row at the last look.
     seen: Option<u64>,
 }
@@ -74,7 +75,7 @@
 pub async fn keep(front: Rc<Front>) {
     let lease = lease(&front);
     let mut orders =
-        Orders { front, lease, pending: HashMap::new(), settled: None, seen: None };
+        Orders { front, lease, pending: HashMap::new(), settled: (0, Instant::ZERO), seen: None };
     let mut lease_at = Instant::ZERO;
     loop {
         tokio::time::sleep(PLAN_INTERVAL).await;
@@ -217,9 +218,7 @@
             if moves.is_empty() {
                 continue;
             }
-            let now = clock::now();
-            let settled = *self.settled.get_or_insert(now);
-            if now.since(settled) < SETTLE && self.all_empty(&service.name) {
+            if self.all_empty(&service.name) && !self.is_settled(&service.name) {
                 continue;
             }
             for planned in moves {
@@ -254,6 +253,17 @@
         of.all(|member| member.endpoint.layers.is_none())
     }
 
+    /// Whether no endpoint has joined for a while.
+    fn is_settled(&mut self, service: &str) -> bool {
+        let now = clock::now();
+        let fleet = self.front.fleet.borrow();
+        let count = fleet.members().filter(|m| &*m.endpoint.service == service).count();
+        if self.settled.0 != count {
+            self.settled = (count, now);
+        }
+        now.since(self.settled.1) >= self.front.node().heartbeat + SETTLE
+    }
+
     async fn begin(&mut self, planned: Move) {
         let hop = {
             let fleet = self.front.fleet.borrow();
