Find silent parts of a chain, wait briefly for memory, place by tokens

Cause: in a zone cut no part counted as silent, since other streams had passed it after the stalled one's last event and before the cut; 129 requests were cut short by their clients.

Ruled out: more memory per layer (fewer layers each make chains longer).

--- a/mimosafront/src/front.rs
+++ b/mimosafront/src/front.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use mimosaplatform::store::Store;
+use mimosashift::admit::pressure::Pressure;
 use mimosashift::currency::Currency;
 use mimosashift::deployment::{Deployment, Node};
 use mimosashift::emit;
@@ -50,6 +51,10 @@
     pub fleet: RefCell<Fleet>,
     /// Other routers.
     pub peers: RefCell<Peers>,
+    /// How hard the engines are pressed.
+    pub pressure: RefCell<Pressure>,
+    /// Wakes one request that waits for memory.
+    pub released: Notify,
     /// Connections to endpoints and the store.
     pub pool: Rc<Pool>,
     /// The store.
@@ -109,6 +114,8 @@
             deployment: RefCell::default(),
             currency: Cell::default(),
             fleet: RefCell::default(),
+            pressure: RefCell::default(),
+            released: Notify::new(),
             pool,
             store,
             refresh: Notify::new(),
--- a/mimosafront/src/gossip.rs
+++ b/mimosafront/src/gossip.rs
@@ -118,6 +118,7 @@
         mimosashift::peer::Event::Renewed => {}
     }
     front.fleet.borrow_mut().merge(&digest.node, &digest.usage, now);
+    front.released.notify_one();
     for placed in &digest.placed {
         let mut fleet = front.fleet.borrow_mut();
         if fleet.place(placed.endpoint, placed.incarnation, placed.layers) {
--- a/mimosafront/src/placement.rs
+++ b/mimosafront/src/placement.rs
@@ -41,6 +41,10 @@
 /// the first plan, so that it sees all of them: one reading of the directory.
 const SETTLE: Duration = Duration::from_millis(1_000);
 
+/// Time after an endpoint that holds layers came into sight before the next
+/// plan: the others of its zone register within two seconds.
+const RETURN: Duration = Duration::from_millis(2_200);
+
 /// Time for an order's answer.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -168,7 +172,8 @@
             let pending = &self.pending[&id];
             let hop = {
                 let fleet = self.front.fleet.borrow();
-                let member = fleet.get(&id).filter(|m| m.endpoint.incarnation == pending.incarnation);
+                let member =
+                    fleet.get(&id).filter(|m| m.endpoint.incarnation == pending.incarnation);
                 member.map(|member| target(member, pending.layers))
             };
             let Some(hop) = hop.filter(|_| now.since(pending.first) < GIVE_UP) else {
@@ -214,6 +219,9 @@
         let Some(deployment) = self.front.deployment() else { return };
         for service in deployment.services() {
             let Some(engine) = &service.engine else { continue };
+            if self.is_returning(&service.name) {
+                continue;
+            }
             let moves = self.moves(&service.name, engine);
             if moves.is_empty() {
                 continue;
@@ -227,11 +235,20 @@
         }
     }
 
+    /// Whether endpoints that hold layers have just come into sight, so that
+    /// others are likely to follow.
+    fn is_returning(&self, service: &str) -> bool {
+        let now = clock::now();
+        let fleet = self.front.fleet.borrow();
+        let mut of = fleet.members().filter(|m| &*m.endpoint.service == service);
+        of.any(|member| member.returned().is_some_and(|at| now.since(at) < RETURN))
+    }
+
     fn moves(&self, service: &str, engine: &Engine) -> Vec<Move> {
         let fleet = self.front.fleet.borrow();
-        let members = fleet.members().filter(|m| {
-            &*m.endpoint.service == service && m.endpoint.standing == Standing::Ready
-        });
+        let members = fleet
+            .members()
+            .filter(|m| &*m.endpoint.service == service && m.endpoint.standing == Standing::Ready);
         let place = |member: &Member| {
             let endpoint = &member.endpoint;
             let pending = self.pending.get(&endpoint.id);
@@ -240,6 +257,7 @@
                 zone: endpoint.zone.clone(),
                 card: *engine.card(endpoint)?,
                 layers: pending.map(|p| p.layers).or(endpoint.layers),
+                used: member.cache(),
                 busy: pending.is_some(),
             })
         };
@@ -276,12 +294,8 @@
             Ok(_) | Err(_) => return,
         };
         let now = clock::now();
-        let pending = Pending {
-            incarnation: hop.incarnation,
-            layers: planned.layers,
-            sent: now,
-            first: now,
-        };
+        let pending =
+            Pending { incarnation: hop.incarnation, layers: planned.layers, sent: now, first: now };
         self.pending.insert(hop.id.clone(), pending);
         self.order(&hop, report.orders).await;
     }
--- a/mimosafront/src/relay/mod.rs
+++ b/mimosafront/src/relay/mod.rs
@@ -11,7 +11,7 @@
 };
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use mimosaplatform::header;
-use mimosashift::deployment::{Deployment, Denied, Kind, Route, Service};
+use mimosashift::deployment::{Denied, Deployment, Kind, Route, Service};
 use mimosashift::emit;
 use mimosashift::event::Event;
 use mimosashift::exchange::{Answer as Said, Forward, Tokens};
--- a/mimosafront/src/relay/model.rs
+++ b/mimosafront/src/relay/model.rs
@@ -8,6 +8,7 @@
 use hyper::body::Bytes;
 use hyper::{Response, StatusCode};
 use mimosaplatform::{engine as wire, header};
+use mimosashift::admit::pressure::MAX_WAIT;
 use mimosashift::deployment::{Engine, Kind};
 use mimosashift::emit;
 use mimosashift::event::Event;
@@ -79,6 +80,15 @@
     done: bool,
 }
 
+/// Counts a request as waiting until it is dropped.
+struct Waiting<'a>(&'a Front);
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.pressure.borrow_mut().leave();
+    }
+}
+
 /// What a look at a chain that makes no progress led to.
 enum Look {
     /// Every part answers.
@@ -156,6 +166,7 @@
     fn release(&mut self) {
         if let Some(claim) = self.claim.take() {
             self.front().fleet.borrow_mut().release(&claim);
+            self.front().released.notify_one();
         }
     }
 
@@ -174,7 +185,7 @@
                     return Err(self.end(StatusCode::BAD_GATEWAY, why, UNCOVERED_RETRY));
                 }
             }
-            let chain = self.choose()?;
+            let chain = self.admit().await?;
             match self.send(chain, sends + 1).await {
                 Ok(exchange) => return Ok(exchange),
                 Err(reason) => why = reason,
@@ -200,22 +211,70 @@
         End::Refused(RefusalReason::NoEndpoint, reason, retry)
     }
 
-    fn choose(&self) -> Result<Chain, End> {
-        let (name, now) = (&self.job.service.name, clock::now());
-        let fleet = self.front().fleet.borrow();
-        let chain = fleet.chain(name, &self.engine, &self.demand, None, &self.avoid, now);
-        chain.map_err(|shortage| {
-            let (kind, reason, retry) = match shortage {
-                Shortage::Full(_) => (RefusalReason::Shed, "no memory free", FULL_RETRY),
-                Shortage::Uncovered(_) => {
-                    (RefusalReason::NoEndpoint, "layers without an endpoint", UNCOVERED_RETRY)
-                }
+    /// The chain for the request, once there is memory for it.
+    async fn admit(&self) -> Result<Chain, End> {
+        let front = self.front();
+        let now = clock::now();
+        let mut shortage = None;
+        if front.pressure.borrow().waiting() == 0 {
+            match self.choose() {
+                Ok(chain) => return Ok(self.admitted(chain)),
+                Err(Shortage::Full(_)) => {}
+                Err(uncovered) => shortage = Some(uncovered),
+            }
+        }
+        if shortage.is_none() && front.pressure.borrow_mut().enter(now) {
+            let _waiting = Waiting(front);
+            match self.wait(now + MAX_WAIT).await {
+                Ok(chain) => return Ok(self.admitted(chain)),
+                Err(found) => shortage = Some(found),
+            }
+        }
+        Err(self.shortage(&shortage.unwrap_or(Shortage::Full(0))))
+    }
+
+    async fn wait(&self, until: Instant) -> Result<Chain, Shortage> {
+        loop {
+            let released = self.front().released.notified();
+            let shortage = match self.choose() {
+                Ok(chain) => return Ok(chain),
+                Err(shortage) => shortage,
             };
-            if self.may_have_run > 0 {
-                return End::Failed(StatusCode::BAD_GATEWAY, reason);
+            let left = until.min(self.job.deadline).since(clock::now());
+            if matches!(shortage, Shortage::Uncovered(_)) || left.is_zero() {
+                return Err(shortage);
             }
-            End::Refused(kind, reason, retry)
-        })
+            // Whether memory was released or the time passed shows above.
+            drop(timeout(left, released).await);
+        }
+    }
+
+    fn admitted(&self, chain: Chain) -> Chain {
+        let front = self.front();
+        front.pressure.borrow_mut().admitted(clock::now());
+        // There may be room for the next one as well.
+        front.released.notify_one();
+        chain
+    }
+
+    fn choose(&self) -> Result<Chain, Shortage> {
+        let (name, now) = (&self.job.service.name, clock::now());
+        let fleet = self.front().fleet.borrow();
+        fleet.chain(name, &self.engine, &self.demand, None, &self.avoid, now)
+    }
+
+    fn shortage(&self, shortage: &Shortage) -> End {
+        let mut pressure = self.front().pressure.borrow_mut();
+        pressure.refused(clock::now());
+        let later = pressure.retry_after(self.front().draw());
+        let (kind, reason) = match shortage {
+            Shortage::Full(_) => (RefusalReason::Shed, "no memory free"),
+            Shortage::Uncovered(_) => (RefusalReason::NoEndpoint, "layers without an endpoint"),
+        };
+        if self.may_have_run > 0 {
+            return End::Failed(StatusCode::BAD_GATEWAY, reason);
+        }
+        End::Refused(kind, reason, later)
     }
 
     /// Sends the request to a chain; an answer that is no stream of its own is
@@ -320,8 +379,11 @@
     async fn look(&mut self, since: Instant) -> Look {
         let Some(claim) = &self.claim else { return Look::Lost("no chain") };
         let chain = claim.chain.clone();
-        let silent = self.front().fleet.borrow().silent(&chain, since);
+        let silent = self.front().fleet.borrow().silent(&chain, clock::now());
         let dead = dead(self.front(), &silent, &self.job.id).await;
+        let names = |hops: &[Hop]| hops.iter().map(|hop| &*hop.id).collect::<Vec<_>>().join(",");
+        let silent_ms = millis(clock::now().since(since));
+        emit!(self.front().log, Event::RequestExamined, "request" => &*self.job.id, "silent_ms" => silent_ms, "silent" => names(&silent), "dead" => names(&dead), "after_event" => self.events.last());
         if dead.is_empty() {
             return Look::Sound;
         }
@@ -337,9 +399,10 @@
     async fn reroute(&mut self, first: &Hop) -> Look {
         let (name, now) = (&self.job.service.name, clock::now());
         let demand = self.demand_now();
-        let fleet = self.front().fleet.borrow();
-        let chain = fleet.chain(name, &self.engine, &demand, Some(first), &self.avoid, now);
-        drop(fleet);
+        let chain = {
+            let fleet = self.front().fleet.borrow();
+            fleet.chain(name, &self.engine, &demand, Some(first), &self.avoid, now)
+        };
         let Ok(chain) = chain else { return Look::Lost("no chain from the first endpoint") };
         let order = Order::Reroute { id: &self.job.id, chain: &chain };
         let call = wire::order_call(first.address, &first.id, &order);
@@ -490,9 +553,11 @@
         let now = clock::now();
         let front = self.job.front.clone();
         let mut fleet = front.fleet.borrow_mut();
+        let written = (self.passed + whole.count) as f32 * self.engine.stride as f32;
         if let Some(claim) = &mut self.claim {
             fleet.progress(&claim.chain, now);
             fleet.begin(claim);
+            fleet.grow(claim, written);
         }
         if self.passed == 0 {
             front.meter.first_token(now.since(self.job.arrived).as_secs_f64());
--- a/mimosafront/src/relay/plain.rs
+++ b/mimosafront/src/relay/plain.rs
@@ -71,9 +71,8 @@
             break;
         }
         let now = clock::now();
-        let fleet = job.front.fleet.borrow();
-        let hop = fleet.pick(&job.service.name, &job.front.node().zone, &tried, now);
-        drop(fleet);
+        let zone = job.front.node().zone.clone();
+        let hop = job.front.fleet.borrow().pick(&job.service.name, &zone, &tried, now);
         let Some(hop) = hop else { break };
         let attempt = tried.len() as u32 + 1;
         if attempt > 1 {
--- a/mimosashift/src/admit/mod.rs
+++ b/mimosashift/src/admit/mod.rs
@@ -11,6 +11,7 @@
 use crate::time::Instant;
 
 pub mod limit;
+pub mod pressure;
 pub mod queue;
 pub mod share;
 pub mod slots;
--- a/mimosashift/src/deployment/engine.rs
+++ b/mimosashift/src/deployment/engine.rs
@@ -105,9 +105,8 @@
 
     /// One-way delay between two zones, in ms; zero within one.
     pub fn delay_ms(&self, from: &str, to: &str) -> f64 {
-        let joins = |d: &&Delay| {
-            (&*d.from == from && &*d.to == to) || (&*d.from == to && &*d.to == from)
-        };
+        let joins =
+            |d: &&Delay| (&*d.from == from && &*d.to == to) || (&*d.from == to && &*d.to == from);
         self.delays.iter().find(joins).map_or(0.0, |delay| delay.ms)
     }
 }
--- a/mimosashift/src/event/table.rs
+++ b/mimosashift/src/event/table.rs
@@ -130,4 +130,5 @@
     RequestRetried "MS1303" Info "request retried", "A request goes to another endpoint.";
     RequestMoved "MS1304" Warning "request moved", "A running request was moved to another chain.";
     RequestDenied "MS1305" Info "request denied", "A request was not allowed or not valid and was answered with a client error.";
+    RequestExamined "MS1306" Info "request examined", "A request made no progress, and the endpoints of its chain were asked for reports.";
 }
--- a/mimosashift/src/fleet/chain.rs
+++ b/mimosashift/src/fleet/chain.rs
@@ -13,7 +13,7 @@
 
 /// Share of an endpoint's KV cache that admitted requests may be expected to
 /// use; the rest is for requests that write more than expected.
-const CACHE_SHARE: f64 = 0.9;
+const CACHE_SHARE: f64 = 0.95;
 
 /// Most parts of a chain that engines accept.
 const MAX_HOPS: usize = 32;
@@ -68,9 +68,9 @@
 }
 
 impl Demand {
-    /// Tokens that are in memory at the end.
+    /// Tokens that are in memory on the average while it runs.
     pub fn tokens(&self) -> f64 {
-        self.prompt + self.output
+        self.prompt + self.output / 2.0
     }
 }
 
@@ -262,8 +262,10 @@
     }
 
     fn crossing_ms(&self, from: &str, to: &str) -> f64 {
-        let bytes = self.demand.tokens() * self.engine.activation_bytes;
-        let pipe_ms = if self.engine.pipe_per_ms > 0.0 { bytes / self.engine.pipe_per_ms } else { 0.0 };
+        let tokens = self.demand.prompt + self.demand.output;
+        let bytes = tokens * self.engine.activation_bytes;
+        let pipe_ms =
+            if self.engine.pipe_per_ms > 0.0 { bytes / self.engine.pipe_per_ms } else { 0.0 };
         PIPE_WEIGHT * pipe_ms + self.demand.output * self.engine.delay_ms(from, to)
     }
 
--- a/mimosashift/src/fleet/mod.rs
+++ b/mimosashift/src/fleet/mod.rs
@@ -30,6 +30,13 @@
 /// gets one more try, as an endpoint that is gone leaves the directory anyway.
 const MAX_DOUBT: Duration = Duration::from_secs(3);
 
+/// Time without progress after which an endpoint in use counts as silent:
+/// some events of any one stream.
+const QUIET: Duration = Duration::from_millis(150);
+
+/// Tokens by which a claim grows at least, so that not every event counts.
+const GROWTH_TOKENS: f32 = 64.0;
+
 /// Weight of the latest answer in an endpoint's share of failures.
 const FAILURE_GAIN: f64 = 0.2;
 
@@ -85,6 +92,8 @@
     strikes: u32,
     /// Share of recent answers that failed.
     failures: f64,
+    /// When it came into sight, if it held layers then.
+    returned: Option<Instant>,
     /// When its entry was first missing.
     missing_since: Option<Instant>,
 }
@@ -150,6 +159,7 @@
 impl Member {
     fn new(endpoint: Endpoint, now: Instant) -> Self {
         Self {
+            returned: endpoint.layers.map(|_| now),
             endpoint,
             own: Usage::default(),
             peers: Usage::default(),
@@ -195,6 +205,11 @@
         self.pace
     }
 
+    /// When it came into sight, if it held layers then.
+    pub const fn returned(&self) -> Option<Instant> {
+        self.returned
+    }
+
     /// KV cache in use, tokens x layers.
     pub fn cache(&self) -> f64 {
         f64::from(self.usage().cache)
@@ -297,6 +312,15 @@
         }
     }
 
+    /// Counts what a request has written beyond what was expected.
+    pub fn grow(&mut self, claim: &mut Claim, written: f32) {
+        if claim.prompt + written > claim.tokens + GROWTH_TOKENS {
+            self.apply(claim, Usage::subtract);
+            claim.tokens = claim.prompt + written;
+            self.apply(claim, Usage::add);
+        }
+    }
+
     /// Moves a claim to another chain.
     pub fn reroute(&mut self, claim: &mut Claim, chain: Chain) {
         self.apply(claim, Usage::subtract);
@@ -335,9 +359,10 @@
         }
     }
 
-    /// The endpoints of a chain through which nothing has passed since.
-    pub fn silent(&self, chain: &[Hop], since: Instant) -> SmallVec<[Hop; 4]> {
-        let silent = |hop: &&Hop| self.members.get(&hop.id).is_none_or(|m| m.progress <= since);
+    /// The endpoints of a chain through which nothing has passed for a while.
+    pub fn silent(&self, chain: &[Hop], now: Instant) -> SmallVec<[Hop; 4]> {
+        let passing = |m: &Member| now < m.progress + QUIET;
+        let silent = |hop: &&Hop| !self.members.get(&hop.id).is_some_and(passing);
         chain.iter().filter(silent).cloned().collect()
     }
 
--- a/mimosashift/src/layout/mod.rs
+++ b/mimosashift/src/layout/mod.rs
@@ -24,8 +24,20 @@
 /// Layers that a pool holds in all, in copies: one, and room to replace some.
 const COPIES: f64 = 1.2;
 
-/// Worth of a second copy of a layer against a first one.
-const SECOND_COPY: f64 = 0.02;
+/// Worth of a further copy of a layer against a first one.
+const FURTHER_COPY: f64 = 0.02;
+
+/// Worth of one more copy that a layer has whoever holds it, beside the share
+/// of the model that its largest holder has: that takes long to load again.
+const BASE_WORTH: f64 = 0.5;
+
+/// Factor by which a change must raise the tokens of the layer that has the
+/// fewest, since every change takes an endpoint out for a while.
+const GAIN: f64 = 1.15;
+
+/// Share of a layer's tokens that other endpoints must hold while the change
+/// of one is under way.
+const KEPT: f64 = 0.5;
 
 /// Cost of a layer that is loaded though another endpoint of the pool holds
 /// it, against the worth of a missing layer.
@@ -42,6 +54,8 @@
     pub card: Card,
     /// Layers that it holds or has been told to hold.
     pub layers: Option<Layers>,
+    /// KV cache in use, tokens x layers: it must still fit after a change.
+    pub used: f64,
     /// Whether an order is being carried out, so that another must wait.
     pub busy: bool,
 }
@@ -89,8 +103,9 @@
 struct Pool<'a> {
     engine: &'a Engine,
     places: Vec<Place>,
-    /// By layer, the places that hold it.
-    copies: Vec<u16>,
+    /// By layer, the tokens for which its holders have memory; 0 when none
+    /// holds it.
+    tokens: Vec<f64>,
     /// By layer, the largest range of a place that holds it.
     largest: Vec<u16>,
     moves: Vec<Move>,
@@ -104,7 +119,7 @@
         let mut pool = Self {
             engine,
             places,
-            copies: vec![0; layers],
+            tokens: vec![0.0; layers],
             largest: vec![0; layers],
             moves: Vec::new(),
         };
@@ -113,35 +128,54 @@
     }
 
     fn plan(mut self) -> Vec<Move> {
-        let tokens = self.tokens();
-        self.fill(tokens);
-        while self.copies.contains(&0) && self.repair() {}
+        let target = self.target();
+        self.fill(target);
+        let mut tokens = target;
+        while self.has_gap() && tokens >= MIN_TOKENS {
+            // The largest changes that leave each endpoint the most memory.
+            while self.has_gap() && self.repair(tokens) {}
+            tokens -= TOKEN_STEP;
+        }
+        if self.moves.is_empty() && !self.has_gap() && !self.places.iter().any(|p| p.busy) {
+            self.improve();
+        }
         self.moves
     }
 
     /// The most tokens, in steps, for which the pool still holds its copies.
-    fn tokens(&self) -> f64 {
+    fn target(&self) -> f64 {
         let wanted = COPIES * f64::from(self.engine.layers);
         let mut tokens = MAX_TOKENS;
-        while tokens > MIN_TOKENS
-            && f64::from(total(self.engine, &self.places, tokens)) < wanted
-        {
+        while tokens > MIN_TOKENS && f64::from(total(self.engine, &self.places, tokens)) < wanted {
             tokens -= TOKEN_STEP;
         }
         tokens
     }
 
+    fn has_gap(&self) -> bool {
+        self.tokens.contains(&0.0)
+    }
+
     fn count(&mut self) {
-        self.copies.fill(0);
+        self.tokens.fill(0.0);
         self.largest.fill(0);
-        for layers in self.places.iter().filter_map(|place| place.layers) {
+        for place in &self.places {
+            let Some(layers) = place.layers else { continue };
+            let tokens = self.tokens_of(place, layers);
             for layer in range(layers) {
-                self.copies[layer] += 1;
+                self.tokens[layer] += tokens;
                 self.largest[layer] = self.largest[layer].max(layers.count());
             }
         }
     }
 
+    /// Tokens for which a place that holds `layers` has memory in each.
+    fn tokens_of(&self, place: &Place, layers: Layers) -> f64 {
+        let count = layers.count();
+        // A holder without memory still keeps its layers from being a gap.
+        (self.engine.capacity(&place.card, count) / f64::from(count)).max(1.0)
+    }
+
     /// Gives every empty place the range that is needed most.
     fn fill(&mut self, tokens: f64) {
         for index in 0..self.places.len() {
@@ -155,9 +189,9 @@
                 (start..start + count).map(|layer| self.need(usize::from(layer))).sum()
             };
             // The lowest start among equals keeps ranges side by side.
-            let best = starts.map(|start| (start, worth(start))).reduce(|best, next| {
-                if next.1 > best.1 + 1e-9 { next } else { best }
-            });
+            let best = starts
+                .map(|start| (start, worth(start)))
+                .reduce(|best, next| if next.1 > best.1 + 1e-9 { next } else { best });
             if let Some((start, _)) = best
                 && let Ok(layers) = Layers::try_from((start, start + count))
             {
@@ -168,11 +202,44 @@
 
     /// How much one more copy of a layer is needed.
     fn need(&self, layer: usize) -> f64 {
-        match self.copies[layer] {
-            0 => 1.0,
-            // What the largest range holds takes longest to load again.
-            1 => SECOND_COPY * f64::from(self.largest[layer]) / f64::from(self.engine.layers),
-            _ => 0.0,
+        if self.tokens[layer] == 0.0 {
+            return 1.0;
+        }
+        let share = f64::from(self.largest[layer]) / f64::from(self.engine.layers);
+        FURTHER_COPY * (BASE_WORTH + share) * (MAX_TOKENS / self.tokens[layer]).min(2.0)
+    }
+
+    /// Changes the one range whose change most raises the tokens of the layer
+    /// that has the fewest.
+    fn improve(&mut self) {
+        let least = |tokens: &[f64]| tokens.iter().copied().fold(f64::MAX, f64::min);
+        let now = least(&self.tokens);
+        let mut best: Option<(f64, usize, Layers)> = None;
+        for (index, place) in self.places.iter().enumerate() {
+            let Some(held) = place.layers else { continue };
+            let mut without = self.tokens.clone();
+            let tokens = self.tokens_of(place, held);
+            range(held).for_each(|layer| without[layer] -= tokens);
+            let most = self.engine.layers_beside(&place.card, MIN_TOKENS);
+            for layers in ranges(1, most, self.engine.layers) {
+                let given_up = range(held).filter(|layer| !range(layers).contains(layer));
+                if given_up.clone().any(|layer| without[layer] < KEPT * now) {
+                    continue;
+                }
+                if !self.fits(place, layers) {
+                    continue;
+                }
+                let tokens = self.tokens_of(place, layers);
+                let mut with = without.clone();
+                range(layers).for_each(|layer| with[layer] += tokens);
+                let reached = least(&with);
+                if reached > best.map_or(now * GAIN, |(reached, ..)| reached) {
+                    best = Some((reached, index, layers));
+                }
+            }
+        }
+        if let Some((_, index, layers)) = best {
+            self.order(index, layers);
         }
     }
 
@@ -186,13 +253,13 @@
 
     /// Moves or widens one place so that more layers are held; false when no
     /// change helps.
-    fn repair(&mut self) -> bool {
+    fn repair(&mut self, tokens: f64) -> bool {
         let mut best: Option<(f64, usize, Layers)> = None;
         for (index, place) in self.places.iter().enumerate() {
             if place.busy {
                 continue;
             }
-            let most = self.engine.layers_beside(&place.card, MIN_TOKENS);
+            let most = self.engine.layers_beside(&place.card, tokens);
             for (worth, layers) in self.changes(place, most) {
                 if worth > best.map_or(0.0, |(worth, ..)| worth) {
                     best = Some((worth, index, layers));
@@ -209,26 +276,37 @@
         let now = place.layers;
         let least = now.map_or(1, |layers| layers.count().min(most)).max(1);
         let mut changes = Vec::new();
-        for count in least..=most {
-            for start in 0..=self.engine.layers.saturating_sub(count) {
-                let Ok(layers) = Layers::try_from((start, start + count)) else { continue };
-                let gained = range(layers).filter(|layer| self.copies[*layer] == 0).count();
-                if gained == 0 || self.uncovers(now, layers) {
-                    continue;
-                }
-                let held = |layer: &usize| now.is_some_and(|now| range(now).contains(layer));
-                let loaded = range(layers).filter(|layer| !held(layer)).count();
-                changes.push((gained as f64 - LOAD_COST * loaded as f64, layers));
+        for layers in ranges(least, most, self.engine.layers) {
+            let gained = range(layers).filter(|layer| self.tokens[*layer] == 0.0).count();
+            if gained == 0 || !self.fits(place, layers) || self.uncovers(place, layers) {
+                continue;
             }
+            let held = |layer: &usize| now.is_some_and(|now| range(now).contains(layer));
+            let loaded = range(layers).filter(|layer| !held(layer)).count();
+            changes.push((gained as f64 - LOAD_COST * loaded as f64, layers));
         }
         changes
     }
 
-    /// Whether giving up `now` for `next` leaves a layer without a holder.
-    fn uncovers(&self, now: Option<Layers>, next: Layers) -> bool {
-        let Some(now) = now else { return false };
-        range(now).any(|layer| !range(next).contains(&layer) && self.copies[layer] < 2)
+    /// Whether what is in use fits beside other layers; what is preempted
+    /// would have to be read again.
+    fn fits(&self, place: &Place, layers: Layers) -> bool {
+        place.used <= self.engine.capacity(&place.card, layers.count())
     }
+
+    /// Whether holding `next` instead leaves a layer without a holder.
+    fn uncovers(&self, place: &Place, next: Layers) -> bool {
+        let Some(now) = place.layers else { return false };
+        let own = self.tokens_of(place, now);
+        let given_up = range(now).filter(|layer| !range(next).contains(layer));
+        given_up.into_iter().any(|layer| self.tokens[layer] - own < 1.0)
+    }
+}
+
+/// Every range of `least` to `most` layers.
+fn ranges(least: u16, most: u16, whole: u16) -> impl Iterator<Item = Layers> {
+    let starts = move |count: u16| (0..=whole.saturating_sub(count)).map(move |s| (s, s + count));
+    (least..=most).flat_map(starts).filter_map(|range| Layers::try_from(range).ok())
 }
 
 fn range(layers: Layers) -> std::ops::Range<usize> {
--- a/mimosashift/src/link/mod.rs
+++ b/mimosashift/src/link/mod.rs
@@ -147,12 +147,12 @@
             }
         }
         let connection = self.open(address).await?;
-        self.exchange(address, connection, request, false).await.map_err(|(failure, unsent)| {
-            match (failure, unsent) {
+        self.exchange(address, connection, request, false).await.map_err(
+            |(failure, unsent)| match (failure, unsent) {
                 (Failure::Lost { reason }, Some(_)) => Failure::NotSent { reason, refused: false },
                 (failure, _) => failure,
-            }
-        })
+            },
+        )
     }
 
     /// Forgets the idle connections to an address, for example because one of
--- /dev/null
+++ b/mimosashift/tests/common/deployment.rs
@@ -0,0 +1,79 @@
+//! A small deployment: cards, an engine, endpoints.
+
+#![allow(dead_code)] // Each test program uses a part of it.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use mimosashift::deployment::{Card, Delay, Endpoint, Engine, Standing, Usual};
+use mimosashift::resource::Layers;
+use mimosashift::time::Instant;
+
+pub const MODEL: &str = "model";
+pub const PLAIN: &str = "plain";
+
+pub fn layers(start: u16, end: u16) -> Layers {
+    Layers::try_from((start, end)).unwrap()
+}
+
+pub fn at(ms: u64) -> Instant {
+    Instant::from_millis(ms)
+}
+
+/// An engine of 80 layers on three kinds of cards, as users have them.
+pub fn engine() -> Engine {
+    let card = |memory_mb, pace, read_factor| Card { memory_mb, pace, read_factor };
+    let cards = BTreeMap::from([
+        ("large".into(), card(72_000.0, 2.4, 3.2)),
+        ("small".into(), card(14_400.0, 5.3, 7.9)),
+        ("slow".into(), card(21_600.0, 16.0, 8.2)),
+    ]);
+    let delay = |from: &str, to: &str| Delay { from: from.into(), to: to.into(), ms: 0.3 };
+    Engine {
+        slots: 192,
+        layers: 80,
+        layer_mb: 1_750.0,
+        token_bytes: 590_000.0,
+        activation_bytes: 29_500.0,
+        step_ms: 1.02,
+        sequence_ms: 0.004_59,
+        context_ms: 0.006_15,
+        read_per_ms: 164.0,
+        stride: 4,
+        pipe_per_ms: 2_000_000.0,
+        delays: vec![delay("a", "b"), delay("a", "c"), delay("b", "c")],
+        usual: Usual { prompt: 775.0, output: 220.0 },
+        load: Duration::from_secs(14),
+        loads_at_once: 6,
+        cards,
+    }
+}
+
+/// The endpoint `number` in a zone, with what it holds.
+pub fn endpoint(number: u16, zone: &str, card: &str, held: Option<Layers>) -> Endpoint {
+    Endpoint {
+        id: format!("e{number}").into(),
+        service: MODEL.into(),
+        address: SocketAddr::from(([10, 0, 0, 1], 1_000 + number)),
+        zone: zone.into(),
+        standing: Standing::Ready,
+        slots: 192,
+        incarnation: 1,
+        heartbeat: 1,
+        layers: held,
+        card: Some(card.into()),
+    }
+}
+
+/// An endpoint of the plain service.
+pub fn plain(number: u16, zone: &str) -> Endpoint {
+    let plain = Endpoint {
+        service: PLAIN.into(),
+        slots: 6,
+        layers: None,
+        card: None,
+        ..endpoint(number, zone, "large", None)
+    };
+    plain
+}
--- /dev/null
+++ b/mimosashift/tests/fleet.rs
@@ -0,0 +1,232 @@
+//! Beliefs about endpoints, chains and plain endpoints.
+
+use mimosashift::deployment::{Endpoint, Standing};
+use mimosashift::exchange::Report;
+use mimosashift::fleet::{Chain, Demand, Fleet, Shortage, Usage, key};
+use mimosashift::time::Instant;
+
+use common::deployment::{MODEL, PLAIN, at, endpoint, engine, layers, plain};
+
+#[path = "common"]
+mod common {
+    pub mod deployment;
+}
+
+const USUAL: Demand = Demand { prompt: 775.0, output: 220.0 };
+
+fn fleet(entries: Vec<Endpoint>) -> Fleet {
+    let mut fleet = Fleet::default();
+    fleet.observe(entries, Instant::ZERO, at(0));
+    fleet
+}
+
+/// Two zones with a whole copy each, in two halves.
+fn two_zones() -> Vec<Endpoint> {
+    let halves = [(1, "a", 0, 40), (2, "a", 40, 80), (3, "b", 0, 40), (4, "b", 40, 80)];
+    let half = |(n, zone, from, to)| endpoint(n, zone, "large", Some(layers(from, to)));
+    let mut entries: Vec<_> = halves.into_iter().map(half).collect();
+    // Halves of the model leave room on no real card.
+    entries.iter_mut().for_each(|e| e.card = Some("huge".into()));
+    entries
+}
+
+fn huge() -> mimosashift::deployment::Engine {
+    let mut engine = engine();
+    let card = engine.cards["large"];
+    engine
+        .cards
+        .insert("huge".into(), mimosashift::deployment::Card { memory_mb: 150_000.0, ..card });
+    engine
+}
+
+fn choose(fleet: &Fleet, demand: &Demand) -> Result<Chain, Shortage> {
+    fleet.chain(MODEL, &huge(), demand, None, &[], at(100))
+}
+
+fn ids(chain: &Chain) -> Vec<&str> {
+    chain.iter().map(|hop| &*hop.id).collect()
+}
+
+fn covers(chain: &Chain, whole: u16) -> bool {
+    let mut next = 0;
+    for hop in chain {
+        if hop.layers.start() != next {
+            return false;
+        }
+        next = hop.layers.end();
+    }
+    next == whole
+}
+
+#[test]
+fn chain_runs_every_layer_once_and_stays_in_a_zone() {
+    let fleet = fleet(two_zones());
+    let chain = choose(&fleet, &USUAL).unwrap();
+    assert!(covers(&chain, 80));
+    assert!(ids(&chain) == ["e1", "e2"] || ids(&chain) == ["e3", "e4"], "{:?}", ids(&chain));
+}
+
+#[test]
+fn lost_range_is_borrowed_from_another_zone() {
+    let mut fleet = fleet(two_zones());
+    fleet.fail("e2", at(50));
+    fleet.fail("e3", at(50));
+    let chain = choose(&fleet, &USUAL).unwrap();
+    assert_eq!(ids(&chain), ["e1", "e4"]);
+}
+
+#[test]
+fn layer_without_endpoint_is_named() {
+    let mut entries = two_zones();
+    entries.retain(|entry| !["e2", "e4"].contains(&&*entry.id));
+    let fleet = fleet(entries);
+    assert_eq!(choose(&fleet, &USUAL), Err(Shortage::Uncovered(40)));
+}
+
+#[test]
+fn load_spreads_until_memory_is_full() {
+    let mut fleet = fleet(two_zones());
+    let mut served = 0;
+    let shortage = loop {
+        match choose(&fleet, &USUAL) {
+            Ok(chain) => drop(fleet.claim(chain, &USUAL)),
+            Err(shortage) => break shortage,
+        }
+        served += 1;
+        assert!(served < 10_000);
+    };
+    assert_eq!(shortage, Shortage::Full(0));
+    let used: Vec<_> = fleet.members().map(|member| member.cache()).collect();
+    let (least, most) = used.iter().fold((f64::MAX, 0.0_f64), |(l, m), u| (l.min(*u), m.max(*u)));
+    assert!(least > 0.9 * most, "{used:?}");
+}
+
+#[test]
+fn released_claims_leave_nothing_behind() {
+    let mut fleet = fleet(two_zones());
+    let mut claim = fleet.claim(choose(&fleet, &USUAL).unwrap(), &USUAL);
+    fleet.begin(&mut claim);
+    fleet.release(&claim);
+    assert!(fleet.digest().is_empty());
+}
+
+#[test]
+fn claims_at_an_earlier_start_are_not_taken_off_the_next() {
+    let mut fleet = fleet(two_zones());
+    let chain = choose(&fleet, &USUAL).unwrap();
+    let first = chain[0].id.clone();
+    let claim = fleet.claim(chain, &USUAL);
+    let mut entries = two_zones();
+    let entry = entries.iter_mut().find(|entry| entry.id == first).unwrap();
+    entry.incarnation = 2;
+    fleet.observe(entries, Instant::ZERO, at(100));
+    let next = fleet.claim(choose(&fleet, &USUAL).unwrap(), &USUAL);
+    fleet.release(&claim);
+    fleet.release(&next);
+    assert!(fleet.digest().is_empty(), "{:?}", fleet.digest());
+}
+
+#[test]
+fn started_chain_keeps_its_first_part() {
+    let mut fleet = fleet(two_zones());
+    let chain = choose(&fleet, &USUAL).unwrap();
+    fleet.fail(&chain[1].id, at(50));
+    let moved = fleet.chain(MODEL, &huge(), &USUAL, Some(&chain[0]), &[], at(100)).unwrap();
+    assert_eq!(moved[0], chain[0]);
+    assert_ne!(moved[1].id, chain[1].id);
+    assert!(covers(&moved, 80));
+}
+
+#[test]
+fn no_endpoint_stands_twice_in_a_chain() {
+    // The middle is fastest at e2 only, and the ends only at e1.
+    let entries = vec![
+        endpoint(1, "a", "slow", Some(layers(0, 80))),
+        endpoint(2, "a", "large", Some(layers(20, 60))),
+        endpoint(3, "a", "slow", Some(layers(50, 80))),
+    ];
+    let mut engine = engine();
+    engine.layer_mb = 100.0;
+    let fleet = fleet(entries);
+    let chain = fleet.chain(MODEL, &engine, &USUAL, None, &[], at(100)).unwrap();
+    let mut names = ids(&chain);
+    names.sort_unstable();
+    names.dedup();
+    assert_eq!(names.len(), chain.len());
+    assert!(covers(&chain, 80));
+}
+
+#[test]
+fn draining_endpoints_get_nothing() {
+    let mut entries = two_zones();
+    entries[0].standing = Standing::Draining;
+    let fleet = fleet(entries);
+    assert_eq!(ids(&choose(&fleet, &USUAL).unwrap())[0], "e3");
+}
+
+#[test]
+fn part_is_silent_though_another_stream_passed_just_before_it_died() {
+    let mut fleet = fleet(two_zones());
+    let chain = choose(&fleet, &USUAL).unwrap();
+    // This stream's last event came at 1,000, another one's at 1,030.
+    fleet.progress(&chain, at(1_030));
+    assert_eq!(fleet.silent(&chain, at(1_300)).len(), chain.len());
+    assert!(fleet.silent(&chain, at(1_060)).is_empty());
+}
+
+#[test]
+fn missing_entry_stays_after_an_outage_of_the_store_and_then_goes() {
+    let mut fleet = fleet(two_zones());
+    let kept = fleet.observe(Vec::new(), at(2_000), at(1_000));
+    assert!(kept.gone.is_empty());
+    assert!(choose(&fleet, &USUAL).is_ok());
+    let gone = fleet.observe(Vec::new(), at(2_000), at(2_000));
+    assert_eq!(gone.gone.len(), 4);
+}
+
+#[test]
+fn entry_older_than_a_report_does_not_bring_back_its_layers() {
+    let mut fleet = fleet(two_zones());
+    let report = Report { incarnation: 1, layers: Some(layers(0, 50)), ..Report::default() };
+    fleet.report("e1", &report);
+    fleet.observe(two_zones(), Instant::ZERO, at(10));
+    assert_eq!(fleet.get("e1").unwrap().endpoint.layers, Some(layers(0, 50)));
+    let mut later = two_zones();
+    later[0].heartbeat = 2;
+    fleet.observe(later, Instant::ZERO, at(20));
+    assert_eq!(fleet.get("e1").unwrap().endpoint.layers, Some(layers(0, 40)));
+}
+
+#[test]
+fn use_by_peers_counts_until_the_peer_is_silent() {
+    let mut fleet = fleet(two_zones());
+    let full = Usage { cache: 1e9, ..Usage::default() };
+    let usage: Vec<_> = ["e1", "e2", "e3", "e4"].iter().map(|id| (key(id), full)).collect();
+    fleet.merge(&"peer".into(), &usage, at(100));
+    assert_eq!(choose(&fleet, &USUAL), Err(Shortage::Full(0)));
+    fleet.merge(&"other".into(), &[], at(10_000));
+    assert!(choose(&fleet, &USUAL).is_ok());
+}
+
+#[test]
+fn plain_request_goes_to_the_least_loaded_and_not_to_a_failing_one() {
+    let mut fleet = fleet(vec![plain(1, "a"), plain(2, "b"), plain(3, "b")]);
+    let first = fleet.pick(PLAIN, "a", &[], at(10)).unwrap();
+    assert_eq!(&*first.id, "e1");
+    fleet.take(&first);
+    fleet.answered("e2", false);
+    assert_eq!(&*fleet.pick(PLAIN, "a", &[], at(10)).unwrap().id, "e3");
+    fleet.give(&first);
+    assert_eq!(&*fleet.pick(PLAIN, "a", &[], at(10)).unwrap().id, "e1");
+}
+
+#[test]
+fn doubted_endpoint_returns_and_is_doubted_for_longer() {
+    let mut fleet = fleet(vec![plain(1, "a")]);
+    fleet.fail("e1", at(0));
+    assert!(fleet.pick(PLAIN, "a", &[], at(399)).is_none());
+    assert!(fleet.pick(PLAIN, "a", &[], at(400)).is_some());
+    fleet.fail("e1", at(400));
+    assert!(fleet.pick(PLAIN, "a", &[], at(1_199)).is_none());
+    assert!(fleet.pick(PLAIN, "a", &[], at(1_200)).is_some());
+}
