--- a/mimosafront/src/front.rs
+++ b/mimosafront/src/front.rs
@@ -12,10 +12,11 @@
 use mimosashift::deployment::{Deployment, Node};
 use mimosashift::emit;
 use mimosashift::event::{Event, Logger};
-use mimosashift::fleet::Fleet;
+use mimosashift::exchange::Report;
+use mimosashift::fleet::{Fleet, Observed};
 use mimosashift::link::{self, Pool};
 use mimosashift::meter::Meter;
-use mimosashift::peer::{Peers, Placed};
+use mimosashift::peer::Peers;
 use mimosashift::pipeline::retry::{Budget, Share};
 use mimosashift::time::Instant;
 use rand::{RngExt, SeedableRng};
@@ -23,6 +24,7 @@
 use tokio::sync::Notify;
 
 use crate::clock;
+use crate::probe::Findings;
 
 /// Time to open a connection: a few round trips between zones; a full queue
 /// at the other end shows as a longer wait.
@@ -51,6 +53,8 @@
     pub fleet: RefCell<Fleet>,
     /// Other routers.
     pub peers: RefCell<Peers>,
+    /// What endpoints answered that were asked whether they are alive.
+    pub findings: RefCell<Findings>,
     /// How hard the engines are pressed.
     pub pressure: RefCell<Pressure>,
     /// Wakes one request that waits for memory.
@@ -69,8 +73,8 @@
     pub store_lost: Cell<bool>,
     /// When the directory was last read.
     pub directory_read: Cell<Option<Instant>>,
-    /// Layers seen loaded lately, for peers.
-    pub placed: RefCell<Vec<(Instant, Placed)>>,
+    /// What reports have changed lately, for peers.
+    pub observed: RefCell<Vec<(Instant, Observed)>>,
     /// Whether this router holds the lease on placement.
     pub leads: Cell<bool>,
     /// Whether SIGTERM has arrived.
@@ -114,6 +118,7 @@
             deployment: RefCell::default(),
             currency: Cell::default(),
             fleet: RefCell::default(),
+            findings: RefCell::default(),
             pressure: RefCell::default(),
             released: Notify::new(),
             pool,
@@ -123,7 +128,7 @@
             store_reached: Cell::default(),
             store_lost: Cell::default(),
             directory_read: Cell::default(),
-            placed: RefCell::default(),
+            observed: RefCell::default(),
             leads: Cell::default(),
             stopping: Cell::default(),
             in_flight: Cell::default(),
@@ -230,6 +235,22 @@
         self.rng.borrow_mut().random_range(0.0..1.0)
     }
 
+    /// Takes in an endpoint's report and keeps what it changed for peers.
+    pub fn take_report(&self, id: &str, report: &Report) {
+        let seen = self.fleet.borrow_mut().report(id, report);
+        let Some(seen) = seen else { return };
+        let mut observed = self.observed.borrow_mut();
+        observed.retain(|(_, earlier)| earlier.endpoint != seen.endpoint);
+        observed.push((clock::now(), seen));
+        self.log_observed(id, &seen, "report");
+    }
+
+    /// Logs what was seen of an endpoint, and by whom.
+    pub fn log_observed(&self, id: &str, seen: &Observed, source: &str) {
+        let layers = seen.layers.map(|layers| layers.to_string());
+        emit!(self.log, Event::EndpointPlaced, "endpoint" => id, "source" => source, "layers" => layers, "pace" => seen.pace);
+    }
+
     /// Leaves an endpoint out for a while because it failed.
     pub fn doubt(&self, id: &str, reason: &str) {
         self.fleet.borrow_mut().fail(id, clock::now());
--- a/mimosafront/src/gossip.rs
+++ b/mimosafront/src/gossip.rs
@@ -35,8 +35,8 @@
 /// is worth fetching.
 const STORE_STALE: Duration = Duration::from_millis(1_200);
 
-/// Time for which layers that were loaded are told to peers.
-const PLACED_LIFE: Duration = Duration::from_secs(3);
+/// Time for which a change of an endpoint is told to peers.
+const OBSERVED_LIFE: Duration = Duration::from_secs(3);
 
 /// Exchanges digests for as long as the router runs.
 pub async fn exchange(front: Rc<Front>, socket: UdpSocket) {
@@ -80,7 +80,7 @@
 }
 
 fn digest(front: &Front, now: Instant) -> Digest {
-    front.placed.borrow_mut().retain(|(at, _)| now.since(*at) < PLACED_LIFE);
+    front.observed.borrow_mut().retain(|(at, _)| now.since(*at) < OBSERVED_LIFE);
     let config = front.deployment().map(|deployment| Config {
         revision: deployment.revision,
         age: front.currency.get().age(now),
@@ -97,7 +97,7 @@
         config,
         store_age: front.store_reached.get().map(|at| now.since(at)),
         usage: front.fleet.borrow().digest(),
-        placed: front.placed.borrow().iter().map(|(_, placed)| *placed).collect(),
+        observed: front.observed.borrow().iter().map(|(_, observed)| *observed).collect(),
         peers: front.peers.borrow().share(now),
     }
 }
@@ -119,11 +119,10 @@
     }
     front.fleet.borrow_mut().merge(&digest.node, &digest.usage, now);
     front.released.notify_one();
-    for placed in &digest.placed {
-        let mut fleet = front.fleet.borrow_mut();
-        if fleet.place(placed.endpoint, placed.incarnation, placed.layers) {
-            let layers = placed.layers.map(|layers| layers.to_string());
-            emit!(front.log, Event::EndpointPlaced, "endpoint" => placed.endpoint, "source" => &*digest.node, "layers" => layers);
+    for seen in &digest.observed {
+        let changed = front.fleet.borrow_mut().relay(seen);
+        if let Some(id) = changed {
+            front.log_observed(&id, seen, &digest.node);
         }
     }
     take_config(front, &digest, from, now, fetched);
--- a/mimosafront/src/placement.rs
+++ b/mimosafront/src/placement.rs
@@ -6,15 +6,14 @@
 use std::time::Duration;
 
 use mimosaplatform::engine as wire;
-use mimosashift::deployment::{Engine, Standing};
+use mimosashift::deployment::Engine;
 use mimosashift::emit;
 use mimosashift::event::Event;
 use mimosashift::exchange::{Order, Ordered, Report};
-use mimosashift::fleet::{Hop, Member, key};
+use mimosashift::fleet::{Hop, Member};
 use mimosashift::layout::{self, Move, Place};
 use mimosashift::meter::PlatformCall;
 use mimosashift::order::lease::{Lease, Settings, TABLE};
-use mimosashift::peer::Placed;
 use mimosashift::platform::Outcome;
 use mimosashift::resource::{Layers, Name};
 use mimosashift::time::Instant;
@@ -180,11 +179,7 @@
                 self.pending.remove(&id);
                 continue;
             };
-            let before = self.front.fleet.borrow().get(&id).and_then(|m| m.endpoint.layers);
-            let Ok(report) = probe::report(&self.front, &hop, false).await else { continue };
-            if report.layers != before {
-                self.announce(&hop, &report);
-            }
+            let Ok(report) = probe::report(&self.front, &hop).await else { continue };
             self.settle(&hop, &report, now).await;
         }
     }
@@ -204,17 +199,6 @@
         }
     }
 
-    /// Tells peers what an endpoint holds.
-    fn announce(&self, hop: &Hop, report: &Report) {
-        let (endpoint, incarnation) = (key(&hop.id), hop.incarnation);
-        let placed = Placed { endpoint, incarnation, layers: report.layers };
-        let mut list = self.front.placed.borrow_mut();
-        list.retain(|(_, placed)| placed.endpoint != endpoint);
-        list.push((clock::now(), placed));
-        let layers = report.layers.map(|layers| layers.to_string());
-        emit!(self.front.log, Event::EndpointPlaced, "endpoint" => &*hop.id, "source" => "report", "layers" => layers);
-    }
-
     async fn plan(&mut self) {
         let Some(deployment) = self.front.deployment() else { return };
         for service in deployment.services() {
@@ -248,7 +232,8 @@
         let fleet = self.front.fleet.borrow();
         let members = fleet
             .members()
-            .filter(|m| &*m.endpoint.service == service && m.endpoint.standing == Standing::Ready);
+            // A slow endpoint's layers are wanted elsewhere as well.
+            .filter(|m| &*m.endpoint.service == service && m.takes_work() && !m.is_slow());
         let place = |member: &Member| {
             let endpoint = &member.endpoint;
             let pending = self.pending.get(&endpoint.id);
@@ -288,7 +273,7 @@
             fleet.get(&planned.id).map(|member| target(member, planned.layers))
         };
         let Some(hop) = hop else { return };
-        let report = match probe::report(&self.front, &hop, false).await {
+        let report = match probe::report(&self.front, &hop).await {
             Ok(report) if report.incarnation == hop.incarnation && !report.busy => report,
             // The next plan tries again.
             Ok(_) | Err(_) => return,
--- a/mimosafront/src/probe.rs
+++ b/mimosafront/src/probe.rs
@@ -1,6 +1,8 @@
 //! Asks endpoints for their reports.
 
+use std::collections::HashMap;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use mimosaplatform::engine;
@@ -8,6 +10,9 @@
 use mimosashift::event::Event;
 use mimosashift::exchange::Report;
 use mimosashift::fleet::Hop;
+use mimosashift::time::Instant;
+use tokio::sync::OnceCell;
+use tokio::time::timeout;
 
 use crate::clock;
 use crate::front::Front;
@@ -18,14 +23,62 @@
 /// Time between two reports of each engine of the own zone.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(3);
 
+/// Time for a report over a kept connection that may have gone silent.
+const KEPT_TIMEOUT: Duration = Duration::from_millis(120);
+
+/// Time for which what an endpoint answered holds for all requests that wait
+/// for it.
+const FINDING_LIFE: Duration = Duration::from_millis(400);
+
 /// Largest report that is read.
 const MAX_REPORT_BYTES: usize = 256 * 1024;
 
+/// What asking an endpoint found.
+#[derive(Clone, Debug)]
+pub enum Finding {
+    /// It answers.
+    Alive(Report),
+    /// It does not, for this reason.
+    Dead(String),
+}
+
+/// Findings by endpoint, with the time when it was asked.
+pub type Findings = HashMap<Arc<str>, (Instant, Rc<OnceCell<Finding>>)>;
+
 /// Asks an endpoint for its report and takes it in.
-///
-/// A `fresh` report comes over a new connection, as a kept one may have gone
-/// silent.
-pub async fn report(front: &Rc<Front>, hop: &Hop, fresh: bool) -> Result<Report, String> {
+pub async fn report(front: &Rc<Front>, hop: &Hop) -> Result<Report, String> {
+    ask(front, hop, false, REPORT_TIMEOUT).await
+}
+
+/// Asks whether an endpoint is alive, once for all requests that want to know
+/// at the same time.
+pub async fn examine(front: &Rc<Front>, hop: &Hop) -> Finding {
+    let now = clock::now();
+    let cell = {
+        let mut findings = front.findings.borrow_mut();
+        findings.retain(|_, (at, _)| now.since(*at) < FINDING_LIFE);
+        let entry = findings.entry(hop.id.clone());
+        entry.or_insert_with(|| (now, Rc::default())).1.clone()
+    };
+    cell.get_or_init(|| find(front, hop)).await.clone()
+}
+
+/// A kept connection is tried first; when it fails, a new one decides.
+async fn find(front: &Rc<Front>, hop: &Hop) -> Finding {
+    if let Ok(report) = ask(front, hop, false, KEPT_TIMEOUT).await {
+        return Finding::Alive(report);
+    }
+    front.pool.forget(hop.address);
+    match ask(front, hop, true, REPORT_TIMEOUT).await {
+        Ok(report) => Finding::Alive(report),
+        Err(reason) => {
+            front.doubt(&hop.id, &reason);
+            Finding::Dead(reason)
+        }
+    }
+}
+
+async fn ask(front: &Rc<Front>, hop: &Hop, fresh: bool, time: Duration) -> Result<Report, String> {
     let call = engine::report_call(hop.address);
     let exchange = async {
         let mut exchange =
@@ -33,11 +86,11 @@
         let body = exchange.collect(MAX_REPORT_BYTES).await.map_err(|e| e.to_string())?;
         engine::report(&body).map_err(|e| e.to_string())
     };
-    let report = match tokio::time::timeout(REPORT_TIMEOUT, exchange).await {
+    let report = match timeout(time, exchange).await {
         Ok(report) => report?,
         Err(_) => return Err("report timed out".to_owned()),
     };
-    front.fleet.borrow_mut().report(&hop.id, &report);
+    front.take_report(&hop.id, &report);
     Ok(report)
 }
 
@@ -47,7 +100,7 @@
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
         for hop in share(&front) {
-            if let Err(reason) = report(&front, &hop, false).await {
+            if let Err(reason) = report(&front, &hop).await {
                 // A later request finds out whether it is gone.
                 emit!(front.log, Event::ReportMissing, "endpoint" => &*hop.id, "reason" => reason);
             }
--- a/mimosashift/src/fleet/chain.rs
+++ b/mimosashift/src/fleet/chain.rs
@@ -87,18 +87,22 @@
         avoid: &[Hop],
         now: Instant,
     ) -> Result<Chain, Shortage> {
-        let usable = |member: &&Member| {
-            &*member.endpoint.service == service
-                && member.is_usable(now)
-                && !avoid.iter().any(|hop| hop.id == member.endpoint.id)
+        let search = |doubted: bool| {
+            let usable = |member: &&Member| {
+                &*member.endpoint.service == service
+                    && (member.is_usable(now) || doubted && member.takes_work())
+                    && !avoid.iter().any(|hop| hop.id == member.endpoint.id)
+            };
+            let members = self.members.values().filter(usable);
+            let candidates =
+                members.filter_map(|member| Candidate::new(member, engine, demand)).collect();
+            Search { engine, demand, candidates, table: Vec::new() }.run(first)
         };
-        let candidates: Vec<Candidate<'_>> = self
-            .members
-            .values()
-            .filter(usable)
-            .filter_map(|member| Candidate::new(member, engine, demand))
-            .collect();
-        Search { engine, demand, candidates, table: Vec::new() }.run(first)
+        match search(false) {
+            // An endpoint that failed lately is better than none.
+            Err(Shortage::Uncovered(_)) => search(true),
+            found => found,
+        }
     }
 }
 
--- a/mimosashift/src/fleet/mod.rs
+++ b/mimosashift/src/fleet/mod.rs
@@ -34,6 +34,13 @@
 /// some events of any one stream.
 const QUIET: Duration = Duration::from_millis(150);
 
+/// Pace from which an endpoint gets no new work while others hold its layers:
+/// every token of every stream through it waits for it.
+const SLOW_PACE: f64 = 3.0;
+
+/// Difference in pace that peers are told.
+const PACE_STEP: f64 = 0.25;
+
 /// Tokens by which a claim grows at least, so that not every event counts.
 const GROWTH_TOKENS: f32 = 64.0;
 
@@ -111,6 +118,19 @@
     pub moved: Vec<Arc<str>>,
 }
 
+/// What a report said of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Observed {
+    /// Short name of the endpoint.
+    pub endpoint: u64,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// What it holds.
+    pub layers: Option<Layers>,
+    /// How many times slower than its card it is.
+    pub pace: f32,
+}
+
 /// A request's use of its chain, to be released once.
 #[derive(Debug)]
 pub struct Claim {
@@ -173,17 +193,33 @@
         }
     }
 
-    /// Takes in the layers that it holds, newer than its entry.
-    fn hold(&mut self, layers: Option<Layers>) {
-        self.endpoint.layers = layers;
+    /// Takes in what a report said, newer than its entry; returns whether that
+    /// changed anything.
+    fn see(&mut self, seen: &Observed) -> bool {
+        if self.endpoint.incarnation != seen.incarnation {
+            return false;
+        }
+        let pace = f64::from(seen.pace);
+        let changed = self.endpoint.layers != seen.layers || (self.pace - pace).abs() > PACE_STEP;
+        self.endpoint.layers = seen.layers;
+        self.pace = pace;
         self.reported_at = Some(self.endpoint.heartbeat);
+        changed
+    }
+
+    /// Whether it takes new work, by what it says of itself.
+    pub fn takes_work(&self) -> bool {
+        self.endpoint.standing == Standing::Ready && self.missing_since.is_none()
     }
 
     /// Whether it gets new work.
     pub fn is_usable(&self, now: Instant) -> bool {
-        self.endpoint.standing == Standing::Ready
-            && self.missing_since.is_none()
-            && now >= self.doubted_until
+        self.takes_work() && now >= self.doubted_until && !self.is_slow()
+    }
+
+    /// Whether it is so slow that work is better refused than given to it.
+    pub fn is_slow(&self) -> bool {
+        self.pace >= SLOW_PACE
     }
 
     /// Use by this router and its peers.
@@ -385,24 +421,22 @@
         }
     }
 
-    /// Takes in an endpoint's report.
-    pub fn report(&mut self, id: &str, report: &Report) {
-        let Some(member) = self.members.get_mut(id) else { return };
-        if member.endpoint.incarnation == report.incarnation {
-            member.pace = report.pace.max(1.0);
-            member.hold(report.layers);
-        }
+    /// Takes in an endpoint's report; returns what changed for peers to know.
+    pub fn report(&mut self, id: &str, report: &Report) -> Option<Observed> {
+        let seen = Observed {
+            endpoint: key(id),
+            incarnation: report.incarnation,
+            layers: report.layers,
+            pace: report.pace.max(1.0) as f32,
+        };
+        self.members.get_mut(id)?.see(&seen).then_some(seen)
     }
 
-    /// Takes in the layers that an endpoint holds, as a peer knows them.
-    pub fn place(&mut self, id: u64, incarnation: u64, layers: Option<Layers>) -> bool {
-        let member = self.members.values_mut().find(|member| key(&member.endpoint.id) == id);
-        let Some(member) = member.filter(|m| m.endpoint.incarnation == incarnation) else {
-            return false;
-        };
-        let changed = member.endpoint.layers != layers;
-        member.hold(layers);
-        changed
+    /// Takes in what a peer saw of an endpoint; returns its id if that changed
+    /// anything.
+    pub fn relay(&mut self, seen: &Observed) -> Option<Arc<str>> {
+        let member = self.members.values_mut().find(|m| key(&m.endpoint.id) == seen.endpoint)?;
+        member.see(seen).then(|| member.endpoint.id.clone())
     }
 
     /// What this router uses, for digests; only what is in use.
--- a/mimosashift/src/fleet/plain.rs
+++ b/mimosashift/src/fleet/plain.rs
@@ -9,6 +9,9 @@
 /// Cost of an endpoint whose every recent answer failed, in full endpoints.
 const FAILURE_COST: f64 = 4.0;
 
+/// Cost of an endpoint that is left out after a failure, in full endpoints.
+const DOUBT_COST: f64 = 100.0;
+
 /// Cost of another zone, in full endpoints: a tie goes to the own zone.
 const ZONE_COST: f64 = 0.05;
 
@@ -21,14 +24,16 @@
     pub fn pick(&self, service: &str, zone: &str, avoid: &[Arc<str>], now: Instant) -> Option<Hop> {
         let usable = |m: &&Member| {
             &*m.endpoint.service == service
-                && m.is_usable(now)
+                && m.takes_work()
                 && !avoid.contains(&m.endpoint.id)
                 && f64::from(m.usage().requests) < QUEUE_SHARE * f64::from(m.endpoint.slots)
         };
         let cost = |m: &Member| {
             let load = f64::from(m.usage().requests) / f64::from(m.endpoint.slots.max(1));
             let far = if &*m.endpoint.zone == zone { 0.0 } else { ZONE_COST };
-            load + far + FAILURE_COST * m.failures
+            // One that failed lately is better than none.
+            let doubted = if m.is_usable(now) { 0.0 } else { DOUBT_COST };
+            load + far + FAILURE_COST * m.failures + doubted
         };
         let usable = self.members.values().filter(usable);
         let best = usable.min_by(|a, b| cost(a).total_cmp(&cost(b)))?;
--- a/mimosashift/src/peer/mod.rs
+++ b/mimosashift/src/peer/mod.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::currency::Relayed;
-use crate::fleet::Usage;
+use crate::fleet::{Observed, Usage};
 use crate::time::Instant;
 
 /// Shortest time between two digests to a peer.
@@ -58,8 +58,8 @@
     pub store_age: Option<Duration>,
     /// What it uses of endpoints.
     pub usage: Vec<(u64, Usage)>,
-    /// Layers that it has seen loaded lately.
-    pub placed: Vec<Placed>,
+    /// What it has seen change of endpoints lately.
+    pub observed: Vec<Observed>,
     /// Addresses of other routers.
     pub peers: Vec<SocketAddr>,
 }
@@ -73,17 +73,6 @@
     pub age: Option<Duration>,
 }
 
-/// Layers of an endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Placed {
-    /// Short name of the endpoint.
-    pub endpoint: u64,
-    /// Its incarnation.
-    pub incarnation: u64,
-    /// What it holds.
-    pub layers: Option<crate::resource::Layers>,
-}
-
 /// A peer as last heard.
 #[derive(Clone, Debug)]
 pub struct Peer {
