--- a/mimosashift/src/fleet/mod.rs
+++ b/mimosashift/src/fleet/mod.rs
@@ -36,7 +36,7 @@
 
 /// Pace from which an endpoint gets no new work while others hold its layers:
 /// every token of every stream through it waits for it.
-const SLOW_PACE: f64 = 3.0;
+const SLOW_PACE: f64 = 6.0;
 
 /// Difference in pace that peers are told.
 const PACE_STEP: f64 = 0.25;
