Let one router a zone read the store; share retries among known routers

Change: the first live router of a zone by name reads; the others follow its digests and read when their view differs, and every 5 s. The extra retries are divided by the known routers and a margin, half saved up and half returning over a window; a process starts with none saved up.

--- a/mimosafront/src/directory.rs
+++ b/mimosafront/src/directory.rs
@@ -23,6 +23,14 @@
 /// an endpoint that leaves must get no new work.
 const DIRECTORY_INTERVAL: Duration = Duration::from_millis(900);
 
+/// Time between two looks at whether the router that reads the store for this
+/// one has seen the same.
+const FOLLOW_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Time after which a router reads the store itself, whatever others have
+/// seen: a lost datagram is made good by then.
+const OWN_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Time before a failed reading is repeated.
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -38,8 +46,16 @@
 /// Keeps the configuration up to date.
 pub async fn watch_config(front: Rc<Front>) {
     let mut revision = None;
+    let mut own = Instant::ZERO;
     loop {
         let began = clock::now();
+        if began < own + OWN_INTERVAL && config_is_followed(&front, began) {
+            tokio::select! {
+                () = tokio::time::sleep(FOLLOW_INTERVAL) => continue,
+                () = front.refresh.notified() => {}
+            }
+        }
+        own = began;
         let read = match revision {
             None => match front.store.read(config::TABLE).await {
                 Outcome::Done(rows) => Outcome::Done(Some(rows)),
@@ -76,6 +92,27 @@
     }
 }
 
+/// Whether the router that reads the store for this one holds the same
+/// configuration, so that its digests confirm it.
+fn config_is_followed(front: &Front, now: Instant) -> bool {
+    let peers = front.peers.borrow();
+    let held = peers.reader(&front.node().name, now).and_then(|peer| peer.digest.config);
+    held.is_some_and(|held| held.revision == front.revision())
+}
+
+/// Whether that router has lately seen the same directory.
+fn directory_is_followed(front: &Front, now: Instant) -> bool {
+    let peers = front.peers.borrow();
+    let Some(peer) = peers.reader(&front.node().name, now) else { return false };
+    let Some(seen) = peer.digest.directory else { return false };
+    let age = seen.age + now.since(peer.heard);
+    let same = seen.fingerprint == front.fleet.borrow().fingerprint();
+    if same && age < AWAY_AFTER {
+        front.directory_read.set(front.directory_read.get().max(Some(now - age)));
+    }
+    same && age < AWAY_AFTER
+}
+
 fn take_config(front: &Front, rows: &Rows, began: Instant) {
     let row = rows.rows.iter().rev().find(|row| row.key.key == config::KEY);
     if let Some(row) = row {
@@ -98,8 +135,14 @@
     let mut away_since: Option<Instant> = None;
     let mut lapsed_until = Instant::ZERO;
     let mut unreadable = HashMap::new();
+    let mut own = Instant::ZERO;
     loop {
         let began = clock::now();
+        if began < own + OWN_INTERVAL && directory_is_followed(&front, began) {
+            tokio::time::sleep(FOLLOW_INTERVAL).await;
+            continue;
+        }
+        own = began;
         let read = front.store.read(endpoint::TABLE).await;
         note(&front, PlatformCall::Scan, &read);
         let pause = match read {
--- a/mimosafront/src/front.rs
+++ b/mimosafront/src/front.rs
@@ -37,9 +37,12 @@
 /// Time for a call to the store: many times its usual answer.
 const STORE_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// Routers among which the extra retries are divided at least; machines may
-/// join at any time, and no router may then have spent another one's part.
-const MIN_SHARERS: f64 = 8.0;
+/// Routers among which the extra retries are divided at least, as many as a
+/// small deployment may grow to while a window lasts.
+const MIN_SHARERS: f64 = 6.0;
+
+/// Factor on the routers that are known, for those that join meanwhile.
+const SHARER_MARGIN: f64 = 1.25;
 
 /// State that the tasks of a router share.
 pub struct Front {
@@ -113,7 +116,7 @@
             node.seeds.iter().map(|seed| std::net::SocketAddr::new(seed.ip(), port)).collect();
         let incarnation = clock::unix_micros();
         Rc::new(Self {
-            peers: RefCell::new(Peers::new(own, &seeds, now)),
+            peers: RefCell::new(Peers::new(own, node.zone.clone(), &seeds, now)),
             node: RefCell::new(Rc::new(node)),
             deployment: RefCell::default(),
             currency: Cell::default(),
@@ -217,19 +220,25 @@
     }
 
     fn budget<T>(&self, service: &Arc<str>, use_it: impl FnOnce(&mut Budget) -> T) -> T {
-        let bounds = self.node.borrow().bounds;
+        let now = clock::now();
+        let share = self.retry_share(now);
         let mut budgets = self.budgets.borrow_mut();
-        let budget = budgets.entry(service.clone()).or_insert_with(|| {
-            let share = Share {
-                per_request: bounds.retry_ratio,
-                per_second: 0.0,
-                burst: bounds.extra_retries / MIN_SHARERS,
-            };
-            Budget::new(share, clock::now())
-        });
+        let budget = budgets.entry(service.clone()).or_insert_with(|| Budget::empty(share, now));
+        budget.set_share(share, now);
         use_it(budget)
     }
 
+    /// This router's share of the retries: half of the extra ones can be saved
+    /// up, and half come back over a window, so that no window sees more.
+    fn retry_share(&self, now: Instant) -> Share {
+        let bounds = self.node.borrow().bounds;
+        let routers = self.peers.borrow().alive(now).count() + 1;
+        let sharers = (routers as f64 * SHARER_MARGIN).max(MIN_SHARERS);
+        let half = bounds.extra_retries / sharers / 2.0;
+        let window = bounds.retry_window.as_secs_f64().max(1.0);
+        Share { per_request: bounds.retry_ratio, per_second: half / window, burst: half }
+    }
+
     /// A draw from `0.0..1.0`.
     pub fn draw(&self) -> f64 {
         self.rng.borrow_mut().random_range(0.0..1.0)
--- a/mimosafront/src/gossip.rs
+++ b/mimosafront/src/gossip.rs
@@ -8,7 +8,7 @@
 use mimosaplatform::config;
 use mimosashift::emit;
 use mimosashift::event::Event;
-use mimosashift::peer::{Config, Digest};
+use mimosashift::peer::{Config, Digest, Directory};
 use mimosashift::time::Instant;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
@@ -96,6 +96,10 @@
         leads: front.leads.get(),
         config,
         store_age: front.store_reached.get().map(|at| now.since(at)),
+        directory: front.directory_read.get().map(|read| Directory {
+            fingerprint: front.fleet.borrow().fingerprint(),
+            age: now.since(read),
+        }),
         usage: front.fleet.borrow().digest(),
         observed: front.observed.borrow().iter().map(|(_, observed)| *observed).collect(),
         peers: front.peers.borrow().share(now),
--- a/mimosashift/src/fleet/mod.rs
+++ b/mimosashift/src/fleet/mod.rs
@@ -316,6 +316,16 @@
         member.endpoint = entry;
     }
 
+    /// Stands for the endpoints, their starts and whether they leave.
+    pub fn fingerprint(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        for member in self.members.values() {
+            let Endpoint { id, incarnation, standing, .. } = &member.endpoint;
+            (id, incarnation, *standing == Standing::Ready).hash(&mut hasher);
+        }
+        hasher.finish()
+    }
+
     /// An endpoint by id.
     pub fn get(&self, id: &str) -> Option<&Member> {
         self.members.get(id)
--- a/mimosashift/src/peer/mod.rs
+++ b/mimosashift/src/peer/mod.rs
@@ -14,16 +14,31 @@
 use crate::fleet::{Observed, Usage};
 use crate::time::Instant;
 
-/// Shortest time between two digests to a peer.
+/// Shortest time between two digests to a peer of the own zone.
 const MIN_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Bytes a second that a router spends on digests: under the 16 KB/s that all
-/// control traffic may take.
+/// Longest such time: what peers use would be too old to admit requests by.
+const MAX_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Rounds of digests to the own zone for one to all zones: requests run in
+/// their own zone for the most part.
+const ROUNDS_PER_FAR: u64 = 3;
+
+/// Bytes a second that a router means to spend on digests: under the 16 KB/s
+/// that all control traffic may take.
 const BYTES_PER_S: u64 = 12_000;
 
 /// Silence after which a peer counts as dead: several digests.
 const DEAD_AFTER: Duration = Duration::from_millis(1_500);
 
+/// Time without the store after which a router no longer reads it for others:
+/// more than the time between two readings.
+const READER_STALE: Duration = Duration::from_millis(1_500);
+
+/// Silence after which a router is no longer relied on to read the store: some
+/// digests, and well within the time in which a configuration takes hold.
+const READER_SILENT: Duration = Duration::from_millis(700);
+
 /// Silence after which a peer's address is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
 
@@ -56,6 +71,8 @@
     pub config: Option<Config>,
     /// Time since it last reached the store.
     pub store_age: Option<Duration>,
+    /// What it knows of the directory.
+    pub directory: Option<Directory>,
     /// What it uses of endpoints.
     pub usage: Vec<(u64, Usage)>,
     /// What it has seen change of endpoints lately.
@@ -73,6 +90,15 @@
     pub age: Option<Duration>,
 }
 
+/// What a router knows of the directory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Directory {
+    /// Stands for the endpoints, their starts and whether they leave.
+    pub fingerprint: u64,
+    /// Time since the store showed it.
+    pub age: Duration,
+}
+
 /// A peer as last heard.
 #[derive(Clone, Debug)]
 pub struct Peer {
@@ -99,22 +125,26 @@
 #[derive(Debug)]
 pub struct Peers {
     own: SocketAddr,
+    zone: Arc<str>,
     known: BTreeMap<Arc<str>, Peer>,
     /// Addresses to greet, with the time until which they are worth it.
     addresses: BTreeMap<SocketAddr, Instant>,
     sequence: u64,
+    rounds: u64,
     next: Instant,
     last_bytes: usize,
 }
 
 impl Peers {
     /// Starts with the addresses of the settings.
-    pub fn new(own: SocketAddr, seeds: &[SocketAddr], now: Instant) -> Self {
+    pub fn new(own: SocketAddr, zone: Arc<str>, seeds: &[SocketAddr], now: Instant) -> Self {
         let mut peers = Self {
             own,
+            zone,
             known: BTreeMap::new(),
             addresses: BTreeMap::new(),
             sequence: 0,
+            rounds: 0,
             next: now,
             last_bytes: 0,
         };
@@ -152,15 +182,31 @@
         }
         self.known.retain(|_, peer| now.since(peer.heard) < FORGET_AFTER);
         self.addresses.retain(|_, until| now < *until);
-        let echo = |address: &SocketAddr| {
-            let peer = self.known.values().find(|peer| peer.address == *address)?;
-            Some(peer.digest.stamp)
-        };
-        let due: Vec<_> = self.addresses.keys().map(|a| (*a, echo(a))).collect();
+        let all = self.rounds.is_multiple_of(ROUNDS_PER_FAR);
+        self.rounds += 1;
+        let mut due = Vec::new();
+        for address in self.addresses.keys() {
+            let peer = self.known.values().find(|peer| peer.address == *address);
+            if all || peer.is_some_and(|peer| peer.digest.zone == self.zone) {
+                due.push((*address, peer.map(|peer| peer.digest.stamp)));
+            }
+        }
         self.next = now + interval(due.len(), self.last_bytes);
         due
     }
 
+    /// The router of the own zone that reads the store for `node`, if another
+    /// one does: the first by name that is alive and reaches the store.
+    pub fn reader(&self, node: &str, now: Instant) -> Option<&Peer> {
+        let reads = |peer: &&Peer| {
+            let age = peer.digest.store_age.map(|age| age + now.since(peer.heard));
+            peer.digest.zone == self.zone
+                && now.since(peer.heard) < READER_SILENT
+                && age.is_some_and(|age| age < READER_STALE)
+        };
+        self.alive(now).find(reads).filter(|peer| &*peer.digest.node < node)
+    }
+
     /// The number of the next digest.
     pub fn number(&mut self) -> u64 {
         self.sequence += 1;
@@ -196,7 +242,7 @@
 /// Time between two rounds of digests that keeps within the budget of bytes.
 fn interval(peers: usize, bytes: usize) -> Duration {
     let bytes = (peers * bytes) as u64;
-    Duration::from_micros(bytes * 1_000_000 / BYTES_PER_S).max(MIN_INTERVAL)
+    Duration::from_micros(bytes * 1_000_000 / BYTES_PER_S).clamp(MIN_INTERVAL, MAX_INTERVAL)
 }
 
 impl Peer {
--- a/mimosashift/src/pipeline/retry.rs
+++ b/mimosashift/src/pipeline/retry.rs
@@ -40,6 +40,19 @@
         Self { share, tokens: share.burst, refilled: now }
     }
 
+    /// An empty budget, for a process that may have spent a full one just
+    /// before it started anew.
+    pub const fn empty(share: Share, now: Instant) -> Self {
+        Self { share, tokens: 0.0, refilled: now }
+    }
+
+    /// Changes the share, for example because there are more routers.
+    pub fn set_share(&mut self, share: Share, now: Instant) {
+        self.refill(now);
+        self.share = share;
+        self.tokens = self.tokens.min(share.burst);
+    }
+
     /// Adds the share of one new request.
     pub fn on_request(&mut self, now: Instant) {
         self.refill(now);
