Order observations by time; doubt cut zones; move requests around refusals

Change: an observation counts if it is newer than the last; a zone is left out for a second when a quarter of it fails and nothing passes; a move is tried up to four times; the extra retries may be saved up whole.

--- a/mimosafront/src/front.rs
+++ b/mimosafront/src/front.rs
@@ -37,12 +37,9 @@
 /// Time for a call to the store: many times its usual answer.
 const STORE_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// Routers among which the extra retries are divided at least, as many as a
-/// small deployment may grow to while a window lasts.
-const MIN_SHARERS: f64 = 6.0;
-
-/// Factor on the routers that are known, for those that join meanwhile.
-const SHARER_MARGIN: f64 = 1.25;
+/// Routers among which the extra retries are divided at least, before a router
+/// has heard of the others.
+const MIN_SHARERS: f64 = 4.0;
 
 /// State that the tasks of a router share.
 pub struct Front {
@@ -91,6 +88,9 @@
     /// Metrics.
     pub meter: Meter,
     budgets: RefCell<HashMap<Arc<str>, Budget>>,
+    /// Most routers that were alive at the same time: what one that died has
+    /// spent still counts.
+    most_routers: Cell<usize>,
     rng: RefCell<Pcg64Mcg>,
 }
 
@@ -139,6 +139,7 @@
             log,
             meter,
             budgets: RefCell::default(),
+            most_routers: Cell::new(1),
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(incarnation)),
         })
     }
@@ -228,15 +229,15 @@
         use_it(budget)
     }
 
-    /// This router's share of the retries: half of the extra ones can be saved
-    /// up, and half come back over a window, so that no window sees more.
+    /// This router's share of the retries. The extra ones are what it may save
+    /// up; they come from the ratio alone, so that no window sees more.
     fn retry_share(&self, now: Instant) -> Share {
         let bounds = self.node.borrow().bounds;
         let routers = self.peers.borrow().alive(now).count() + 1;
-        let sharers = (routers as f64 * SHARER_MARGIN).max(MIN_SHARERS);
-        let half = bounds.extra_retries / sharers / 2.0;
-        let window = bounds.retry_window.as_secs_f64().max(1.0);
-        Share { per_request: bounds.retry_ratio, per_second: half / window, burst: half }
+        self.most_routers.set(self.most_routers.get().max(routers));
+        let sharers = (self.most_routers.get() as f64).max(MIN_SHARERS);
+        let burst = bounds.extra_retries / sharers;
+        Share { per_request: bounds.retry_ratio, per_second: 0.0, burst }
     }
 
     /// A draw from `0.0..1.0`.
@@ -246,7 +247,7 @@
 
     /// Takes in an endpoint's report and keeps what it changed for peers.
     pub fn take_report(&self, id: &str, report: &Report) {
-        let seen = self.fleet.borrow_mut().report(id, report);
+        let seen = self.fleet.borrow_mut().report(id, report, clock::now());
         let Some(seen) = seen else { return };
         let mut observed = self.observed.borrow_mut();
         observed.retain(|(_, earlier)| earlier.endpoint != seen.endpoint);
--- a/mimosafront/src/gossip.rs
+++ b/mimosafront/src/gossip.rs
@@ -8,6 +8,7 @@
 use mimosaplatform::config;
 use mimosashift::emit;
 use mimosashift::event::Event;
+use mimosashift::fleet::Observed;
 use mimosashift::peer::{Config, Digest, Directory};
 use mimosashift::time::Instant;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -101,7 +102,12 @@
             age: now.since(read),
         }),
         usage: front.fleet.borrow().digest(),
-        observed: front.observed.borrow().iter().map(|(_, observed)| *observed).collect(),
+        observed: front
+            .observed
+            .borrow()
+            .iter()
+            .map(|(at, observed)| Observed { age: now.since(*at), ..*observed })
+            .collect(),
         peers: front.peers.borrow().share(now),
     }
 }
@@ -124,7 +130,7 @@
     front.fleet.borrow_mut().merge(&digest.node, &digest.usage, now);
     front.released.notify_one();
     for seen in &digest.observed {
-        let changed = front.fleet.borrow_mut().relay(seen);
+        let changed = front.fleet.borrow_mut().relay(seen, now);
         if let Some(id) = changed {
             front.log_observed(&id, seen, &digest.node);
         }
--- a/mimosafront/src/relay/model.rs
+++ b/mimosafront/src/relay/model.rs
@@ -49,6 +49,10 @@
 /// Time for an order that moves a request.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Chains that are tried for a request that is moved; each refusal names an
+/// endpoint to leave out.
+const MAX_REROUTES: usize = 4;
+
 /// Sends that certainly did not run, beyond the route's attempts.
 const MAX_REJECTED: u32 = 2;
 
@@ -420,11 +424,35 @@
         fleet.chain(name, &self.engine, &self.demand_now(), Some(first), &avoid, now)
     }
 
+    /// Moves the request to another chain with the same first part, without
+    /// what it avoids and `without`.
     async fn reroute(&mut self, first: &Hop, without: &[Hop]) -> Look {
-        let Ok(chain) = self.chain_from(first, without) else {
-            return Look::Lost("no chain from the first endpoint");
-        };
-        let order = Order::Reroute { id: &self.job.id, chain: &chain };
+        for _ in 0..MAX_REROUTES {
+            let Ok(chain) = self.chain_from(first, without) else {
+                return Look::Lost("no chain from the first endpoint");
+            };
+            match self.order_reroute(first, &chain).await {
+                Ordered::Taken => {
+                    self.front().meter.recoveries(1, Recovery::Rebuilt);
+                    let mut claim = self.claim.take().expect("a started request has a chain");
+                    self.front().fleet.borrow_mut().reroute(&mut claim, chain);
+                    self.claim = Some(claim);
+                    return Look::Moved;
+                }
+                // The part named has no room or is not there: try without it.
+                Ordered::Refused { at_fault: Some(address), .. } => {
+                    let named = chain.iter().skip(1).find(|hop| hop.address == address);
+                    let Some(hop) = named else { break };
+                    self.avoid.push(hop.clone());
+                }
+                Ordered::Refused { at_fault: None, .. } | Ordered::Unknown => break,
+            }
+        }
+        Look::Lost("the request could not be moved")
+    }
+
+    async fn order_reroute(&self, first: &Hop, chain: &Chain) -> Ordered {
+        let order = Order::Reroute { id: &self.job.id, chain };
         let call = wire::order_call(first.address, &first.id, &order);
         let ordering = async {
             let mut exchange = self.front().pool.send(first.address, call, false).await.ok()?;
@@ -432,17 +460,11 @@
             Some(wire::ordered(exchange.head.status(), &body))
         };
         let ordered = timeout(ORDER_TIMEOUT, ordering).await.ok().flatten();
+        let ordered = ordered.unwrap_or(Ordered::Unknown);
         let to: Vec<_> = chain.iter().map(|hop| format!("{}:{}", hop.id, hop.layers)).collect();
-        let said = format!("{:?}", ordered.as_ref().unwrap_or(&Ordered::Unknown));
+        let said = format!("{ordered:?}");
         emit!(self.front().log, Event::RequestMoved, "request" => &*self.job.id, "to" => to.join(","), "said" => said, "after_event" => self.events.last());
-        if ordered != Some(Ordered::Taken) {
-            return Look::Lost("the request could not be moved");
-        }
-        self.front().meter.recoveries(1, Recovery::Rebuilt);
-        let mut claim = self.claim.take().expect("a request that is moved has a chain");
-        self.front().fleet.borrow_mut().reroute(&mut claim, chain);
-        self.claim = Some(claim);
-        Look::Moved
+        ordered
     }
 
     /// What the request needs from here on.
--- a/mimosashift/src/fleet/mod.rs
+++ b/mimosashift/src/fleet/mod.rs
@@ -44,6 +44,15 @@
 /// Tokens by which a claim grows at least, so that not every event counts.
 const GROWTH_TOKENS: f32 = 64.0;
 
+/// Endpoints of a zone that fail at the same time before the zone is doubted.
+const MIN_DOUBTED: usize = 3;
+
+/// One of this many endpoints of a zone must fail before the zone is doubted.
+const DOUBTED_DIVISOR: usize = 4;
+
+/// Time for which a zone is left out.
+const ZONE_DOUBT: Duration = Duration::from_secs(1);
+
 /// Weight of the latest answer in an endpoint's share of failures.
 const FAILURE_GAIN: f64 = 0.2;
 
@@ -91,6 +100,8 @@
     /// Heartbeat of the entry that a report overrides: an entry that is as old
     /// still shows the layers from before it.
     reported_at: Option<u64>,
+    /// When it was last observed, by this router or a peer.
+    observed: Instant,
     /// Last time that work that passes through it made progress.
     progress: Instant,
     /// It is left out until then.
@@ -129,6 +140,8 @@
     pub layers: Option<Layers>,
     /// How many times slower than its card it is.
     pub pace: f32,
+    /// How long ago that was.
+    pub age: Duration,
 }
 
 /// A request's use of its chain, to be released once.
@@ -185,6 +198,7 @@
             peers: Usage::default(),
             pace: 1.0,
             reported_at: None,
+            observed: Instant::ZERO,
             progress: now,
             doubted_until: Instant::ZERO,
             strikes: 0,
@@ -195,10 +209,12 @@
 
     /// Takes in what a report said, newer than its entry; returns whether that
     /// changed anything.
-    fn see(&mut self, seen: &Observed) -> bool {
-        if self.endpoint.incarnation != seen.incarnation {
+    fn see(&mut self, seen: &Observed, now: Instant) -> bool {
+        let at = now - seen.age;
+        if self.endpoint.incarnation != seen.incarnation || at <= self.observed {
             return false;
         }
+        self.observed = at;
         let pace = f64::from(seen.pace);
         let changed = self.endpoint.layers != seen.layers || (self.pace - pace).abs() > PACE_STEP;
         self.endpoint.layers = seen.layers;
@@ -419,6 +435,26 @@
         member.strikes += 1;
         member.failures += FAILURE_GAIN * (1.0 - member.failures);
         member.doubted_until = now + doubt;
+        let (service, zone) = (member.endpoint.service.clone(), member.endpoint.zone.clone());
+        self.doubt_zone(&service, &zone, now);
+    }
+
+    /// Leaves out a service's endpoints in a zone through which nothing passes
+    /// while many of them fail: it is likely to be cut off, and to find that
+    /// out for each one would cost a request each.
+    fn doubt_zone(&mut self, service: &str, zone: &str, now: Instant) {
+        let mut of: SmallVec<[&mut Member; 32]> = self
+            .members
+            .values_mut()
+            .filter(|m| &*m.endpoint.service == service && &*m.endpoint.zone == zone)
+            .collect();
+        let doubted = of.iter().filter(|m| now < m.doubted_until).count();
+        let passing = of.iter().any(|m| now < m.progress + QUIET);
+        if doubted >= MIN_DOUBTED && doubted * DOUBTED_DIVISOR >= of.len() && !passing {
+            for member in &mut of {
+                member.doubted_until = member.doubted_until.max(now + ZONE_DOUBT);
+            }
+        }
     }
 
     /// Notes how an endpoint answered.
@@ -432,21 +468,22 @@
     }
 
     /// Takes in an endpoint's report; returns what changed for peers to know.
-    pub fn report(&mut self, id: &str, report: &Report) -> Option<Observed> {
+    pub fn report(&mut self, id: &str, report: &Report, now: Instant) -> Option<Observed> {
         let seen = Observed {
+            age: Duration::ZERO,
             endpoint: key(id),
             incarnation: report.incarnation,
             layers: report.layers,
             pace: report.pace.max(1.0) as f32,
         };
-        self.members.get_mut(id)?.see(&seen).then_some(seen)
+        self.members.get_mut(id)?.see(&seen, now).then_some(seen)
     }
 
     /// Takes in what a peer saw of an endpoint; returns its id if that changed
     /// anything.
-    pub fn relay(&mut self, seen: &Observed) -> Option<Arc<str>> {
+    pub fn relay(&mut self, seen: &Observed, now: Instant) -> Option<Arc<str>> {
         let member = self.members.values_mut().find(|m| key(&m.endpoint.id) == seen.endpoint)?;
-        member.see(seen).then(|| member.endpoint.id.clone())
+        member.see(seen, now).then(|| member.endpoint.id.clone())
     }
 
     /// What this router uses, for digests; only what is in use.
--- a/mimosashift/tests/fleet.rs
+++ b/mimosashift/tests/fleet.rs
@@ -1,5 +1,7 @@
 //! Beliefs about endpoints, chains and plain endpoints.
 
+use std::time::Duration;
+
 use mimosashift::deployment::{Endpoint, Standing};
 use mimosashift::exchange::Report;
 use mimosashift::fleet::{Chain, Demand, Fleet, Observed, Shortage, Usage, key};
@@ -188,7 +190,7 @@
 fn entry_older_than_a_report_does_not_bring_back_its_layers() {
     let mut fleet = fleet(two_zones());
     let report = Report { incarnation: 1, layers: Some(layers(0, 50)), ..Report::default() };
-    fleet.report("e1", &report);
+    fleet.report("e1", &report, at(5));
     fleet.observe(two_zones(), Instant::ZERO, at(10));
     assert_eq!(fleet.get("e1").unwrap().endpoint.layers, Some(layers(0, 50)));
     let mut later = two_zones();
@@ -251,19 +253,49 @@
     let mut fleet = fleet(two_zones());
     let slow =
         |layers| Report { incarnation: 1, layers: Some(layers), pace: 12.0, ..Report::default() };
-    assert!(fleet.report("e1", &slow(layers(0, 40))).is_some());
-    assert!(fleet.report("e1", &slow(layers(0, 40))).is_none(), "nothing changed");
+    assert!(fleet.report("e1", &slow(layers(0, 40)), at(1)).is_some());
+    assert!(fleet.report("e1", &slow(layers(0, 40)), at(2)).is_none(), "nothing changed");
     assert_eq!(ids(&choose(&fleet, &USUAL).unwrap())[0], "e3");
-    fleet.report("e3", &slow(layers(0, 40)));
+    fleet.report("e3", &slow(layers(0, 40)), at(3));
     assert!(choose(&fleet, &USUAL).is_ok());
 }
 
+const SEEN: Observed =
+    Observed { endpoint: 0, incarnation: 1, layers: None, pace: 1.0, age: Duration::ZERO };
+
 #[test]
 fn what_a_peer_saw_counts_for_the_same_start_only() {
     let mut fleet = fleet(two_zones());
-    let mut seen = Observed { endpoint: key("e1"), incarnation: 2, layers: None, pace: 1.0 };
-    assert_eq!(fleet.relay(&seen), None);
+    let mut seen = Observed { endpoint: key("e1"), incarnation: 2, ..SEEN };
+    assert_eq!(fleet.relay(&seen, at(1)), None);
     seen.incarnation = 1;
-    assert_eq!(fleet.relay(&seen).as_deref(), Some("e1"));
+    assert_eq!(fleet.relay(&seen, at(1)).as_deref(), Some("e1"));
     assert_eq!(fleet.get("e1").unwrap().endpoint.layers, None);
 }
+
+#[test]
+fn what_a_peer_saw_earlier_does_not_undo_a_report() {
+    let mut fleet = fleet(two_zones());
+    let report = Report { incarnation: 1, layers: Some(layers(0, 50)), ..Report::default() };
+    fleet.report("e1", &report, at(1_000));
+    let age = Duration::from_millis(100);
+    let seen = Observed { endpoint: key("e1"), age, ..SEEN };
+    assert_eq!(fleet.relay(&seen, at(1_050)), None, "seen at 950");
+    assert_eq!(fleet.get("e1").unwrap().endpoint.layers, Some(layers(0, 50)));
+    assert!(fleet.relay(&seen, at(1_150)).is_some(), "seen at 1,050");
+}
+
+#[test]
+fn zone_is_left_out_when_many_of_its_endpoints_fail_and_nothing_passes() {
+    let zone = |n, zone| endpoint(n, zone, "large", Some(layers(0, 10)));
+    let entries: Vec<_> =
+        (1..=12).map(|n| zone(n, "a")).chain((13..=24).map(|n| zone(n, "b"))).collect();
+    let mut fleet = fleet(entries);
+    let usable = |fleet: &Fleet| fleet.usable(MODEL, at(1_001));
+    for id in ["e1", "e2"] {
+        fleet.fail(id, at(1_000));
+    }
+    assert_eq!(usable(&fleet), 22);
+    fleet.fail("e3", at(1_000));
+    assert_eq!(usable(&fleet), 12, "a quarter of the zone failed");
+}
