--- a/mimosashift/src/layout/mod.rs
+++ b/mimosashift/src/layout/mod.rs
@@ -136,7 +136,8 @@
             while self.has_gap() && self.repair(tokens) {}
             tokens -= TOKEN_STEP;
         }
-        if self.moves.is_empty() && !self.has_gap() && !self.places.iter().any(|p| p.busy) {
+        let busy = self.places.iter().any(|place| place.busy);
+        if self.moves.is_empty() && !busy && !self.has_gap() {
             self.improve();
         }
         self.moves
