Run the whole path and a randomized soak against stand-ins

Found by them, each by a test that failed first: an endpoint's own 5xx that was passed on did not count against it, so that the register next door failed every posting; a router that peers kept current answered 503 to unknown keys for ever instead of 401.

--- a/mimosafront/src/relay/mod.rs
+++ b/mimosafront/src/relay/mod.rs
@@ -38,6 +38,10 @@
 /// without another look.
 const DENY_AGE: Duration = Duration::from_millis(250);
 
+/// Age up to which it may be called unknown if another look brings nothing:
+/// within the two seconds in which a configuration must take hold.
+const MAX_DENY_AGE: Duration = Duration::from_millis(1_500);
+
 /// A request that may be sent to an endpoint.
 pub struct Job {
     front: Rc<Front>,
@@ -250,13 +254,11 @@
     let found = if fresh {
         found
     } else {
-        let began = clock::now();
         front.refresh.notify_one();
         // Without an answer in time, what is known decides.
         drop(tokio::time::timeout(CONFIRM_WAIT, front.confirmed.notified()).await);
-        if front.currency.get().age(clock::now()) > Some(clock::now().since(began) + DENY_AGE)
-            || front.deployment.borrow().is_none()
-        {
+        let age = front.currency.get().age(clock::now());
+        if age.is_none_or(|age| age > MAX_DENY_AGE) || front.deployment.borrow().is_none() {
             return unready("configuration not confirmed");
         }
         look_up(front, host, path, key)
--- a/mimosafront/src/relay/plain.rs
+++ b/mimosafront/src/relay/plain.rs
@@ -142,7 +142,8 @@
             return Sent::Lost("no answer in time");
         }
     };
-    let well = matches!(outcome, Sent::Answered(_, true));
+    // An endpoint's own failure counts against it, also where it is passed on.
+    let well = matches!(&outcome, Sent::Answered(r, _) if !r.status().is_server_error());
     front.fleet.borrow_mut().answered(&hop.id, well);
     if let Sent::Answered(response, true) = &outcome {
         let status = response.status();
--- /dev/null
+++ b/mimosafront/tests/world/plain.rs
@@ -0,0 +1,88 @@
+//! A plain service: a register of postings.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use http_body_util::BodyExt;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, body::Incoming};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+
+use super::endpoints::{Endpoints, Health, Member};
+use super::engine::{reply, text};
+
+/// Time that a request takes.
+const WORK: Duration = Duration::from_millis(10);
+
+#[derive(Clone)]
+pub struct Plain {
+    pub endpoints: Arc<Endpoints>,
+    pub member: Arc<Member>,
+}
+
+pub async fn serve(plain: Plain, listener: TcpListener) {
+    loop {
+        let (stream, _) = listener.accept().await.unwrap();
+        let plain = plain.clone();
+        let service = service_fn(move |request| {
+            let plain = plain.clone();
+            async move { plain.answer(request).await }
+        });
+        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        tokio::spawn(async move { drop(connection.await) });
+    }
+}
+
+/// The connection is closed without an answer.
+#[derive(Debug)]
+struct Lost;
+
+impl std::fmt::Display for Lost {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("answer lost")
+    }
+}
+
+impl std::error::Error for Lost {}
+
+impl Plain {
+    async fn answer(
+        &self,
+        request: Request<Incoming>,
+    ) -> Result<
+        hyper::Response<http_body_util::combinators::BoxBody<hyper::body::Bytes, std::io::Error>>,
+        Lost,
+    > {
+        let health = self.member.state().health;
+        if health == Health::Dark {
+            std::future::pending::<()>().await;
+        }
+        let (head, body) = request.into_parts();
+        let body = body.collect().await.map(|body| body.to_bytes()).unwrap_or_default();
+        let id = text(&head.headers, "request-id").unwrap_or_default().to_owned();
+        if text(&head.headers, "target-instance") != Some(&self.member.id) {
+            return Ok(reply(421, &[("not-executed", "1")], "{}"));
+        }
+        self.endpoints.note(&id, |seen| {
+            seen.runs += 1;
+            seen.last = Some(Instant::now());
+            seen.team = text(&head.headers, "tenant").map(str::to_owned);
+            seen.key_leaked |= head.headers.contains_key("authorization");
+            seen.call = format!("{} {} {}", head.method, head.uri, String::from_utf8_lossy(&body));
+        });
+        tokio::time::sleep(WORK).await;
+        match health {
+            Health::LosesAnswers => Err(Lost),
+            Health::Failing => {
+                Ok(reply(500, &[("request-id", &id), ("response-signature", "s")], "failed"))
+            }
+            Health::Well | Health::Dark => {
+                let signature = format!("sig-{id}");
+                let headers = [("request-id", &*id), ("response-signature", &*signature)];
+                Ok(reply(200, &headers, &format!("answer to {id}")))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/mimosafront/tests/world/router.rs
@@ -0,0 +1,171 @@
+//! A router as a process.
+
+use std::fs::File;
+use std::io::Read;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::OnceLock;
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+
+use super::HEARTBEAT;
+use super::PATIENCE;
+use super::client::Ask;
+
+/// Time from SIGTERM until the platform would kill.
+pub const GRACE: Duration = Duration::from_secs(6);
+
+/// Time for which a key that was taken away may still be used.
+pub const REVOCATION: Duration = Duration::from_secs(3);
+
+pub struct Router {
+    pub name: String,
+    pub clients: SocketAddr,
+    ready: SocketAddr,
+    metrics: SocketAddr,
+    folder: PathBuf,
+    child: Option<Child>,
+    starts: usize,
+}
+
+/// Ports are the same on all machines; these are free on this one.
+fn ports() -> [u16; 5] {
+    static PORTS: OnceLock<[u16; 5]> = OnceLock::new();
+    *PORTS.get_or_init(|| {
+        let any = || TcpListener::bind((Ipv4Addr::UNSPECIFIED, 0)).unwrap();
+        let listeners = [any(), any(), any(), any(), any()];
+        listeners.map(|listener| listener.local_addr().unwrap().port())
+    })
+}
+
+impl Router {
+    pub fn start(
+        number: usize,
+        zone: &str,
+        address: Ipv4Addr,
+        seeds: &[Ipv4Addr],
+        store: SocketAddr,
+    ) -> Self {
+        let [clients, ready, peers, control, metrics] = ports();
+        let folder =
+            std::env::temp_dir().join(format!("mimosafront-{}-{}", std::process::id(), address));
+        std::fs::create_dir_all(&folder).unwrap();
+        let seeds: Vec<_> = seeds.iter().map(|seed| format!("{seed}:{control}")).collect();
+        let settings = format!(
+            "node=front-{zone}-{number}\nzone={zone}\nregion=r\n\
+             listen_addresses.front={address}:{clients}\n\
+             listen_addresses.ready={address}:{ready}\n\
+             listen_addresses.control={address}:{control}\n\
+             internal_ports={peers},{peers}\nseeds={}\nfirst_start=true\n\
+             heartbeat_interval_ms={}\nplatform.address={store}\n\
+             platform.writes_per_s=400\nplatform.reads_per_s=2000\n\
+             bounds.grace_s={}\nbounds.strict_revocation=true\nbounds.revocation_ms={}\n\
+             bounds.retry_budget_ratio=0.2\nbounds.budget_window_s=10\n\
+             bounds.budget_extra_retries=200\nbounds.drain_ms=1000\nbounds.stall_ms=2500\n\
+             bounds.fencing_required=false\n",
+            seeds.join(","),
+            HEARTBEAT.as_millis(),
+            GRACE.as_secs(),
+            REVOCATION.as_millis(),
+        );
+        std::fs::write(folder.join("settings.conf"), settings).unwrap();
+        let mut router = Self {
+            name: format!("front-{zone}-{number}"),
+            clients: (address, clients).into(),
+            ready: (address, ready).into(),
+            metrics: (address, metrics).into(),
+            folder,
+            child: None,
+            starts: 0,
+        };
+        router.restart();
+        router
+    }
+
+    /// Starts the process again; its log goes on in another file.
+    pub fn restart(&mut self) {
+        self.starts += 1;
+        let log = File::create(self.log_path()).unwrap();
+        self.child = Some(self.command().stdout(log).spawn().unwrap());
+    }
+
+    /// Starts the process again with a log that nobody reads.
+    pub fn restart_unread(&mut self) {
+        self.stop(Signal::SIGKILL);
+        self.child = Some(self.command().stdout(Stdio::piped()).spawn().unwrap());
+    }
+
+    fn command(&self) -> Command {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_mimosafront"));
+        command
+            .arg("--metrics")
+            .arg(self.metrics.to_string())
+            .env("MIMOSASHIFT_SETTINGS", self.folder.join("settings.conf"))
+            .stderr(File::create(self.folder.join(format!("err-{}", self.starts))).unwrap());
+        command
+    }
+
+    fn log_path(&self) -> PathBuf {
+        self.folder.join(format!("log-{}", self.starts))
+    }
+
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
+    /// What it has logged since its last start.
+    pub fn log(&self) -> String {
+        let mut text = String::new();
+        File::open(self.log_path()).unwrap().read_to_string(&mut text).unwrap();
+        text
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        if let Some(child) = &self.child {
+            kill(Pid::from_raw(child.id() as i32), signal).unwrap();
+        }
+    }
+
+    /// Signals the process and waits for its end.
+    pub fn stop(&mut self, signal: Signal) -> Option<i32> {
+        self.signal(signal);
+        let mut child = self.child.take()?;
+        let end = Instant::now() + PATIENCE;
+        loop {
+            if let Some(status) = child.try_wait().unwrap() {
+                return status.code();
+            }
+            assert!(Instant::now() < end, "{} does not end", self.name);
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    pub fn is_running(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|child| child.try_wait().unwrap().is_none())
+    }
+
+    pub async fn is_ready(&self) -> bool {
+        let ask = Ask::new(hyper::Method::GET, "/api/readiness");
+        ask.send(self.ready).await.is_some_and(|told| told.status == 200)
+    }
+
+    pub async fn metrics(&self) -> String {
+        let ask = Ask::new(hyper::Method::GET, "/metrics");
+        ask.send(self.metrics).await.map(|told| told.body).unwrap_or_default()
+    }
+}
+
+impl Drop for Router {
+    fn drop(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            drop(child.kill());
+            drop(child.wait());
+        }
+        if !std::thread::panicking() {
+            drop(std::fs::remove_dir_all(&self.folder));
+        }
+    }
+}
--- /dev/null
+++ b/mimosafront/tests/world/store.rs
@@ -0,0 +1,185 @@
+//! The platform's store, as its protocol describes it.
+
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Bytes, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+
+/// How the store treats its callers.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Mode {
+    Up,
+    /// Answers 503 to all.
+    Busy,
+    /// Carries writes out and does not answer them.
+    LosesAnswers,
+    /// Answers after this time.
+    Slow(Duration),
+    /// Has no history: 410 to every request for changes.
+    Forgetful,
+}
+
+#[derive(Default)]
+struct Rows {
+    version: u64,
+    rows: BTreeMap<(String, String), (u64, Vec<u8>)>,
+    deleted: BTreeMap<(String, String), u64>,
+}
+
+pub struct Store {
+    rows: Mutex<Rows>,
+    mode: Mutex<Mode>,
+    address: SocketAddr,
+}
+
+impl Store {
+    pub async fn start(address: Ipv4Addr) -> Arc<Self> {
+        let listener = TcpListener::bind((address, 0)).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let store = Arc::new(Self { rows: Mutex::default(), mode: Mutex::new(Mode::Up), address });
+        let serving = store.clone();
+        tokio::spawn(async move {
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                let store = serving.clone();
+                let service = service_fn(move |request| store.clone().answer(request));
+                let connection =
+                    http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+                tokio::spawn(async move { drop(connection.await) });
+            }
+        });
+        store
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    pub fn set(&self, mode: Mode) {
+        *self.mode.lock().unwrap() = mode;
+    }
+
+    pub fn put(&self, table: &str, key: &str, value: &Value) {
+        let mut rows = self.rows.lock().unwrap();
+        rows.version += 1;
+        let version = rows.version;
+        let key = (table.to_owned(), key.to_owned());
+        rows.deleted.remove(&key);
+        rows.rows.insert(key, (version, value.to_string().into_bytes()));
+    }
+
+    pub fn remove(&self, table: &str, key: &str) {
+        let mut rows = self.rows.lock().unwrap();
+        rows.version += 1;
+        let version = rows.version;
+        let key = (table.to_owned(), key.to_owned());
+        if rows.rows.remove(&key).is_some() {
+            rows.deleted.insert(key, version);
+        }
+    }
+
+    pub fn get(&self, table: &str, key: &str) -> Option<String> {
+        let rows = self.rows.lock().unwrap();
+        let (_, value) = rows.rows.get(&(table.to_owned(), key.to_owned()))?;
+        Some(String::from_utf8(value.clone()).unwrap())
+    }
+
+    async fn answer(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Result<Response<Full<Bytes>>, Infallible> {
+        let mode = *self.mode.lock().unwrap();
+        if mode == Mode::Busy {
+            return Ok(reply(503, &json!({})));
+        }
+        if let Mode::Slow(time) = mode {
+            tokio::time::sleep(time).await;
+        }
+        let (head, body) = request.into_parts();
+        let body = body.collect().await.map(|body| body.to_bytes()).unwrap_or_default();
+        let query = |name: &str| {
+            let pairs = head.uri.query().unwrap_or_default().split('&');
+            let pair = pairs.filter_map(|pair| pair.split_once('='));
+            let mut found = pair.filter(|(key, _)| *key == name);
+            found.next().map(|(_, value)| value.to_owned()).unwrap_or_default()
+        };
+        let (status, body) = match head.uri.path() {
+            "/api/rows-get" => self.rows(&query("table"), None),
+            "/api/rows-feed" if mode == Mode::Forgetful => (410, json!({})),
+            "/api/rows-feed" => self.rows(&query("table"), query("after").parse().ok()),
+            "/api/rows-tx" => self.transact(&body),
+            _ => (404, json!({})),
+        };
+        if mode == Mode::LosesAnswers && head.uri.path() == "/api/rows-tx" {
+            std::future::pending::<()>().await;
+        }
+        Ok(reply(status, &body))
+    }
+
+    fn rows(&self, table: &str, after: Option<u64>) -> (u16, Value) {
+        let rows = self.rows.lock().unwrap();
+        let of = |(key, (version, value)): (&(String, String), &(u64, Vec<u8>))| {
+            json!({"table": key.0, "part": "", "key": key.1, "record_version": version,
+                "value": STANDARD.encode(value)})
+        };
+        let newer = |version: u64| after.is_none_or(|after| version > after);
+        let held = rows.rows.iter().filter(|((t, _), (v, _))| t == table && newer(*v)).map(of);
+        let gone =
+            rows.deleted.iter().filter(|((t, _), v)| after.is_some() && t == table && newer(**v));
+        let gone = gone.map(|((table, key), version)| {
+            json!({"table": table, "part": "", "key": key, "record_version": version,
+                "deleted": true})
+        });
+        let all: Vec<_> = held.chain(gone).collect();
+        (
+            200,
+            json!({"rows": all, "truncated": false, "record_version": rows.version,
+            "now_ms": 1}),
+        )
+    }
+
+    fn transact(&self, body: &[u8]) -> (u16, Value) {
+        let Ok(call) = serde_json::from_slice::<Value>(body) else { return (400, json!({})) };
+        let mut rows = self.rows.lock().unwrap();
+        let name = |row: &Value| {
+            (row["table"].as_str().unwrap().to_owned(), row["key"].as_str().unwrap().to_owned())
+        };
+        for row in call["expected"].as_array().unwrap() {
+            let found = rows.rows.get(&name(row));
+            if found.map_or(0, |(version, _)| *version) != row["record_version"].as_u64().unwrap() {
+                let (table, key) = name(row);
+                let (version, value) = found.cloned().unwrap_or_default();
+                return (
+                    412,
+                    json!({"rows": [{"table": table, "part": "", "key": key,
+                    "record_version": version, "value": STANDARD.encode(value)}]}),
+                );
+            }
+        }
+        rows.version += 1;
+        let version = rows.version;
+        for row in call["writes"].as_array().unwrap() {
+            let value = STANDARD.decode(row["value"].as_str().unwrap()).unwrap();
+            rows.rows.insert(name(row), (version, value));
+        }
+        (200, json!({"record_version": version, "now_ms": 1}))
+    }
+}
+
+fn reply(status: u16, body: &Value) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(body.to_string())));
+    *response.status_mut() = StatusCode::from_u16(status).unwrap();
+    response
+}
