Keep chains in their zone unless it costs a great deal

Cause: chains took a cheaper range from another zone for little gain; slow pipes and cut zones then held up streams that need not cross.

--- a/mimosashift/src/fleet/chain.rs
+++ b/mimosashift/src/fleet/chain.rs
@@ -19,8 +19,9 @@
 const MAX_HOPS: usize = 32;
 
 /// Weight of a transfer between zones against time at an endpoint: all chains
-/// share the pipe, which binds before the endpoints do.
-const PIPE_WEIGHT: f64 = 10.0;
+/// share the pipe, which binds before the endpoints do, and a chain of two
+/// zones ends when either is cut off.
+const PIPE_WEIGHT: f64 = 150.0;
 
 /// Fill of the cache from which an endpoint costs no more than this.
 const MAX_COUNTED_FILL: f64 = 0.95;
