--- a/mimosafront/src/front.rs
+++ b/mimosafront/src/front.rs
@@ -41,6 +41,10 @@
 /// has heard of the others.
 const MIN_SHARERS: f64 = 4.0;
 
+/// Share of its extra retries that a router may save up: with the half full
+/// budget of a new start within the same window it makes one.
+const SAVED_SHARE: f64 = 2.0 / 3.0;
+
 /// State that the tasks of a router share.
 pub struct Front {
     /// Settings in force.
@@ -224,19 +228,20 @@
         let now = clock::now();
         let share = self.retry_share(now);
         let mut budgets = self.budgets.borrow_mut();
-        let budget = budgets.entry(service.clone()).or_insert_with(|| Budget::empty(share, now));
+        let budget =
+            budgets.entry(service.clone()).or_insert_with(|| Budget::half_full(share, now));
         budget.set_share(share, now);
         use_it(budget)
     }
 
-    /// This router's share of the retries. The extra ones are what it may save
-    /// up; they come from the ratio alone, so that no window sees more.
+    /// This router's share of the retries. Two thirds of its extra ones are what
+    /// it may save up, and the last third what a new start brings.
     fn retry_share(&self, now: Instant) -> Share {
         let bounds = self.node.borrow().bounds;
         let routers = self.peers.borrow().alive(now).count() + 1;
         self.most_routers.set(self.most_routers.get().max(routers));
         let sharers = (self.most_routers.get() as f64).max(MIN_SHARERS);
-        let burst = bounds.extra_retries / sharers;
+        let burst = bounds.extra_retries / sharers * SAVED_SHARE;
         Share { per_request: bounds.retry_ratio, per_second: 0.0, burst }
     }
 
--- a/mimosashift/src/event/table.rs
+++ b/mimosashift/src/event/table.rs
@@ -45,6 +45,14 @@
     NodeStopped "MS0104" Info "node stopped", "The router stopped; `cut_off` counts requests that it could not finish.";
     NodeCutOff "MS0105" Error "requests cut off at shutdown", "The drain time ended before all requests were answered.";
     NodeFault "MS0106" Critical "broken invariant", "A worker stopped on a state that the code rules out.";
+    FrontStarted "MS0111" Info "router started", "The event loop started and is fetching its configuration.";
+    FrontReady "MS0112" Info "router ready", "The router reports ready: it has a configuration in which keys may be used.";
+    FrontNotReady "MS0113" Warning "router not ready", "The router reports not ready, for the given reason.";
+    FrontStopping "MS0114" Info "router stopping", "SIGTERM arrived; requests in flight are finished.";
+    FrontStopped "MS0115" Info "router stopped", "The router ended; `cut_off` counts requests that it could not finish.";
+    SettingsReloaded "MS0116" Info "settings reloaded", "The settings file changed and the new settings are in force.";
+    SettingsInvalid "MS0117" Error "settings invalid", "The settings file changed and cannot be used; the earlier settings stay in force.";
+    MetricsUnavailable "MS0118" Error "metrics unavailable", "The address of the metrics cannot be listened on.";
 
     HttpListening "MS0201" Info "listening", "A caller or operator address is open.";
     HttpMalformed "MS0202" Debug "malformed request", "A request did not follow HTTP or the API and was refused.";
@@ -76,6 +84,12 @@
     EndpointRecovered "MS0504" Info "endpoint recovered", "A returned endpoint gets its full share of work.";
     EndpointSilent "MS0505" Warning "silent connections retired", "A connection went silent, and all of its age to that endpoint were closed.";
     EndpointEjectionCapped "MS0506" Error "ejection cap reached", "An endpoint stays in use because too many others are ejected.";
+    EndpointJoined "MS0511" Info "endpoint joined", "An endpoint registered or started anew.";
+    EndpointGone "MS0512" Warning "endpoint gone", "An endpoint's entry is gone.";
+    EndpointUnreadable "MS0513" Warning "endpoint entry unreadable", "An entry in the directory cannot be decoded and names no endpoint to use.";
+    EndpointPlaced "MS0514" Info "endpoint holds other layers", "The layers that an endpoint holds changed.";
+    EndpointDoubted "MS0515" Warning "endpoint doubted", "An endpoint failed and is left out for a while.";
+    ReportMissing "MS0516" Info "report missing", "An engine gave no report when it was asked for its pace.";
 
     StageMoved "MS0601" Warning "stage moved", "A request lost a stage and continued on another endpoint.";
     RequestRefused "MS0602" Info "request refused", "A request was refused before any of it ran.";
@@ -84,6 +98,12 @@
     RequestCutShort "MS0605" Warning "request cut short", "The caller went away, and the rest of the work was cancelled.";
     ReplyDropped "MS0606" Debug "reply dropped", "A reply was late, duplicate or for another step and was not used.";
     RetryBudgetExhausted "MS0607" Warning "retry budget exhausted", "Failures exceed what retries may add to the load.";
+    RequestSent "MS0611" Info "request sent", "A request was sent to an endpoint.";
+    RequestAnswered "MS0612" Info "request answered", "An endpoint's answer was passed on whole.";
+    RequestRetried "MS0613" Info "request retried", "A request goes to another endpoint.";
+    RequestMoved "MS0614" Warning "request moved", "A running request was moved to another chain.";
+    RequestDenied "MS0615" Info "request denied", "A request was not allowed or not valid and was answered with a client error.";
+    RequestExamined "MS0616" Info "request examined", "A request made no progress, and the endpoints of its chain were asked for reports.";
 
     PostingClaimed "MS0701" Debug "posting claimed", "The idempotency key of a posting was claimed.";
     PostingRecorded "MS0702" Debug "posting recorded", "The outcome of a posting was recorded.";
@@ -101,34 +121,8 @@
     BreakerOpened "MS0901" Error "platform breaker opened", "Calls to the platform fail and are stopped for a while.";
     BreakerClosed "MS0902" Info "platform breaker closed", "The platform answers again.";
     OverBudget "MS0903" Warning "platform budget used up", "This router's share of the platform's rate is used up; calls were held back.";
-
-    FrontStarted "MS1001" Info "router started", "The event loop started and is fetching its configuration.";
-    FrontReady "MS1002" Info "router ready", "The router reports ready: it has a configuration in which keys may be used.";
-    FrontNotReady "MS1003" Warning "router not ready", "The router reports not ready, for the given reason.";
-    FrontStopping "MS1004" Info "router stopping", "SIGTERM arrived; requests in flight are finished.";
-    FrontStopped "MS1005" Info "router stopped", "The router ended; `cut_off` counts requests that it could not finish.";
-    SettingsReloaded "MS1006" Info "settings reloaded", "The settings file changed and the new settings are in force.";
-    SettingsInvalid "MS1007" Error "settings invalid", "The settings file changed and cannot be used; the earlier settings stay in force.";
-    MetricsUnavailable "MS1008" Error "metrics unavailable", "The address of the metrics cannot be listened on.";
-
-    StoreLost "MS1101" Error "store lost", "Calls to the store fail.";
-    StoreRegained "MS1102" Info "store regained", "The store answers again.";
-    ConfigUnreadable "MS1103" Error "configuration unreadable", "The store holds a configuration that cannot be decoded.";
-    ConfigFetched "MS1104" Info "configuration fetched from a peer", "A peer holds a newer configuration and the store cannot be reached.";
-    ConfigConfirmed "MS1105" Info "keys usable again", "The configuration was confirmed after a time in which keys could not be used.";
-    ConfigExpired "MS1106" Warning "keys not usable", "The configuration has not been confirmed within the revocation bound.";
-
-    EndpointJoined "MS1201" Info "endpoint joined", "An endpoint registered or started anew.";
-    EndpointGone "MS1202" Warning "endpoint gone", "An endpoint's entry is gone.";
-    EndpointUnreadable "MS1203" Warning "endpoint entry unreadable", "An entry in the directory cannot be decoded and names no endpoint to use.";
-    EndpointPlaced "MS1204" Info "endpoint holds other layers", "The layers that an endpoint holds changed.";
-    EndpointDoubted "MS1205" Warning "endpoint doubted", "An endpoint failed and is left out for a while.";
-    ReportMissing "MS1206" Info "report missing", "An engine gave no report when it was asked for its pace.";
-
-    RequestSent "MS1301" Info "request sent", "A request was sent to an endpoint.";
-    RequestAnswered "MS1302" Info "request answered", "An endpoint's answer was passed on whole.";
-    RequestRetried "MS1303" Info "request retried", "A request goes to another endpoint.";
-    RequestMoved "MS1304" Warning "request moved", "A running request was moved to another chain.";
-    RequestDenied "MS1305" Info "request denied", "A request was not allowed or not valid and was answered with a client error.";
-    RequestExamined "MS1306" Info "request examined", "A request made no progress, and the endpoints of its chain were asked for reports.";
+    StoreLost "MS0911" Error "store lost", "Calls to the store fail.";
+    StoreRegained "MS0912" Info "store regained", "The store answers again.";
+    ConfigUnreadable "MS0913" Error "configuration unreadable", "The store holds a configuration that cannot be decoded.";
+    ConfigFetched "MS0914" Info "configuration fetched from a peer", "A peer holds a newer configuration and the store cannot be reached.";
 }
--- a/mimosashift/src/pipeline/retry.rs
+++ b/mimosashift/src/pipeline/retry.rs
@@ -40,10 +40,10 @@
         Self { share, tokens: share.burst, refilled: now }
     }
 
-    /// An empty budget, for a process that may have spent a full one just
+    /// A half full budget, for a process that may have spent a full one just
     /// before it started anew.
-    pub const fn empty(share: Share, now: Instant) -> Self {
-        Self { share, tokens: 0.0, refilled: now }
+    pub const fn half_full(share: Share, now: Instant) -> Self {
+        Self { share, tokens: share.burst / 2.0, refilled: now }
     }
 
     /// Changes the share, for example because there are more routers.
