Take the lease over only when its renewal is overdue

Change: a lease is suspect when its holder is dead by digests, or when it was not renewed in the time that a renewal and the margin take; chains begin in the own zone unless it is much fuller; a layer is replaced only when it has under 0.6 of the target.

--- a/mimosafront/src/placement.rs
+++ b/mimosafront/src/placement.rs
@@ -70,15 +70,13 @@
     pending: HashMap<Arc<str>, Pending>,
     /// Endpoints at the last plan of empty ones, and when they changed.
     settled: (usize, Instant),
-    /// Revision of the lease's row at the last look.
-    seen: Option<u64>,
 }
 
 /// Keeps layers placed for as long as the router runs.
 pub async fn keep(front: Rc<Front>) {
     let lease = lease(&front);
     let mut orders =
-        Orders { front, lease, pending: HashMap::new(), settled: (0, Instant::ZERO), seen: None };
+        Orders { front, lease, pending: HashMap::new(), settled: (0, Instant::ZERO) };
     let mut lease_at = Instant::ZERO;
     loop {
         tokio::time::sleep(PLAN_INTERVAL).await;
@@ -134,11 +132,10 @@
             lease.observe(row, clock::now());
         }
         let now = clock::now();
-        // No peer says that it leads: a holder that has not written since the
-        // last look is dead or has lost interest.
-        let seen = lease.seen().map(|(_, revision)| revision);
-        let suspected = seen.is_some() && seen == self.seen;
-        self.seen = seen;
+        let dead = lease.holder().is_some_and(|holder| {
+            front.peers.borrow().is_dead(holder.as_str(), now)
+        });
+        let suspected = dead || lease.is_overdue(now);
         if let Some(transaction) = lease.write(suspected, now) {
             let outcome = front.store.commit(&transaction).await;
             note(&front, PlatformCall::Commit, &outcome);
--- a/mimosafront/src/relay/model.rs
+++ b/mimosafront/src/relay/model.rs
@@ -13,7 +13,7 @@
 use mimosashift::emit;
 use mimosashift::event::Event;
 use mimosashift::exchange::{Order, Ordered};
-use mimosashift::fleet::{Chain, Claim, Demand, Hop, Member, Shortage};
+use mimosashift::fleet::{Chain, Claim, Demand, Hop, Member, Query, Shortage};
 use mimosashift::link::{Exchange, Failure};
 use mimosashift::meter::{Outcome, Recovery, RefusalReason};
 use mimosashift::stream::Events;
@@ -262,9 +262,18 @@
     }
 
     fn choose(&self) -> Result<Chain, Shortage> {
-        let (name, now) = (&self.job.service.name, clock::now());
-        let fleet = self.front().fleet.borrow();
-        fleet.chain(name, &self.engine, &self.demand, None, &self.avoid, now)
+        self.chain(&self.demand, None, &self.avoid)
+    }
+
+    fn chain(
+        &self,
+        demand: &Demand,
+        first: Option<&Hop>,
+        avoid: &[Hop],
+    ) -> Result<Chain, Shortage> {
+        let (service, zone) = (&self.job.service.name, self.front().node().zone.clone());
+        let query = Query { service, engine: &self.engine, zone: &zone, demand, first, avoid };
+        self.front().fleet.borrow().chain(&query, clock::now())
     }
 
     fn shortage(&self, shortage: &Shortage) -> End {
@@ -418,10 +427,8 @@
     /// The chain for the rest of a request that has begun, also without
     /// `without`.
     fn chain_from(&self, first: &Hop, without: &[Hop]) -> Result<Chain, Shortage> {
-        let (name, now) = (&self.job.service.name, clock::now());
         let avoid: Vec<Hop> = self.avoid.iter().chain(without).cloned().collect();
-        let fleet = self.front().fleet.borrow();
-        fleet.chain(name, &self.engine, &self.demand_now(), Some(first), &avoid, now)
+        self.chain(&self.demand_now(), Some(first), &avoid)
     }
 
     /// Moves the request to another chain with the same first part, without
--- a/mimosashift/src/fleet/chain.rs
+++ b/mimosashift/src/fleet/chain.rs
@@ -18,6 +18,11 @@
 /// Most parts of a chain that engines accept.
 const MAX_HOPS: usize = 32;
 
+/// Cost of a chain that begins in another zone, in ms: a fraction of what a
+/// chain costs. Without it all routers choose the zone that seems least used,
+/// from digests that are some hundred milliseconds old.
+const ENTRY_MS: f64 = 500.0;
+
 /// Weight of a transfer between zones against time at an endpoint: all chains
 /// share the pipe, which binds before the endpoints do, and a chain of two
 /// zones ends when either is cut off.
@@ -35,6 +40,23 @@
     pub output: f64,
 }
 
+/// For what a chain is wanted.
+#[derive(Clone, Copy, Debug)]
+pub struct Query<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// Figures of its engines.
+    pub engine: &'a Engine,
+    /// The zone in which the request arrived.
+    pub zone: &'a str,
+    /// What the request needs.
+    pub demand: &'a Demand,
+    /// The first part of a chain that has begun, which it keeps.
+    pub first: Option<&'a Hop>,
+    /// Endpoints to leave out.
+    pub avoid: &'a [Hop],
+}
+
 /// Why there is no chain.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Shortage {
@@ -76,28 +98,17 @@
 }
 
 impl Fleet {
-    /// The chain for a request, without the endpoints in `avoid`.
-    ///
-    /// A chain that has begun keeps its first part: `first`.
-    pub fn chain(
-        &self,
-        service: &str,
-        engine: &Engine,
-        demand: &Demand,
-        first: Option<&Hop>,
-        avoid: &[Hop],
-        now: Instant,
-    ) -> Result<Chain, Shortage> {
+    /// The chain for a request.
+    pub fn chain(&self, query: &Query<'_>, now: Instant) -> Result<Chain, Shortage> {
         let search = |doubted: bool| {
             let usable = |member: &&Member| {
-                &*member.endpoint.service == service
+                &*member.endpoint.service == query.service
                     && (member.is_usable(now) || doubted && member.takes_work())
-                    && !avoid.iter().any(|hop| hop.id == member.endpoint.id)
+                    && !query.avoid.iter().any(|hop| hop.id == member.endpoint.id)
             };
             let members = self.members.values().filter(usable);
-            let candidates =
-                members.filter_map(|member| Candidate::new(member, engine, demand)).collect();
-            Search { engine, demand, candidates, table: Vec::new() }.run(first)
+            let candidates = members.filter_map(|member| Candidate::new(member, query)).collect();
+            Search { query, candidates, table: Vec::new() }.run()
         };
         match search(false) {
             // An endpoint that failed lately is better than none.
@@ -108,7 +119,8 @@
 }
 
 impl<'a> Candidate<'a> {
-    fn new(member: &'a Member, engine: &Engine, demand: &Demand) -> Option<Self> {
+    fn new(member: &'a Member, query: &Query<'_>) -> Option<Self> {
+        let Query { engine, demand, .. } = query;
         let layers = member.endpoint.layers?;
         let card = engine.card(&member.endpoint)?;
         let whole = f64::from(engine.layers);
@@ -148,31 +160,30 @@
 }
 
 struct Search<'a> {
-    engine: &'a Engine,
-    demand: &'a Demand,
+    query: &'a Query<'a>,
     candidates: Vec<Candidate<'a>>,
     /// By layer, the best way to each candidate that holds it.
     table: Vec<SmallVec<[(u16, Best); 8]>>,
 }
 
 impl Search<'_> {
-    fn run(mut self, first: Option<&Hop>) -> Result<Chain, Shortage> {
-        let from = match first {
+    fn run(mut self) -> Result<Chain, Shortage> {
+        let from = match self.query.first {
             None => 0,
             Some(hop) => {
                 self.fix(hop);
                 hop.layers.end()
             }
         };
-        for layer in from..self.engine.layers {
-            let ways = self.layer(layer, first);
+        for layer in from..self.query.engine.layers {
+            let ways = self.layer(layer);
             if ways.is_empty() {
                 let held = self.candidates.iter().any(|c| c.holds(layer));
                 return Err(if held { Shortage::Full(layer) } else { Shortage::Uncovered(layer) });
             }
             self.table.push(ways);
         }
-        self.chain(first)
+        self.chain()
     }
 
     /// Enters the first part of a chain that has begun.
@@ -187,7 +198,7 @@
     }
 
     /// The best ways to `layer`, from those to the layer before.
-    fn layer(&self, layer: u16, first: Option<&Hop>) -> SmallVec<[(u16, Best); 8]> {
+    fn layer(&self, layer: u16) -> SmallVec<[(u16, Best); 8]> {
         let mut ways = SmallVec::new();
         for (index, candidate) in self.candidates.iter().enumerate() {
             if !candidate.holds(layer) || candidate.room == 0 {
@@ -197,7 +208,7 @@
             let best = if layer == 0 {
                 self.begin(candidate)
             } else {
-                self.reach(layer, index, candidate, first)
+                self.reach(layer, index, candidate)
             };
             ways.extend(best.map(|best| (index, best)));
         }
@@ -205,21 +216,17 @@
     }
 
     fn begin(&self, candidate: &Candidate<'_>) -> Option<Best> {
-        let cost = candidate.hop_ms + candidate.layer_ms;
+        let near = &*candidate.member.endpoint.zone == self.query.zone;
+        let entry_ms = if near { 0.0 } else { ENTRY_MS };
+        let cost = entry_ms + candidate.hop_ms + candidate.layer_ms;
         candidate.has_slot.then_some(Best { cost, start: 0, before: None })
     }
 
-    fn reach(
-        &self,
-        layer: u16,
-        index: u16,
-        candidate: &Candidate<'_>,
-        first: Option<&Hop>,
-    ) -> Option<Best> {
+    fn reach(&self, layer: u16, index: u16, candidate: &Candidate<'_>) -> Option<Best> {
         let mut best: Option<Best> = None;
         for (before, way) in &self.table[usize::from(layer) - 1] {
             let next = if *before == index {
-                let fixed = first.is_some_and(|hop| layer == hop.layers.end());
+                let fixed = self.query.first.is_some_and(|hop| layer == hop.layers.end());
                 if fixed || layer - way.start >= candidate.room {
                     continue;
                 }
@@ -267,27 +274,30 @@
     }
 
     fn crossing_ms(&self, from: &str, to: &str) -> f64 {
-        let tokens = self.demand.prompt + self.demand.output;
-        let bytes = tokens * self.engine.activation_bytes;
-        let pipe_ms =
-            if self.engine.pipe_per_ms > 0.0 { bytes / self.engine.pipe_per_ms } else { 0.0 };
-        PIPE_WEIGHT * pipe_ms + self.demand.output * self.engine.delay_ms(from, to)
+        let tokens = self.query.demand.prompt + self.query.demand.output;
+        let bytes = tokens * self.query.engine.activation_bytes;
+        let pipe_ms = if self.query.engine.pipe_per_ms > 0.0 {
+            bytes / self.query.engine.pipe_per_ms
+        } else {
+            0.0
+        };
+        PIPE_WEIGHT * pipe_ms + self.query.demand.output * self.query.engine.delay_ms(from, to)
     }
 
-    fn chain(&self, first: Option<&Hop>) -> Result<Chain, Shortage> {
-        let last = self.engine.layers - 1;
+    fn chain(&self) -> Result<Chain, Shortage> {
+        let last = self.query.engine.layers - 1;
         let ways = &self.table[usize::from(last)];
         let cheapest = ways.iter().min_by(|a, b| a.1.cost.total_cmp(&b.1.cost));
         let (mut at, _) = *cheapest.expect("every layer has a way");
-        let (mut layer, mut end) = (last, self.engine.layers);
+        let (mut layer, mut end) = (last, self.query.engine.layers);
         let mut chain = Chain::new();
         loop {
             let best = self.best(layer, at);
             match self.candidates.get(usize::from(at)) {
-                Some(candidate) if best.start > 0 || first.is_none() => {
+                Some(candidate) if best.start > 0 || self.query.first.is_none() => {
                     chain.push(candidate.hop(best.start, end));
                 }
-                _ => chain.extend(first.cloned()),
+                _ => chain.extend(self.query.first.cloned()),
             }
             let Some(before) = best.before else { break };
             end = best.start;
--- a/mimosashift/src/fleet/mod.rs
+++ b/mimosashift/src/fleet/mod.rs
@@ -21,7 +21,7 @@
 mod chain;
 mod plain;
 
-pub use chain::{Demand, Shortage};
+pub use chain::{Demand, Query, Shortage};
 
 /// Time for which an endpoint is left out after a first failure.
 const FIRST_DOUBT: Duration = Duration::from_millis(400);
--- a/mimosashift/src/layout/mod.rs
+++ b/mimosashift/src/layout/mod.rs
@@ -35,6 +35,10 @@
 /// fewest, since every change takes an endpoint out for a while.
 const GAIN: f64 = 1.15;
 
+/// Share of the target below which a layer is worth a change: an endpoint
+/// that changes its range serves nothing of it for seconds.
+const THIN: f64 = 0.6;
+
 /// Share of a layer's tokens that other endpoints must hold while the change
 /// of one is under way.
 const KEPT: f64 = 0.5;
@@ -138,7 +142,7 @@
         }
         let busy = self.places.iter().any(|place| place.busy);
         if self.moves.is_empty() && !busy && !self.has_gap() {
-            self.improve();
+            self.improve(target);
         }
         self.moves
     }
@@ -211,10 +215,13 @@
     }
 
     /// Changes the one range whose change most raises the tokens of the layer
-    /// that has the fewest.
-    fn improve(&mut self) {
+    /// that has the fewest, if those are far below the target.
+    fn improve(&mut self, target: f64) {
         let least = |tokens: &[f64]| tokens.iter().copied().fold(f64::MAX, f64::min);
         let now = least(&self.tokens);
+        if now >= THIN * target {
+            return;
+        }
         let mut best: Option<(f64, usize, Layers)> = None;
         for (index, place) in self.places.iter().enumerate() {
             let Some(held) = place.layers else { continue };
--- a/mimosashift/src/order/lease.rs
+++ b/mimosashift/src/order/lease.rs
@@ -92,6 +92,12 @@
         self.duration + self.drift()
     }
 
+    /// Time after the start of a write when its holder renews the lease: early
+    /// enough for two more tries.
+    fn renewal(&self) -> Duration {
+        self.usable() / 3
+    }
+
     /// Time after the start of a write in which its holder may send.
     fn usable(&self) -> Duration {
         self.duration.saturating_sub(self.margin + self.drift())
@@ -121,10 +127,16 @@
         (in_time && unopposed).then_some(held.number)
     }
 
-    /// The router that held the lease when its row was last seen, and the
-    /// row's revision.
-    pub fn seen(&self) -> Option<(&Name, u64)> {
-        self.seen.as_ref().map(|seen| (&seen.record.holder, seen.revision))
+    /// The router that held the lease when its row was last seen.
+    pub fn holder(&self) -> Option<&Name> {
+        self.seen.as_ref().map(|seen| &seen.record.holder)
+    }
+
+    /// Whether the holder has not renewed the lease when it should have: it is
+    /// dead, cut off or no longer interested.
+    pub fn is_overdue(&self, now: Instant) -> bool {
+        let due = self.settings.renewal() + self.settings.margin;
+        self.seen.as_ref().is_some_and(|seen| now >= seen.at + due)
     }
 
     /// Takes in the row as read; an older one than seen before is ignored.
@@ -169,7 +181,7 @@
         if let Some(held) = &self.held
             && now < held.begun + self.settings.duration
         {
-            let due = now >= held.begun + self.settings.usable() / 3;
+            let due = now >= held.begun + self.settings.renewal();
             return due.then_some(Pending {
                 over: Some(held.revision),
                 number: held.number,
--- a/mimosashift/tests/fleet.rs
+++ b/mimosashift/tests/fleet.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use mimosashift::deployment::{Endpoint, Standing};
+use mimosashift::deployment::{Endpoint, Engine, Standing};
 use mimosashift::exchange::Report;
-use mimosashift::fleet::{Chain, Demand, Fleet, Observed, Shortage, Usage, key};
+use mimosashift::fleet::{Chain, Demand, Fleet, Observed, Query, Shortage, Usage, key};
 use mimosashift::time::Instant;
 
 use common::deployment::{MODEL, PLAIN, at, endpoint, engine, layers, plain};
@@ -32,7 +32,7 @@
     entries
 }
 
-fn huge() -> mimosashift::deployment::Engine {
+fn huge() -> Engine {
     let mut engine = engine();
     let card = engine.cards["large"];
     engine
@@ -41,8 +41,12 @@
     engine
 }
 
+fn query<'a>(engine: &'a Engine, demand: &'a Demand) -> Query<'a> {
+    Query { service: MODEL, engine, zone: "a", demand, first: None, avoid: &[] }
+}
+
 fn choose(fleet: &Fleet, demand: &Demand) -> Result<Chain, Shortage> {
-    fleet.chain(MODEL, &huge(), demand, None, &[], at(100))
+    fleet.chain(&query(&huge(), demand), at(100))
 }
 
 fn ids(chain: &Chain) -> Vec<&str> {
@@ -68,6 +72,23 @@
     assert!(ids(&chain) == ["e1", "e2"] || ids(&chain) == ["e3", "e4"], "{:?}", ids(&chain));
 }
 
+#[test]
+fn chain_begins_in_the_own_zone_while_it_has_room() {
+    let mut fleet = fleet(two_zones());
+    let begins = |fleet: &Fleet, zone| {
+        let chain = fleet.chain(&Query { zone, ..query(&huge(), &USUAL) }, at(100)).unwrap();
+        chain[0].id.to_string()
+    };
+    for _ in 0..20 {
+        assert_eq!((begins(&fleet, "a"), begins(&fleet, "b")), ("e1".into(), "e3".into()));
+        drop(fleet.claim(choose(&fleet, &USUAL).unwrap(), &USUAL));
+    }
+    while begins(&fleet, "a") == "e1" {
+        drop(fleet.claim(choose(&fleet, &USUAL).unwrap(), &USUAL));
+    }
+    assert!(choose(&fleet, &USUAL).is_ok(), "the other zone takes over before this one is full");
+}
+
 #[test]
 fn lost_range_is_borrowed_from_another_zone() {
     let mut fleet = fleet(two_zones());
@@ -133,7 +154,8 @@
     let mut fleet = fleet(two_zones());
     let chain = choose(&fleet, &USUAL).unwrap();
     fleet.fail(&chain[1].id, at(50));
-    let moved = fleet.chain(MODEL, &huge(), &USUAL, Some(&chain[0]), &[], at(100)).unwrap();
+    let moved =
+        fleet.chain(&Query { first: Some(&chain[0]), ..query(&huge(), &USUAL) }, at(100)).unwrap();
     assert_eq!(moved[0], chain[0]);
     assert_ne!(moved[1].id, chain[1].id);
     assert!(covers(&moved, 80));
@@ -150,7 +172,7 @@
     let mut engine = engine();
     engine.layer_mb = 100.0;
     let fleet = fleet(entries);
-    let chain = fleet.chain(MODEL, &engine, &USUAL, None, &[], at(100)).unwrap();
+    let chain = fleet.chain(&query(&engine, &USUAL), at(100)).unwrap();
     let mut names = ids(&chain);
     names.sort_unstable();
     names.dedup();
--- a/mimosashift/tests/order.rs
+++ b/mimosashift/tests/order.rs
@@ -49,6 +49,21 @@
     assert_eq!(a.authority(true, secs(7)), None);
 }
 
+/// Many routers look at a lease that one of them has just taken; none may take
+/// it over before its holder had the time to renew it.
+#[test]
+fn holder_is_overdue_only_after_its_renewal() {
+    let (mut a, row) = held();
+    let mut b = lease("b");
+    assert!(!b.is_overdue(secs(100)), "nothing is known of a holder");
+    b.observe(Some(&row), secs(4));
+    assert!(!b.is_overdue(secs(8)));
+    let renewal = a.write(false, secs(3)).unwrap();
+    b.observe(Some(&written(&renewal, 2)), secs(8));
+    assert!(!b.is_overdue(secs(12)));
+    assert!(b.is_overdue(secs(13)));
+}
+
 #[test]
 fn takeover_waits_for_unchecked_endpoints() {
     let (_, row) = held();
