--- a/mimosafront/src/placement.rs
+++ b/mimosafront/src/placement.rs
@@ -75,8 +75,7 @@
 /// Keeps layers placed for as long as the router runs.
 pub async fn keep(front: Rc<Front>) {
     let lease = lease(&front);
-    let mut orders =
-        Orders { front, lease, pending: HashMap::new(), settled: (0, Instant::ZERO) };
+    let mut orders = Orders { front, lease, pending: HashMap::new(), settled: (0, Instant::ZERO) };
     let mut lease_at = Instant::ZERO;
     loop {
         tokio::time::sleep(PLAN_INTERVAL).await;
@@ -132,9 +131,8 @@
             lease.observe(row, clock::now());
         }
         let now = clock::now();
-        let dead = lease.holder().is_some_and(|holder| {
-            front.peers.borrow().is_dead(holder.as_str(), now)
-        });
+        let dead =
+            lease.holder().is_some_and(|holder| front.peers.borrow().is_dead(holder.as_str(), now));
         let suspected = dead || lease.is_overdue(now);
         if let Some(transaction) = lease.write(suspected, now) {
             let outcome = front.store.commit(&transaction).await;
--- a/mimosashift/src/fleet/chain.rs
+++ b/mimosashift/src/fleet/chain.rs
@@ -4,6 +4,9 @@
 //! endpoint takes for it, more the fuller its memory, and each change of
 //! endpoint costs a wait there and the way. See `docs/design/fleet.md`.
 
+use std::collections::HashMap;
+use std::sync::Arc;
+
 use smallvec::SmallVec;
 
 use super::{Chain, Fleet, Hop, Member};
@@ -15,6 +18,10 @@
 /// use; the rest is for requests that write more than expected.
 const CACHE_SHARE: f64 = 0.95;
 
+/// Copies of the model in a zone from which its layers mostly have more than
+/// one holder.
+const SPREAD_COPIES: f64 = 1.6;
+
 /// Most parts of a chain that engines accept.
 const MAX_HOPS: usize = 32;
 
@@ -70,6 +77,8 @@
 struct Candidate<'a> {
     member: &'a Member,
     layers: Layers,
+    /// Share of its KV cache in use.
+    fill: f64,
     /// Cost of each layer, in ms.
     layer_ms: f64,
     /// Cost of passing through it at all, in ms.
@@ -80,6 +89,23 @@
     has_slot: bool,
 }
 
+/// Makes full endpoints dearer in zones that hold most layers more than once,
+/// so that requests go to the other holders before a cache overflows. Where
+/// there are no others it would only drive chains into other zones.
+fn spread(candidates: &mut [Candidate<'_>], engine: &Engine) {
+    let mut held: HashMap<Arc<str>, u32> = HashMap::new();
+    for candidate in candidates.iter() {
+        let zone = candidate.member.endpoint.zone.clone();
+        *held.entry(zone).or_default() += u32::from(candidate.layers.count());
+    }
+    for candidate in candidates {
+        let copies = f64::from(held[&candidate.member.endpoint.zone]) / f64::from(engine.layers);
+        if copies >= SPREAD_COPIES {
+            candidate.layer_ms /= 1.0 - candidate.fill;
+        }
+    }
+}
+
 /// The best way to a layer that ends at one endpoint.
 #[derive(Clone, Copy)]
 struct Best {
@@ -107,7 +133,9 @@
                     && !query.avoid.iter().any(|hop| hop.id == member.endpoint.id)
             };
             let members = self.members.values().filter(usable);
-            let candidates = members.filter_map(|member| Candidate::new(member, query)).collect();
+            let mut candidates: Vec<_> =
+                members.filter_map(|member| Candidate::new(member, query)).collect();
+            spread(&mut candidates, query.engine);
             Search { query, candidates, table: Vec::new() }.run()
         };
         match search(false) {
@@ -136,6 +164,7 @@
         Some(Self {
             member,
             layers,
+            fill,
             layer_ms: work_ms / whole / (1.0 - fill),
             // Work arrives in the middle of a pass on the average.
             hop_ms: passes * pass_ms / 2.0 + f64::from(usage.reading) * read_ms / whole,
