--- a/mimosafront/src/relay/mod.rs
+++ b/mimosafront/src/relay/mod.rs
@@ -11,7 +11,7 @@
 };
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use mimosaplatform::header;
-use mimosashift::deployment::{Denied, Deployment, Kind, Route, Service};
+use mimosashift::deployment::{Denied, Deployment, Route, Service};
 use mimosashift::emit;
 use mimosashift::event::Event;
 use mimosashift::exchange::{Answer as Said, Forward, Tokens};
@@ -342,8 +342,3 @@
     *response.headers_mut() = header::end_to_end(head.headers());
     response
 }
-
-/// Whether a request may run more than once.
-const fn is_idempotent(kind: Kind) -> bool {
-    matches!(kind, Kind::Safe | Kind::Stream { resumable: true })
-}
--- a/mimosafront/src/relay/model.rs
+++ b/mimosafront/src/relay/model/mod.rs
@@ -1,33 +1,32 @@
-//! Streams from a model: a chain of engines, moved or resumed when a part of
-//! it fails.
+//! Streams from a model: admission, the choice of a chain and its answer.
 
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use hyper::body::Bytes;
 use hyper::{Response, StatusCode};
-use mimosaplatform::{engine as wire, header};
+use mimosaplatform::header;
 use mimosashift::admit::pressure::MAX_WAIT;
-use mimosashift::deployment::{Engine, Kind};
+use mimosashift::deployment::Engine;
 use mimosashift::emit;
 use mimosashift::event::Event;
-use mimosashift::exchange::{Order, Ordered};
-use mimosashift::fleet::{Chain, Claim, Demand, Hop, Member, Query, Shortage};
+use mimosashift::fleet::{Chain, Claim, Demand, Hop, Query, Shortage};
 use mimosashift::link::{Exchange, Failure};
-use mimosashift::meter::{Outcome, Recovery, RefusalReason};
+use mimosashift::meter::{Outcome, RefusalReason};
 use mimosashift::stream::Events;
 use mimosashift::time::Instant;
 use smallvec::SmallVec;
 use tokio::sync::mpsc;
-use tokio::task::JoinSet;
 use tokio::time::timeout;
 
-use super::{End, Job, is_idempotent, pass_on};
-use crate::body::{Answer, Piece};
+use self::look::Look;
+use super::{End, Job, pass_on};
+use crate::body::Answer;
 use crate::clock;
 use crate::front::{Front, millis};
-use crate::probe::{self, Finding};
+
+mod look;
+mod pump;
 
 /// Pieces that may wait for a slow client before its stream is held back.
 const PIECES: usize = 32;
@@ -39,20 +38,9 @@
 /// times what reading a prompt takes when nothing fails.
 const FIRST_STALL: Duration = Duration::from_millis(500);
 
-/// Time without an event after which the chain is examined: several times the
-/// usual time between two, and within what a client takes for on time.
-const STALL: Duration = Duration::from_millis(220);
-
 /// Time to wait after a look at a chain before the next one.
 const NEXT_LOOK: Duration = Duration::from_millis(350);
 
-/// Time for an order that moves a request.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(300);
-
-/// Chains that are tried for a request that is moved; each refusal names an
-/// endpoint to leave out.
-const MAX_REROUTES: usize = 4;
-
 /// Sends that certainly did not run, beyond the route's attempts.
 const MAX_REJECTED: u32 = 4;
 
@@ -93,16 +81,6 @@
     }
 }
 
-/// What a look at a chain that makes no progress led to.
-enum Look {
-    /// Every part answers.
-    Sound,
-    /// The request was moved to another chain.
-    Moved,
-    /// The request must be sent anew.
-    Lost(&'static str),
-}
-
 impl Drop for Session {
     fn drop(&mut self) {
         self.release();
@@ -183,7 +161,7 @@
             }
             let sends = self.may_have_run + self.rejected;
             if sends > 0 {
-                let used_up = self.may_have_run > 0 && !is_idempotent(self.job.route.kind);
+                let used_up = self.may_have_run > 0 && !self.job.route.is_idempotent();
                 let attempts = self.may_have_run >= self.job.route.attempts;
                 if used_up || attempts || self.rejected > MAX_REJECTED || !self.take_retry(why) {
                     return Err(self.end(StatusCode::BAD_GATEWAY, why, UNCOVERED_RETRY));
@@ -369,7 +347,7 @@
             return Err("answer without a signature");
         }
         let again = self.may_have_run < self.job.route.attempts;
-        if status.is_server_error() && again && is_idempotent(self.job.route.kind) {
+        if status.is_server_error() && again && self.job.route.is_idempotent() {
             self.avoid.push(first.clone());
             return Err("endpoint failed");
         }
@@ -387,93 +365,6 @@
         self.avoid.push(hop);
     }
 
-    /// Looks at a chain through which nothing has come since, and moves the
-    /// request if a part of it is dead.
-    async fn look(&mut self, since: Instant) -> Look {
-        let Some(claim) = &self.claim else { return Look::Lost("no chain") };
-        let chain = claim.chain.clone();
-        let silent = self.front().fleet.borrow().silent(&chain, clock::now());
-        let Faulty { dead, slow } = faulty(self.front(), &silent, &self.job.id).await;
-        let names = |hops: &[Hop]| hops.iter().map(|hop| &*hop.id).collect::<Vec<_>>().join(",");
-        let silent_ms = millis(clock::now().since(since));
-        emit!(self.front().log, Event::RequestExamined, "request" => &*self.job.id, "silent_ms" => silent_ms, "silent" => names(&silent), "dead" => names(&dead), "slow" => names(&slow), "after_event" => self.events.last());
-        let first = chain[0].clone();
-        if dead.iter().any(|hop| hop.id == first.id) {
-            self.avoid.extend(dead);
-            return Look::Lost("first endpoint is dead");
-        }
-        if dead.is_empty() {
-            return self.leave_slow(&first, slow).await;
-        }
-        self.avoid.extend(dead);
-        match self.reroute(&first, &slow).await {
-            Look::Lost(_) if !slow.is_empty() => self.reroute(&first, &[]).await,
-            look => look,
-        }
-    }
-
-    /// Moves a request away from slow endpoints, if others have room for it.
-    async fn leave_slow(&mut self, first: &Hop, slow: SmallVec<[Hop; 4]>) -> Look {
-        let others = slow.iter().any(|hop| hop.id != first.id);
-        if !others || self.chain_from(first, &slow).is_err() {
-            return Look::Sound;
-        }
-        match self.reroute(first, &slow).await {
-            Look::Moved => Look::Moved,
-            _ => Look::Sound,
-        }
-    }
-
-    /// The chain for the rest of a request that has begun, also without
-    /// `without`.
-    fn chain_from(&self, first: &Hop, without: &[Hop]) -> Result<Chain, Shortage> {
-        let avoid: Vec<Hop> = self.avoid.iter().chain(without).cloned().collect();
-        self.chain(&self.demand_now(), Some(first), &avoid)
-    }
-
-    /// Moves the request to another chain with the same first part, without
-    /// what it avoids and `without`.
-    async fn reroute(&mut self, first: &Hop, without: &[Hop]) -> Look {
-        for _ in 0..MAX_REROUTES {
-            let Ok(chain) = self.chain_from(first, without) else {
-                return Look::Lost("no chain from the first endpoint");
-            };
-            match self.order_reroute(first, &chain).await {
-                Ordered::Taken => {
-                    self.front().meter.recoveries(1, Recovery::Rebuilt);
-                    let mut claim = self.claim.take().expect("a started request has a chain");
-                    self.front().fleet.borrow_mut().reroute(&mut claim, chain);
-                    self.claim = Some(claim);
-                    return Look::Moved;
-                }
-                // The part named has no room or is not there: try without it.
-                Ordered::Refused { at_fault: Some(address), .. } => {
-                    let named = chain.iter().skip(1).find(|hop| hop.address == address);
-                    let Some(hop) = named else { break };
-                    self.avoid.push(hop.clone());
-                }
-                Ordered::Refused { at_fault: None, .. } | Ordered::Unknown => break,
-            }
-        }
-        Look::Lost("the request could not be moved")
-    }
-
-    async fn order_reroute(&self, first: &Hop, chain: &Chain) -> Ordered {
-        let order = Order::Reroute { id: &self.job.id, chain };
-        let call = wire::order_call(first.address, &first.id, &order);
-        let ordering = async {
-            let mut exchange = self.front().pool.send(first.address, call, false).await.ok()?;
-            let body = exchange.collect(MAX_ANSWER_BYTES).await.ok()?;
-            Some(wire::ordered(exchange.head.status(), &body))
-        };
-        let ordered = timeout(ORDER_TIMEOUT, ordering).await.ok().flatten();
-        let ordered = ordered.unwrap_or(Ordered::Unknown);
-        let to: Vec<_> = chain.iter().map(|hop| format!("{}:{}", hop.id, hop.layers)).collect();
-        let said = format!("{ordered:?}");
-        emit!(self.front().log, Event::RequestMoved, "request" => &*self.job.id, "to" => to.join(","), "said" => said, "after_event" => self.events.last());
-        ordered
-    }
-
     /// What the request needs from here on.
     fn demand_now(&self) -> Demand {
         let written = self.passed as f64 * f64::from(self.engine.stride);
@@ -490,184 +381,4 @@
         self.job.log_answered(exchange.head.status(), "first of the chain", 0);
         Ok(pass_on(&exchange.head, Answer::Whole(Some(body))))
     }
-
-    /// Passes events on until the stream ends, and resumes it if it breaks.
-    async fn pump(mut self, exchange: Exchange, sender: mpsc::Sender<Piece>) {
-        let mut exchange = exchange;
-        loop {
-            let why = match self.pass(&mut exchange, &sender).await {
-                Passed::Whole => {
-                    self.finish(&sender).await;
-                    return;
-                }
-                // The client left: what is dropped here cancels the work.
-                Passed::Gone => return,
-                Passed::Late => "deadline passed",
-                Passed::Broken(why) => {
-                    self.release();
-                    let first = Kind::Stream { resumable: true };
-                    match self.resume(why).await {
-                        Ok(next) if self.job.route.kind == first => {
-                            exchange = next;
-                            continue;
-                        }
-                        _ => why,
-                    }
-                }
-            };
-            self.give_up(why);
-            return;
-        }
-    }
-
-    async fn resume(&mut self, why: &str) -> Result<Exchange, End> {
-        self.events.restart();
-        self.demand = self.demand_now();
-        emit!(self.front().log, Event::StageMoved, "request" => &*self.job.id, "reason" => why, "after_event" => self.events.last());
-        let exchange = self.open().await?;
-        if !exchange.head.status().is_success() {
-            return Err(End::Failed(StatusCode::BAD_GATEWAY, "endpoint failed"));
-        }
-        self.front().meter.recoveries(1, Recovery::Restarted);
-        Ok(exchange)
-    }
-
-    async fn finish(&mut self, sender: &mpsc::Sender<Piece>) {
-        let rest = self.events.rest();
-        if !rest.is_empty() {
-            // Bytes after the last event belong to the answer as well.
-            drop(sender.send(Piece::Data(rest.into())).await);
-        }
-        drop(sender.send(Piece::End).await);
-        self.done = true;
-        self.front().meter.requests(1, Outcome::Completed);
-        let by = self.claim.as_ref().map(|claim| claim.chain[0].id.clone());
-        self.job.log_answered(StatusCode::OK, by.as_deref().unwrap_or_default(), self.passed);
-    }
-
-    fn give_up(&mut self, why: &'static str) {
-        self.done = true;
-        self.front().meter.requests(1, Outcome::Failed);
-        let ms = millis(clock::now().since(self.job.arrived));
-        emit!(self.front().log, Event::RequestGaveUp, "request" => &*self.job.id, "reason" => why, "ms" => ms, "events" => self.passed, "after_event" => self.events.last());
-    }
-
-    /// Passes events on until something else happens.
-    async fn pass(&mut self, exchange: &mut Exchange, sender: &mpsc::Sender<Piece>) -> Passed {
-        let mut last = clock::now();
-        let mut look_at = last + FIRST_STALL;
-        loop {
-            let next = tokio::select! {
-                next = exchange.next() => next,
-                () = sender.closed() => return Passed::Gone,
-                () = tokio::time::sleep(TICK) => {
-                    let now = clock::now();
-                    if now >= self.job.deadline {
-                        return Passed::Late;
-                    }
-                    if now >= look_at {
-                        match self.look(last).await {
-                            Look::Sound | Look::Moved => look_at = clock::now() + NEXT_LOOK,
-                            Look::Lost(why) => return Passed::Broken(why),
-                        }
-                    }
-                    continue;
-                }
-            };
-            let data = match next {
-                Some(Ok(data)) => data,
-                Some(Err(_)) => return Passed::Broken("stream broke off"),
-                None => return Passed::Whole,
-            };
-            match self.take(&data, last) {
-                Err(why) => return Passed::Broken(why),
-                Ok(None) => {}
-                Ok(Some(whole)) => {
-                    last = clock::now();
-                    look_at = last + STALL;
-                    if sender.send(Piece::Data(whole)).await.is_err() {
-                        return Passed::Gone;
-                    }
-                }
-            }
-        }
-    }
-
-    /// Takes in bytes of the stream; returns the events that are whole.
-    fn take(&mut self, data: &Bytes, last: Instant) -> Result<Option<Bytes>, &'static str> {
-        let whole = self.events.push(data).map_err(|_| "not a stream of events")?;
-        if whole.count == 0 {
-            return Ok(None);
-        }
-        let now = clock::now();
-        let front = self.job.front.clone();
-        let mut fleet = front.fleet.borrow_mut();
-        let written = (self.passed + whole.count) as f32 * self.engine.stride as f32;
-        if let Some(claim) = &mut self.claim {
-            fleet.progress(&claim.chain, now);
-            fleet.begin(claim);
-            fleet.grow(claim, written);
-        }
-        if self.passed == 0 {
-            front.meter.first_token(now.since(self.job.arrived).as_secs_f64());
-        } else {
-            front.meter.inter_token(now.since(last).as_secs_f64());
-        }
-        self.passed += whole.count;
-        front.meter.tokens(whole.count as u64 * u64::from(self.engine.stride));
-        Ok(Some(whole.bytes.into()))
-    }
-}
-
-/// How passing events on ended.
-enum Passed {
-    /// The stream is whole.
-    Whole,
-    /// The client left.
-    Gone,
-    /// The deadline passed.
-    Late,
-    /// The stream broke off.
-    Broken(&'static str),
-}
-
-/// The parts of a chain at which a request hangs.
-#[derive(Default)]
-struct Faulty {
-    /// They give no report, or others report that they wait for them.
-    dead: SmallVec<[Hop; 4]>,
-    /// They report to be far slower than their card.
-    slow: SmallVec<[Hop; 4]>,
-}
-
-/// Asks the endpoints through which nothing passes.
-async fn faulty(front: &Rc<Front>, hops: &[Hop], request: &str) -> Faulty {
-    let mut probes = JoinSet::new();
-    for hop in hops.iter().cloned() {
-        let front = front.clone();
-        probes.spawn_local(async move {
-            let finding = probe::examine(&front, &hop).await;
-            (hop, finding)
-        });
-    }
-    let (mut faulty, mut waited_for) = (Faulty::default(), Vec::new());
-    while let Some(Ok((hop, finding))) = probes.join_next().await {
-        match finding {
-            Finding::Alive(report) => {
-                let stalled = report.stalled.iter().filter(|(id, _)| id == request);
-                waited_for.extend(stalled.map(|(_, address)| *address));
-                let slow = front.fleet.borrow().get(&hop.id).is_some_and(Member::is_slow);
-                if slow {
-                    faulty.slow.push(hop);
-                }
-            }
-            Finding::Dead(_) => faulty.dead.push(hop),
-        }
-    }
-    for hop in hops.iter().filter(|hop| waited_for.contains(&hop.address)) {
-        if !faulty.dead.contains(hop) {
-            faulty.dead.push(hop.clone());
-        }
-    }
-    faulty
 }
--- a/mimosafront/src/relay/plain.rs
+++ b/mimosafront/src/relay/plain.rs
@@ -15,7 +15,7 @@
 use smallvec::SmallVec;
 use tokio::time::timeout;
 
-use super::{End, Job, is_idempotent, pass_on};
+use super::{End, Job, pass_on};
 use crate::body::Answer;
 use crate::clock;
 use crate::front::Front;
@@ -79,7 +79,7 @@
             emit!(job.front.log, Event::RequestRetried, "request" => &*job.id, "attempt" => attempt, "reason" => why);
         }
         tried.push(hop.id.clone());
-        let again = is_idempotent(job.route.kind) && may_have_run + 1 < job.route.attempts;
+        let again = job.route.is_idempotent() && may_have_run + 1 < job.route.attempts;
         match send(&job, &hop, attempt, again).await {
             Sent::Answered(response, true) => return Ok(response),
             Sent::Answered(response, false) => {
@@ -96,7 +96,7 @@
                 why = reason;
             }
         }
-        let used_up = may_have_run > 0 && !is_idempotent(job.route.kind);
+        let used_up = may_have_run > 0 && !job.route.is_idempotent();
         if used_up || may_have_run >= job.route.attempts || rejected > MAX_REJECTED {
             break;
         }
--- a/mimosafront/tests/world/endpoints.rs
+++ b/mimosafront/tests/world/endpoints.rs
@@ -67,7 +67,7 @@
     pub seen: Mutex<HashMap<String, Seen>>,
     /// What must never happen, as it was seen.
     pub violations: Mutex<Vec<String>>,
-    pub running: Mutex<HashMap<String, Vec<(SocketAddr, u16, u16)>>>,
+    pub running: Mutex<HashMap<String, Vec<engine::Part>>>,
     pub plan: Plan,
 }
 
--- a/mimosafront/tests/world/engine.rs
+++ b/mimosafront/tests/world/engine.rs
@@ -25,7 +25,8 @@
 /// Time to load layers.
 const LOAD: Duration = Duration::from_millis(100);
 
-type Part = (SocketAddr, u16, u16);
+/// A part of a chain: where, and its layers.
+pub type Part = (SocketAddr, u16, u16);
 type Reply = Response<BoxBody<Bytes, std::io::Error>>;
 
 #[derive(Clone)]
--- a/mimosashift/src/link/mod.rs
+++ b/mimosashift/src/link/mod.rs
@@ -65,7 +65,6 @@
 pub struct Pool {
     settings: Settings,
     idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
-    opened: std::cell::Cell<u64>,
 }
 
 struct Idle {
@@ -77,7 +76,6 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
-    opened: Instant,
 }
 
 /// An answer whose body is still to come.
@@ -89,8 +87,6 @@
     keep: Option<Duration>,
     pool: Rc<Pool>,
     address: SocketAddr,
-    /// Whether the connection had been used before.
-    pub reused: bool,
 }
 
 impl Drop for Connection {
@@ -120,12 +116,7 @@
 impl Pool {
     /// An empty pool.
     pub fn new(settings: Settings) -> Rc<Self> {
-        Rc::new(Self { settings, idle: RefCell::default(), opened: Default::default() })
-    }
-
-    /// Connections opened so far.
-    pub fn opened(&self) -> u64 {
-        self.opened.get()
+        Rc::new(Self { settings, idle: RefCell::default() })
     }
 
     /// Sends a request and waits for the head of its answer.
@@ -140,19 +131,19 @@
     ) -> Result<Exchange, Failure> {
         let mut request = request;
         while !fresh && let Some(connection) = self.take(address) {
-            match self.exchange(address, connection, request, true).await {
+            match self.exchange(address, connection, request).await {
                 Err((_, Some(unsent))) => request = unsent,
                 Err((failure, None)) => return Err(failure),
                 Ok(exchange) => return Ok(exchange),
             }
         }
         let connection = self.open(address).await?;
-        self.exchange(address, connection, request, false).await.map_err(
-            |(failure, unsent)| match (failure, unsent) {
+        self.exchange(address, connection, request).await.map_err(|(failure, unsent)| {
+            match (failure, unsent) {
                 (Failure::Lost { reason }, Some(_)) => Failure::NotSent { reason, refused: false },
                 (failure, _) => failure,
-            },
-        )
+            }
+        })
     }
 
     /// Forgets the idle connections to an address, for example because one of
@@ -197,13 +188,12 @@
             Err(_) => return Err(not_sent("connect: timed out".to_owned(), false)),
         };
         self.configure(&stream).map_err(|error| not_sent(format!("socket: {error}"), false))?;
-        self.opened.set(self.opened.get() + 1);
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|error| not_sent(chain(&error), false))?;
         // The connection's end shows in the exchange that uses it.
         let task = tokio::task::spawn_local(async move { drop(connection.await) });
-        Ok(Connection { sender, task: task.abort_handle(), opened: Instant::now() })
+        Ok(Connection { sender, task: task.abort_handle() })
     }
 
     fn configure(&self, stream: &TcpStream) -> io::Result<()> {
@@ -223,7 +213,6 @@
         address: SocketAddr,
         mut connection: Connection,
         request: Request<Full<Bytes>>,
-        reused: bool,
     ) -> Result<Exchange, (Failure, Option<Request<Full<Bytes>>>)> {
         let response = match connection.sender.try_send_request(request).await {
             Ok(response) => response,
@@ -236,7 +225,7 @@
         let keep = keep_for(&parts.headers);
         let head = Response::from_parts(parts, ());
         let pool = self.clone();
-        Ok(Exchange { head, body, connection: Some(connection), keep, pool, address, reused })
+        Ok(Exchange { head, body, connection: Some(connection), keep, pool, address })
     }
 
     fn put_back(&self, address: SocketAddr, connection: Connection, keep: Duration) {
@@ -309,11 +298,6 @@
         self.address
     }
 
-    /// Time since the connection was opened.
-    pub fn age(&self) -> Duration {
-        self.connection.as_ref().map_or(Duration::ZERO, |c| c.opened.elapsed())
-    }
-
     fn finish(&mut self) {
         if let (Some(connection), Some(keep)) = (self.connection.take(), self.keep) {
             self.pool.put_back(self.address, connection, keep);
