--- a/mimosafront/src/relay/model/pump.rs
+++ b/mimosafront/src/relay/model/pump.rs
@@ -49,6 +49,7 @@
                 Passed::Gone => return,
                 Passed::Late => "deadline passed",
                 Passed::Broken(why) => {
+                    self.avoid_first();
                     self.release();
                     let first = Kind::Stream { resumable: true };
                     match self.resume(why).await {
@@ -65,6 +66,13 @@
         }
     }
 
+    /// Leaves out the endpoint whose stream broke off.
+    fn avoid_first(&mut self) {
+        if let Some(claim) = &self.claim {
+            self.avoid.push(claim.chain[0].clone());
+        }
+    }
+
     async fn resume(&mut self, why: &str) -> Result<Exchange, End> {
         self.events.restart();
         self.demand = self.demand_now();
--- a/mimosafront/tests/path.rs
+++ b/mimosafront/tests/path.rs
@@ -195,6 +195,22 @@
     no_violations(&world);
 }
 
+#[test]
+fn stream_that_broke_off_goes_on_at_another_endpoint() {
+    let world = World::start(Plan { routers: 1, ..Plan::default() });
+    served(&world, 0, Ask::post);
+    // The endpoint at which chains begin; the route allows one more.
+    served(&world, 0, || Ask::draft(2));
+    let first = used(&world, true).into_iter().find(|id| id.starts_with("engine-0")).unwrap();
+    world.endpoints.get(&first).state().health = Health::LosesAnswers;
+    for _ in 0..4 {
+        let ask = Ask::draft(12);
+        let told = send(&world, 0, &ask).unwrap();
+        assert_eq!((told.status, told.whole, told.fault(&ask)), (200, true, None));
+    }
+    no_violations(&world);
+}
+
 #[test]
 fn work_of_a_client_that_left_is_cancelled() {
     let world = World::start(Plan { routers: 1, ..Plan::default() });
--- a/mimosafront/tests/world/engine.rs
+++ b/mimosafront/tests/world/engine.rs
@@ -188,6 +188,9 @@
                 }
                 tokio::time::sleep(Duration::from_millis(10)).await;
             }
+            if self.member.state().health == Health::LosesAnswers && event > after + 2 {
+                return;
+            }
             let data = format!("id: {event}\ndata: {id} {event}/{total}\n\n");
             if to.send(Some(data.into())).await.is_err() {
                 self.endpoints.note(&id, |seen| seen.last = Some(Instant::now()));
