Log the first event and the longest pause of each stream

Cause: streams that were late by a pause could not be told from those late at the first event; only the client saw the pause.

--- a/mimosafront/src/relay/mod.rs
+++ b/mimosafront/src/relay/mod.rs
@@ -129,12 +129,11 @@
         );
     }
 
-    fn log_answered(&self, status: StatusCode, by: &str, events: usize) {
+    fn log_answered(&self, status: StatusCode, by: &str) {
         let ms = millis(clock::now().since(self.arrived));
         emit!(
             self.front.log, Event::RequestAnswered,
             "request" => &*self.id, "status" => status.as_u16(), "by" => by, "ms" => ms,
-            "events" => events,
         );
     }
 }
--- a/mimosafront/src/relay/model/mod.rs
+++ b/mimosafront/src/relay/model/mod.rs
@@ -64,6 +64,8 @@
     events: Events,
     /// Events passed on.
     passed: usize,
+    /// When they came.
+    pauses: Pauses,
     /// Sends that may have run.
     may_have_run: u32,
     /// Sends that certainly did not.
@@ -72,6 +74,19 @@
     done: bool,
 }
 
+/// What made a stream late, for its log line.
+#[derive(Default)]
+struct Pauses {
+    /// Time to the first event.
+    first: Duration,
+    /// When the last event came.
+    last: Instant,
+    /// Longest time between two events.
+    longest: Duration,
+    /// The event after which that came.
+    after: Option<u64>,
+}
+
 /// Counts a request as waiting until it is dropped.
 struct Waiting<'a>(&'a Front);
 
@@ -134,6 +149,7 @@
             claim: None,
             events,
             passed: 0,
+            pauses: Pauses::default(),
             may_have_run: 0,
             rejected: 0,
             avoid: SmallVec::new(),
@@ -378,7 +394,7 @@
             return Err(End::Failed(StatusCode::BAD_GATEWAY, "answer lost"));
         };
         self.front().meter.requests(1, Outcome::Failed);
-        self.job.log_answered(exchange.head.status(), "first of the chain", 0);
+        self.job.log_answered(exchange.head.status(), "first of the chain");
         Ok(pass_on(&exchange.head, Answer::Whole(Some(body))))
     }
 }
--- a/mimosafront/src/relay/model/pump.rs
+++ b/mimosafront/src/relay/model/pump.rs
@@ -9,7 +9,6 @@
 use mimosashift::event::Event;
 use mimosashift::link::Exchange;
 use mimosashift::meter::{Outcome, Recovery};
-use mimosashift::time::Instant;
 use tokio::sync::mpsc;
 
 use super::look::Look;
@@ -95,7 +94,14 @@
         self.done = true;
         self.front().meter.requests(1, Outcome::Completed);
         let by = self.claim.as_ref().map(|claim| claim.chain[0].id.clone());
-        self.job.log_answered(StatusCode::OK, by.as_deref().unwrap_or_default(), self.passed);
+        let by = by.as_deref().unwrap_or_default();
+        let ms = millis(clock::now().since(self.job.arrived));
+        emit!(
+            self.front().log, Event::RequestAnswered,
+            "request" => &*self.job.id, "status" => StatusCode::OK.as_u16(), "by" => by, "ms" => ms,
+            "events" => self.passed, "first_ms" => millis(self.pauses.first),
+            "pause_ms" => millis(self.pauses.longest), "pause_after_event" => self.pauses.after,
+        );
     }
 
     fn give_up(&mut self, why: &'static str) {
@@ -132,7 +138,7 @@
                 Some(Err(_)) => return Passed::Broken("stream broke off"),
                 None => return Passed::Whole,
             };
-            match self.take(&data, last) {
+            match self.take(&data) {
                 Err(why) => return Passed::Broken(why),
                 Ok(None) => {}
                 Ok(Some(whole)) => {
@@ -147,7 +153,8 @@
     }
 
     /// Takes in bytes of the stream; returns the events that are whole.
-    fn take(&mut self, data: &Bytes, last: Instant) -> Result<Option<Bytes>, &'static str> {
+    fn take(&mut self, data: &Bytes) -> Result<Option<Bytes>, &'static str> {
+        let before = self.events.last();
         let whole = self.events.push(data).map_err(|_| "not a stream of events")?;
         if whole.count == 0 {
             return Ok(None);
@@ -162,10 +169,17 @@
             fleet.grow(claim, written);
         }
         if self.passed == 0 {
-            front.meter.first_token(now.since(self.job.arrived).as_secs_f64());
+            self.pauses.first = now.since(self.job.arrived);
+            front.meter.first_token(self.pauses.first.as_secs_f64());
         } else {
-            front.meter.inter_token(now.since(last).as_secs_f64());
+            let pause = now.since(self.pauses.last);
+            if pause > self.pauses.longest {
+                self.pauses.longest = pause;
+                self.pauses.after = before;
+            }
+            front.meter.inter_token(pause.as_secs_f64());
         }
+        self.pauses.last = now;
         self.passed += whole.count;
         front.meter.tokens(whole.count as u64 * u64::from(self.engine.stride));
         Ok(Some(whole.bytes.into()))
--- a/mimosafront/src/relay/plain.rs
+++ b/mimosafront/src/relay/plain.rs
@@ -149,7 +149,7 @@
         let status = response.status();
         let label = if status.is_success() { Outcome::Completed } else { Outcome::Failed };
         front.meter.requests(1, label);
-        job.log_answered(status, &hop.id, 0);
+        job.log_answered(status, &hop.id);
     }
     outcome
 }
