Ask endpoints that fall silent at once, and let retries go when needed

Cause: streams through a dead endpoint waited 220 ms each, then up to 370 ms for a probe, and a retry budget that saves up 33 of 95 allowed retries gave up the rest. An endpoint that had no memory was left out like a dead one for 0.4 to 3 s with all of its layers.

Change: an endpoint through which three streams pass and nothing has come for one and a half usual pauses is asked for a report, as is one that closes a connection; a dead one wakes all streams that use it. A refusal for want of memory leaves an endpoint out for 100 ms. Retries are counted in a sliding window as the bound is stated, instead of a token bucket.

--- a/mimosafront/src/front.rs
+++ b/mimosafront/src/front.rs
@@ -17,7 +17,7 @@
 use mimosashift::link::{self, Pool};
 use mimosashift::meter::Meter;
 use mimosashift::peer::Peers;
-use mimosashift::pipeline::retry::{Budget, Share};
+use mimosashift::pipeline::retry::{Bound, Window};
 use mimosashift::time::Instant;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -41,10 +41,6 @@
 /// has heard of the others.
 const MIN_SHARERS: f64 = 4.0;
 
-/// Share of its extra retries that a router may save up: with the half full
-/// budget of a new start within the same window it makes one.
-const SAVED_SHARE: f64 = 2.0 / 3.0;
-
 /// State that the tasks of a router share.
 pub struct Front {
     /// Settings in force.
@@ -61,6 +57,8 @@
     pub findings: RefCell<Findings>,
     /// How hard the engines are pressed.
     pub pressure: RefCell<Pressure>,
+    /// Wakes every request when an endpoint is found dead.
+    pub faults: Notify,
     /// Wakes one request that waits for memory.
     pub released: Notify,
     /// Connections to endpoints and the store.
@@ -91,7 +89,7 @@
     pub log: Logger,
     /// Metrics.
     pub meter: Meter,
-    budgets: RefCell<HashMap<Arc<str>, Budget>>,
+    retries: RefCell<HashMap<Arc<str>, Window>>,
     /// Most routers that were alive at the same time: what one that died has
     /// spent still counts.
     most_routers: Cell<usize>,
@@ -127,6 +125,7 @@
             fleet: RefCell::default(),
             findings: RefCell::default(),
             pressure: RefCell::default(),
+            faults: Notify::new(),
             released: Notify::new(),
             pool,
             store,
@@ -142,7 +141,7 @@
             incarnation,
             log,
             meter,
-            budgets: RefCell::default(),
+            retries: RefCell::default(),
             most_routers: Cell::new(1),
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(incarnation)),
         })
@@ -209,40 +208,39 @@
 
     /// Counts a new request to a service, which earns it a part of a retry.
     pub fn count_request(&self, service: &Arc<str>) {
-        self.budget(service, |budget| budget.on_request(clock::now()));
+        self.window(service, |window, now| window.on_request(now));
     }
 
     /// Takes a retry at a service, if the budget allows one.
     pub fn take_retry(&self, service: &Arc<str>) -> bool {
-        let taken = self.budget(service, |budget| budget.take(clock::now()).is_ok());
+        let bound = self.retry_bound();
+        let taken = self.window(service, |window, now| window.take(&bound, now));
         if taken {
             self.meter.retries(1);
         } else {
             self.meter.retry_budget_exhausted(1);
-            emit!(self.log, Event::RetryBudgetExhausted, "service" => &**service);
+            emit!(self.log, Event::RetryBudgetExhausted, "service" => &**service, "routers" => self.most_routers.get());
         }
         taken
     }
 
-    fn budget<T>(&self, service: &Arc<str>, use_it: impl FnOnce(&mut Budget) -> T) -> T {
+    fn window<T>(&self, service: &Arc<str>, use_it: impl FnOnce(&mut Window, Instant) -> T) -> T {
         let now = clock::now();
-        let share = self.retry_share(now);
-        let mut budgets = self.budgets.borrow_mut();
-        let budget =
-            budgets.entry(service.clone()).or_insert_with(|| Budget::half_full(share, now));
-        budget.set_share(share, now);
-        use_it(budget)
+        let mut retries = self.retries.borrow_mut();
+        use_it(retries.entry(service.clone()).or_insert_with(|| Window::new(now)), now)
     }
 
-    /// This router's share of the retries. Two thirds of its extra ones are what
-    /// it may save up, and the last third what a new start brings.
-    fn retry_share(&self, now: Instant) -> Share {
+    /// This router's share of the retries that the service allows all of them.
+    fn retry_bound(&self) -> Bound {
         let bounds = self.node.borrow().bounds;
-        let routers = self.peers.borrow().alive(now).count() + 1;
+        let routers = self.peers.borrow().alive(clock::now()).count() + 1;
         self.most_routers.set(self.most_routers.get().max(routers));
         let sharers = (self.most_routers.get() as f64).max(MIN_SHARERS);
-        let burst = bounds.extra_retries / sharers * SAVED_SHARE;
-        Share { per_request: bounds.retry_ratio, per_second: 0.0, burst }
+        Bound {
+            length: bounds.retry_window,
+            per_request: bounds.retry_ratio,
+            extra: bounds.extra_retries / sharers,
+        }
     }
 
     /// A draw from `0.0..1.0`.
@@ -266,6 +264,13 @@
         emit!(self.log, Event::EndpointPlaced, "endpoint" => id, "source" => source, "layers" => layers, "pace" => seen.pace);
     }
 
+    /// Leaves an endpoint out that gives no answer, and wakes those that use it.
+    pub fn bury(&self, id: &str, reason: &str) {
+        self.fleet.borrow_mut().die(id, clock::now());
+        self.faults.notify_waiters();
+        emit!(self.log, Event::EndpointDoubted, "endpoint" => id, "reason" => reason, "dead" => true);
+    }
+
     /// Leaves an endpoint out for a while because it failed.
     pub fn doubt(&self, id: &str, reason: &str) {
         self.fleet.borrow_mut().fail(id, clock::now());
--- a/mimosafront/src/probe.rs
+++ b/mimosafront/src/probe.rs
@@ -12,7 +12,7 @@
 use mimosashift::fleet::Hop;
 use mimosashift::time::Instant;
 use tokio::sync::OnceCell;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::clock;
 use crate::front::Front;
@@ -23,8 +23,20 @@
 /// Time between two reports of each engine of the own zone.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(3);
 
-/// Time for a report over a kept connection that may have gone silent.
-const KEPT_TIMEOUT: Duration = Duration::from_millis(120);
+/// Time for which a kept connection, which may have gone silent, is tried
+/// alone: several times what a report takes.
+const KEPT_HEAD_START: Duration = Duration::from_millis(40);
+
+/// Time for a new connection and a report over it before an endpoint counts as
+/// dead: a hundred round trips within a zone.
+const FIND_TIMEOUT: Duration = Duration::from_millis(120);
+
+/// Time in which an answer that has arrived is read.
+const GRACE: Duration = Duration::from_millis(15);
+
+/// Time between two looks for endpoints that fell silent: a fraction of the
+/// usual time between two events.
+const WATCH_INTERVAL: Duration = Duration::from_millis(25);
 
 /// Time for which what an endpoint answered holds for all requests that wait
 /// for it.
@@ -63,21 +75,51 @@
     cell.get_or_init(|| find(front, hop)).await.clone()
 }
 
-/// A kept connection is tried first; when it fails, a new one decides.
+/// A kept connection is tried first; soon a new one is tried beside it, and
+/// when neither brings an answer, the endpoint is dead.
 async fn find(front: &Rc<Front>, hop: &Hop) -> Finding {
-    if let Ok(report) = ask(front, hop, false, KEPT_TIMEOUT).await {
-        return Finding::Alive(report);
-    }
-    front.pool.forget(hop.address);
-    match ask(front, hop, true, REPORT_TIMEOUT).await {
+    let kept = ask(front, hop, false, REPORT_TIMEOUT);
+    let fresh = async {
+        sleep(KEPT_HEAD_START).await;
+        ask(front, hop, true, FIND_TIMEOUT).await
+    };
+    let (mut kept, mut fresh) = (std::pin::pin!(kept), std::pin::pin!(fresh));
+    let found = tokio::select! {
+        Ok(report) = &mut kept => Ok(report),
+        found = &mut fresh => found,
+    };
+    match found {
         Ok(report) => Finding::Alive(report),
         Err(reason) => {
-            front.doubt(&hop.id, &reason);
+            front.pool.forget(hop.address);
+            front.bury(&hop.id, &reason);
             Finding::Dead(reason)
         }
     }
 }
 
+/// Asks endpoints that fall silent, and those that close a connection.
+pub async fn watch(front: Rc<Front>) {
+    loop {
+        let closed = tokio::select! {
+            () = sleep(WATCH_INTERVAL) => Vec::new(),
+            closed = front.pool.closed() => closed,
+        };
+        let hops = {
+            let fleet = front.fleet.borrow();
+            let mut hops = fleet.stalled(clock::now());
+            let closed = closed.iter().filter_map(|address| fleet.at(*address));
+            hops.extend(closed.filter_map(|member| member.hop()));
+            hops
+        };
+        for hop in hops {
+            let front = front.clone();
+            // What it finds is noted with the endpoint.
+            tokio::task::spawn_local(async move { drop(examine(&front, &hop).await) });
+        }
+    }
+}
+
 async fn ask(front: &Rc<Front>, hop: &Hop, fresh: bool, time: Duration) -> Result<Report, String> {
     let call = engine::report_call(hop.address);
     let exchange = async {
@@ -86,9 +128,14 @@
         let body = exchange.collect(MAX_REPORT_BYTES).await.map_err(|e| e.to_string())?;
         engine::report(&body).map_err(|e| e.to_string())
     };
-    let report = match timeout(time, exchange).await {
+    let mut exchange = std::pin::pin!(exchange);
+    let report = match timeout(time, &mut exchange).await {
         Ok(report) => report?,
-        Err(_) => return Err("report timed out".to_owned()),
+        // On a router that was held up itself, an answer may lie unread.
+        Err(_) => match timeout(GRACE, &mut exchange).await {
+            Ok(report) => report?,
+            Err(_) => return Err("report timed out".to_owned()),
+        },
     };
     front.take_report(&hop.id, &report);
     Ok(report)
@@ -98,7 +145,7 @@
 /// known; routers of one zone share them.
 pub async fn sweep(front: Rc<Front>) {
     loop {
-        tokio::time::sleep(SWEEP_INTERVAL).await;
+        sleep(SWEEP_INTERVAL).await;
         for hop in share(&front) {
             if let Err(reason) = report(&front, &hop).await {
                 // A later request finds out whether it is gone.
--- a/mimosafront/src/relay/model/look.rs
+++ b/mimosafront/src/relay/model/look.rs
@@ -43,7 +43,15 @@
         let Some(claim) = &self.claim else { return Look::Lost("no chain") };
         let chain = claim.chain.clone();
         let silent = self.front().fleet.borrow().silent(&chain, clock::now());
-        let Faulty { dead, slow } = faulty(self.front(), &silent, &self.job.id).await;
+        let known: SmallVec<[Hop; 4]> = {
+            let fleet = self.front().fleet.borrow();
+            chain.iter().filter(|hop| fleet.is_dead(&hop.id)).cloned().collect()
+        };
+        let Faulty { dead, slow } = if known.is_empty() {
+            faulty(self.front(), &silent, &self.job.id).await
+        } else {
+            Faulty { dead: known, ..Faulty::default() }
+        };
         let names = |hops: &[Hop]| hops.iter().map(|hop| &*hop.id).collect::<Vec<_>>().join(",");
         let silent_ms = millis(clock::now().since(since));
         emit!(self.front().log, Event::RequestExamined, "request" => &*self.job.id, "silent_ms" => silent_ms, "silent" => names(&silent), "dead" => names(&dead), "slow" => names(&slow), "after_event" => self.events.last());
--- a/mimosafront/src/run.rs
+++ b/mimosafront/src/run.rs
@@ -59,6 +59,7 @@
     spawn_local(gossip::serve_config(front.clone(), peer_stream));
     spawn_local(placement::keep(front.clone()));
     spawn_local(probe::sweep(front.clone()));
+    spawn_local(probe::watch(front.clone()));
     spawn_local(readiness::serve(front.clone(), readiness));
     spawn_local(server::serve(front.clone(), clients, closed));
     match TcpListener::bind(metrics).await {
--- a/mimosashift/src/event/table.rs
+++ b/mimosashift/src/event/table.rs
@@ -90,6 +90,7 @@
     EndpointPlaced "MS0514" Info "endpoint holds other layers", "The layers that an endpoint holds changed.";
     EndpointDoubted "MS0515" Warning "endpoint doubted", "An endpoint failed and is left out for a while.";
     ReportMissing "MS0516" Info "report missing", "An engine gave no report when it was asked for its pace.";
+    EndpointCrowded "MS0517" Info "endpoint crowded", "An endpoint refused work that it has no memory for, or that it cannot begin.";
 
     StageMoved "MS0601" Warning "stage moved", "A request lost a stage and continued on another endpoint.";
     RequestRefused "MS0602" Info "request refused", "A request was refused before any of it ran.";
@@ -104,6 +105,7 @@
     RequestMoved "MS0614" Warning "request moved", "A running request was moved to another chain.";
     RequestDenied "MS0615" Info "request denied", "A request was not allowed or not valid and was answered with a client error.";
     RequestExamined "MS0616" Info "request examined", "A request made no progress, and the endpoints of its chain were asked for reports.";
+    LayerShort "MS0617" Info "layer short", "No endpoint that holds a layer has memory for a request.";
 
     PostingClaimed "MS0701" Debug "posting claimed", "The idempotency key of a posting was claimed.";
     PostingRecorded "MS0702" Debug "posting recorded", "The outcome of a posting was recorded.";
--- a/mimosashift/src/fleet/chain.rs
+++ b/mimosashift/src/fleet/chain.rs
@@ -134,7 +134,7 @@
             };
             let members = self.members.values().filter(usable);
             let mut candidates: Vec<_> =
-                members.filter_map(|member| Candidate::new(member, query)).collect();
+                members.filter_map(|member| Candidate::new(member, query, now)).collect();
             spread(&mut candidates, query.engine);
             Search { query, candidates, table: Vec::new() }.run()
         };
@@ -146,8 +146,17 @@
     }
 }
 
+impl Shortage {
+    /// The layer that is short.
+    pub const fn layer(&self) -> u16 {
+        match self {
+            Self::Uncovered(layer) | Self::Full(layer) => *layer,
+        }
+    }
+}
+
 impl<'a> Candidate<'a> {
-    fn new(member: &'a Member, query: &Query<'_>) -> Option<Self> {
+    fn new(member: &'a Member, query: &Query<'_>, now: Instant) -> Option<Self> {
         let Query { engine, demand, .. } = query;
         let layers = member.endpoint.layers?;
         let card = engine.card(&member.endpoint)?;
@@ -155,7 +164,9 @@
         let capacity = engine.capacity(card, layers.count());
         let usage = member.usage();
         let fill = (f64::from(usage.cache) / capacity.max(1.0)).min(MAX_COUNTED_FILL);
-        let free = (capacity * CACHE_SHARE - f64::from(usage.cache)).max(0.0);
+        let is_crowded = now < member.crowded_until;
+        let room = if is_crowded { 0.0 } else { capacity * CACHE_SHARE };
+        let free = (room - f64::from(usage.cache)).max(0.0);
         let read_ms = card.read_factor / engine.read_per_ms * member.pace;
         let step_ms = engine.step_ms * card.pace * member.pace;
         let work_ms = demand.prompt * read_ms + demand.output * step_ms;
--- a/mimosashift/src/link/mod.rs
+++ b/mimosashift/src/link/mod.rs
@@ -20,6 +20,7 @@
 use quick_error::quick_error;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
 
@@ -35,6 +36,9 @@
 /// Most idle connections kept to one address.
 const MAX_IDLE: usize = 64;
 
+/// Most addresses kept of servers that closed connections.
+const MAX_CLOSED: usize = 256;
+
 /// Limits of the pool.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
@@ -65,6 +69,9 @@
 pub struct Pool {
     settings: Settings,
     idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
+    /// Addresses that closed a connection, not yet taken by [`Pool::closed`].
+    closed: RefCell<Vec<SocketAddr>>,
+    closing: Notify,
 }
 
 struct Idle {
@@ -116,7 +123,12 @@
 impl Pool {
     /// An empty pool.
     pub fn new(settings: Settings) -> Rc<Self> {
-        Rc::new(Self { settings, idle: RefCell::default() })
+        Rc::new(Self {
+            settings,
+            idle: RefCell::default(),
+            closed: RefCell::default(),
+            closing: Notify::new(),
+        })
     }
 
     /// Sends a request and waits for the head of its answer.
@@ -146,6 +158,19 @@
         })
     }
 
+    /// The addresses that have closed connections since the last call, as soon
+    /// as there is one: a server that ends closes all of its connections.
+    pub async fn closed(&self) -> Vec<SocketAddr> {
+        loop {
+            let closing = self.closing.notified();
+            let closed = std::mem::take(&mut *self.closed.borrow_mut());
+            if !closed.is_empty() {
+                return closed;
+            }
+            closing.await;
+        }
+    }
+
     /// Forgets the idle connections to an address, for example because one of
     /// their age went silent.
     pub fn forget(&self, address: SocketAddr) {
@@ -175,7 +200,7 @@
         None
     }
 
-    async fn open(&self, address: SocketAddr) -> Result<Connection, Failure> {
+    async fn open(self: &Rc<Self>, address: SocketAddr) -> Result<Connection, Failure> {
         let not_sent = |reason: String, refused| Failure::NotSent { reason, refused };
         let stream = match timeout(self.settings.connect_timeout, TcpStream::connect(address)).await
         {
@@ -191,11 +216,25 @@
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|error| not_sent(chain(&error), false))?;
-        // The connection's end shows in the exchange that uses it.
-        let task = tokio::task::spawn_local(async move { drop(connection.await) });
+        let pool = Rc::downgrade(self);
+        // The connection's error shows in the exchange that uses it.
+        let task = tokio::task::spawn_local(async move {
+            drop(connection.await);
+            if let Some(pool) = pool.upgrade() {
+                pool.note_closed(address);
+            }
+        });
         Ok(Connection { sender, task: task.abort_handle() })
     }
 
+    fn note_closed(&self, address: SocketAddr) {
+        let mut closed = self.closed.borrow_mut();
+        if closed.len() < MAX_CLOSED && !closed.contains(&address) {
+            closed.push(address);
+        }
+        self.closing.notify_one();
+    }
+
     fn configure(&self, stream: &TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let silence = self.settings.silence;
--- a/mimosashift/src/pipeline/retry.rs
+++ b/mimosashift/src/pipeline/retry.rs
@@ -1,5 +1,6 @@
 //! Retry budget and backoff.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use rand::RngExt;
@@ -12,6 +13,20 @@
 /// Bound of every backoff.
 const BACKOFF_CAP: Duration = Duration::from_secs(1);
 
+/// Time slots by which a [`Window`] counts: small against a window of seconds.
+const SLOT_MICROS: u64 = 250_000;
+
+/// Time by which a [`Window`] counts retries for longer and requests for
+/// shorter than its length: two slots.
+const MARGIN: Duration = Duration::from_millis(500);
+
+/// Share of the extra retries that a new start may use in its first window, so
+/// that an earlier start of the same router and it keep the bound together.
+const FIRST_SHARE: f64 = 1.0 / 3.0;
+
+/// Share of the extra retries in later windows.
+const LATER_SHARE: f64 = 1.0 - FIRST_SHARE;
+
 /// Settings of a [`Budget`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Share {
@@ -40,19 +55,6 @@
         Self { share, tokens: share.burst, refilled: now }
     }
 
-    /// A half full budget, for a process that may have spent a full one just
-    /// before it started anew.
-    pub const fn half_full(share: Share, now: Instant) -> Self {
-        Self { share, tokens: share.burst / 2.0, refilled: now }
-    }
-
-    /// Changes the share, for example because there are more routers.
-    pub fn set_share(&mut self, share: Share, now: Instant) {
-        self.refill(now);
-        self.share = share;
-        self.tokens = self.tokens.min(share.burst);
-    }
-
     /// Adds the share of one new request.
     pub fn on_request(&mut self, now: Instant) {
         self.refill(now);
@@ -82,6 +84,86 @@
     }
 }
 
+/// What a [`Window`] allows.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bound {
+    /// Length of the window.
+    pub length: Duration,
+    /// Retries for each request within it.
+    pub per_request: f64,
+    /// Further retries within it.
+    pub extra: f64,
+}
+
+/// Keeps retries under a share of the requests in any window of time.
+///
+/// Unlike a [`Budget`] it lets all that a window allows go at once, which is
+/// when the loss of an endpoint needs it.
+#[derive(Clone, Debug)]
+pub struct Window {
+    started: Instant,
+    requests: Tally,
+    retries: Tally,
+}
+
+/// Events by the time slot in which they fell, the oldest first.
+#[derive(Clone, Debug, Default)]
+struct Tally(VecDeque<(u64, u32)>);
+
+impl Tally {
+    fn add(&mut self, now: Instant) {
+        let slot = now.as_micros() / SLOT_MICROS;
+        match self.0.back_mut() {
+            Some((last, count)) if *last >= slot => *count += 1,
+            _ => self.0.push_back((slot, 1)),
+        }
+    }
+
+    /// Events in slots that began no longer than `span` ago.
+    fn within(&self, span: Duration, now: Instant) -> f64 {
+        let from = (now - span).as_micros() / SLOT_MICROS;
+        self.0.iter().filter(|(slot, _)| *slot > from).map(|(_, count)| f64::from(*count)).sum()
+    }
+
+    fn forget(&mut self, span: Duration, now: Instant) {
+        let from = (now - span).as_micros() / SLOT_MICROS;
+        while self.0.front().is_some_and(|(slot, _)| *slot < from) {
+            self.0.pop_front();
+        }
+    }
+}
+
+impl Window {
+    /// An empty window of a process that starts now. Until it has passed once,
+    /// only a part of the extra retries is given: an earlier start may have
+    /// spent the rest.
+    pub fn new(now: Instant) -> Self {
+        Self { started: now, requests: Tally::default(), retries: Tally::default() }
+    }
+
+    /// Notes a new request.
+    pub fn on_request(&mut self, now: Instant) {
+        self.requests.add(now);
+    }
+
+    /// Takes one retry, if the window allows one.
+    pub fn take(&mut self, bound: &Bound, now: Instant) -> bool {
+        let Bound { length, per_request, extra } = *bound;
+        self.requests.forget(length, now);
+        self.retries.forget(length + 2 * MARGIN, now);
+        let is_new = now.since(self.started) < length + MARGIN;
+        let extra = extra * if is_new { FIRST_SHARE } else { LATER_SHARE };
+        // A retry arrives later than it is counted here.
+        let requests = self.requests.within(length.saturating_sub(MARGIN), now);
+        let allowed = per_request * requests + extra;
+        let taken = self.retries.within(length + MARGIN, now) + 1.0 <= allowed;
+        if taken {
+            self.retries.add(now);
+        }
+        taken
+    }
+}
+
 impl Default for Share {
     fn default() -> Self {
         Self { per_request: 0.2, per_second: 1.0, burst: 500.0 }
