--- a/mimosafront/src/gossip.rs
+++ b/mimosafront/src/gossip.rs
@@ -14,8 +14,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
-use crate::clock;
 use crate::front::Front;
+use crate::{clock, probe};
 
 /// Time between two looks at which peers are due.
 const TICK: Duration = Duration::from_millis(50);
@@ -97,6 +97,7 @@
         leads: front.leads.get(),
         config,
         store_age: front.store_reached.get().map(|at| now.since(at)),
+        store_lost: front.store_lost.get(),
         directory: front.directory_read.get().map(|read| Directory {
             fingerprint: front.fleet.borrow().fingerprint(),
             age: now.since(read),
@@ -108,6 +109,7 @@
             .iter()
             .map(|(at, observed)| Observed { age: now.since(*at), ..*observed })
             .collect(),
+        dead: front.fleet.borrow().dead().map(|(m, _)| m.name()).collect(),
         peers: front.peers.borrow().share(now),
     }
 }
@@ -135,9 +137,24 @@
             front.log_observed(&id, seen, &digest.node);
         }
     }
+    verify(front, &digest);
     take_config(front, &digest, from, now, fetched);
 }
 
+/// Asks the endpoints that a peer found dead, if this router uses them or
+/// places their layers.
+fn verify(front: &Rc<Front>, digest: &Digest) {
+    if !front.leads.get() && digest.zone != front.node().zone {
+        return;
+    }
+    let hops = front.fleet.borrow().named(&digest.dead);
+    for hop in hops {
+        let front = front.clone();
+        // What it finds is noted with the endpoint.
+        tokio::task::spawn_local(async move { drop(probe::examine(&front, &hop).await) });
+    }
+}
+
 /// Takes in what a peer knows of the configuration.
 fn take_config(
     front: &Rc<Front>,
--- a/mimosafront/src/placement.rs
+++ b/mimosafront/src/placement.rs
@@ -14,6 +14,7 @@
 use mimosashift::layout::{self, Move, Place};
 use mimosashift::meter::PlatformCall;
 use mimosashift::order::lease::{Lease, Settings, TABLE};
+use mimosashift::peer::STORE_LOST;
 use mimosashift::platform::Outcome;
 use mimosashift::resource::{Layers, Name};
 use mimosashift::time::Instant;
@@ -85,6 +86,7 @@
             orders.renew().await;
         }
         if orders.holds() {
+            orders.examine_dead();
             orders.watch().await;
             orders.plan().await;
         }
@@ -110,19 +112,32 @@
     /// is not theirs, so a lease that was taken over early is no danger.
     fn holds(&self) -> bool {
         let authority = self.lease.as_ref().and_then(|l| l.authority(true, clock::now()));
-        authority.is_some() && !self.front.stopping.get()
+        authority.is_some() && !self.front.stopping.get() && !self.yields()
+    }
+
+    /// Whether another router is better placed to order: this one does not see
+    /// which endpoints come and go.
+    fn yields(&self) -> bool {
+        let now = clock::now();
+        let reached = self.front.store_reached.get();
+        let old = reached.is_none_or(|at| now.since(at) > STORE_LOST);
+        self.front.store_lost.get() && old && self.front.peers.borrow().reaches_store(now)
     }
 
     async fn renew(&mut self) {
         let front = self.front.clone();
         let now = clock::now();
-        let Some(lease) = &mut self.lease else { return };
-        let held = lease.authority(true, now).is_some();
+        let held = self.lease.as_ref().is_some_and(|lease| lease.authority(true, now).is_some());
         let peer_leads = front.peers.borrow().alive(now).any(|peer| peer.digest.leads);
         if front.stopping.get() || (!held && peer_leads) {
             self.note_lead(held && !front.stopping.get());
             return;
         }
+        if self.yields() {
+            self.note_lead(false);
+            return;
+        }
+        let Some(lease) = &mut self.lease else { return };
         if !held {
             let read = front.store.read(TABLE).await;
             note(&front, PlatformCall::Read, &read);
@@ -131,9 +146,11 @@
             lease.observe(row, clock::now());
         }
         let now = clock::now();
-        let dead =
-            lease.holder().is_some_and(|holder| front.peers.borrow().is_dead(holder.as_str(), now));
-        let suspected = dead || lease.is_overdue(now);
+        let idle = lease.holder().is_some_and(|holder| {
+            let peers = front.peers.borrow();
+            peers.is_dead(holder.as_str(), now) || peers.is_without_store(holder.as_str(), now)
+        });
+        let suspected = idle || lease.is_overdue(now);
         if let Some(transaction) = lease.write(suspected, now) {
             let outcome = front.store.commit(&transaction).await;
             note(&front, PlatformCall::Commit, &outcome);
@@ -158,6 +175,20 @@
         }
     }
 
+    /// Asks again the endpoints that gave no answer, since layers are placed
+    /// elsewhere only when they stay silent.
+    fn examine_dead(&self) {
+        let dead: Vec<_> = {
+            let fleet = self.front.fleet.borrow();
+            fleet.dead().filter_map(|(member, _)| member.hop()).collect()
+        };
+        for hop in dead {
+            let front = self.front.clone();
+            // What it finds is noted with the endpoint.
+            tokio::task::spawn_local(async move { drop(probe::examine(&front, &hop).await) });
+        }
+    }
+
     /// Looks what became of orders.
     async fn watch(&mut self) {
         let now = clock::now();
@@ -224,11 +255,13 @@
     }
 
     fn moves(&self, service: &str, engine: &Engine) -> Vec<Move> {
+        let now = clock::now();
         let fleet = self.front.fleet.borrow();
         let members = fleet
             .members()
-            // A slow endpoint's layers are wanted elsewhere as well.
-            .filter(|m| &*m.endpoint.service == service && m.takes_work() && !m.is_slow());
+            // The layers of a slow or dead endpoint are wanted elsewhere as well.
+            .filter(|m| &*m.endpoint.service == service && m.takes_work() && !m.is_slow())
+            .filter(|m| !fleet.is_lost(m, now));
         let place = |member: &Member| {
             let endpoint = &member.endpoint;
             let pending = self.pending.get(&endpoint.id);
--- a/mimosashift/src/fleet/mod.rs
+++ b/mimosashift/src/fleet/mod.rs
@@ -234,6 +234,11 @@
         layers.map(|layers| Hop { id: id.clone(), address, incarnation, layers })
     }
 
+    /// Its short name and its incarnation.
+    pub fn name(&self) -> (u64, u64) {
+        (key(&self.endpoint.id), self.endpoint.incarnation)
+    }
+
     /// How many times slower than its card it reports to be.
     pub const fn pace(&self) -> f64 {
         self.pace
--- a/mimosashift/src/fleet/vitals.rs
+++ b/mimosashift/src/fleet/vitals.rs
@@ -121,6 +121,16 @@
         self.members.values().filter_map(|member| Some((member, member.dead_since?)))
     }
 
+    /// Endpoints by their short names and incarnations, without those that are
+    /// known to be dead.
+    pub fn named(&self, names: &[(u64, u64)]) -> Vec<Hop> {
+        let named = |m: &&Member| m.dead_since.is_none() && names.contains(&m.name());
+        if names.is_empty() {
+            return Vec::new();
+        }
+        self.members.values().filter(named).filter_map(Member::hop).collect()
+    }
+
     /// Whether an endpoint gave no answer when it was last asked.
     pub fn is_dead(&self, id: &str) -> bool {
         self.members.get(id).is_some_and(|member| member.dead_since.is_some())
@@ -132,12 +142,13 @@
     pub fn is_lost(&self, member: &Member, now: Instant) -> bool {
         let lost = member.dead_since.is_some_and(|since| now.since(since) >= LOST_AFTER);
         let near = |m: &&Member| {
-            m.endpoint.zone == member.endpoint.zone
-                && m.endpoint.service == member.endpoint.service
+            m.endpoint.zone == member.endpoint.zone && m.endpoint.service == member.endpoint.service
         };
-        let (of, dead) = self.members.values().filter(near).fold((0, 0), |(of, dead), m| {
-            (of + 1, dead + usize::from(m.dead_since.is_some()))
-        });
+        let (of, dead) = self
+            .members
+            .values()
+            .filter(near)
+            .fold((0, 0), |(of, dead), m| (of + 1, dead + usize::from(m.dead_since.is_some())));
         lost && dead * CUT_DIVISOR < of
     }
 
--- a/mimosashift/src/peer/mod.rs
+++ b/mimosashift/src/peer/mod.rs
@@ -35,6 +35,10 @@
 /// more than the time between two readings.
 const READER_STALE: Duration = Duration::from_millis(1_500);
 
+/// Time without the store after which a router orders no more layers, if
+/// another one reaches the store: its view of the endpoints is old.
+pub const STORE_LOST: Duration = Duration::from_millis(2_000);
+
 /// Silence after which a router is no longer relied on to read the store: some
 /// digests, and well within the time in which a configuration takes hold.
 const READER_SILENT: Duration = Duration::from_millis(700);
@@ -48,6 +52,10 @@
 /// Endpoints in one digest; those that are used most go first.
 const MAX_USAGE: usize = 64;
 
+/// Dead endpoints in one digest; more at once are a cut, which each router
+/// finds by itself.
+const MAX_DEAD: usize = 8;
+
 /// What a router tells a peer.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Digest {
@@ -71,12 +79,16 @@
     pub config: Option<Config>,
     /// Time since it last reached the store.
     pub store_age: Option<Duration>,
+    /// Whether its last call to the store failed.
+    pub store_lost: bool,
     /// What it knows of the directory.
     pub directory: Option<Directory>,
     /// What it uses of endpoints.
     pub usage: Vec<(u64, Usage)>,
     /// What it has seen change of endpoints lately.
     pub observed: Vec<Observed>,
+    /// Endpoints that gave it no answer, with their incarnations.
+    pub dead: Vec<(u64, u64)>,
     /// Addresses of other routers.
     pub peers: Vec<SocketAddr>,
 }
@@ -169,6 +181,20 @@
         self.known.get(node).is_some_and(|peer| peer.is_alive(now))
     }
 
+    /// Whether a live router has lost the store while another one reaches it.
+    pub fn is_without_store(&self, node: &str, now: Instant) -> bool {
+        let lost = self.known.get(node).is_some_and(|peer| {
+            let old = peer.store_age(now).is_none_or(|age| age > STORE_LOST);
+            peer.is_alive(now) && peer.digest.store_lost && old
+        });
+        lost && self.reaches_store(now)
+    }
+
+    /// Whether a live peer reaches the store.
+    pub fn reaches_store(&self, now: Instant) -> bool {
+        self.alive(now).any(|peer| peer.store_age(now).is_some_and(|age| age < READER_STALE))
+    }
+
     /// Whether a router was known and has gone silent.
     pub fn is_dead(&self, node: &str, now: Instant) -> bool {
         self.known.get(node).is_some_and(|peer| !peer.is_alive(now))
@@ -199,7 +225,7 @@
     /// one does: the first by name that is alive and reaches the store.
     pub fn reader(&self, node: &str, now: Instant) -> Option<&Peer> {
         let reads = |peer: &&Peer| {
-            let age = peer.digest.store_age.map(|age| age + now.since(peer.heard));
+            let age = peer.store_age(now);
             peer.digest.zone == self.zone
                 && now.since(peer.heard) < READER_SILENT
                 && age.is_some_and(|age| age < READER_STALE)
@@ -246,6 +272,11 @@
 }
 
 impl Peer {
+    /// Time since it last reached the store.
+    fn store_age(&self, now: Instant) -> Option<Duration> {
+        self.digest.store_age.map(|age| age + now.since(self.heard))
+    }
+
     /// Whether it counts as alive.
     pub fn is_alive(&self, now: Instant) -> bool {
         !self.digest.leaving && now.since(self.heard) < DEAD_AFTER
@@ -260,8 +291,9 @@
         Some(Relayed { asked: self.echo?, revision, age: age? })
     }
 
-    /// Keeps the use of the endpoints that are used most.
+    /// Keeps the use of the endpoints that are used most, and a few dead ones.
     pub fn limit(&mut self) {
+        self.dead.truncate(MAX_DEAD);
         if self.usage.len() > MAX_USAGE {
             self.usage.sort_by(|a, b| b.1.cache.total_cmp(&a.1.cache));
             self.usage.truncate(MAX_USAGE);
