Give dead endpoints no work until they answer again

Change: an endpoint that gave no answer is left out until a report comes; each router asks it again when its doubt has passed. A repair of the layout prefers endpoints whose memory is not in use.

--- a/mimosafront/src/placement.rs
+++ b/mimosafront/src/placement.rs
@@ -180,7 +180,7 @@
     fn examine_dead(&self) {
         let dead: Vec<_> = {
             let fleet = self.front.fleet.borrow();
-            fleet.dead().filter_map(|(member, _)| member.hop()).collect()
+            fleet.dead().filter_map(Member::hop).collect()
         };
         for hop in dead {
             let front = self.front.clone();
--- a/mimosafront/src/probe.rs
+++ b/mimosafront/src/probe.rs
@@ -98,7 +98,8 @@
     }
 }
 
-/// Asks endpoints that fall silent, and those that close a connection.
+/// Asks endpoints that fall silent, those that close a connection, and from
+/// time to time those that gave no answer.
 pub async fn watch(front: Rc<Front>) {
     loop {
         let closed = tokio::select! {
@@ -108,6 +109,7 @@
         let hops = {
             let fleet = front.fleet.borrow();
             let mut hops = fleet.stalled(clock::now());
+            hops.extend(fleet.overdue(clock::now()));
             let closed = closed.iter().filter_map(|address| fleet.at(*address));
             hops.extend(closed.filter_map(|member| member.hop()));
             hops
--- a/mimosashift/src/fleet/chain.rs
+++ b/mimosashift/src/fleet/chain.rs
@@ -129,7 +129,7 @@
         let search = |doubted: bool| {
             let usable = |member: &&Member| {
                 &*member.endpoint.service == query.service
-                    && (member.is_usable(now) || doubted && member.takes_work())
+                    && (member.is_usable(now) || doubted && member.is_alive())
                     && !query.avoid.iter().any(|hop| hop.id == member.endpoint.id)
             };
             let members = self.members.values().filter(usable);
--- a/mimosashift/src/fleet/mod.rs
+++ b/mimosashift/src/fleet/mod.rs
@@ -210,9 +210,14 @@
         self.endpoint.standing == Standing::Ready && self.missing_since.is_none()
     }
 
+    /// Whether it takes new work and answered when it was last asked.
+    pub fn is_alive(&self) -> bool {
+        self.takes_work() && self.dead_since.is_none()
+    }
+
     /// Whether it gets new work.
     pub fn is_usable(&self, now: Instant) -> bool {
-        self.takes_work() && now >= self.doubted_until && !self.is_slow()
+        self.is_alive() && now >= self.doubted_until && !self.is_slow()
     }
 
     /// Whether it is so slow that work is better refused than given to it.
--- a/mimosashift/src/fleet/vitals.rs
+++ b/mimosashift/src/fleet/vitals.rs
@@ -116,9 +116,14 @@
         self.fail(id, now);
     }
 
-    /// The endpoints that gave no answer, and when that was first found.
-    pub fn dead(&self) -> impl Iterator<Item = (&Member, Instant)> {
-        self.members.values().filter_map(|member| Some((member, member.dead_since?)))
+    /// The endpoints that gave no answer.
+    pub fn dead(&self) -> impl Iterator<Item = &Member> {
+        self.members.values().filter(|member| member.dead_since.is_some())
+    }
+
+    /// The dead endpoints that are to be asked again.
+    pub fn overdue(&self, now: Instant) -> Vec<Hop> {
+        self.dead().filter(|member| now >= member.doubted_until).filter_map(Member::hop).collect()
     }
 
     /// Endpoints by their short names and incarnations, without those that are
--- a/mimosashift/src/layout/mod.rs
+++ b/mimosashift/src/layout/mod.rs
@@ -47,6 +47,10 @@
 /// it, against the worth of a missing layer.
 const LOAD_COST: f64 = 0.01;
 
+/// Cost of changing an endpoint whose memory is all in use, against the worth
+/// of a missing layer: what passes through it must end first.
+const BUSY_COST: f64 = 1.0;
+
 /// An endpoint to plan for.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Place {
@@ -282,6 +286,10 @@
     /// The ranges that a place could hold instead, with their worth.
     fn changes(&self, place: &Place, most: u16) -> Vec<(f64, Layers)> {
         let now = place.layers;
+        let busy = now.map_or(0.0, |now| {
+            let capacity = self.engine.capacity(&place.card, now.count());
+            (place.used / capacity.max(1.0)).min(1.0)
+        });
         let least = now.map_or(1, |layers| layers.count().min(most)).max(1);
         let mut changes = Vec::new();
         for layers in ranges(least, most, self.engine.layers) {
@@ -291,7 +299,8 @@
             }
             let held = |layer: &usize| now.is_some_and(|now| range(now).contains(layer));
             let loaded = range(layers).filter(|layer| !held(layer)).count();
-            changes.push((gained as f64 - LOAD_COST * loaded as f64, layers));
+            let cost = LOAD_COST * loaded as f64 + BUSY_COST * busy;
+            changes.push((gained as f64 - cost, layers));
         }
         changes
     }
