--- a/mimosafront/src/front.rs
+++ b/mimosafront/src/front.rs
@@ -13,7 +13,7 @@
 use mimosashift::emit;
 use mimosashift::event::{Event, Logger};
 use mimosashift::exchange::Report;
-use mimosashift::fleet::{Fleet, Observed};
+use mimosashift::fleet::{Fleet, Member, Observed};
 use mimosashift::link::{self, Pool};
 use mimosashift::meter::Meter;
 use mimosashift::peer::Peers;
@@ -57,7 +57,7 @@
     pub findings: RefCell<Findings>,
     /// How hard the engines are pressed.
     pub pressure: RefCell<Pressure>,
-    /// Wakes every request when an endpoint is found dead.
+    /// Wakes every request when an endpoint is found dead or slow.
     pub faults: Notify,
     /// Wakes one request that waits for memory.
     pub released: Notify,
@@ -250,8 +250,13 @@
 
     /// Takes in an endpoint's report and keeps what it changed for peers.
     pub fn take_report(&self, id: &str, report: &Report) {
+        let is_slow = || self.fleet.borrow().get(id).is_some_and(Member::is_slow);
+        let was_slow = is_slow();
         let seen = self.fleet.borrow_mut().report(id, report, clock::now());
         let Some(seen) = seen else { return };
+        if is_slow() && !was_slow {
+            self.faults.notify_waiters();
+        }
         let mut observed = self.observed.borrow_mut();
         observed.retain(|(_, earlier)| earlier.endpoint != seen.endpoint);
         observed.push((clock::now(), seen));
--- a/mimosafront/src/relay/model/look.rs
+++ b/mimosafront/src/relay/model/look.rs
@@ -30,6 +30,8 @@
 pub(super) enum Look {
     /// Every part answers.
     Sound,
+    /// Other work has just passed through every part.
+    Passing,
     /// The request was moved to another chain.
     Moved,
     /// The request must be sent anew.
@@ -43,14 +45,14 @@
         let Some(claim) = &self.claim else { return Look::Lost("no chain") };
         let chain = claim.chain.clone();
         let silent = self.front().fleet.borrow().silent(&chain, clock::now());
-        let known: SmallVec<[Hop; 4]> = {
-            let fleet = self.front().fleet.borrow();
-            chain.iter().filter(|hop| fleet.is_dead(&hop.id)).cloned().collect()
-        };
+        let known = self.known_faults();
+        if silent.is_empty() && known.is_empty() {
+            return Look::Passing;
+        }
         let Faulty { dead, slow } = if known.is_empty() {
             faulty(self.front(), &silent, &self.job.id).await
         } else {
-            Faulty { dead: known, ..Faulty::default() }
+            known
         };
         let names = |hops: &[Hop]| hops.iter().map(|hop| &*hop.id).collect::<Vec<_>>().join(",");
         let silent_ms = millis(clock::now().since(since));
@@ -135,11 +137,17 @@
 
 /// The parts of a chain at which a request hangs.
 #[derive(Default)]
-struct Faulty {
+pub(super) struct Faulty {
     /// They give no report, or others report that they wait for them.
-    dead: SmallVec<[Hop; 4]>,
+    pub(super) dead: SmallVec<[Hop; 4]>,
     /// They report to be far slower than their card.
-    slow: SmallVec<[Hop; 4]>,
+    pub(super) slow: SmallVec<[Hop; 4]>,
+}
+
+impl Faulty {
+    pub(super) fn is_empty(&self) -> bool {
+        self.dead.is_empty() && self.slow.is_empty()
+    }
 }
 
 /// Asks the endpoints through which nothing passes.
--- a/mimosafront/src/relay/model/mod.rs
+++ b/mimosafront/src/relay/model/mod.rs
@@ -10,7 +10,7 @@
 use mimosashift::deployment::Engine;
 use mimosashift::emit;
 use mimosashift::event::Event;
-use mimosashift::fleet::{Chain, Claim, Demand, Hop, Query, Shortage};
+use mimosashift::fleet::{Chain, Claim, Demand, Hop, Member, Query, Shortage};
 use mimosashift::link::{Exchange, Failure};
 use mimosashift::meter::{Outcome, RefusalReason};
 use mimosashift::stream::Events;
@@ -19,7 +19,7 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use self::look::Look;
+use self::look::{Faulty, Look};
 use self::watch::{Watch, idle};
 use super::{End, Job, pass_on};
 use crate::body::Answer;
@@ -355,8 +355,9 @@
             if now >= self.job.deadline {
                 return Err(None);
             }
-            if watch.is_due(self.has_dead_part(), now) {
+            if watch.is_due(!self.known_faults().is_empty(), now) {
                 match self.look(sent).await {
+                    Look::Passing => watch.passed(now),
                     Look::Sound | Look::Moved => watch.looked(clock::now()),
                     Look::Lost(_) => return Err(None),
                 }
@@ -364,11 +365,18 @@
         }
     }
 
-    /// Whether a part of its chain gave no answer when it was last asked.
-    fn has_dead_part(&self) -> bool {
+    /// The parts of its chain that are known to be dead or slow.
+    fn known_faults(&self) -> Faulty {
         let fleet = self.front().fleet.borrow();
-        let chain = self.claim.as_ref().map(|claim| &claim.chain);
-        chain.is_some_and(|chain| chain.iter().any(|hop| fleet.is_dead(&hop.id)))
+        let mut faulty = Faulty::default();
+        for hop in self.claim.iter().flat_map(|claim| &claim.chain) {
+            if fleet.is_dead(&hop.id) {
+                faulty.dead.push(hop.clone());
+            } else if fleet.get(&hop.id).is_some_and(Member::is_slow) {
+                faulty.slow.push(hop.clone());
+            }
+        }
+        faulty
     }
 
     fn judge(&mut self, first: &Hop, exchange: Exchange) -> Result<Exchange, &'static str> {
--- a/mimosafront/src/relay/model/pump.rs
+++ b/mimosafront/src/relay/model/pump.rs
@@ -120,9 +120,10 @@
                     if now >= self.job.deadline {
                         return Passed::Late;
                     }
-                    if watch.is_due(self.has_dead_part(), now) {
+                    if watch.is_due(!self.known_faults().is_empty(), now) {
                         match self.look(last).await {
-                            Look::Sound | Look::Moved => watch.looked(clock::now()),
+                            Look::Passing => watch.passed(now),
+                    Look::Sound | Look::Moved => watch.looked(clock::now()),
                             Look::Lost(why) => return Passed::Broken(why),
                         }
                     }
