Tell refused clients to come back later

Change: the wait goes up to 6.5 s, a third of the usual deadline, and grows with the root of the share refused.

--- a/mimosashift/src/admit/pressure.rs
+++ b/mimosashift/src/admit/pressure.rs
@@ -20,7 +20,7 @@
 const MIN_RETRY: Duration = Duration::from_millis(250);
 
 /// Longest such time, told when everything is refused.
-const MAX_RETRY: Duration = Duration::from_secs(5);
+const MAX_RETRY: Duration = Duration::from_millis(6_500);
 
 /// Fewest requests that may wait, whatever has been admitted lately.
 const MIN_WAITING: f64 = 2.0;
@@ -72,7 +72,7 @@
     pub fn retry_after(&self, draw: f64) -> Duration {
         let all = self.admitted + self.refused;
         let share = if all > 0.0 { self.refused / all } else { 0.0 };
-        let spread = MAX_RETRY.saturating_sub(MIN_RETRY).mul_f64(share * draw);
+        let spread = MAX_RETRY.saturating_sub(MIN_RETRY).mul_f64(share.sqrt() * draw);
         MIN_RETRY + spread
     }
 
