--- a/mimosafront/tests/path.rs
+++ b/mimosafront/tests/path.rs
@@ -195,6 +195,39 @@
     no_violations(&world);
 }
 
+#[test]
+fn layers_of_a_silent_endpoint_are_placed_though_its_entry_stays() {
+    let plan = Plan { routers: 2, zones: 1, engines_per_zone: 6, ..Plan::default() };
+    let world = World::start(plan);
+    let mut lost = String::new();
+    drafts_during(&world, 60, || {
+        lost = used(&world, false)[0].clone();
+        world.endpoints.get(&lost).state().health = Health::Dark;
+    });
+    world.wait_until("its layers are placed", |world| {
+        drop(send(world, 0, &Ask::draft(2)));
+        let (from, to) = world.endpoints.get(&lost).state().layers.unwrap();
+        let holds = |layer| world.endpoints.engines().any(|e| e.holds(layer, layer + 1));
+        (from..to).all(holds)
+    });
+    served(&world, 1, || Ask::draft(4));
+    no_violations(&world);
+}
+
+#[test]
+fn endpoint_that_closes_its_connections_is_asked_at_once() {
+    let world = World::start(Plan { routers: 1, zones: 1, ..Plan::default() });
+    served(&world, 0, || Ask::draft(2));
+    let first = used(&world, true)[0].clone();
+    world.endpoints.get(&first).proxy.set(Link::Reset);
+    let found = |line: &&str| {
+        line.contains("MS0515") && line.contains("\"dead\":true") && line.contains(&first)
+    };
+    world.wait_until("the endpoint is known to be dead", |world| {
+        world.routers[0].log().lines().any(|line| found(&line))
+    });
+}
+
 #[test]
 fn stream_that_broke_off_goes_on_at_another_endpoint() {
     let world = World::start(Plan { routers: 1, ..Plan::default() });
--- a/mimosashift/src/admit/pressure.rs
+++ b/mimosashift/src/admit/pressure.rs
@@ -19,7 +19,12 @@
 /// admitted at once is still on time.
 const MIN_RETRY: Duration = Duration::from_millis(250);
 
-/// Longest such time, told when everything is refused.
+/// Share of refusals up to which a shortage counts as momentary: single
+/// requests that met a full endpoint.
+const MOMENTARY: f64 = 0.02;
+
+/// Longest such time, told when everything is refused: a third of the usual
+/// deadline of 20 s, beyond which clients do not wait.
 const MAX_RETRY: Duration = Duration::from_millis(6_500);
 
 /// Fewest requests that may wait, whatever has been admitted lately.
@@ -72,7 +77,8 @@
     pub fn retry_after(&self, draw: f64) -> Duration {
         let all = self.admitted + self.refused;
         let share = if all > 0.0 { self.refused / all } else { 0.0 };
-        let spread = MAX_RETRY.saturating_sub(MIN_RETRY).mul_f64(share.sqrt() * draw);
+        let spread =
+            MAX_RETRY.saturating_sub(MIN_RETRY).mul_f64((share - MOMENTARY).max(0.0).sqrt() * draw);
         MIN_RETRY + spread
     }
 
--- a/mimosashift/tests/fleet.rs
+++ b/mimosashift/tests/fleet.rs
@@ -7,6 +7,8 @@
 use mimosashift::fleet::{Chain, Demand, Fleet, Observed, Query, Shortage, Usage, key};
 use mimosashift::time::Instant;
 
+use test_case::test_case;
+
 use common::deployment::{MODEL, PLAIN, at, endpoint, engine, layers, plain};
 
 #[path = "common"]
@@ -193,7 +195,7 @@
     let mut fleet = fleet(two_zones());
     let chain = choose(&fleet, &USUAL).unwrap();
     // This stream's last event came at 1,000, another one's at 1,030.
-    fleet.progress(&chain, at(1_030));
+    fleet.progress(&chain, None, at(1_030));
     assert_eq!(fleet.silent(&chain, at(1_300)).len(), chain.len());
     assert!(fleet.silent(&chain, at(1_060)).is_empty());
 }
@@ -321,3 +323,102 @@
     fleet.fail("e3", at(1_000));
     assert_eq!(usable(&fleet), 12, "a quarter of the zone failed");
 }
+
+/// A fleet with streams that have begun, all over the same chain.
+fn passing(streams: usize) -> (Fleet, Chain) {
+    let mut fleet = fleet(two_zones());
+    let chain = choose(&fleet, &USUAL).unwrap();
+    for _ in 0..streams {
+        let mut claim = fleet.claim(chain.clone(), &USUAL);
+        fleet.begin(&mut claim);
+    }
+    (fleet, chain)
+}
+
+#[test_case(2, 300 => 0; "one or two streams may pause")]
+#[test_case(3, 100 => 0; "no longer than a stream pauses")]
+#[test_case(3, 130 => 2; "every part of the chain")]
+fn endpoints_in_use_that_fall_silent_are_found(streams: usize, silent_ms: u64) -> usize {
+    let (mut fleet, chain) = passing(streams);
+    fleet.progress(&chain, Some(Duration::from_millis(80)), at(1_000));
+    fleet.stalled(at(1_000 + silent_ms)).len()
+}
+
+#[test]
+fn slower_streams_are_given_more_time() {
+    let (mut fleet, chain) = passing(3);
+    for event in 0..600 {
+        fleet.progress(&chain, Some(Duration::from_millis(160)), at(1_000 + event));
+    }
+    assert!(fleet.stalled(at(1_800)).is_empty());
+    assert_eq!(fleet.stalled(at(1_900)).len(), 2);
+}
+
+#[test]
+fn dead_endpoint_gets_nothing_until_it_reports() {
+    let mut fleet = fleet(two_zones());
+    fleet.die("e1", at(10));
+    assert!(fleet.is_dead("e1"));
+    // Also long after a doubt would have passed.
+    let begins = |fleet: &Fleet| {
+        fleet.chain(&query(&huge(), &USUAL), at(60_000)).map(|chain| chain[0].id.to_string())
+    };
+    assert_eq!(begins(&fleet).unwrap(), "e3");
+    assert_eq!(fleet.overdue(at(11)).len(), 0);
+    assert_eq!(fleet.overdue(at(60_000)).len(), 1);
+    fleet.die("e3", at(20));
+    assert_eq!(begins(&fleet), Err(Shortage::Uncovered(0)));
+    let report = Report { incarnation: 1, layers: Some(layers(0, 40)), ..Report::default() };
+    fleet.report("e1", &report, at(30));
+    assert!(!fleet.is_dead("e1"));
+    assert_eq!(begins(&fleet).unwrap(), "e1");
+}
+
+#[test]
+fn dead_endpoint_is_lost_after_a_while_unless_its_zone_is_cut_off() {
+    let zone = |n| endpoint(n, "a", "large", Some(layers(0, 10)));
+    let mut fleet = fleet((1..=6).map(zone).collect());
+    let lost = |fleet: &Fleet, ms| fleet.is_lost(fleet.get("e1").unwrap(), at(ms));
+    fleet.die("e1", at(1_000));
+    fleet.die("e1", at(1_400));
+    assert!(!lost(&fleet, 1_599));
+    assert!(lost(&fleet, 1_600));
+    fleet.die("e2", at(1_600));
+    assert!(!lost(&fleet, 2_000), "a third of the zone is silent");
+}
+
+#[test]
+fn endpoint_without_memory_gets_nothing_for_a_moment() {
+    let mut fleet = fleet(two_zones());
+    fleet.crowd("e1", at(50));
+    let begins =
+        |fleet: &Fleet, ms| fleet.chain(&query(&huge(), &USUAL), at(ms)).unwrap()[0].id.to_string();
+    assert_eq!(begins(&fleet, 149), "e3");
+    assert_eq!(begins(&fleet, 150), "e1");
+}
+
+#[test]
+fn only_new_parts_of_a_moved_request_read_its_tokens() {
+    let mut fleet = fleet(two_zones());
+    let chain = choose(&fleet, &USUAL).unwrap();
+    let mut claim = fleet.claim(chain.clone(), &USUAL);
+    fleet.begin(&mut claim);
+    let mut moved = chain.clone();
+    moved[1].id = "e4".into();
+    fleet.reroute(&mut claim, moved);
+    let reading: Vec<_> =
+        fleet.digest().into_iter().filter(|(_, usage)| usage.reading > 0.0).collect();
+    assert_eq!(reading.iter().map(|(id, _)| *id).collect::<Vec<_>>(), [key("e4")]);
+    fleet.begin(&mut claim);
+    fleet.release(&claim);
+    assert!(fleet.digest().is_empty());
+}
+
+#[test]
+fn holders_of_a_layer_are_described_with_their_state() {
+    let mut fleet = fleet(two_zones());
+    fleet.crowd("e1", at(50));
+    fleet.fail("e3", at(50));
+    let text = fleet.holders(&query(&huge(), &USUAL), 7, at(60));
+    assert_eq!(text, "e1 0.00 crowded, e3 0.00 doubted");
+}
--- a/mimosashift/tests/front.rs
+++ b/mimosashift/tests/front.rs
@@ -217,9 +217,11 @@
         leads: false,
         config: None,
         store_age: Some(Duration::ZERO),
+        store_lost: false,
         directory: None,
         usage: Vec::new(),
         observed: Vec::new(),
+        dead: Vec::new(),
         peers: Vec::new(),
     }
 }
@@ -280,6 +282,22 @@
     peers.reader(node, at(ms)).map(|peer| peer.digest.node.to_string())
 }
 
+/// A leader that the store turns away is passed over, but only where another
+/// router reaches the store.
+#[test_case(true, 3_000, true => true; "turned away")]
+#[test_case(false, 3_000, true => false; "it only has not asked")]
+#[test_case(true, 1_000, true => false; "not for long")]
+#[test_case(true, 3_000, false => false; "nobody reaches it")]
+fn router_without_the_store_is_known(lost: bool, age_ms: u64, other: bool) -> bool {
+    let mut peers = peers();
+    let store_age = Some(Duration::from_millis(age_ms));
+    let leader = Digest { store_lost: lost, store_age, ..digest("r2", 1, 1) };
+    peers.hear(address(2), leader, at(0));
+    let store_age = other.then_some(Duration::ZERO);
+    peers.hear(address(4), Digest { store_age, ..digest("r4", 1, 1) }, at(0));
+    peers.is_without_store("r2", at(10))
+}
+
 #[test]
 fn confirmation_needs_an_echo() {
     let config = Some(Config { revision: 7, age: Some(S) });
--- a/mimosashift/tests/layout.rs
+++ b/mimosashift/tests/layout.rs
@@ -203,3 +203,23 @@
         prop_assert!(gaps.iter().all(|layer| before.contains(layer)), "{before:?} {gaps:?}");
     }
 }
+
+#[test]
+fn gap_is_closed_by_an_endpoint_whose_memory_is_not_in_use() {
+    let engine = engine();
+    let mut places = vec![
+        place(1, "a", "large", Some(layers(0, 25))),
+        place(2, "a", "large", Some(layers(25, 50))),
+        place(3, "a", "large", Some(layers(50, 75))),
+        place(4, "a", "small", Some(layers(0, 5))),
+        place(5, "a", "small", Some(layers(5, 10))),
+    ];
+    for (used, idle) in [(3, 4), (4, 3)] {
+        for index in [3, 4] {
+            places[index].used = if index == used { 600_000.0 } else { 0.0 };
+        }
+        let moves = plan(&engine, &places);
+        assert_eq!(moves.len(), 1, "{moves:?}");
+        assert_eq!(moves[0].id, places[idle].id);
+    }
+}
