Leave an endpoint that refuses again for want of memory for longer

Change: the time doubles from 100 ms to 1.6 s while an endpoint refuses soon after it was tried again.

--- a/mimosashift/src/fleet/mod.rs
+++ b/mimosashift/src/fleet/mod.rs
@@ -90,6 +90,8 @@
     doubted_until: Instant,
     /// It had no memory and gets no new work until then.
     crowded_until: Instant,
+    /// How long that last was.
+    crowded_for: Duration,
     /// Failures in a row.
     strikes: u32,
     /// Share of recent answers that failed.
@@ -180,6 +182,7 @@
             dead_since: None,
             doubted_until: Instant::ZERO,
             crowded_until: Instant::ZERO,
+            crowded_for: Duration::ZERO,
             strikes: 0,
             failures: 0.0,
             missing_since: None,
--- a/mimosashift/src/fleet/vitals.rs
+++ b/mimosashift/src/fleet/vitals.rs
@@ -20,7 +20,11 @@
 
 /// Time for which an endpoint that refused work for want of memory gets no
 /// new work: some streams end there meanwhile.
-const CROWDED: Duration = Duration::from_millis(100);
+const FIRST_CROWDED: Duration = Duration::from_millis(100);
+
+/// Longest such time, when it refuses again each time: streams of some seconds
+/// leave a good part of the memory free by then.
+const MAX_CROWDED: Duration = Duration::from_millis(1_600);
 
 /// Endpoints of a zone that fail at the same time before the zone is doubted.
 const MIN_DOUBTED: usize = 3;
@@ -176,10 +180,17 @@
     }
 
     /// Notes that an endpoint had no memory for a request; it is well otherwise.
+    /// One that refuses soon after it was tried again is left for longer, as
+    /// many routers may press it.
     pub fn crowd(&mut self, id: &str, now: Instant) {
-        if let Some(member) = self.members.get_mut(id) {
-            member.crowded_until = now + CROWDED;
+        let Some(member) = self.members.get_mut(id) else { return };
+        if now < member.crowded_until {
+            return;
         }
+        let again = now < member.crowded_until + member.crowded_for;
+        let next = if again { member.crowded_for * 2 } else { FIRST_CROWDED };
+        member.crowded_for = next.min(MAX_CROWDED);
+        member.crowded_until = now + member.crowded_for;
     }
 
     /// Leaves out a service's endpoints in a zone through which nothing passes
--- a/mimosashift/tests/fleet.rs
+++ b/mimosashift/tests/fleet.rs
@@ -395,6 +395,13 @@
         |fleet: &Fleet, ms| fleet.chain(&query(&huge(), &USUAL), at(ms)).unwrap()[0].id.to_string();
     assert_eq!(begins(&fleet, 149), "e3");
     assert_eq!(begins(&fleet, 150), "e1");
+    // What was sent before it was known to be full says nothing more.
+    fleet.crowd("e1", at(200));
+    fleet.crowd("e1", at(210));
+    assert_eq!(begins(&fleet, 399), "e3");
+    assert_eq!(begins(&fleet, 400), "e1");
+    fleet.crowd("e1", at(5_000));
+    assert_eq!(begins(&fleet, 5_100), "e1");
 }
 
 #[test]
