Keep a stalled stream until its replacement is open

Silence is no reason to end an answer.

Change: the stream goes on until another chain has answered; it is given up only if its first part has given no answer for a second.

--- a/mimosafront/src/relay/model/pump.rs
+++ b/mimosafront/src/relay/model/pump.rs
@@ -1,5 +1,7 @@
 //! Passes the events of a stream on, and resumes it when it breaks off.
 
+use std::time::Duration;
+
 use hyper::StatusCode;
 use hyper::body::Bytes;
 use mimosashift::deployment::Kind;
@@ -17,6 +19,10 @@
 use crate::front::millis;
 use crate::relay::End;
 
+/// Silence of the first part after which a stream that cannot be resumed is
+/// given up: three questions in a row, and half of what clients wait.
+const GONE_AFTER: Duration = Duration::from_millis(1_000);
+
 /// How passing events on ended.
 enum Passed {
     /// The stream is whole.
@@ -25,6 +31,8 @@
     Gone,
     /// The deadline passed.
     Late,
+    /// The stream makes no progress and could not be moved.
+    Stalled(&'static str),
     /// The stream broke off.
     Broken(&'static str),
 }
@@ -33,8 +41,9 @@
     /// Passes events on until the stream ends, and resumes it if it breaks.
     pub(super) async fn pump(mut self, exchange: Exchange, sender: mpsc::Sender<Piece>) {
         let mut exchange = exchange;
+        let mut watch = Watch::new(clock::now() + FIRST_STALL);
         loop {
-            let why = match self.pass(&mut exchange, &sender).await {
+            let why = match self.pass(&mut exchange, &sender, &mut watch).await {
                 Passed::Whole => {
                     self.finish(&sender).await;
                     return;
@@ -42,16 +51,25 @@
                 // The client left: what is dropped here cancels the work.
                 Passed::Gone => return,
                 Passed::Late => "deadline passed",
+                Passed::Stalled(why) => {
+                    let replaced = self.replace(why).await;
+                    if replaced.is_some() || !self.is_first_gone() {
+                        // Without a replacement the stream may still go on.
+                        exchange = replaced.unwrap_or(exchange);
+                        watch.looked(clock::now());
+                        continue;
+                    }
+                    why
+                }
                 Passed::Broken(why) => {
                     self.avoid_first();
                     self.release();
-                    let first = Kind::Stream { resumable: true };
                     match self.resume(why).await {
-                        Ok(next) if self.job.route.kind == first => {
+                        Ok(next) => {
                             exchange = next;
                             continue;
                         }
-                        _ => why,
+                        Err(_) => why,
                     }
                 }
             };
@@ -67,16 +85,65 @@
         }
     }
 
+    /// Opens the rest of a stream that makes no progress at another chain. The
+    /// stream is kept until that has worked, since it may only be slow.
+    async fn replace(&mut self, why: &str) -> Option<Exchange> {
+        self.avoid_first();
+        if !self.is_resumable() || self.choose().is_err() {
+            return None;
+        }
+        let kept = self.claim.take();
+        match self.resume(why).await {
+            Ok(next) => {
+                if let Some(claim) = kept {
+                    self.front().fleet.borrow_mut().release(&claim);
+                }
+                Some(next)
+            }
+            Err(_) => {
+                self.release();
+                self.claim = kept;
+                None
+            }
+        }
+    }
+
+    /// Whether the first part has given no answer for so long that nothing can
+    /// be expected of it.
+    fn is_first_gone(&self) -> bool {
+        let fleet = self.front().fleet.borrow();
+        let first = self.claim.as_ref().map(|claim| &claim.chain[0].id);
+        let silent = first.and_then(|id| fleet.dead_for(id, clock::now()));
+        silent.is_some_and(|silent| silent >= GONE_AFTER)
+    }
+
+    fn is_resumable(&self) -> bool {
+        self.job.route.kind == Kind::Stream { resumable: true }
+    }
+
     async fn resume(&mut self, why: &str) -> Result<Exchange, End> {
-        self.events.restart();
-        self.demand = self.demand_now();
+        if !self.is_resumable() {
+            return Err(End::Failed(StatusCode::BAD_GATEWAY, "not resumable"));
+        }
+        let demand = self.demand_now();
+        let demand = std::mem::replace(&mut self.demand, demand);
         emit!(self.front().log, Event::StageMoved, "request" => &*self.job.id, "reason" => why, "after_event" => self.events.last());
-        let exchange = self.open().await?;
-        if !exchange.head.status().is_success() {
-            return Err(End::Failed(StatusCode::BAD_GATEWAY, "endpoint failed"));
+        let opened = self.open().await;
+        match opened {
+            Ok(exchange) if exchange.head.status().is_success() => {
+                self.events.restart();
+                self.front().meter.recoveries(1, Recovery::Restarted);
+                Ok(exchange)
+            }
+            Ok(_) => {
+                self.demand = demand;
+                Err(End::Failed(StatusCode::BAD_GATEWAY, "endpoint failed"))
+            }
+            Err(end) => {
+                self.demand = demand;
+                Err(end)
+            }
         }
-        self.front().meter.recoveries(1, Recovery::Restarted);
-        Ok(exchange)
     }
 
     async fn finish(&mut self, sender: &mpsc::Sender<Piece>) {
@@ -107,9 +174,13 @@
     }
 
     /// Passes events on until something else happens.
-    async fn pass(&mut self, exchange: &mut Exchange, sender: &mpsc::Sender<Piece>) -> Passed {
+    async fn pass(
+        &mut self,
+        exchange: &mut Exchange,
+        sender: &mpsc::Sender<Piece>,
+        watch: &mut Watch,
+    ) -> Passed {
         let mut last = clock::now();
-        let mut watch = Watch::new(last + FIRST_STALL);
         let front = self.front().clone();
         loop {
             let next = tokio::select! {
@@ -124,7 +195,7 @@
                         match self.look(last).await {
                             Look::Passing => watch.passed(now),
                     Look::Sound | Look::Moved => watch.looked(clock::now()),
-                            Look::Lost(why) => return Passed::Broken(why),
+                            Look::Lost(why) => return Passed::Stalled(why),
                         }
                     }
                     continue;
--- a/mimosafront/tests/path.rs
+++ b/mimosafront/tests/path.rs
@@ -195,6 +195,20 @@
     no_violations(&world);
 }
 
+#[test]
+fn stream_that_only_pauses_is_not_cut_when_nothing_can_replace_it() {
+    let world = World::start(Plan { routers: 1, zones: 1, ..Plan::default() });
+    served(&world, 0, Ask::post);
+    for engine in world.endpoints.engines() {
+        engine.state().health = Health::Stuck;
+    }
+    for (ask, told) in drafts_during(&world, 40, || {}) {
+        let told = told.unwrap();
+        assert_eq!((told.status, told.whole, told.fault(&ask)), (200, true, None));
+    }
+    no_violations(&world);
+}
+
 #[test]
 fn layers_of_a_silent_endpoint_are_placed_though_its_entry_stays() {
     let plan = Plan { routers: 2, zones: 1, engines_per_zone: 6, ..Plan::default() };
--- a/mimosafront/tests/world/endpoints.rs
+++ b/mimosafront/tests/world/endpoints.rs
@@ -40,6 +40,8 @@
     Failing,
     /// Runs requests and closes the connection.
     LosesAnswers,
+    /// Gives no report, and its streams pause for most of a second.
+    Stuck,
 }
 
 /// An endpoint's entry, and how it behaves.
--- a/mimosafront/tests/world/engine.rs
+++ b/mimosafront/tests/world/engine.rs
@@ -22,6 +22,9 @@
 /// Time that work waits for a dead part before it is cut off.
 const STALL: Duration = Duration::from_millis(2_500);
 
+/// Pause of a stream at an endpoint that is stuck.
+const STUCK: Duration = Duration::from_millis(800);
+
 /// Time to load layers.
 const LOAD: Duration = Duration::from_millis(100);
 
@@ -70,6 +73,9 @@
             std::future::pending::<()>().await;
         }
         let (head, body) = request.into_parts();
+        if health == Health::Stuck && head.uri.path() == "/api/report" {
+            std::future::pending::<()>().await;
+        }
         let body = body.collect().await.map(|body| body.to_bytes()).unwrap_or_default();
         match (head.method.clone(), head.uri.path()) {
             (Method::GET, "/api/report") => self.report(),
@@ -181,6 +187,9 @@
     async fn stream(self, id: String, after: u64, total: u64, to: mpsc::Sender<Piece>) {
         for event in after + 1..=total {
             tokio::time::sleep(self.endpoints.plan.event).await;
+            if self.member.state().health == Health::Stuck && event == after + 6 {
+                tokio::time::sleep(STUCK).await;
+            }
             let waited = Instant::now();
             while !self.passes(&id) {
                 if waited.elapsed() > STALL || self.member.state().health == Health::Dark {
--- a/mimosashift/src/fleet/vitals.rs
+++ b/mimosashift/src/fleet/vitals.rs
@@ -145,6 +145,11 @@
         self.members.get(id).is_some_and(|member| member.dead_since.is_some())
     }
 
+    /// How long ago an endpoint that is dead was first found to be.
+    pub fn dead_for(&self, id: &str, now: Instant) -> Option<Duration> {
+        self.members.get(id)?.dead_since.map(|since| now.since(since))
+    }
+
     /// Whether an endpoint has been dead for so long that its layers are to be
     /// placed elsewhere. Where a large part of a zone is dead at once, the way
     /// there is cut and its endpoints are likely to be well.
