--- a/mimosafront/tests/world/plain.rs
+++ b/mimosafront/tests/world/plain.rs
@@ -78,7 +78,7 @@
             Health::Failing => {
                 Ok(reply(500, &[("request-id", &id), ("response-signature", "s")], "failed"))
             }
-            Health::Well | Health::Dark => {
+            Health::Well | Health::Dark | Health::Stuck => {
                 let signature = format!("sig-{id}");
                 let headers = [("request-id", &*id), ("response-signature", &*signature)];
                 Ok(reply(200, &headers, &format!("answer to {id}")))
