Let the test of lost layers kill an endpoint that holds them alone

Cause: with the stand-ins' usual cards other endpoints held the same layers, so the test passed also with endpoints that never count as lost.

Change: ten engines of one layer each; the one that is killed is the only holder of its layer.

--- a/mimosafront/tests/path.rs
+++ b/mimosafront/tests/path.rs
@@ -211,11 +211,17 @@
 
 #[test]
 fn layers_of_a_silent_endpoint_are_placed_though_its_entry_stays() {
-    let plan = Plan { routers: 2, zones: 1, engines_per_zone: 6, ..Plan::default() };
+    // Ten engines of one layer each, eight of which are needed.
+    let plan = Plan { routers: 2, zones: 1, engines_per_zone: 10, card_mb: 280, ..Plan::default() };
     let world = World::start(plan);
     let mut lost = String::new();
     drafts_during(&world, 60, || {
-        lost = used(&world, false)[0].clone();
+        let used = used(&world, false);
+        let alone = |id: &&String| {
+            let (from, to) = world.endpoints.get(id).state().layers.unwrap();
+            world.endpoints.engines().filter(|e| e.holds(from, to)).count() == 1
+        };
+        lost = used.iter().find(alone).unwrap().clone();
         world.endpoints.get(&lost).state().health = Health::Dark;
     });
     world.wait_until("its layers are placed", |world| {
--- a/mimosafront/tests/world/mod.rs
+++ b/mimosafront/tests/world/mod.rs
@@ -50,11 +50,19 @@
     pub engines_per_zone: usize,
     /// Time between two events of a stream.
     pub event: Duration,
+    /// Memory of an engine, in MB; a layer with its cache takes 250.
+    pub card_mb: u32,
 }
 
 impl Default for Plan {
     fn default() -> Self {
-        Self { routers: 2, zones: 2, engines_per_zone: 3, event: Duration::from_millis(20) }
+        Self {
+            routers: 2,
+            zones: 2,
+            engines_per_zone: 3,
+            event: Duration::from_millis(20),
+            card_mb: 1_000,
+        }
     }
 }
 
@@ -130,7 +138,7 @@
     /// Writes the next configuration, with these teams and their keys.
     pub fn configure(&mut self, teams: &[(&str, &[&str])]) -> u64 {
         self.revision += 3;
-        let config = configuration(self.revision, teams);
+        let config = configuration(self.revision, teams, self.endpoints.plan.card_mb);
         self.store.put("op", "config", &config);
         self.revision
     }
@@ -149,7 +157,7 @@
     Ipv4Addr::new(a, b, c, last)
 }
 
-fn configuration(revision: u64, teams: &[(&str, &[&str])]) -> Value {
+fn configuration(revision: u64, teams: &[(&str, &[&str])], card_mb: u32) -> Value {
     let route = |name: &str, kind: &str, service: &str| {
         json!({
             "name": name, "host": HOST, "prefix": format!("/{name}/"), "kind": kind,
@@ -175,7 +183,7 @@
                 "usual": {"prompt": 100, "answer": 80},
                 "layers": LAYERS, "layer_mb": 100.0, "activation_bytes": 1_000,
                 "pipe_mbps": 16_000.0,
-                "kinds": [{"name": "card", "size_mb": 1_000.0, "pace": 1.0, "read_factor": 1.0}],
+                "kinds": [{"name": "card", "size_mb": card_mb, "pace": 1.0, "read_factor": 1.0}],
             }},
             {"name": "register", "health_path": "/health", "connection_limit": 100},
         ],
