Print lists of mimosactl status as tables

Cause: members, endpoints and nested values stood as JSON in the table form. A check of that in cli::changes_show_in_get_audit_and_status failed before and passes now.

--- a/mimosactl/src/output.rs
+++ b/mimosactl/src/output.rs
@@ -23,22 +23,57 @@
         }
     }
 
-    /// Prints one value: its members as rows, or JSON.
+    /// Prints one value: its members as rows and its lists as tables, or JSON.
     pub fn print_one(self, value: &Value) -> io::Result<()> {
         let mut out = io::stdout().lock();
         match (self, value) {
-            (Self::Table, Value::Object(members)) => {
-                let width = members.keys().map(String::len).max().unwrap_or(0);
-                for (name, member) in members {
-                    writeln!(out, "{name:width$}  {}", cell(member))?;
-                }
-                Ok(())
-            }
+            (Self::Table, Value::Object(_)) => write_members(&mut out, value),
             _ => writeln!(out, "{value:#}"),
         }
     }
 }
 
+fn write_members(out: &mut impl Write, value: &Value) -> io::Result<()> {
+    let (mut rows, mut lists) = (Vec::new(), Vec::new());
+    flatten("", value, &mut rows, &mut lists);
+    let width = rows.iter().map(|(name, _)| name.len()).max().unwrap_or(0);
+    for (name, text) in rows {
+        writeln!(out, "{name:width$}  {text}")?;
+    }
+    for (name, items) in lists {
+        let mut columns: Vec<&str> = Vec::new();
+        for key in items.iter().filter_map(Value::as_object).flat_map(|item| item.keys()) {
+            if !columns.contains(&key.as_str()) {
+                columns.push(key);
+            }
+        }
+        writeln!(out, "\n{name}")?;
+        write_table(out, items, &columns)?;
+    }
+    Ok(())
+}
+
+/// Splits nested members into rows, named by their path, and lists of objects.
+fn flatten<'a>(
+    path: &str,
+    value: &'a Value,
+    rows: &mut Vec<(String, String)>,
+    lists: &mut Vec<(String, &'a [Value])>,
+) {
+    match value {
+        Value::Object(members) if !members.is_empty() => {
+            for (name, member) in members {
+                let path = if path.is_empty() { name.clone() } else { format!("{path}.{name}") };
+                flatten(&path, member, rows, lists);
+            }
+        }
+        Value::Array(items) if items.iter().any(Value::is_object) => {
+            lists.push((path.to_owned(), items));
+        }
+        _ => rows.push((path.to_owned(), cell(value))),
+    }
+}
+
 fn write_table(out: &mut impl Write, items: &[Value], columns: &[&str]) -> io::Result<()> {
     let header = columns.iter().map(|c| c.to_uppercase()).collect::<Vec<_>>();
     let mut rows = vec![header];
@@ -59,6 +94,13 @@
     match value {
         Value::Null => "-".to_owned(),
         Value::String(text) => text.clone(),
+        Value::Array(items) if items.is_empty() => "-".to_owned(),
+        Value::Object(members) if members.is_empty() => "-".to_owned(),
+        Value::Array(items) => items.iter().map(cell).collect::<Vec<_>>().join(", "),
+        Value::Object(members) => {
+            let pair = |(name, value)| format!("{name}={}", cell(value));
+            members.iter().map(pair).collect::<Vec<_>>().join(" ")
+        }
         other => other.to_string(),
     }
 }
--- a/mimosactl/tests/cli.rs
+++ b/mimosactl/tests/cli.rs
@@ -72,6 +72,9 @@
     assert_eq!(audit["items"][0]["operator"], "bootstrap");
     let status = json(&ctl(&world, &["-o", "json", "status"], ""));
     assert_eq!(status["revision"], 1);
+    let table = text(&ctl(&world, &["status"], "").stdout);
+    assert!(table.lines().any(|line| line.starts_with("revision") && line.ends_with('1')));
+    assert!(!table.contains(['{', '[', '"']), "{table}");
 }
 
 #[test]
