--- a/mimosabench/src/added.rs
+++ b/mimosabench/src/added.rs
@@ -1,7 +1,7 @@
 //! Time that a router adds to tokens, over real sockets.
 //!
 //! The same requests run through a router and, without one, by a bare loop
-//! over the same engines, in turn, so that both meet the same disturbances.
+//! over the same engines, in turn, so that both run under the same conditions.
 
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
