Log the usage known when a chain is chosen, and count known routers

Callers saw late streams in one zone; the logs could not tell whether a router admitted too much by its own sums or whether it did not know what the others had admitted. MS0611 now has the fullest KV cache of the chain by the router's sums, the number of peers included and the age of the oldest; MS0517 has the fill of the refusing endpoint; the metric mimosashift_members is set by mimosafront as well. Choices are unchanged.

Test: load_is_described_with_the_age_of_the_usage_of_peers.

--- a/mimosafront/src/metrics.rs
+++ b/mimosafront/src/metrics.rs
@@ -8,9 +8,11 @@
 use hyper::service::service_fn;
 use hyper::{Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use mimosashift::meter::MemberState;
 use tokio::net::TcpListener;
 
 use crate::body::ResponseBody;
+use crate::clock;
 use crate::state::RouterState;
 
 /// Returns the metrics for every path, until the router exits.
@@ -30,6 +32,8 @@
 
 fn respond(state: &RouterState) -> Response<ResponseBody> {
     state.meter.running(state.in_flight.get() as u64);
+    let peers = state.peers.borrow().alive(clock::now()).count();
+    state.meter.members(peers as u64, MemberState::Alive);
     match state.meter.render() {
         Ok(text) => Response::new(ResponseBody::Full(Some(Bytes::from(text)))),
         Err(error) => {
--- a/mimosafront/src/relay/model/mod.rs
+++ b/mimosafront/src/relay/model/mod.rs
@@ -332,7 +332,9 @@
     async fn send(&mut self, chain: Chain, attempt: u32) -> Result<Exchange, &'static str> {
         let to: Vec<_> = chain.iter().map(|hop| format!("{}:{}", hop.id, hop.layers)).collect();
         let Demand { prompt, output } = self.demand;
-        self.ctx.log_sent(attempt, &to.join(","), &format!("prompt={prompt} output={output}"));
+        let load = self.state().fleet.borrow().describe_load(&self.engine, &chain, clock::now());
+        let inputs = format!("prompt={prompt} output={output} {load}");
+        self.ctx.log_sent(attempt, &to.join(","), &inputs);
         let first = chain[0].clone();
         let request = self.ctx.request(&first, &chain, self.events.last());
         let claim = self.state().fleet.borrow_mut().claim(chain, &self.demand);
@@ -449,7 +451,9 @@
         if named.is_some() {
             let state = self.state().clone();
             state.fleet.borrow_mut().record_cache_full(&hop.id, clock::now());
-            emit!(state.log, Event::EndpointOverloaded, "endpoint" => &*hop.id, "request" => &*self.ctx.id, "status" => status.as_u16());
+            let fill = state.fleet.borrow().fill(&self.engine, &hop.id);
+            let fill = fill.map(|fill| format!("{fill:.2}"));
+            emit!(state.log, Event::EndpointOverloaded, "endpoint" => &*hop.id, "request" => &*self.ctx.id, "status" => status.as_u16(), "fill" => fill);
             let hop = hop.clone();
             // The endpoint is not selected for a while, whatever the probe finds;
             // the probe tells whether it is dead.
--- a/mimosashift/src/fleet/describe.rs
+++ b/mimosashift/src/fleet/describe.rs
@@ -1,11 +1,34 @@
-//! Describes the holders of a layer, for logs.
+//! Describes the load of endpoints as this router knows it, for logs.
 
 use std::fmt::Write;
+use std::time::Duration;
 
-use super::{Fleet, Member, Query};
+use super::{Fleet, Hop, Member, PEER_DIGEST_TTL, Query};
+use crate::deployment::Engine;
 use crate::time::Instant;
 
 impl Fleet {
+    /// The load that a choice of `chain` is based on: the highest share of a KV cache in
+    /// use, the number of peers whose usage is included, and the age of the oldest, as in
+    /// `fill=0.62 peers=24 peers_age_ms=840`.
+    pub fn describe_load(&self, engine: &Engine, chain: &[Hop], now: Instant) -> String {
+        let fill = chain.iter().filter_map(|hop| self.fill(engine, &hop.id)).fold(0.0, f64::max);
+        let ages = self.digests.values().map(|(at, _)| now.since(*at));
+        let ages = ages.filter(|age| *age < PEER_DIGEST_TTL);
+        let (peers, oldest) =
+            ages.fold((0, Duration::ZERO), |(peers, oldest), age| (peers + 1, oldest.max(age)));
+        format!("fill={fill:.2} peers={peers} peers_age_ms={}", oldest.as_millis())
+    }
+
+    /// Share of an endpoint's KV cache in use; `None` if the endpoint or its card is
+    /// unknown.
+    pub fn fill(&self, engine: &Engine, id: &str) -> Option<f64> {
+        let member = self.members.get(id)?;
+        let count = member.endpoint.layers.map_or(0, |layers| layers.count());
+        let capacity = engine.kv_capacity(engine.card(&member.endpoint)?, count);
+        Some(member.cache() / capacity.max(1.0))
+    }
+
     /// Every endpoint that holds a layer, with the share of its KV cache in use and
     /// its state if it is not preferred for new work, as in `i-1 0.97, i-2 0.40 doubted`.
     /// `doubted` (ejected) and `crowded` (cache full) are the words in the titles of the
@@ -19,9 +42,7 @@
         let mut text = String::new();
         for member in self.members.values().filter(holds) {
             let endpoint = &member.endpoint;
-            let count = endpoint.layers.map_or(0, |layers| layers.count());
-            let capacity = query.engine.card(endpoint).map(|c| query.engine.kv_capacity(c, count));
-            let fill = capacity.map(|capacity| member.cache() / capacity.max(1.0));
+            let fill = self.fill(query.engine, &endpoint.id);
             let fill = fill.map_or_else(|| "card unknown".to_owned(), |fill| format!("{fill:.2}"));
             let separator = if text.is_empty() { "" } else { ", " };
             let state = if !member.takes_work() {
--- a/mimosashift/tests/fleet.rs
+++ b/mimosashift/tests/fleet.rs
@@ -92,6 +92,18 @@
     assert!(choose(&fleet, &DEMAND).is_ok(), "a chain is still found");
 }
 
+#[test]
+fn load_is_described_with_the_age_of_the_usage_of_peers() {
+    let mut fleet = fleet(two_zones());
+    let chain = choose(&fleet, &DEMAND).unwrap();
+    let half = huge().kv_capacity(&huge().cards["huge"], 40) / 2.0;
+    let usage = Usage { cache: half as f32, ..Usage::default() };
+    fleet.merge_digest(&"peer".into(), &[(endpoint_key(&chain[1].id), usage)], at(1_000));
+    fleet.merge_digest(&"other".into(), &[], at(1_800));
+    let load = fleet.describe_load(&huge(), &chain, at(2_000));
+    assert_eq!(load, "fill=0.50 peers=2 peers_age_ms=1000");
+}
+
 #[test]
 fn failed_endpoint_is_replaced_by_one_of_another_zone() {
     let mut fleet = fleet(two_zones());
