--- a/mimosafront/tests/end_to_end.rs
+++ b/mimosafront/tests/end_to_end.rs
@@ -507,3 +507,15 @@
     assert!(text.contains("mimosashift_requests_total{outcome=\"completed\"}"), "{text}");
     assert!(text.contains("mimosashift_first_token_seconds_bucket"), "{text}");
 }
+
+#[test]
+fn every_router_counts_all_others_as_alive() {
+    const ROUTERS: usize = 14;
+    let options = ClusterOptions { routers: ROUTERS, ..ClusterOptions::default() };
+    let cluster = TestCluster::start(options);
+    let expected = format!("mimosashift_members{{state=\"alive\"}} {}", ROUTERS - 1);
+    cluster.wait_until("every router counts all others", |cluster| {
+        let mut routers = cluster.routers.iter();
+        routers.all(|router| cluster.runtime.block_on(router.metrics()).contains(&expected))
+    });
+}
