Bound digests without always dropping the same entries

A digest named the 64 most used endpoints, the first 8 dead ones by id, and any number of observations.

More than 8 dead endpoints were never all named. 1,000 observations (a start of 1,000 replicas) made a digest of 32,418 bytes, twice what a peer accepts: the sender would have counted as dead.

A digest now has up to 256 endpoints with usage, a random part of 128 observations and of 8 dead endpoints; later digests contain the others.

Tests (all failed before): usage_of_all_endpoints_of_a_grown_site_fits (64 of 100), digest_of_a_router_that_sees_1000_endpoints_fits (32,418 bytes), every_dead_or_observed_endpoint_is_named (8 of 16).

--- a/mimosafront/src/gossip.rs
+++ b/mimosafront/src/gossip.rs
@@ -9,7 +9,7 @@
 use mimosashift::emit;
 use mimosashift::event::Event;
 use mimosashift::fleet::{Member, Observation};
-use mimosashift::peer::{Config, Digest, Directory};
+use mimosashift::peer::{Config, Digest, Directory, MAX_DIGEST_BYTES};
 use mimosashift::time::Instant;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
@@ -21,9 +21,6 @@
 /// after a failed accept.
 const SEND_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Largest datagram that is accepted.
-const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
-
 /// Time limit for fetching a configuration from a peer.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -42,7 +39,7 @@
 
 /// Exchanges digests until the router exits.
 pub async fn run(state: Rc<RouterState>, socket: UdpSocket) {
-    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    let mut buffer = vec![0; MAX_DIGEST_BYTES];
     let mut tick = tokio::time::interval(SEND_CHECK_INTERVAL);
     let mut last_fetch = Instant::ZERO;
     loop {
@@ -66,7 +63,7 @@
         return;
     }
     let mut digest = digest(state, now);
-    digest.truncate();
+    digest.truncate(&mut state.rng.borrow_mut());
     for (to, echo) in due {
         digest.echo = echo;
         digest.sent_at = clock::now();
--- a/mimosashift/src/peer/mod.rs
+++ b/mimosashift/src/peer/mod.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::seq::IteratorRandom;
+use rand::seq::{IteratorRandom, SliceRandom};
 use rand_pcg::Pcg64Mcg;
 use serde::{Deserialize, Serialize};
 
@@ -56,13 +56,20 @@
 /// Maximum number of router addresses in one digest.
 const ADDRESSES_PER_DIGEST: usize = 8;
 
-/// Maximum number of endpoints with usage in one digest; the most used are kept.
-const MAX_USAGE_ENTRIES: usize = 64;
+/// Maximum number of endpoints with usage in one digest; the most used are kept. Usage
+/// that peers do not know of lets them overload an endpoint.
+const MAX_USAGE_ENTRIES: usize = 256;
+
+/// Maximum number of observations in one digest.
+const MAX_OBSERVATIONS: usize = 128;
 
 /// Maximum number of dead endpoints in one digest; more at once indicate a
 /// network partition, which each router detects by itself.
 const MAX_DEAD_ENDPOINTS: usize = 8;
 
+/// Largest encoded digest.
+pub const MAX_DIGEST_BYTES: usize = 16 * 1024;
+
 /// State that a router sends to its peers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Digest {
@@ -303,12 +310,22 @@
         Some(PeerConfirmation { request_sent: self.echo?, revision, age: age? })
     }
 
-    /// Truncates the digest to the most used and to a few dead endpoints.
-    pub fn truncate(&mut self) {
-        self.dead.truncate(MAX_DEAD_ENDPOINTS);
+    /// Limits the size of the digest. Of the usage the largest entries are kept; of the
+    /// dead endpoints and the observations a random part, so that later digests contain
+    /// the others.
+    pub fn truncate(&mut self, rng: &mut Pcg64Mcg) {
+        keep_random(&mut self.dead, MAX_DEAD_ENDPOINTS, rng);
+        keep_random(&mut self.observed, MAX_OBSERVATIONS, rng);
         if self.usage.len() > MAX_USAGE_ENTRIES {
             self.usage.sort_by(|a, b| b.1.cache.total_cmp(&a.1.cache));
             self.usage.truncate(MAX_USAGE_ENTRIES);
         }
     }
 }
+
+fn keep_random<T>(items: &mut Vec<T>, count: usize, rng: &mut Pcg64Mcg) {
+    if items.len() > count {
+        items.shuffle(rng);
+        items.truncate(count);
+    }
+}
--- a/mimosashift/tests/peer.rs
+++ b/mimosashift/tests/peer.rs
@@ -4,7 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use mimosashift::peer::{Digest, Peers};
+use mimosashift::fleet::{Observation, Usage};
+use mimosashift::peer::{Digest, MAX_DIGEST_BYTES, Peers};
 use mimosashift::time::Instant;
 
 use rand::SeedableRng;
@@ -136,3 +137,51 @@
     network.run(75_000);
     assert_eq!(network.unknown(), BTreeSet::new());
 }
+
+/// Truncated digest of a router that uses, has observed and found dead this many endpoints.
+fn truncated(usage: u64, observed: u64, dead: u64, rng: &mut Pcg64Mcg) -> Digest {
+    // Keys are hashes, so most take as many bytes as the largest number.
+    let key = |n: u64| u64::MAX - n;
+    let used = Usage { cache: 1.0, prefill: 1.0, requests: 1 };
+    let observation = |n| Observation {
+        endpoint: key(n),
+        incarnation: u64::MAX,
+        layers: None,
+        pace: 1.0,
+        age: Duration::from_millis(500),
+    };
+    let mut digest = Digest {
+        usage: (0..usage).map(|n| (key(n), used)).collect(),
+        observed: (0..observed).map(observation).collect(),
+        dead: (0..dead).map(|n| (key(n), u64::MAX)).collect(),
+        ..digest(1, 1, at(0))
+    };
+    digest.truncate(rng);
+    digest
+}
+
+#[test]
+fn usage_of_all_endpoints_of_a_grown_site_fits_into_a_digest() {
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    assert_eq!(truncated(100, 0, 0, &mut rng).usage.len(), 100);
+}
+
+#[test]
+fn digest_of_a_router_that_sees_1000_endpoints_fits_into_a_datagram() {
+    let digest = truncated(1_000, 1_000, 1_000, &mut Pcg64Mcg::seed_from_u64(1));
+    let bytes = postcard::to_stdvec(&digest).unwrap().len();
+    assert!(bytes <= MAX_DIGEST_BYTES, "{bytes} bytes");
+}
+
+/// A router sends at least ten digests in the 3 s for which an observation is shared.
+#[test]
+fn every_dead_or_observed_endpoint_is_named_in_some_of_10_digests() {
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let (mut dead, mut observed) = (BTreeSet::new(), BTreeSet::new());
+    for _ in 0..10 {
+        let digest = truncated(0, 200, 16, &mut rng);
+        dead.extend(digest.dead);
+        observed.extend(digest.observed.iter().map(|seen| seen.endpoint));
+    }
+    assert_eq!((dead.len(), observed.len()), (16, 200));
+}
