Count KV cache usage that only the endpoint's report shows

Callers saw late streams because a router believed its own sum of usage although the engine's reports said that its cache was full: the field was decoded and never read.

A report's usage is now compared with the known usage. A difference of a tenth of the cache or more counts as used, decays within 3 s and is logged as MS0518.

Tests: endpoint_that_reports_a_full_cache_gets_no_work_although_no_peer_ is_known (did not exist as a function before: reports had no effect on usage), usage_known_from_digests_is_not_counted_twice_when_it_is_reported.

--- a/mimosafront/src/relay/model/mod.rs
+++ b/mimosafront/src/relay/model/mod.rs
@@ -451,7 +451,7 @@
         if named.is_some() {
             let state = self.state().clone();
             state.fleet.borrow_mut().record_cache_full(&hop.id, clock::now());
-            let fill = state.fleet.borrow().fill(&self.engine, &hop.id);
+            let fill = state.fleet.borrow().fill(&self.engine, &hop.id, clock::now());
             let fill = fill.map(|fill| format!("{fill:.2}"));
             emit!(state.log, Event::EndpointOverloaded, "endpoint" => &*hop.id, "request" => &*self.ctx.id, "status" => status.as_u16(), "fill" => fill);
             let hop = hop.clone();
--- a/mimosafront/src/state.rs
+++ b/mimosafront/src/state.rs
@@ -264,6 +264,11 @@
     pub fn apply_report(&self, id: &str, report: &Report) {
         let is_slow = || self.fleet.borrow().get(id).is_some_and(Member::is_slow);
         let was_slow = is_slow();
+        let known = self.fleet.borrow_mut().record_reported_usage(id, report, clock::now());
+        if let Some(known) = known {
+            let peers = self.peers.borrow().alive(clock::now()).count();
+            emit!(self.log, Event::EndpointUsageUntracked, "endpoint" => id, "reported" => report.kv_used.round() as u64, "known" => known.round() as u64, "peers" => peers);
+        }
         let change = self.fleet.borrow_mut().apply_report(id, report, clock::now());
         let Some(change) = change else { return };
         if is_slow() && !was_slow {
--- a/mimosashift/src/exchange/mod.rs
+++ b/mimosashift/src/exchange/mod.rs
@@ -86,6 +86,8 @@
     pub running: u32,
     /// KV cache in use, in tokens x layers.
     pub kv_used: f64,
+    /// KV cache that it has, in tokens x layers.
+    pub kv_total: f64,
     /// Layers that it holds.
     pub layers: Option<crate::resource::Layers>,
     /// Step time relative to the nominal step time of its card.
--- a/mimosashift/src/fleet/chain.rs
+++ b/mimosashift/src/fleet/chain.rs
@@ -165,7 +165,7 @@
         let card = engine.card(&member.endpoint)?;
         let layer_count = f64::from(engine.layers);
         let capacity = engine.kv_capacity(card, layers.count());
-        let usage = member.usage();
+        let usage = member.usage(now);
         let fill = (f64::from(usage.cache) / capacity.max(1.0)).min(MAX_COST_FILL);
         let is_cache_full = now < member.cache_full_until;
         let usable = if is_cache_full { 0.0 } else { capacity * USABLE_CACHE_SHARE };
--- a/mimosashift/src/fleet/describe.rs
+++ b/mimosashift/src/fleet/describe.rs
@@ -12,7 +12,8 @@
     /// use, the number of peers whose usage is included, and the age of the oldest, as in
     /// `fill=0.62 peers=24 peers_age_ms=840`.
     pub fn describe_load(&self, engine: &Engine, chain: &[Hop], now: Instant) -> String {
-        let fill = chain.iter().filter_map(|hop| self.fill(engine, &hop.id)).fold(0.0, f64::max);
+        let fill =
+            chain.iter().filter_map(|hop| self.fill(engine, &hop.id, now)).fold(0.0, f64::max);
         let ages = self.digests.values().map(|(at, _)| now.since(*at));
         let ages = ages.filter(|age| *age < PEER_DIGEST_TTL);
         let (peers, oldest) =
@@ -22,11 +23,11 @@
 
     /// Share of an endpoint's KV cache in use; `None` if the endpoint or its card is
     /// unknown.
-    pub fn fill(&self, engine: &Engine, id: &str) -> Option<f64> {
+    pub fn fill(&self, engine: &Engine, id: &str, now: Instant) -> Option<f64> {
         let member = self.members.get(id)?;
         let count = member.endpoint.layers.map_or(0, |layers| layers.count());
         let capacity = engine.kv_capacity(engine.card(&member.endpoint)?, count);
-        Some(member.cache() / capacity.max(1.0))
+        Some(member.cache(now) / capacity.max(1.0))
     }
 
     /// Every endpoint that holds a layer, with the share of its KV cache in use and
@@ -42,7 +43,7 @@
         let mut text = String::new();
         for member in self.members.values().filter(holds) {
             let endpoint = &member.endpoint;
-            let fill = self.fill(query.engine, &endpoint.id);
+            let fill = self.fill(query.engine, &endpoint.id, now);
             let fill = fill.map_or_else(|| "card unknown".to_owned(), |fill| format!("{fill:.2}"));
             let separator = if text.is_empty() { "" } else { ", " };
             let state = if !member.takes_work() {
--- a/mimosashift/src/fleet/mod.rs
+++ b/mimosashift/src/fleet/mod.rs
@@ -37,6 +37,14 @@
 /// Time after which a peer's digest expires.
 const PEER_DIGEST_TTL: Duration = Duration::from_secs(3);
 
+/// Share of an endpoint's KV cache by which the reported usage must exceed the known
+/// usage to count as untracked. Reports are a few hundred milliseconds old, in which the
+/// usage changes by some percent.
+const MIN_UNTRACKED_SHARE: f64 = 0.1;
+
+/// Time in which untracked usage decays to zero: most streams end within it.
+const UNTRACKED_DECAY: Duration = Duration::from_secs(3);
+
 /// One hop of a chain: an endpoint and the layers that it runs.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Hop {
@@ -74,6 +82,9 @@
     own_usage: Usage,
     /// Usage by all peers.
     peer_usage: Usage,
+    /// KV cache that the endpoint reported in use beyond the usage known to this router,
+    /// in tokens x layers, and the time of the report.
+    untracked_cache: (f32, Instant),
     /// Reported slowdown relative to the nominal speed of its card; 1 is nominal.
     slowdown: f64,
     /// Heartbeat number of the directory entry at the time of the latest report. An
@@ -177,6 +188,7 @@
             endpoint,
             own_usage: Usage::default(),
             peer_usage: Usage::default(),
+            untracked_cache: (0.0, Instant::ZERO),
             slowdown: 1.0,
             heartbeat_at_report: None,
             observed_at: Instant::ZERO,
@@ -234,12 +246,21 @@
     }
 
     /// Usage by this router and its peers.
-    fn usage(&self) -> Usage {
+    fn known_usage(&self) -> Usage {
         let mut usage = self.own_usage;
         usage.add(&self.peer_usage);
         usage
     }
 
+    /// Known and untracked usage.
+    fn usage(&self, now: Instant) -> Usage {
+        let mut usage = self.known_usage();
+        let (untracked, at) = self.untracked_cache;
+        let age = now.since(at).as_secs_f32() / UNTRACKED_DECAY.as_secs_f32();
+        usage.cache += untracked * (1.0 - age).max(0.0);
+        usage
+    }
+
     /// A hop with all layers of the endpoint; `None` while it holds none.
     pub fn hop(&self) -> Option<Hop> {
         let Endpoint { id, address, incarnation, layers, .. } = &self.endpoint;
@@ -263,8 +284,8 @@
     }
 
     /// KV cache in use, tokens x layers.
-    pub fn cache(&self) -> f64 {
-        f64::from(self.usage().cache)
+    pub fn cache(&self, now: Instant) -> f64 {
+        f64::from(self.usage(now).cache)
     }
 }
 
@@ -372,6 +393,26 @@
         self.members.get_mut(id)?.apply(&observation, now).then_some(observation)
     }
 
+    /// Compares the KV cache usage in a report with the usage known to this router, which
+    /// lacks that of routers whose digests do not arrive, and counts the difference.
+    /// Returns the known usage, in tokens x layers, if the endpoint is much fuller.
+    pub fn record_reported_usage(
+        &mut self,
+        id: &str,
+        report: &Report,
+        now: Instant,
+    ) -> Option<f64> {
+        let member = self.members.get_mut(id)?;
+        if member.endpoint.incarnation != report.incarnation {
+            return None;
+        }
+        let known = f64::from(member.known_usage().cache);
+        let untracked = report.kv_used - known;
+        let is_untracked = untracked > report.kv_total * MIN_UNTRACKED_SHARE;
+        member.untracked_cache = (if is_untracked { untracked as f32 } else { 0.0 }, now);
+        is_untracked.then_some(known)
+    }
+
     /// Applies a peer's observation; returns the endpoint's id if anything changed.
     pub fn apply_observation(
         &mut self,
--- a/mimosashift/tests/fleet.rs
+++ b/mimosashift/tests/fleet.rs
@@ -92,6 +92,41 @@
     assert!(choose(&fleet, &DEMAND).is_ok(), "a chain is still found");
 }
 
+#[test]
+fn endpoint_that_reports_a_full_cache_gets_no_work_although_no_peer_is_known() {
+    let mut fleet = fleet(two_zones());
+    let full = huge().kv_capacity(&huge().cards["huge"], 40);
+    let report = Report {
+        incarnation: 1,
+        layers: Some(layers(0, 40)),
+        kv_used: full,
+        kv_total: full,
+        ..Report::default()
+    };
+    assert_eq!(fleet.record_reported_usage("e1", &report, at(50)), Some(0.0));
+    assert_eq!(ids(&choose(&fleet, &DEMAND).unwrap()), ["e3", "e4"]);
+    // The streams behind it end in time.
+    let later = fleet.chain(&query(&huge(), &DEMAND), at(3_050)).unwrap();
+    assert_eq!(ids(&later), ["e1", "e2"]);
+}
+
+#[test]
+fn usage_known_from_digests_is_not_counted_twice_when_it_is_reported() {
+    let mut fleet = fleet(two_zones());
+    let half = huge().kv_capacity(&huge().cards["huge"], 40) / 2.0;
+    let usage = Usage { cache: half as f32, ..Usage::default() };
+    fleet.merge_digest(&"peer".into(), &[(endpoint_key("e1"), usage)], at(0));
+    let report = Report {
+        incarnation: 1,
+        layers: Some(layers(0, 40)),
+        kv_used: half * 1.1,
+        kv_total: half * 2.0,
+        ..Report::default()
+    };
+    assert_eq!(fleet.record_reported_usage("e1", &report, at(50)), None);
+    assert!((fleet.fill(&huge(), "e1", at(50)).unwrap() - 0.5).abs() < 0.001);
+}
+
 #[test]
 fn load_is_described_with_the_age_of_the_usage_of_peers() {
     let mut fleet = fleet(two_zones());
@@ -134,7 +169,7 @@
         assert!(served < 10_000);
     };
     assert_eq!(shortage, Shortage::Full(0));
-    let used: Vec<_> = fleet.members().map(|member| member.cache()).collect();
+    let used: Vec<_> = fleet.members().map(|member| member.cache(at(0))).collect();
     let (least, most) = used.iter().fold((f64::MAX, 0.0_f64), |(l, m), u| (l.min(*u), m.max(*u)));
     assert!(least > 0.9 * most, "{used:?}");
 }
