Update the sums of peers' usage by what a digest changes

Each digest received summed up all digests for every endpoint.

The sums are kept by endpoint and changed by the difference between a peer's old and new digest; an entry goes when no digest contains it. Usage is in a module of its own. Behaviour is the same: usage_of_peers_equals_the_sum_of_their_latest_digests compares it with a sum over all digests.

--- a/mimosafront/src/placement.rs
+++ b/mimosafront/src/placement.rs
@@ -280,7 +280,7 @@
                 zone: endpoint.zone.clone(),
                 card: *engine.card(endpoint)?,
                 layers: pending.map(|p| p.layers).or(endpoint.layers),
-                used: member.cache(now),
+                used: fleet.cache(member, now),
                 busy: pending.is_some(),
             })
         };
--- a/mimosashift/src/fleet/chain.rs
+++ b/mimosashift/src/fleet/chain.rs
@@ -137,7 +137,7 @@
             };
             let members = self.members.values().filter(usable);
             let mut candidates: Vec<_> =
-                members.filter_map(|member| Candidate::new(member, query, now)).collect();
+                members.filter_map(|member| Candidate::new(self, member, query, now)).collect();
             penalize_fill(&mut candidates, query.engine);
             Search { query, candidates, table: Vec::new() }.run()
         };
@@ -159,13 +159,13 @@
 }
 
 impl<'a> Candidate<'a> {
-    fn new(member: &'a Member, query: &Query<'_>, now: Instant) -> Option<Self> {
+    fn new(fleet: &Fleet, member: &'a Member, query: &Query<'_>, now: Instant) -> Option<Self> {
         let Query { engine, demand, .. } = query;
         let layers = member.endpoint.layers?;
         let card = engine.card(&member.endpoint)?;
         let layer_count = f64::from(engine.layers);
         let capacity = engine.kv_capacity(card, layers.count());
-        let usage = member.usage(now);
+        let usage = fleet.usage(member, now);
         let fill = (f64::from(usage.cache) / capacity.max(1.0)).min(MAX_COST_FILL);
         let is_cache_full = now < member.cache_full_until;
         let usable = if is_cache_full { 0.0 } else { capacity * USABLE_CACHE_SHARE };
--- a/mimosashift/src/fleet/describe.rs
+++ b/mimosashift/src/fleet/describe.rs
@@ -1,9 +1,8 @@
 //! Describes the load of endpoints as this router knows it, for logs.
 
 use std::fmt::Write;
-use std::time::Duration;
 
-use super::{Fleet, Hop, Member, PEER_DIGEST_TTL, Query};
+use super::{Fleet, Hop, Member, Query};
 use crate::deployment::Engine;
 use crate::time::Instant;
 
@@ -14,10 +13,7 @@
     pub fn describe_load(&self, engine: &Engine, chain: &[Hop], now: Instant) -> String {
         let fill =
             chain.iter().filter_map(|hop| self.fill(engine, &hop.id, now)).fold(0.0, f64::max);
-        let ages = self.digests.values().map(|(at, _)| now.since(*at));
-        let ages = ages.filter(|age| *age < PEER_DIGEST_TTL);
-        let (peers, oldest) =
-            ages.fold((0, Duration::ZERO), |(peers, oldest), age| (peers + 1, oldest.max(age)));
+        let (peers, oldest) = self.peer_usage.sources(now);
         format!("fill={fill:.2} peers={peers} peers_age_ms={}", oldest.as_millis())
     }
 
@@ -27,7 +23,7 @@
         let member = self.members.get(id)?;
         let count = member.endpoint.layers.map_or(0, |layers| layers.count());
         let capacity = engine.kv_capacity(engine.card(&member.endpoint)?, count);
-        Some(member.cache(now) / capacity.max(1.0))
+        Some(self.cache(member, now) / capacity.max(1.0))
     }
 
     /// Every endpoint that holds a layer, with the share of its KV cache in use and
--- a/mimosashift/src/fleet/mod.rs
+++ b/mimosashift/src/fleet/mod.rs
@@ -4,7 +4,7 @@
 //! The view is built from the directory, this router's own requests, the peers'
 //! digests and endpoint reports. See `docs/design/fleet.md`.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -17,15 +17,18 @@
 use crate::exchange::Report;
 use crate::resource::Layers;
 use crate::time::Instant;
+use usage::{PeerUsage, UntrackedCache};
 
 mod chain;
 mod claim;
 mod describe;
 mod liveness;
 mod plain;
+mod usage;
 
 pub use chain::{Demand, Query, Shortage};
 pub use claim::Claim;
+pub use usage::Usage;
 
 /// Slowdown from which an endpoint gets no new work while others hold its layers,
 /// because it delays every token of every stream that passes through it.
@@ -34,17 +37,6 @@
 /// Smallest change in slowdown that is announced to peers.
 const MIN_ANNOUNCED_SLOWDOWN_CHANGE: f64 = 0.25;
 
-/// Time after which a peer's digest expires.
-const PEER_DIGEST_TTL: Duration = Duration::from_secs(3);
-
-/// Share of an endpoint's KV cache by which the reported usage must exceed the known
-/// usage to count as untracked. Reports are a few hundred milliseconds old, in which the
-/// usage changes by some percent.
-const MIN_UNTRACKED_SHARE: f64 = 0.1;
-
-/// Time in which untracked usage decays to zero: most streams end within it.
-const UNTRACKED_DECAY: Duration = Duration::from_secs(3);
-
 /// One hop of a chain: an endpoint and the layers that it runs.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Hop {
@@ -61,18 +53,6 @@
 /// The hops of one request, in layer order.
 pub type Chain = SmallVec<[Hop; 12]>;
 
-/// Resources of one endpoint that requests use.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Usage {
-    /// KV cache, tokens x layers.
-    pub cache: f32,
-    /// Pending prefill, tokens x layers.
-    pub prefill: f32,
-    /// Requests in progress of which it is the first hop or, in a plain service, the
-    /// endpoint.
-    pub requests: u32,
-}
-
 /// An endpoint and its state as seen by this router.
 #[derive(Clone, Debug)]
 pub struct Member {
@@ -80,11 +60,8 @@
     pub endpoint: Endpoint,
     /// Usage by this router.
     own_usage: Usage,
-    /// Usage by all peers.
-    peer_usage: Usage,
-    /// KV cache that the endpoint reported in use beyond the usage known to this router,
-    /// in tokens x layers, and the time of the report.
-    untracked_cache: (f32, Instant),
+    /// KV cache that it reported in use beyond the known usage.
+    untracked_cache: UntrackedCache,
     /// Reported slowdown relative to the nominal speed of its card; 1 is nominal.
     slowdown: f64,
     /// Heartbeat number of the directory entry at the time of the latest report. An
@@ -148,7 +125,7 @@
 #[derive(Debug, Default)]
 pub struct Fleet {
     members: BTreeMap<Arc<str>, Member>,
-    digests: HashMap<Arc<str>, (Instant, HashMap<u64, Usage>)>,
+    peer_usage: PeerUsage,
     /// Average time between two events of a stream.
     mean_interval: liveness::EventInterval,
 }
@@ -160,20 +137,6 @@
     hasher.finish()
 }
 
-impl Usage {
-    fn add(&mut self, other: &Self) {
-        self.cache += other.cache;
-        self.prefill += other.prefill;
-        self.requests += other.requests;
-    }
-
-    fn subtract(&mut self, other: &Self) {
-        self.cache = (self.cache - other.cache).max(0.0);
-        self.prefill = (self.prefill - other.prefill).max(0.0);
-        self.requests = self.requests.saturating_sub(other.requests);
-    }
-}
-
 impl DirectoryChange {
     /// Whether nothing changed.
     pub fn is_empty(&self) -> bool {
@@ -187,8 +150,7 @@
             joined_with_layers_at: endpoint.layers.map(|_| now),
             endpoint,
             own_usage: Usage::default(),
-            peer_usage: Usage::default(),
-            untracked_cache: (0.0, Instant::ZERO),
+            untracked_cache: UntrackedCache::default(),
             slowdown: 1.0,
             heartbeat_at_report: None,
             observed_at: Instant::ZERO,
@@ -245,22 +207,6 @@
         self.slowdown >= SLOW_THRESHOLD
     }
 
-    /// Usage by this router and its peers.
-    fn known_usage(&self) -> Usage {
-        let mut usage = self.own_usage;
-        usage.add(&self.peer_usage);
-        usage
-    }
-
-    /// Known and untracked usage.
-    fn usage(&self, now: Instant) -> Usage {
-        let mut usage = self.known_usage();
-        let (untracked, at) = self.untracked_cache;
-        let age = now.since(at).as_secs_f32() / UNTRACKED_DECAY.as_secs_f32();
-        usage.cache += untracked * (1.0 - age).max(0.0);
-        usage
-    }
-
     /// A hop with all layers of the endpoint; `None` while it holds none.
     pub fn hop(&self) -> Option<Hop> {
         let Endpoint { id, address, incarnation, layers, .. } = &self.endpoint;
@@ -282,11 +228,6 @@
     pub const fn joined_with_layers_at(&self) -> Option<Instant> {
         self.joined_with_layers_at
     }
-
-    /// KV cache in use, tokens x layers.
-    pub fn cache(&self, now: Instant) -> f64 {
-        f64::from(self.usage(now).cache)
-    }
 }
 
 impl Fleet {
@@ -393,26 +334,6 @@
         self.members.get_mut(id)?.apply(&observation, now).then_some(observation)
     }
 
-    /// Compares the KV cache usage in a report with the usage known to this router, which
-    /// lacks that of routers whose digests do not arrive, and counts the difference.
-    /// Returns the known usage, in tokens x layers, if the endpoint is much fuller.
-    pub fn record_reported_usage(
-        &mut self,
-        id: &str,
-        report: &Report,
-        now: Instant,
-    ) -> Option<f64> {
-        let member = self.members.get_mut(id)?;
-        if member.endpoint.incarnation != report.incarnation {
-            return None;
-        }
-        let known = f64::from(member.known_usage().cache);
-        let untracked = report.kv_used - known;
-        let is_untracked = untracked > report.kv_total * MIN_UNTRACKED_SHARE;
-        member.untracked_cache = (if is_untracked { untracked as f32 } else { 0.0 }, now);
-        is_untracked.then_some(known)
-    }
-
     /// Applies a peer's observation; returns the endpoint's id if anything changed.
     pub fn apply_observation(
         &mut self,
@@ -425,25 +346,4 @@
             .find(|m| endpoint_key(&m.endpoint.id) == observation.endpoint)?;
         member.apply(observation, now).then(|| member.endpoint.id.clone())
     }
-
-    /// Usage by this router, for digests; unused endpoints are left out.
-    pub fn digest(&self) -> Vec<(u64, Usage)> {
-        let used = self.members.values().filter(|member| member.own_usage != Usage::default());
-        used.map(|member| (endpoint_key(&member.endpoint.id), member.own_usage)).collect()
-    }
-
-    /// Replaces a peer's usage and drops expired digests.
-    pub fn merge_digest(&mut self, peer: &Arc<str>, usage: &[(u64, Usage)], now: Instant) {
-        self.digests.insert(peer.clone(), (now, usage.iter().copied().collect()));
-        self.digests.retain(|_, (at, _)| now.since(*at) < PEER_DIGEST_TTL);
-        for member in self.members.values_mut() {
-            let key = endpoint_key(&member.endpoint.id);
-            member.peer_usage = Usage::default();
-            for (_, digest) in self.digests.values() {
-                if let Some(usage) = digest.get(&key) {
-                    member.peer_usage.add(usage);
-                }
-            }
-        }
-    }
 }
--- a/mimosashift/tests/fleet.rs
+++ b/mimosashift/tests/fleet.rs
@@ -1,6 +1,7 @@
 //! Tests of the endpoint state, the choice of chains and the choice of plain
 //! endpoints.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use mimosashift::deployment::{Endpoint, EndpointStatus, Engine};
@@ -8,6 +9,8 @@
 use mimosashift::fleet::{Chain, Demand, Fleet, Observation, Query, Shortage, Usage, endpoint_key};
 use mimosashift::time::Instant;
 
+use proptest::collection::vec;
+use proptest::prelude::*;
 use test_case::test_case;
 
 use common::deployment::{MODEL, PLAIN, at, endpoint, engine, layers, plain};
@@ -127,6 +130,37 @@
     assert!((fleet.fill(&huge(), "e1", at(50)).unwrap() - 0.5).abs() < 0.001);
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// The sums are updated by differences; the reference sums up all digests each time.
+    #[test]
+    fn usage_of_peers_equals_the_sum_of_their_latest_digests(
+        digests in vec((0_usize..4, 0_u64..1_500, vec((1_u8..=4, 0_u32..1_000_000), 0..4)), 1..40)
+    ) {
+        let mut fleet = fleet(two_zones());
+        let mut reference = BTreeMap::new();
+        let mut ms = 0;
+        for (peer, pause, usage) in digests {
+            ms += pause;
+            let usage: BTreeMap<_, _> = usage.into_iter().collect();
+            let entry = |(n, cache): (&u8, &u32)| {
+                let usage = Usage { cache: *cache as f32, ..Usage::default() };
+                (endpoint_key(&format!("e{n}")), usage)
+            };
+            let entries: Vec<_> = usage.iter().map(entry).collect();
+            fleet.merge_digest(&format!("peer-{peer}").into(), &entries, at(ms));
+            reference.insert(peer, (ms, usage));
+            reference.retain(|_, (sent, _)| ms - *sent < 3_000);
+            for n in 1..=4_u8 {
+                let sum: u32 = reference.values().filter_map(|(_, usage)| usage.get(&n)).sum();
+                let member = fleet.get(&format!("e{n}")).unwrap();
+                prop_assert!((fleet.cache(member, at(ms)) - f64::from(sum)).abs() < 1.0);
+            }
+        }
+    }
+}
+
 #[test]
 fn load_is_described_with_the_age_of_the_usage_of_peers() {
     let mut fleet = fleet(two_zones());
@@ -169,7 +203,7 @@
         assert!(served < 10_000);
     };
     assert_eq!(shortage, Shortage::Full(0));
-    let used: Vec<_> = fleet.members().map(|member| member.cache(at(0))).collect();
+    let used: Vec<_> = fleet.members().map(|member| fleet.cache(member, at(0))).collect();
     let (least, most) = used.iter().fold((f64::MAX, 0.0_f64), |(l, m), u| (l.min(*u), m.max(*u)));
     assert!(least > 0.9 * most, "{used:?}");
 }
