--- a/mimosashift/src/fleet/mod.rs
+++ b/mimosashift/src/fleet/mod.rs
@@ -17,7 +17,6 @@
 use crate::exchange::Report;
 use crate::resource::Layers;
 use crate::time::Instant;
-use usage::{PeerUsage, UntrackedCache};
 
 mod chain;
 mod claim;
@@ -26,6 +25,8 @@
 mod plain;
 mod usage;
 
+use usage::{PeerUsage, UntrackedCache};
+
 pub use chain::{Demand, Query, Shortage};
 pub use claim::Claim;
 pub use usage::Usage;
@@ -125,6 +126,7 @@
 #[derive(Debug, Default)]
 pub struct Fleet {
     members: BTreeMap<Arc<str>, Member>,
+    /// Usage by all peers.
     peer_usage: PeerUsage,
     /// Average time between two events of a stream.
     mean_interval: liveness::EventInterval,
--- a/mimosashift/src/fleet/usage.rs
+++ b/mimosashift/src/fleet/usage.rs
@@ -65,7 +65,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct UntrackedCache {
     /// Tokens x layers at the time of the report.
-    reported: f32,
+    initial: f32,
     reported_at: Instant,
 }
 
@@ -150,7 +150,7 @@
     /// Tokens x layers that still count at `now`.
     fn at(self, now: Instant) -> f32 {
         let age = now.since(self.reported_at).as_secs_f32() / UNTRACKED_DECAY.as_secs_f32();
-        self.reported * (1.0 - age).max(0.0)
+        self.initial * (1.0 - age).max(0.0)
     }
 }
 
@@ -190,9 +190,9 @@
         let known = f64::from(self.known_usage(member).cache);
         let untracked = report.kv_used - known;
         let is_untracked = untracked > report.kv_total * MIN_UNTRACKED_SHARE;
-        let reported = if is_untracked { untracked as f32 } else { 0.0 };
+        let initial = if is_untracked { untracked as f32 } else { 0.0 };
         let member = self.members.get_mut(id)?;
-        member.untracked_cache = UntrackedCache { reported, reported_at: now };
+        member.untracked_cache = UntrackedCache { initial, reported_at: now };
         is_untracked.then_some(known)
     }
 
