--- a/mimosashift/tests/fleet.rs
+++ b/mimosashift/tests/fleet.rs
@@ -1,62 +1,22 @@
 //! Tests of the endpoint state, the choice of chains and the choice of plain
 //! endpoints.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
-use mimosashift::deployment::{Endpoint, EndpointStatus, Engine};
+use mimosashift::deployment::EndpointStatus;
 use mimosashift::exchange::Report;
-use mimosashift::fleet::{Chain, Demand, Fleet, Observation, Query, Shortage, Usage, endpoint_key};
+use mimosashift::fleet::{Chain, Fleet, Observation, Query, Shortage, endpoint_key};
 use mimosashift::time::Instant;
 
-use proptest::collection::vec;
-use proptest::prelude::*;
 use test_case::test_case;
 
 use common::deployment::{MODEL, PLAIN, at, endpoint, engine, layers, plain};
+use common::fleet::{DEMAND, choose, fleet, huge, ids, query, two_zones};
 
 #[path = "common"]
 mod common {
     pub mod deployment;
-}
-
-const DEMAND: Demand = Demand { prompt: 775.0, output: 220.0 };
-
-fn fleet(entries: Vec<Endpoint>) -> Fleet {
-    let mut fleet = Fleet::default();
-    fleet.apply_directory(entries, Instant::ZERO, at(0));
-    fleet
-}
-
-/// Two zones, each with a complete copy in two halves.
-fn two_zones() -> Vec<Endpoint> {
-    let halves = [(1, "a", 0, 40), (2, "a", 40, 80), (3, "b", 0, 40), (4, "b", 40, 80)];
-    let half = |(n, zone, from, to)| endpoint(n, zone, "large", Some(layers(from, to)));
-    let mut entries: Vec<_> = halves.into_iter().map(half).collect();
-    // On the other cards half of the model leaves no memory for requests.
-    entries.iter_mut().for_each(|e| e.card = Some("huge".into()));
-    entries
-}
-
-fn huge() -> Engine {
-    let mut engine = engine();
-    let card = engine.cards["large"];
-    engine
-        .cards
-        .insert("huge".into(), mimosashift::deployment::Card { memory_mb: 150_000.0, ..card });
-    engine
-}
-
-fn query<'a>(engine: &'a Engine, demand: &'a Demand) -> Query<'a> {
-    Query { service: MODEL, engine, zone: "a", demand, first: None, avoid: &[] }
-}
-
-fn choose(fleet: &Fleet, demand: &Demand) -> Result<Chain, Shortage> {
-    fleet.chain(&query(&huge(), demand), at(100))
-}
-
-fn ids(chain: &Chain) -> Vec<&str> {
-    chain.iter().map(|hop| &*hop.id).collect()
+    pub mod fleet;
 }
 
 fn covers(chain: &Chain, total: u16) -> bool {
@@ -95,84 +55,6 @@
     assert!(choose(&fleet, &DEMAND).is_ok(), "a chain is still found");
 }
 
-#[test]
-fn endpoint_that_reports_a_full_cache_gets_no_work_although_no_peer_is_known() {
-    let mut fleet = fleet(two_zones());
-    let full = huge().kv_capacity(&huge().cards["huge"], 40);
-    let report = Report {
-        incarnation: 1,
-        layers: Some(layers(0, 40)),
-        kv_used: full,
-        kv_total: full,
-        ..Report::default()
-    };
-    assert_eq!(fleet.record_reported_usage("e1", &report, at(50)), Some(0.0));
-    assert_eq!(ids(&choose(&fleet, &DEMAND).unwrap()), ["e3", "e4"]);
-    // The streams behind it end in time.
-    let later = fleet.chain(&query(&huge(), &DEMAND), at(3_050)).unwrap();
-    assert_eq!(ids(&later), ["e1", "e2"]);
-}
-
-#[test]
-fn usage_known_from_digests_is_not_counted_twice_when_it_is_reported() {
-    let mut fleet = fleet(two_zones());
-    let half = huge().kv_capacity(&huge().cards["huge"], 40) / 2.0;
-    let usage = Usage { cache: half as f32, ..Usage::default() };
-    fleet.merge_digest(&"peer".into(), &[(endpoint_key("e1"), usage)], at(0));
-    let report = Report {
-        incarnation: 1,
-        layers: Some(layers(0, 40)),
-        kv_used: half * 1.1,
-        kv_total: half * 2.0,
-        ..Report::default()
-    };
-    assert_eq!(fleet.record_reported_usage("e1", &report, at(50)), None);
-    assert!((fleet.fill(&huge(), "e1", at(50)).unwrap() - 0.5).abs() < 0.001);
-}
-
-proptest! {
-    #![proptest_config(ProptestConfig { cases: 64, failure_persistence: None, ..ProptestConfig::default() })]
-
-    /// The sums are updated by differences; the reference sums up all digests each time.
-    #[test]
-    fn usage_of_peers_equals_the_sum_of_their_latest_digests(
-        digests in vec((0_usize..4, 0_u64..1_500, vec((1_u8..=4, 0_u32..1_000_000), 0..4)), 1..40)
-    ) {
-        let mut fleet = fleet(two_zones());
-        let mut reference = BTreeMap::new();
-        let mut ms = 0;
-        for (peer, pause, usage) in digests {
-            ms += pause;
-            let usage: BTreeMap<_, _> = usage.into_iter().collect();
-            let entry = |(n, cache): (&u8, &u32)| {
-                let usage = Usage { cache: *cache as f32, ..Usage::default() };
-                (endpoint_key(&format!("e{n}")), usage)
-            };
-            let entries: Vec<_> = usage.iter().map(entry).collect();
-            fleet.merge_digest(&format!("peer-{peer}").into(), &entries, at(ms));
-            reference.insert(peer, (ms, usage));
-            reference.retain(|_, (sent, _)| ms - *sent < 3_000);
-            for n in 1..=4_u8 {
-                let sum: u32 = reference.values().filter_map(|(_, usage)| usage.get(&n)).sum();
-                let member = fleet.get(&format!("e{n}")).unwrap();
-                prop_assert!((fleet.cache(member, at(ms)) - f64::from(sum)).abs() < 1.0);
-            }
-        }
-    }
-}
-
-#[test]
-fn load_is_described_with_the_age_of_the_usage_of_peers() {
-    let mut fleet = fleet(two_zones());
-    let chain = choose(&fleet, &DEMAND).unwrap();
-    let half = huge().kv_capacity(&huge().cards["huge"], 40) / 2.0;
-    let usage = Usage { cache: half as f32, ..Usage::default() };
-    fleet.merge_digest(&"peer".into(), &[(endpoint_key(&chain[1].id), usage)], at(1_000));
-    fleet.merge_digest(&"other".into(), &[], at(1_800));
-    let load = fleet.describe_load(&huge(), &chain, at(2_000));
-    assert_eq!(load, "fill=0.50 peers=2 peers_age_ms=1000");
-}
-
 #[test]
 fn failed_endpoint_is_replaced_by_one_of_another_zone() {
     let mut fleet = fleet(two_zones());
@@ -208,31 +90,6 @@
     assert!(least > 0.9 * most, "{used:?}");
 }
 
-#[test]
-fn released_claim_frees_its_usage() {
-    let mut fleet = fleet(two_zones());
-    let mut claim = fleet.claim(choose(&fleet, &DEMAND).unwrap(), &DEMAND);
-    fleet.finish_prefill(&mut claim);
-    fleet.release(&claim);
-    assert!(fleet.digest().is_empty());
-}
-
-#[test]
-fn claims_on_an_earlier_incarnation_are_not_subtracted_from_the_next() {
-    let mut fleet = fleet(two_zones());
-    let chain = choose(&fleet, &DEMAND).unwrap();
-    let first = chain[0].id.clone();
-    let claim = fleet.claim(chain, &DEMAND);
-    let mut entries = two_zones();
-    let entry = entries.iter_mut().find(|entry| entry.id == first).unwrap();
-    entry.incarnation = 2;
-    fleet.apply_directory(entries, Instant::ZERO, at(100));
-    let next = fleet.claim(choose(&fleet, &DEMAND).unwrap(), &DEMAND);
-    fleet.release(&claim);
-    fleet.release(&next);
-    assert!(fleet.digest().is_empty(), "{:?}", fleet.digest());
-}
-
 #[test]
 fn chain_in_progress_keeps_its_first_hop() {
     let mut fleet = fleet(two_zones());
@@ -305,18 +162,6 @@
     assert_eq!(fleet.get("e1").unwrap().endpoint.layers, Some(layers(0, 40)));
 }
 
-#[test]
-fn peer_usage_counts_until_its_digest_expires() {
-    let mut fleet = fleet(two_zones());
-    let full = Usage { cache: 1e9, ..Usage::default() };
-    let usage: Vec<_> =
-        ["e1", "e2", "e3", "e4"].iter().map(|id| (endpoint_key(id), full)).collect();
-    fleet.merge_digest(&"peer".into(), &usage, at(100));
-    assert_eq!(choose(&fleet, &DEMAND), Err(Shortage::Full(0)));
-    fleet.merge_digest(&"other".into(), &[], at(10_000));
-    assert!(choose(&fleet, &DEMAND).is_ok());
-}
-
 #[test]
 fn plain_request_goes_to_the_least_loaded_endpoint_that_does_not_fail() {
     let mut fleet = fleet(vec![plain(1, "a"), plain(2, "b"), plain(3, "b")]);
