Gather the tests of digests in tests/peer.rs

The tests of peers in tests/front.rs and the new ones in tests/peer.rs had the same fixture. 37 tests before and after (27 and 10, now 16 and 21), none changed but for the fixture.

--- a/mimosashift/tests/front.rs
+++ b/mimosashift/tests/front.rs
@@ -1,18 +1,15 @@
 //! Unit tests of the router on a platform: routes and API keys, freshness of keys,
-//! stream events, memory pressure, peers and retries.
+//! stream events, memory pressure and retries.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use mimosashift::admit::pressure::{MAX_WAIT, MemoryPressure};
 use mimosashift::deployment::{Denied, Deployment, Limits, Route, RouteKind, Service, Team};
 use mimosashift::event_stream::EventSplitter;
 use mimosashift::freshness::{Freshness, PeerConfirmation};
-use mimosashift::peer::{Config, Digest, Event, Peers};
 use mimosashift::pipeline::retry::{Window, WindowLimits};
 use mimosashift::time::Instant;
 use proptest::prelude::*;
-use test_case::test_case;
 
 const S: Duration = Duration::from_secs(1);
 
@@ -205,111 +202,6 @@
     assert!(high.retry_after(0.9) > high.retry_after(0.1));
 }
 
-fn digest(node: &str, incarnation: u64, sequence: u64) -> Digest {
-    Digest {
-        node: node.into(),
-        zone: "a".into(),
-        incarnation,
-        sequence,
-        sent_at: at(0),
-        echo: None,
-        leaving: false,
-        holds_placement_lease: false,
-        config: None,
-        store_age: Some(Duration::ZERO),
-        store_lost: false,
-        directory: None,
-        usage: Vec::new(),
-        observed: Vec::new(),
-        dead: Vec::new(),
-        peers: Vec::new(),
-    }
-}
-
-fn address(n: u8) -> SocketAddr {
-    SocketAddr::from(([10, 0, 0, n], 7_000))
-}
-
-fn peers() -> Peers {
-    Peers::new(address(1), "a".into(), &[address(2), address(1)], at(0))
-}
-
-#[test]
-fn seeds_are_contacted_and_become_peers_when_they_respond() {
-    let mut peers = peers();
-    assert_eq!(peers.due(at(0)), [(address(2), None)]);
-    assert_eq!(peers.due(at(50)), [], "not before the interval is over");
-    let mut received = digest("r2", 1, 1);
-    received.sent_at = at(40);
-    received.peers = vec![address(3)];
-    assert_eq!(peers.on_digest(address(2), received, at(60)), Event::Joined);
-    assert!(peers.is_alive("r2", at(60)));
-    // The peer's stamp is echoed to it, and the peers that it lists are contacted.
-    let due: Vec<_> = (0..4).flat_map(|n| peers.due(at(500 + n * 400))).collect();
-    assert!(due.contains(&(address(2), Some(at(40)))), "{due:?}");
-    assert!(due.contains(&(address(3), None)), "{due:?}");
-}
-
-#[test]
-fn outdated_digests_are_ignored() {
-    let mut peers = peers();
-    assert_eq!(peers.on_digest(address(2), digest("r2", 2, 5), at(0)), Event::Joined);
-    assert_eq!(peers.on_digest(address(2), digest("r2", 2, 4), at(1)), Event::Outdated);
-    assert_eq!(peers.on_digest(address(2), digest("r2", 1, 9), at(2)), Event::Outdated);
-    assert_eq!(peers.on_digest(address(2), digest("r2", 2, 6), at(3)), Event::Renewed);
-    assert_eq!(peers.on_digest(address(2), digest("r2", 3, 1), at(4)), Event::Joined);
-}
-
-#[test]
-fn silent_and_leaving_peers_are_not_alive() {
-    let mut peers = peers();
-    peers.on_digest(address(2), digest("r2", 1, 1), at(0));
-    assert!(peers.is_alive("r2", at(1_400)));
-    assert!(peers.is_dead("r2", at(1_600)));
-    let leaving = Digest { leaving: true, ..digest("r2", 1, 2) };
-    peers.on_digest(address(2), leaving, at(1_700));
-    assert!(!peers.is_alive("r2", at(1_700)));
-}
-
-#[test_case("r1", 0 => None; "first router by name reads the store itself")]
-#[test_case("r3", 0 => Some("r2".to_owned()); "others rely on the first router")]
-#[test_case("r3", 800 => None; "not on a router that stopped responding")]
-fn one_router_of_a_zone_reads_the_store(node: &str, ms: u64) -> Option<String> {
-    let mut peers = peers();
-    peers.on_digest(address(2), digest("r2", 1, 1), at(0));
-    let far = Digest { zone: "b".into(), ..digest("r0", 1, 1) };
-    peers.on_digest(address(4), far, at(0));
-    peers.store_reader(node, at(ms)).map(|peer| peer.digest.node.to_string())
-}
-
-/// A leader that the store rejects is skipped, but only if another router can
-/// reach the store.
-#[test_case(true, 3_000, true => true; "rejected by the store")]
-#[test_case(false, 3_000, true => false; "has only not called the store")]
-#[test_case(true, 1_000, true => false; "lost the store only recently")]
-#[test_case(true, 3_000, false => false; "no router reaches the store")]
-fn router_that_lost_the_store_is_detected(lost: bool, age_ms: u64, other: bool) -> bool {
-    let mut peers = peers();
-    let store_age = Some(Duration::from_millis(age_ms));
-    let leader = Digest { store_lost: lost, store_age, ..digest("r2", 1, 1) };
-    peers.on_digest(address(2), leader, at(0));
-    let store_age = other.then_some(Duration::ZERO);
-    peers.on_digest(address(4), Digest { store_age, ..digest("r4", 1, 1) }, at(0));
-    peers.has_lost_store("r2", at(10))
-}
-
-#[test]
-fn confirmation_needs_an_echo() {
-    let config = Some(Config { revision: 7, age: Some(S) });
-    let mut digest = Digest { config, ..digest("r2", 1, 1) };
-    assert_eq!(digest.confirmation(), None);
-    digest.echo = Some(at(500));
-    assert_eq!(
-        digest.confirmation(),
-        Some(PeerConfirmation { request_sent: at(500), revision: 7, age: S })
-    );
-}
-
 /// Retries in any window stay within the ratio plus the extra retries, even if
 /// every router has used up its budget and restarts.
 #[test]
