Log the framing and the partial event of streams

Exchange now carries the framing of its body.

Tests of the connection pool: of seven ends of a body, only the close of a connection without a length or chunks is taken for the end; a reset is an error.

--- a/mimosafront/src/relay/model/forward.rs
+++ b/mimosafront/src/relay/model/forward.rs
@@ -4,7 +4,7 @@
 
 use hyper::StatusCode;
 use hyper::body::Bytes;
-use mimosashift::connection_pool::Exchange;
+use mimosashift::connection_pool::{Exchange, Framing};
 use mimosashift::deployment::RouteKind;
 use mimosashift::emit;
 use mimosashift::event::Event;
@@ -47,7 +47,7 @@
         loop {
             let reason = match self.forward_events(&mut exchange, &sender, &mut stall_timer).await {
                 ForwardOutcome::Complete => {
-                    self.complete_stream(&sender).await;
+                    self.complete_stream(exchange.framing, &sender).await;
                     return;
                 }
                 // The client closed the connection: dropping the exchange
@@ -77,7 +77,7 @@
                     }
                 }
             };
-            self.fail_stream(reason);
+            self.fail_stream(reason, exchange.framing);
             return;
         }
     }
@@ -149,8 +149,9 @@
         }
     }
 
-    async fn complete_stream(&mut self, sender: &mpsc::Sender<Chunk>) {
+    async fn complete_stream(&mut self, framing: Framing, sender: &mpsc::Sender<Chunk>) {
         let rest = self.events.take_partial();
+        let partial_bytes = rest.len();
         if !rest.is_empty() {
             // Bytes after the last event belong to the response as well.
             drop(sender.send(Chunk::Data(rest.into())).await);
@@ -166,14 +167,15 @@
             "request" => &*self.ctx.id, "status" => StatusCode::OK.as_u16(), "by" => by, "ms" => ms,
             "events" => self.events_forwarded, "first_ms" => millis(self.timing.time_to_first),
             "pause_ms" => millis(self.timing.longest_gap), "pause_after_event" => self.timing.longest_gap_after,
+            "framing" => framing.label(), "partial_bytes" => partial_bytes,
         );
     }
 
-    fn fail_stream(&mut self, reason: &'static str) {
+    fn fail_stream(&mut self, reason: &'static str, framing: Framing) {
         self.outcome_recorded = true;
         self.state().meter.requests(1, Outcome::Failed);
         let ms = millis(clock::now().since(self.ctx.arrived));
-        emit!(self.state().log, Event::RequestFailed, "request" => &*self.ctx.id, "reason" => reason, "ms" => ms, "events" => self.events_forwarded, "after_event" => self.events.last());
+        emit!(self.state().log, Event::RequestFailed, "request" => &*self.ctx.id, "reason" => reason, "ms" => ms, "events" => self.events_forwarded, "after_event" => self.events.last(), "framing" => framing.label(), "partial_bytes" => self.events.partial_bytes());
     }
 
     /// Forwards events until the stream ends or fails.
--- a/mimosashift/src/connection_pool/mod.rs
+++ b/mimosashift/src/connection_pool/mod.rs
@@ -13,9 +13,9 @@
 use std::time::Duration;
 
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Bytes, Incoming};
+use hyper::body::{Body, Bytes, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{CONNECTION, HeaderMap};
+use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use quick_error::quick_error;
@@ -87,10 +87,22 @@
     task: AbortHandle,
 }
 
+/// How the end of a response body is marked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// By a length or the last chunk.
+    Delimited,
+    /// Only by the close of the connection, which is the same for a body that
+    /// was broken off; see `docs/design/http.md`.
+    UntilClose,
+}
+
 /// Response whose body is read as a stream.
 pub struct Exchange {
     /// Status and headers.
     pub head: Response<()>,
+    /// How the end of the body is marked.
+    pub framing: Framing,
     body: Incoming,
     connection: Option<Connection>,
     idle_timeout: Option<Duration>,
@@ -98,6 +110,16 @@
     address: SocketAddr,
 }
 
+impl Framing {
+    /// Name in logs.
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::Delimited => "delimited",
+            Self::UntilClose => "until close",
+        }
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.task.abort();
@@ -265,9 +287,18 @@
         };
         let (parts, body) = response.into_parts();
         let idle_timeout = idle_timeout(&parts.headers);
+        let framing = framing(&parts.headers, &body);
         let head = Response::from_parts(parts, ());
         let pool = self.clone();
-        Ok(Exchange { head, body, connection: Some(connection), idle_timeout, pool, address })
+        Ok(Exchange {
+            head,
+            framing,
+            body,
+            connection: Some(connection),
+            idle_timeout,
+            pool,
+            address,
+        })
     }
 
     fn put_back(&self, address: SocketAddr, connection: Connection, idle_timeout: Duration) {
@@ -280,6 +311,13 @@
     }
 }
 
+fn framing(headers: &HeaderMap, body: &Incoming) -> Framing {
+    let is_delimited = body.is_end_stream()
+        || headers.contains_key(CONTENT_LENGTH)
+        || headers.contains_key(TRANSFER_ENCODING);
+    if is_delimited { Framing::Delimited } else { Framing::UntilClose }
+}
+
 /// Time for which a connection may stay idle; `None` if it must be closed.
 fn idle_timeout(headers: &HeaderMap) -> Option<Duration> {
     let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
--- a/mimosashift/src/event_stream.rs
+++ b/mimosashift/src/event_stream.rs
@@ -46,9 +46,9 @@
         self.partial.clear();
     }
 
-    /// Whether bytes of an incomplete event are buffered.
-    pub const fn is_partial(&self) -> bool {
-        !self.partial.is_empty()
+    /// Number of buffered bytes after the last complete event.
+    pub const fn partial_bytes(&self) -> usize {
+        self.partial.len()
     }
 
     /// Appends bytes and returns the events that they complete, without those
--- /dev/null
+++ b/mimosashift/tests/connection_pool.rs
@@ -0,0 +1,70 @@
+//! Tests of the connection pool: where the body of a response ends.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::Duration;
+
+use http_body_util::Full;
+use hyper::Request;
+use hyper::body::Bytes;
+use mimosashift::connection_pool::{Framing, Pool, Settings};
+use socket2::SockRef;
+use test_case::test_case;
+
+/// How the server ends the connection after its bytes.
+#[derive(Clone, Copy)]
+enum End {
+    Close,
+    Reset,
+}
+
+/// Answers one request with `bytes` and ends the connection.
+fn serve_once(bytes: &'static str, end: End) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        read_request(&mut stream);
+        stream.write_all(bytes.as_bytes()).unwrap();
+        if let End::Reset = end {
+            // The client must have read the bytes before: a reset discards them.
+            std::thread::sleep(Duration::from_millis(100));
+            SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+        }
+    });
+    address
+}
+
+fn read_request(stream: &mut TcpStream) {
+    let (mut request, mut buffer) = (Vec::new(), [0; 1024]);
+    while !request.ends_with(b"\r\n\r\n") {
+        let length = stream.read(&mut buffer).unwrap();
+        request.extend_from_slice(&buffer[..length]);
+    }
+}
+
+/// Framing of the response and its body; `None` if the body is incomplete.
+fn fetch(address: SocketAddr) -> (Framing, Option<Bytes>) {
+    let second = Duration::from_secs(1);
+    let pool = Pool::new(Settings { connect_timeout: second, unacked_timeout: second });
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let request = Request::builder().uri("/").header("host", "x").body(Full::default());
+        let mut exchange = pool.send(address, request.unwrap(), false).await.unwrap();
+        let body = exchange.collect(1 << 20).await.ok();
+        (exchange.framing, body)
+    })
+}
+
+#[test_case("content-length: 2\r\n\r\nab", End::Close, Framing::Delimited, true; "whole length")]
+#[test_case("content-length: 3\r\n\r\nab", End::Close, Framing::Delimited, false; "short of its length")]
+#[test_case("transfer-encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n", End::Close, Framing::Delimited, true; "last chunk")]
+#[test_case("transfer-encoding: chunked\r\n\r\n2\r\nab\r\n", End::Close, Framing::Delimited, false; "no last chunk")]
+#[test_case("transfer-encoding: chunked\r\n\r\n2\r\na", End::Close, Framing::Delimited, false; "inside a chunk")]
+#[test_case("\r\nab", End::Close, Framing::UntilClose, true; "closed")]
+#[test_case("\r\nab", End::Reset, Framing::UntilClose, false; "reset")]
+fn body_ends(rest: &'static str, end: End, framing: Framing, is_complete: bool) {
+    let bytes = format!("HTTP/1.1 200 OK\r\n{rest}");
+    let body = is_complete.then(|| Bytes::from("ab"));
+    assert_eq!(fetch(serve_once(bytes.leak(), end)), (framing, body));
+}
--- a/mimosashift/tests/front.rs
+++ b/mimosashift/tests/front.rs
@@ -125,7 +125,7 @@
     let resumed: String = (2..=4).map(event).collect();
     let next = events.push(resumed.as_bytes()).unwrap();
     assert_eq!(String::from_utf8(next.bytes).unwrap(), event(3) + &event(4));
-    assert!(!events.is_partial());
+    assert_eq!(events.partial_bytes(), 0);
 }
 
 #[test]
