--- /dev/null
+++ b/mimosafront/tests/broken_answers.rs
@@ -0,0 +1,52 @@
+//! Tests of answers that endpoints break off, end without a mark, or never end.
+
+mod cluster;
+
+use cluster::client::TestRequest;
+use cluster::endpoints::Health;
+use cluster::{ClusterOptions, TestCluster};
+
+/// Requests for streams of each route.
+const REQUESTS: u64 = 40;
+
+/// Two routers before ten engines of this health.
+fn cluster_of(health: Health) -> TestCluster {
+    let options = ClusterOptions { engines_per_zone: 5, ..ClusterOptions::default() };
+    let cluster = TestCluster::start(options);
+    for engine in cluster.endpoints.engines() {
+        engine.state().health = health;
+    }
+    cluster
+}
+
+/// Number of requests whose answers were framed as complete; each such answer
+/// has all events.
+fn count_complete(cluster: &TestCluster, request: impl Fn(u64) -> TestRequest) -> usize {
+    let mut complete = 0;
+    for number in 0..REQUESTS {
+        let request = request(12);
+        let to = cluster.routers[number as usize % cluster.routers.len()].clients;
+        let Some(response) = cluster.runtime.block_on(request.send(to)) else { continue };
+        assert_eq!(response.protocol_error(&request), None, "{response:?}");
+        assert!(response.status != 200 || response.body.ends_with("\n\n"), "{response:?}");
+        complete += usize::from(response.status == 200 && response.complete);
+    }
+    complete
+}
+
+macro_rules! stream_end_tests {
+    ($($name:ident: $health:ident, $request:ident => $complete:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let cluster = cluster_of(Health::$health);
+            assert_eq!(count_complete(&cluster, TestRequest::$request), $complete);
+        }
+    )*};
+}
+
+stream_end_tests! {
+    resumable_stream_closed_inside_an_event_is_not_complete: ClosesInsideEvent, draft => 0;
+    stream_closed_inside_an_event_is_not_complete: ClosesInsideEvent, note => 0;
+    resumable_stream_ended_by_close_is_complete: Unframed, draft => 40;
+    stream_ended_by_close_is_complete: Unframed, note => 40;
+}
--- a/mimosafront/tests/cluster/client.rs
+++ b/mimosafront/tests/cluster/client.rs
@@ -53,7 +53,16 @@
 
     /// A request for a stream of `events` events.
     pub fn draft(events: u64) -> Self {
-        let mut request = Self::new(Method::POST, "/draft/x");
+        Self::stream("/draft/x", events)
+    }
+
+    /// A request for a stream that may not be resumed.
+    pub fn note(events: u64) -> Self {
+        Self::stream("/note/x", events)
+    }
+
+    fn stream(path: &str, events: u64) -> Self {
+        let mut request = Self::new(Method::POST, path);
         request.headers.push(("token-counts", format!("100,{}", events * 4)));
         request.body = b"draft".to_vec();
         request
--- a/mimosafront/tests/cluster/endpoints.rs
+++ b/mimosafront/tests/cluster/endpoints.rs
@@ -42,6 +42,11 @@
     /// Breaks off responses: plain services before the head, engines after two
     /// events.
     DropsResponses,
+    /// Answers in full, but marks the end only by closing the connection.
+    Unframed,
+    /// Marks the end only by closing the connection, and closes it after two
+    /// events, inside the third.
+    ClosesInsideEvent,
     /// Gives no report, and each of its streams pauses once, for `STUCK_PAUSE`.
     Stuck,
 }
@@ -76,6 +81,13 @@
     pub options: ClusterOptions,
 }
 
+impl Health {
+    /// Whether responses have neither a length nor chunks.
+    pub fn is_unframed(self) -> bool {
+        matches!(self, Self::Unframed | Self::ClosesInsideEvent)
+    }
+}
+
 impl Member {
     pub fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap()
--- a/mimosafront/tests/cluster/engine.rs
+++ b/mimosafront/tests/cluster/engine.rs
@@ -10,7 +10,7 @@
 use hyper::body::{Body, Bytes, Frame, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, Version};
 use hyper_util::rt::TokioIo;
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
@@ -176,7 +176,11 @@
         self.endpoints.chains.lock().unwrap().insert(id.clone(), hops);
         let (sender, chunks) = mpsc::channel(1);
         tokio::spawn(self.clone().stream(id.clone(), after, output / 4, sender));
-        let mut response = Response::new(ChunkedBody(chunks).boxed());
+        let mut response = Response::new(StreamBody(chunks).boxed());
+        if self.member.state().health.is_unframed() {
+            // hyper ends such a body by closing the connection.
+            *response.version_mut() = Version::HTTP_10;
+        }
         let headers = response.headers_mut();
         headers.insert("request-id", id.parse().unwrap());
         headers.insert("response-signature", format!("sig-{id}").parse().unwrap());
@@ -205,6 +209,12 @@
                 return;
             }
             let data = format!("id: {event}\ndata: {id} {event}/{total}\n\n");
+            if self.member.state().health == Health::ClosesInsideEvent && event > after + 2 {
+                let (start, _) = data.split_at(data.len() / 2);
+                drop(to.send(Some(start.to_owned().into())).await);
+                drop(to.send(None).await);
+                return;
+            }
             if to.send(Some(data.into())).await.is_err() {
                 self.endpoints
                     .update_trace(&id, |trace| trace.last_activity = Some(Instant::now()));
@@ -247,9 +257,9 @@
 /// in mid-stream.
 type Chunk = Option<Bytes>;
 
-struct ChunkedBody(mpsc::Receiver<Chunk>);
+struct StreamBody(mpsc::Receiver<Chunk>);
 
-impl Body for ChunkedBody {
+impl Body for StreamBody {
     type Data = Bytes;
     type Error = std::io::Error;
 
--- a/mimosafront/tests/cluster/mod.rs
+++ b/mimosafront/tests/cluster/mod.rs
@@ -166,7 +166,7 @@
         json!({
             "name": name, "host": HOST, "prefix": format!("/{name}/"), "kind": kind,
             "timeout_ms": 8_000, "target_latency_ms": 300, "priority": 1, "attempts": 2,
-            "service": service, "resumable": kind == "streaming",
+            "service": service, "resumable": name == "draft",
         })
     };
     let teams: Vec<_> =
@@ -175,6 +175,7 @@
         "version": revision,
         "routes": [
             route("draft", "streaming", "model"),
+            route("note", "streaming", "model"),
             route("post", "unsafe", "register"),
             route("read", "safe", "register"),
         ],
--- a/mimosafront/tests/cluster/plain.rs
+++ b/mimosafront/tests/cluster/plain.rs
@@ -78,7 +78,11 @@
             Health::Failing => {
                 Ok(reply(500, &[("request-id", &id), ("response-signature", "s")], "failed"))
             }
-            Health::Healthy | Health::Unresponsive | Health::Stuck => {
+            Health::Healthy
+            | Health::Unresponsive
+            | Health::Stuck
+            | Health::Unframed
+            | Health::ClosesInsideEvent => {
                 let signature = format!("sig-{id}");
                 let headers = [("request-id", &*id), ("response-signature", &*signature)];
                 Ok(reply(200, &headers, &format!("answer to {id}")))
