Treat a stream that ends inside an event as broken off

Cause: the router took every end of an endpoint's body without an error for the end of the stream, sent the partial event and ended its own answer. A body with neither a length nor chunks ends with its connection, also if the endpoint has given up.

Now a stream that ends inside an event is resumed at another endpoint where its route allows it, and otherwise broken off, whatever its framing. One that is closed before its first event has not begun and is treated likewise. Comments and empty lines after the last event still belong to the answer.

Ruled out: a reset that passes for the end (tests of the connection pool); a resumed stream that ends early (one endpoint in the users' record).

--- a/mimosafront/src/relay/model/forward.rs
+++ b/mimosafront/src/relay/model/forward.rs
@@ -135,6 +135,7 @@
         match opened {
             Ok(exchange) if exchange.head.status().is_success() => {
                 self.events.discard_partial();
+                self.events_in_run = 0;
                 self.state().meter.recoveries(1, Recovery::Restarted);
                 Ok(exchange)
             }
@@ -209,7 +210,7 @@
             let data = match next {
                 Some(Ok(data)) => data,
                 Some(Err(_)) => return ForwardOutcome::Broken("stream ended prematurely"),
-                None => return ForwardOutcome::Complete,
+                None => return self.stream_end(exchange.framing),
             };
             match self.process_bytes(&data) {
                 Err(reason) => return ForwardOutcome::Broken(reason),
@@ -225,6 +226,24 @@
         }
     }
 
+    /// What the end of an endpoint's response means for the stream.
+    fn stream_end(&self, framing: Framing) -> ForwardOutcome {
+        if !self.is_event_stream() {
+            return ForwardOutcome::Complete;
+        }
+        if self.events.is_inside_event() {
+            return ForwardOutcome::Broken("stream ended inside an event");
+        }
+        if framing == Framing::UntilClose && self.events_in_run == 0 {
+            return ForwardOutcome::Broken("stream closed before its first event");
+        }
+        ForwardOutcome::Complete
+    }
+
+    fn is_event_stream(&self) -> bool {
+        matches!(self.ctx.route.kind, RouteKind::Stream { .. })
+    }
+
     /// Processes bytes of the stream; returns the events that are complete.
     fn process_bytes(&mut self, data: &Bytes) -> Result<Option<Bytes>, &'static str> {
         let previous = self.events.last();
@@ -255,6 +274,7 @@
         }
         self.timing.last_event_at = now;
         self.events_forwarded += complete.count;
+        self.events_in_run += complete.count;
         state.meter.tokens(complete.count as u64 * u64::from(self.engine.tokens_per_event));
         Ok(Some(complete.bytes.into()))
     }
--- a/mimosafront/src/relay/model/mod.rs
+++ b/mimosafront/src/relay/model/mod.rs
@@ -64,6 +64,8 @@
     events: EventSplitter,
     /// Number of events forwarded.
     events_forwarded: usize,
+    /// Number of these since the stream was last resumed.
+    events_in_run: usize,
     /// Timing of these events.
     timing: EventTiming,
     /// Number of sends that may have been executed.
@@ -151,6 +153,7 @@
             claim: None,
             events,
             events_forwarded: 0,
+            events_in_run: 0,
             timing: EventTiming::default(),
             possible_executions: 0,
             rejected_sends: 0,
--- a/mimosashift/src/event_stream.rs
+++ b/mimosashift/src/event_stream.rs
@@ -46,6 +46,12 @@
         self.partial.clear();
     }
 
+    /// Whether the bytes after the last complete event are the start of another
+    /// one, so that a stream that ends here has been broken off.
+    pub fn is_inside_event(&self) -> bool {
+        starts_event(&self.partial)
+    }
+
     /// Number of buffered bytes after the last complete event.
     pub const fn partial_bytes(&self) -> usize {
         self.partial.len()
@@ -81,6 +87,22 @@
     }
 }
 
+/// Whether a stream breaks off inside an event.
+pub fn ends_inside_event(stream: &[u8]) -> bool {
+    let mut rest = stream;
+    while let Some(length) = event_length(rest) {
+        rest = &rest[length..];
+    }
+    starts_event(rest)
+}
+
+/// Whether bytes without a complete event hold a field or part of a line. Empty
+/// lines and comments do not belong to an event.
+fn starts_event(bytes: &[u8]) -> bool {
+    let Some(lines) = bytes.strip_suffix(b"\n") else { return !bytes.is_empty() };
+    lines.split(|byte| *byte == b'\n').any(|line| !matches!(line, b"" | b"\r" | [b':', ..]))
+}
+
 /// Length of the first event, including the empty line that ends it.
 fn event_length(bytes: &[u8]) -> Option<usize> {
     let terminators = [b"\n\n".as_slice(), b"\r\n\r\n".as_slice()];
--- a/mimosashift/tests/front.rs
+++ b/mimosashift/tests/front.rs
@@ -5,7 +5,7 @@
 
 use mimosashift::admit::pressure::{MAX_WAIT, MemoryPressure};
 use mimosashift::deployment::{Denied, Deployment, Limits, Route, RouteKind, Service, Team};
-use mimosashift::event_stream::EventSplitter;
+use mimosashift::event_stream::{EventSplitter, ends_inside_event};
 use mimosashift::freshness::{Freshness, PeerConfirmation};
 use mimosashift::pipeline::retry::{Window, WindowLimits};
 use mimosashift::time::Instant;
@@ -135,6 +135,29 @@
     assert_eq!(events.push(stream.as_bytes()).unwrap().bytes, event(3).into_bytes());
 }
 
+macro_rules! stream_end_tests {
+    ($($name:ident: $bytes:literal => $is_inside:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut events = EventSplitter::after(None);
+            events.push($bytes).unwrap();
+            assert_eq!((events.is_inside_event(), ends_inside_event($bytes)), ($is_inside, $is_inside));
+        }
+    )*};
+}
+
+stream_end_tests! {
+    nothing_is_no_event: b"" => false;
+    stream_may_end_after_an_event: b"data: a\n\n" => false;
+    stream_may_end_after_an_event_with_carriage_returns: b"data: a\r\n\r\n" => false;
+    stream_may_end_after_empty_lines: b"data: a\n\n\n\r\n" => false;
+    stream_may_end_after_a_comment: b"data: a\n\n: end\n" => false;
+    comment_cut_in_its_line_is_inside: b"data: a\n\n: en" => true;
+    event_cut_in_its_line_is_inside: b"data: a\n\nid: 2\nda" => true;
+    event_cut_before_its_empty_line_is_inside: b"data: a\n\ndata: b\n" => true;
+    event_cut_in_its_empty_line_is_inside: b"data: a\r\n\r" => true;
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 64, failure_persistence: None, ..ProptestConfig::default() })]
 
