Detect streams of plain services that end inside an event

The same fault as in streams of engines: a plain service's answer is read to the end of its body and sent with a length, so that a stream which the service closed inside an event reached the client as complete. Such an answer now counts as lost, and a safe request is retried.

--- a/mimosafront/src/relay/plain.rs
+++ b/mimosafront/src/relay/plain.rs
@@ -3,12 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hyper::body::Bytes;
 use hyper::header::CONTENT_ENCODING;
 use hyper::{Response, StatusCode};
 use mimosaplatform::header;
-use mimosashift::connection_pool::{Exchange, Failure};
+use mimosashift::connection_pool::{Exchange, Failure, Framing};
+use mimosashift::deployment::RouteKind;
 use mimosashift::emit;
 use mimosashift::event::Event;
+use mimosashift::event_stream;
 use mimosashift::exchange::ResponseInfo as AnswerInfo;
 use mimosashift::fleet::Hop;
 use mimosashift::meter::{Outcome, RefusalReason};
@@ -136,7 +139,7 @@
     ctx.log_sent(attempt, &hop.id, "");
     let result = timeout(send_timeout, send_and_collect(ctx, hop)).await;
     let outcome = match result {
-        Ok(Ok((exchange, response))) => check_response(ctx, exchange, response, can_retry),
+        Ok(Ok((exchange, body))) => check_response(ctx, exchange, body, can_retry),
         Ok(Err(Failure::NotSent { reason, .. })) => {
             state.mark_suspect(&hop.id, &reason);
             return SendOutcome::NotRun("not sent");
@@ -166,22 +169,19 @@
     outcome
 }
 
-async fn send_and_collect(
-    ctx: &RequestContext,
-    hop: &Hop,
-) -> Result<(Exchange, ResponseBody), Failure> {
+async fn send_and_collect(ctx: &RequestContext, hop: &Hop) -> Result<(Exchange, Bytes), Failure> {
     let request = ctx.request(hop, &[], ctx.last_event);
     let mut exchange = ctx.state.pool.send(hop.address, request, false).await?;
     let body = exchange.collect(MAX_RESPONSE_BYTES).await?;
-    Ok((exchange, ResponseBody::Full(Some(body))))
+    Ok((exchange, body))
 }
 
 /// Checks that a response belongs to the request and is acceptable: a
-/// successful one is signed and not encoded.
+/// successful one is signed, not encoded, and no stream that breaks off.
 fn check_response(
     ctx: &RequestContext,
     exchange: Exchange,
-    body: ResponseBody,
+    body: Bytes,
     can_retry: bool,
 ) -> SendOutcome {
     let status = exchange.head.status();
@@ -199,6 +199,16 @@
         // Also the reason if a signed response has a content encoding.
         return SendOutcome::Lost("answer without a signature");
     }
+    let is_stream = matches!(ctx.route.kind, RouteKind::Stream { .. });
+    if status.is_success() && is_stream {
+        if event_stream::ends_inside_event(&body) {
+            return SendOutcome::Lost("stream ended inside an event");
+        }
+        if exchange.framing == Framing::UntilClose && body.is_empty() {
+            return SendOutcome::Lost("stream closed before its first event");
+        }
+    }
     let forward = !(status.is_server_error() && can_retry);
+    let body = ResponseBody::Full(Some(body));
     SendOutcome::Answered(forward_response(&exchange.head, body), forward)
 }
--- a/mimosafront/tests/cluster/client.rs
+++ b/mimosafront/tests/cluster/client.rs
@@ -11,6 +11,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
+use super::plain::FEED_EVENTS;
 use super::{HOST, KEY};
 
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
@@ -61,6 +62,11 @@
         Self::stream("/note/x", events)
     }
 
+    /// A request for a stream of a plain service.
+    pub fn feed() -> Self {
+        Self::stream("/feed/x", FEED_EVENTS)
+    }
+
     fn stream(path: &str, events: u64) -> Self {
         let mut request = Self::new(Method::POST, path);
         request.headers.push(("token-counts", format!("100,{}", events * 4)));
--- a/mimosafront/tests/cluster/engine.rs
+++ b/mimosafront/tests/cluster/engine.rs
@@ -30,7 +30,7 @@
 
 /// A hop of a chain: its address and range of layers.
 pub type Hop = (SocketAddr, u16, u16);
-type Reply = Response<BoxBody<Bytes, std::io::Error>>;
+pub type Reply = Response<BoxBody<Bytes, std::io::Error>>;
 
 #[derive(Clone)]
 pub struct Engine {
@@ -66,6 +66,28 @@
     response
 }
 
+/// A response with a stream of events that is generated in advance.
+pub fn stream_reply(id: &str, health: Health, body: String) -> Reply {
+    let (sender, chunks) = mpsc::channel(2);
+    for chunk in [Some(body.into()), None] {
+        sender.try_send(chunk).unwrap();
+    }
+    stream_response(id, health, chunks)
+}
+
+fn stream_response(id: &str, health: Health, chunks: mpsc::Receiver<Chunk>) -> Reply {
+    let mut response = Response::new(StreamBody(chunks).boxed());
+    if health.is_unframed() {
+        // hyper ends such a body by closing the connection.
+        *response.version_mut() = Version::HTTP_10;
+    }
+    let headers = response.headers_mut();
+    headers.insert("request-id", id.parse().unwrap());
+    headers.insert("response-signature", format!("sig-{id}").parse().unwrap());
+    headers.insert("content-type", "text/event-stream".parse().unwrap());
+    response
+}
+
 impl Engine {
     async fn answer(&self, request: Request<Incoming>) -> Reply {
         let health = self.member.state().health;
@@ -176,16 +198,7 @@
         self.endpoints.chains.lock().unwrap().insert(id.clone(), hops);
         let (sender, chunks) = mpsc::channel(1);
         tokio::spawn(self.clone().stream(id.clone(), after, output / 4, sender));
-        let mut response = Response::new(StreamBody(chunks).boxed());
-        if self.member.state().health.is_unframed() {
-            // hyper ends such a body by closing the connection.
-            *response.version_mut() = Version::HTTP_10;
-        }
-        let headers = response.headers_mut();
-        headers.insert("request-id", id.parse().unwrap());
-        headers.insert("response-signature", format!("sig-{id}").parse().unwrap());
-        headers.insert("content-type", "text/event-stream".parse().unwrap());
-        response
+        stream_response(&id, self.member.state().health, chunks)
     }
 
     /// Generates the events after `after`, each of which passes through every
--- a/mimosafront/tests/cluster/mod.rs
+++ b/mimosafront/tests/cluster/mod.rs
@@ -176,6 +176,7 @@
         "routes": [
             route("draft", "streaming", "model"),
             route("note", "streaming", "model"),
+            route("feed", "streaming", "register"),
             route("post", "unsafe", "register"),
             route("read", "safe", "register"),
         ],
--- a/mimosafront/tests/cluster/plain.rs
+++ b/mimosafront/tests/cluster/plain.rs
@@ -11,11 +11,14 @@
 use tokio::net::TcpListener;
 
 use super::endpoints::{Endpoints, Health, Member};
-use super::engine::{header_text, reply};
+use super::engine::{Reply, header_text, reply, stream_reply};
 
 /// Service time of a request.
 const SERVICE_TIME: Duration = Duration::from_millis(10);
 
+/// Number of events of a stream.
+pub const FEED_EVENTS: u64 = 3;
+
 #[derive(Clone)]
 pub struct Plain {
     pub endpoints: Arc<Endpoints>,
@@ -48,13 +51,7 @@
 impl std::error::Error for DroppedConnection {}
 
 impl Plain {
-    async fn answer(
-        &self,
-        request: Request<Incoming>,
-    ) -> Result<
-        hyper::Response<http_body_util::combinators::BoxBody<hyper::body::Bytes, std::io::Error>>,
-        DroppedConnection,
-    > {
+    async fn answer(&self, request: Request<Incoming>) -> Result<Reply, DroppedConnection> {
         let health = self.member.state().health;
         if health == Health::Unresponsive {
             std::future::pending::<()>().await;
@@ -73,6 +70,9 @@
             trace.call = format!("{} {} {}", head.method, head.uri, String::from_utf8_lossy(&body));
         });
         tokio::time::sleep(SERVICE_TIME).await;
+        if head.uri.path().starts_with("/feed/") {
+            return Ok(feed(&id, health));
+        }
         match health {
             Health::DropsResponses => Err(DroppedConnection),
             Health::Failing => {
@@ -90,3 +90,15 @@
         }
     }
 }
+
+/// A stream of events, which is cut inside the last one if the endpoint closes
+/// its connections there.
+fn feed(id: &str, health: Health) -> Reply {
+    let mut body = (1..=FEED_EVENTS).fold(String::new(), |body, event| {
+        body + &format!("id: {event}\ndata: {id} {event}/{FEED_EVENTS}\n\n")
+    });
+    if health == Health::ClosesInsideEvent {
+        body.truncate(body.len() - 5);
+    }
+    stream_reply(id, health, body)
+}
--- a/mimosashift/src/event_stream.rs
+++ b/mimosashift/src/event_stream.rs
@@ -9,6 +9,9 @@
 /// an event stream.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// The empty line after an event, with either line ending.
+const EVENT_TERMINATORS: [&[u8]; 2] = [b"\n\n", b"\r\n\r\n"];
+
 /// Splits the bytes of a stream into events.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
@@ -89,11 +92,12 @@
 
 /// Whether a stream breaks off inside an event.
 pub fn ends_inside_event(stream: &[u8]) -> bool {
-    let mut rest = stream;
-    while let Some(length) = event_length(rest) {
-        rest = &rest[length..];
-    }
-    starts_event(rest)
+    let end = |terminator: &[u8]| {
+        let mut windows = stream.windows(terminator.len());
+        windows.rposition(|window| window == terminator).map(|at| at + terminator.len())
+    };
+    let last = EVENT_TERMINATORS.into_iter().filter_map(end).max();
+    starts_event(&stream[last.unwrap_or_default()..])
 }
 
 /// Whether bytes without a complete event hold a field or part of a line. Empty
@@ -105,11 +109,10 @@
 
 /// Length of the first event, including the empty line that ends it.
 fn event_length(bytes: &[u8]) -> Option<usize> {
-    let terminators = [b"\n\n".as_slice(), b"\r\n\r\n".as_slice()];
     let end = |end: &[u8]| {
         bytes.windows(end.len()).position(|window| window == end).map(|at| at + end.len())
     };
-    terminators.into_iter().filter_map(end).min()
+    EVENT_TERMINATORS.into_iter().filter_map(end).min()
 }
 
 fn event_id(event: &[u8]) -> Option<u64> {
