Send streams to HTTP/1.0 clients with a length

Such a stream is now buffered, up to 8 MiB, and sent with a length; if it breaks off, the connection is closed without an answer. The product's own streams end with data: [DONE] and need nothing.

Evidence: http_1_0_client_can_tell_a_broken_stream_from_a_complete_one failed before (status 200 with two of four events).

--- a/mimosafront/src/relay/mod.rs
+++ b/mimosafront/src/relay/mod.rs
@@ -9,7 +9,7 @@
 use hyper::header::{
     CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING,
 };
-use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper::{Method, Request, Response, StatusCode, Uri, Version};
 use mimosaplatform::header;
 use mimosashift::deployment::{Denied, Deployment, Route, Service};
 use mimosashift::emit;
@@ -44,6 +44,9 @@
 /// take effect.
 const MAX_DENIAL_CONFIG_AGE: Duration = Duration::from_millis(1_500);
 
+/// Largest stream that is buffered for a client of HTTP/1.0.
+const MAX_BUFFERED_STREAM_BYTES: usize = 8 * 1024 * 1024;
+
 /// An accepted request and what is needed to send it to an endpoint.
 pub struct RequestContext {
     state: Rc<RouterState>,
@@ -149,6 +152,7 @@
     let arrived = clock::now();
     let is_chunked = request.headers().contains_key(TRANSFER_ENCODING);
     let id = request.headers().get(header::REQUEST_ID).cloned();
+    let version = request.version();
     let result = match accept(&state, request, arrived).await {
         Ok(ctx) if ctx.service.engine.is_some() => model::relay(ctx).await,
         Ok(ctx) => plain::relay(ctx).await,
@@ -158,6 +162,9 @@
         Ok(response) => response,
         Err(error) => error_response(&state, id.as_ref(), &error, arrived),
     };
+    if version < Version::HTTP_11 {
+        response = buffer_stream(response).await?;
+    }
     if is_chunked {
         // A message with both `Content-Length` and `Transfer-Encoding` may
         // smuggle in a second request; a connection that has carried a chunked
@@ -167,6 +174,19 @@
     Ok(response)
 }
 
+/// Replaces a streamed body by a buffered one, which is sent with a length.
+/// Without chunks, a client could not tell a truncated stream from a complete
+/// one.
+async fn buffer_stream(
+    response: Response<ResponseBody>,
+) -> Result<Response<ResponseBody>, TruncatedBody> {
+    let (head, body) = response.into_parts();
+    let ResponseBody::Stream(_) = body else { return Ok(Response::from_parts(head, body)) };
+    let body = Limited::new(body, MAX_BUFFERED_STREAM_BYTES).collect().await;
+    let body = body.map_err(|_| TruncatedBody)?;
+    Ok(Response::from_parts(head, ResponseBody::Full(Some(body.to_bytes()))))
+}
+
 /// Validates a request against the configuration and reads its body.
 async fn accept(
     state: &Rc<RouterState>,
--- a/mimosafront/tests/end_to_end.rs
+++ b/mimosafront/tests/end_to_end.rs
@@ -111,6 +111,24 @@
     }
 }
 
+#[test]
+fn http_1_0_client_can_tell_a_broken_stream_from_a_complete_one() {
+    let cluster = TestCluster::start(ClusterOptions { routers: 1, ..ClusterOptions::default() });
+    let request = |id: &str| {
+        format!(
+            "POST /note/x HTTP/1.0\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nToken-Counts: 100,16\r\n\
+            Request-Deadline: 3000\r\nAuthorization: Bearer {KEY}\r\nContent-Length: 0\r\n\r\n"
+        )
+    };
+    let complete = send_raw(&cluster, &request("whole"));
+    assert!(complete.starts_with("HTTP/1.0 200") && complete.ends_with("4/4\n\n"), "{complete}");
+    for engine in cluster.endpoints.engines() {
+        engine.state().health = Health::DropsResponses;
+    }
+    let broken = send_raw(&cluster, &request("broken"));
+    assert!(!broken.starts_with("HTTP/1.0 200"), "{broken}");
+}
+
 #[test]
 fn content_length_over_the_limit_is_rejected_before_the_body() {
     let cluster = TestCluster::start(ClusterOptions { routers: 1, ..ClusterOptions::default() });
