Do not take the crash of an engine for the end of its stream

A body with neither a length nor chunks that ends between two events looks the same whether the engine is done or has crashed: the system closes the connections of a dead process. Before the router ends such a stream it now probes the engine, and treats the stream as broken off if it is dead. The events have been forwarded by then, so that only the end waits for the probe; streams with a length or chunks are not affected.

Evidence: stream_of_an_engine_that_crashes_between_events_is_not_complete failed before (complete with two of twelve events).

--- a/mimosafront/src/probe.rs
+++ b/mimosafront/src/probe.rs
@@ -62,7 +62,8 @@
     request_report(state, hop, false, REPORT_TIMEOUT).await
 }
 
-/// Checks whether an endpoint is alive; concurrent callers share one probe.
+/// Checks whether an endpoint is alive; callers within [`PROBE_RESULT_TTL`]
+/// share one probe.
 pub async fn check_alive(state: &Rc<RouterState>, hop: &Hop) -> ProbeResult {
     let now = clock::now();
     let result = {
@@ -74,6 +75,12 @@
     result.get_or_init(|| probe_liveness(state, hop)).await.clone()
 }
 
+/// Checks whether an endpoint is alive now, with a probe of its own.
+pub async fn check_still_alive(state: &Rc<RouterState>, hop: &Hop) -> ProbeResult {
+    state.probe_results.borrow_mut().remove(&hop.id);
+    check_alive(state, hop).await
+}
+
 /// Tries a pooled connection and, after a delay, a new one in parallel. The
 /// endpoint is marked dead if the new one fails before either returns a report.
 async fn probe_liveness(state: &Rc<RouterState>, hop: &Hop) -> ProbeResult {
--- a/mimosafront/src/relay/model/forward.rs
+++ b/mimosafront/src/relay/model/forward.rs
@@ -16,6 +16,7 @@
 use super::{FIRST_EVENT_TIMEOUT, ModelRequest};
 use crate::body::Chunk;
 use crate::clock;
+use crate::probe::{self, ProbeResult};
 use crate::relay::RequestError;
 use crate::state::millis;
 
@@ -210,7 +211,7 @@
             let data = match next {
                 Some(Ok(data)) => data,
                 Some(Err(_)) => return ForwardOutcome::Broken("stream ended prematurely"),
-                None => return self.stream_end(exchange.framing),
+                None => return self.check_end(exchange.framing).await,
             };
             match self.process_bytes(&data) {
                 Err(reason) => return ForwardOutcome::Broken(reason),
@@ -226,20 +227,34 @@
         }
     }
 
-    /// What the end of an endpoint's response means for the stream.
-    fn stream_end(&self, framing: Framing) -> ForwardOutcome {
+    /// Checks whether the end of an endpoint's response is the end of the stream.
+    async fn check_end(&self, framing: Framing) -> ForwardOutcome {
         if !self.is_event_stream() {
             return ForwardOutcome::Complete;
         }
         if self.events.is_inside_event() {
             return ForwardOutcome::Broken("stream ended inside an event");
         }
-        if framing == Framing::UntilClose && self.events_in_run == 0 {
+        if framing == Framing::Delimited {
+            return ForwardOutcome::Complete;
+        }
+        if self.events_in_run == 0 {
             return ForwardOutcome::Broken("stream closed before its first event");
         }
+        // The connections of an endpoint that crashes are closed as well.
+        if !self.is_first_hop_alive().await {
+            return ForwardOutcome::Broken("stream closed by a crash");
+        }
         ForwardOutcome::Complete
     }
 
+    async fn is_first_hop_alive(&self) -> bool {
+        let Some(first) = self.claim.as_ref().map(|claim| claim.chain[0].clone()) else {
+            return false;
+        };
+        matches!(probe::check_still_alive(self.state(), &first).await, ProbeResult::Alive(_))
+    }
+
     fn is_event_stream(&self) -> bool {
         matches!(self.ctx.route.kind, RouteKind::Stream { .. })
     }
--- a/mimosafront/tests/broken_answers.rs
+++ b/mimosafront/tests/broken_answers.rs
@@ -52,3 +52,12 @@
     resumable_stream_ended_by_close_is_complete: Unframed, TestRequest::draft(12) => 40;
     stream_ended_by_close_is_complete: Unframed, TestRequest::note(12) => 40;
 }
+
+#[test]
+fn stream_of_an_engine_that_crashes_between_events_is_not_complete() {
+    let cluster = cluster_of(Health::CrashesAfterEvent);
+    let request = TestRequest::note(12);
+    let response = cluster.runtime.block_on(request.send(cluster.routers[0].clients)).unwrap();
+    assert_eq!((response.status, response.events()), (200, vec![1, 2]));
+    assert!(!response.complete);
+}
--- a/mimosafront/tests/cluster/endpoints.rs
+++ b/mimosafront/tests/cluster/endpoints.rs
@@ -47,6 +47,9 @@
     /// Marks the end only by closing the connection, and closes it after two
     /// events, inside the third.
     ClosesInsideEvent,
+    /// Marks the end only by closing the connection, and crashes after two events
+    /// of a stream.
+    CrashesAfterEvent,
     /// Gives no report, and each of its streams pauses once, for `STUCK_PAUSE`.
     Stuck,
 }
@@ -84,7 +87,7 @@
 impl Health {
     /// Whether responses have neither a length nor chunks.
     pub fn is_unframed(self) -> bool {
-        matches!(self, Self::Unframed | Self::ClosesInsideEvent)
+        matches!(self, Self::Unframed | Self::ClosesInsideEvent | Self::CrashesAfterEvent)
     }
 }
 
--- a/mimosafront/tests/cluster/engine.rs
+++ b/mimosafront/tests/cluster/engine.rs
@@ -221,6 +221,11 @@
             if self.member.state().health == Health::DropsResponses && event > after + 2 {
                 return;
             }
+            if self.member.state().health == Health::CrashesAfterEvent && event > after + 2 {
+                self.member.state().health = Health::Unresponsive;
+                drop(to.send(None).await);
+                return;
+            }
             let data = format!("id: {event}\ndata: {id} {event}/{total}\n\n");
             if self.member.state().health == Health::ClosesInsideEvent && event > after + 2 {
                 let (start, _) = data.split_at(data.len() / 2);
--- a/mimosafront/tests/cluster/plain.rs
+++ b/mimosafront/tests/cluster/plain.rs
@@ -82,7 +82,8 @@
             | Health::Unresponsive
             | Health::Stuck
             | Health::Unframed
-            | Health::ClosesInsideEvent => {
+            | Health::ClosesInsideEvent
+            | Health::CrashesAfterEvent => {
                 let signature = format!("sig-{id}");
                 let headers = [("request-id", &*id), ("response-signature", &*signature)];
                 Ok(reply(200, &headers, &format!("answer to {id}")))
