--- a/mimosashift/src/engine/http.rs
+++ b/mimosashift/src/engine/http.rs
@@ -175,6 +175,9 @@
     if response.status != StatusCode::OK {
         return Err(refusal(response));
     }
+    if !response.is_delimited() {
+        return Err(Failure::Malformed("a reply with neither a length nor chunks".to_owned()));
+    }
     let header = response
         .header(STEP_HEADER)
         .ok_or_else(|| Failure::Malformed(format!("no {STEP_HEADER} header")))?;
--- a/mimosashift/src/http/client.rs
+++ b/mimosashift/src/http/client.rs
@@ -10,7 +10,7 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-use hyper::header::HeaderMap;
+use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use hyper::{Method, StatusCode};
 use quick_error::quick_error;
 use ureq::Agent;
@@ -105,6 +105,12 @@
 }
 
 impl Response {
+    /// Whether the end of the body was marked by a length or the last chunk. The
+    /// close of the connection alone does not show that the body is complete.
+    pub fn is_delimited(&self) -> bool {
+        [CONTENT_LENGTH, TRANSFER_ENCODING].iter().any(|name| self.headers.contains_key(name))
+    }
+
     /// The value of a header, if it is visible ASCII.
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.get(name)?.to_str().ok()
--- a/mimosashift/tests/http.rs
+++ b/mimosashift/tests/http.rs
@@ -1,13 +1,14 @@
 //! Malformed and hostile input to the decoders and the HTTP server.
 
 use std::io::{Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::StatusCode;
 use mimosashift::engine::http as steps;
-use mimosashift::engine::{Input, Label, RequestId, Step};
+use mimosashift::engine::{Failure, Input, Label, Output, Reply, RequestId, Step};
+use mimosashift::http::client::{self, Client};
 use mimosashift::http::completion::{Completion, CompletionKind};
 use mimosashift::http::{Handler, Request, Responder, Server, Settings};
 use mimosashift::resource::{Kind, Layers, Name, Spec};
@@ -32,6 +33,35 @@
     TestRunner::new(config).run(&strategy, run).unwrap();
 }
 
+/// Runs a step at an engine that answers with these header lines and two bytes of
+/// activations, and closes the connection.
+fn step_answered_with(framing: &str) -> Result<Reply, Failure> {
+    let layers = Layers::try_from((0, 1)).unwrap();
+    let pipeline = Name::try_from("p".to_owned()).unwrap();
+    let request = RequestId(1);
+    let label = Label { request, attempt: 0, position: 0, count: 1, layers, pipeline, version: 1 };
+    let step = Step { label, priority: 0, adapter: None, input: Input::Hidden(vec![1, 2]) };
+    let header = steps::encode(&step).0;
+    let answer =
+        format!("HTTP/1.1 200 OK\r\n{}: {header}\r\n{framing}\r\n\r\nab", steps::STEP_HEADER);
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let _ = stream.read(&mut [0; 4096]).unwrap();
+        stream.write_all(answer.as_bytes()).unwrap();
+    });
+    let client = Arc::new(Client::new(client::Settings::default()));
+    steps::Adapter::new(client).step(address, &step, Duration::from_secs(2))
+}
+
+#[test]
+fn activations_that_end_with_the_connection_are_not_accepted() {
+    let whole = step_answered_with("content-length: 2").unwrap();
+    assert_eq!(whole.output, Output::Hidden(b"ab".to_vec()));
+    assert!(step_answered_with("connection: close").is_err());
+}
+
 fn json_object() -> impl Strategy<Value = String> {
     let key = prop_oneof![
         Just("model"),
