--- a/mimosactl/src/client.rs
+++ b/mimosactl/src/client.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use oxhttp::Client;
+use oxhttp::model::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use oxhttp::model::{Body, Method, Request, Response, StatusCode};
 use quick_error::quick_error;
 use serde_json::Value;
@@ -83,11 +84,20 @@
         body: Option<&Value>,
     ) -> Result<Value, Error> {
         let client = Client::new().with_global_timeout(CALL_TIMEOUT);
+        let is_read = method == Method::GET;
         let response = self.send(&client, method, path, precondition, body)?;
         let status = response.status();
         let text = response.into_body().to_string().map_err(|e| self.unreachable(&e))?;
-        let value = serde_json::from_str(&text).unwrap_or(Value::Null);
-        if status.is_success() { Ok(value) } else { Err(response_error(status, &value, &text)) }
+        let value = serde_json::from_str(&text);
+        match value {
+            _ if !status.is_success() => {
+                Err(response_error(status, &value.unwrap_or(Value::Null), &text))
+            }
+            Ok(value) => Ok(value),
+            Err(_) if status == StatusCode::NO_CONTENT => Ok(Value::Null),
+            Err(error) if is_read => Err(self.truncated(&error)),
+            Err(error) => Err(Error::Unknown(format!("the answer was cut short: {error}"))),
+        }
     }
 
     /// Passes each line of a streamed response to `on_line` until the stream ends.
@@ -99,11 +109,15 @@
             let value = serde_json::from_str(&text).unwrap_or(Value::Null);
             return Err(response_error(status, &value, &text));
         }
+        // oxhttp reads no body that ends only with the connection.
+        let framing = [CONTENT_LENGTH, TRANSFER_ENCODING];
+        if !framing.iter().any(|name| response.headers().contains_key(name)) {
+            let reason = "the answer has neither a length nor chunks".to_owned();
+            return Err(Error::Unreachable { server: self.address.clone(), reason });
+        }
         for line in BufReader::new(response.into_body()).lines() {
             let line = line.map_err(|e| self.unreachable(&e))?;
-            if let Ok(value) = serde_json::from_str(&line) {
-                on_line(value);
-            }
+            on_line(serde_json::from_str(&line).map_err(|e| self.truncated(&e))?);
         }
         Ok(())
     }
@@ -130,6 +144,11 @@
         client.request(request).map_err(|e| self.unreachable(&e))
     }
 
+    fn truncated(&self, error: &serde_json::Error) -> Error {
+        let reason = format!("the answer was cut short: {error}");
+        Error::Unreachable { server: self.address.clone(), reason }
+    }
+
     fn unreachable(&self, error: &std::io::Error) -> Error {
         Error::Unreachable { server: self.address.clone(), reason: error.to_string() }
     }
--- a/mimosactl/tests/cli.rs
+++ b/mimosactl/tests/cli.rs
@@ -1,11 +1,13 @@
 //! Tests of the client's output and exit codes against a running system.
 
-use std::io::Write;
+use std::io::{Read, Write};
+use std::net::TcpListener;
 use std::process::{Command, Output, Stdio};
 
 use mimosastandin::testbed::{OPERATOR_TOKEN, Testbed};
 use serde_json::Value;
 use slog::{Discard, Logger, o};
+use test_case::test_case;
 
 const EXAMPLES: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../examples");
 
@@ -111,6 +113,29 @@
     }
 }
 
+/// Runs a command against a server that sends `answer` to each call and closes
+/// the connection.
+fn run_against(answer: &'static str, args: &[&str]) -> Output {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let server = listener.local_addr().unwrap().to_string();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            let _ = stream.read(&mut [0; 4096]).unwrap();
+            stream.write_all(answer.as_bytes()).unwrap();
+        }
+    });
+    run(&server, args, r#"{"kind":"priority","name":"urgent","spec":{"level":3}}"#)
+}
+
+#[test_case(&["get", "priority", "urgent"], 1; "of a read is a failure")]
+#[test_case(&["watch", "--after", "1"], 1; "of a watch is a failure")]
+#[test_case(&["apply", "-f", "-"], 5; "of a change leaves it unknown")]
+fn truncated_success(args: &[&str], code: i32) {
+    let output = run_against("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n{\"name\":\"ur", args);
+    assert_eq!(exit_code(&output), Some(code), "{}", text(&output.stderr));
+}
+
 /// Declares one test per command line, with its exit code.
 macro_rules! exit_codes {
     ($($case:ident: $args:expr => $code:literal;)*) => {$(
