Search each byte of an event once

An event that arrives in many pieces was searched from its start for each of them. An engine that sends a line without end kept a router busy for seconds before the limit of 1 MiB: of 48 requests at two of ten such engines, some were not answered a second after their deadline of 6 s.

Evidence: endless_answer_is_given_up, case line of an event, failed before; head and body passed and are kept as tests of bytes without end.

--- a/mimosafront/tests/broken_answers.rs
+++ b/mimosafront/tests/broken_answers.rs
@@ -2,6 +2,10 @@
 
 mod cluster;
 
+use std::time::{Duration, Instant};
+
+use test_case::test_case;
+
 use cluster::client::TestRequest;
 use cluster::endpoints::Health;
 use cluster::{ClusterOptions, TestCluster};
@@ -61,3 +65,71 @@
     assert_eq!((response.status, response.events()), (200, vec![1, 2]));
     assert!(!response.complete);
 }
+
+/// How an endpoint goes on forever.
+#[derive(Clone, Copy)]
+enum Endless {
+    Head,
+    Body,
+    Line,
+}
+
+impl Endless {
+    /// First bytes of the answer, and those that follow again and again.
+    fn bytes(self, id: &str) -> (String, &'static str) {
+        let head =
+            format!("HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nresponse-signature: sig-{id}\r\n");
+        match self {
+            Self::Head => (format!("{head}x: "), "xxxxxxxx"),
+            Self::Body => (format!("{head}\r\n"), "xxxxxxxx"),
+            Self::Line => (format!("{head}transfer-encoding: chunked\r\n\r\n"), "4\r\ndata\r\n"),
+        }
+    }
+}
+
+/// Peak resident memory that a router may use while it reads endless answers;
+/// an entry VM of a deployment has 260 MB.
+const MAX_ROUTER_MEMORY_KB: u64 = 130_000;
+
+/// Time after its request within which an endless answer must be given up.
+const GIVE_UP_TIMEOUT: Duration = Duration::from_secs(6);
+
+#[test_case(Endless::Head; "head")]
+#[test_case(Endless::Body; "body")]
+#[test_case(Endless::Line; "line of an event")]
+fn endless_answer_is_given_up(endless: Endless) {
+    let cluster = cluster_of(Health::Healthy);
+    for member in cluster.endpoints.members.iter().filter(|member| member.id.ends_with('0')) {
+        member.proxy.replace_answers(move |id| endless.bytes(id));
+    }
+    let to = cluster.routers[0].clients;
+    let requests: Vec<_> = (0..16)
+        .flat_map(|_| [TestRequest::draft(4), TestRequest::note(4), TestRequest::read()])
+        .map(|request| TestRequest { timeout: GIVE_UP_TIMEOUT, ..request })
+        .collect();
+    let sending: Vec<_> = requests
+        .into_iter()
+        .map(|request| cluster.runtime.spawn(async move { (request.send(to).await, request) }))
+        .collect();
+    let started = Instant::now();
+    for sent in sending {
+        let (response, request) = cluster.runtime.block_on(sent).unwrap();
+        if let Some(response) = response {
+            assert_eq!(response.protocol_error(&request), None, "{response:?}");
+        }
+    }
+    assert!(started.elapsed() < GIVE_UP_TIMEOUT + Duration::from_secs(1));
+    cluster.wait_until("endless answers are given up", |cluster| {
+        cluster.endpoints.members.iter().all(|member| member.proxy.replaced_answers() == 0)
+    });
+    assert!(cluster.routers[0].peak_memory_kb() < MAX_ROUTER_MEMORY_KB);
+    for member in &cluster.endpoints.members {
+        member.proxy.forward_answers();
+    }
+    cluster.wait_until("requests are served", |cluster| {
+        [TestRequest::draft(4), TestRequest::read()].iter().all(|request| {
+            let response = cluster.runtime.block_on(request.send(to));
+            response.is_some_and(|response| response.status == 200 && response.complete)
+        })
+    });
+}
--- a/mimosafront/tests/cluster/proxy.rs
+++ b/mimosafront/tests/cluster/proxy.rs
@@ -1,7 +1,8 @@
 //! A loopback proxy that injects network faults.
 
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -30,8 +31,19 @@
     state: watch::Sender<LinkState>,
     /// Incremented to stall all connections opened before, permanently.
     generation: watch::Sender<u64>,
+    /// Answers sent instead of those of the server.
+    replacement: Mutex<Option<Replacement>>,
+    /// Number of connections on which such an answer is being sent.
+    replacing: AtomicUsize,
 }
 
+/// Returns the first bytes of an answer to the request with the given id, and
+/// those that follow until the client closes the connection.
+type Replacement = Arc<dyn Fn(&str) -> (String, &'static str) + Send + Sync>;
+
+/// Size of the pieces in which endless bytes are sent.
+const ENDLESS_PIECE_BYTES: usize = 64 * 1024;
+
 impl Proxy {
     pub async fn start(address: Ipv4Addr, to: SocketAddr) -> Arc<Self> {
         let listener = TcpListener::bind((address, 0)).await.unwrap();
@@ -39,6 +51,8 @@
             address: listener.local_addr().unwrap(),
             state: watch::channel(LinkState::Up).0,
             generation: watch::channel(0).0,
+            replacement: Mutex::default(),
+            replacing: AtomicUsize::default(),
         });
         let serving = proxy.clone();
         tokio::spawn(async move {
@@ -63,10 +77,52 @@
         self.generation.send_modify(|count| *count += 1);
     }
 
+    /// Answers each request that has an id with endless bytes, on connections
+    /// opened from now on; open ones are closed.
+    pub fn replace_answers(
+        &self,
+        answer: impl Fn(&str) -> (String, &'static str) + Send + Sync + 'static,
+    ) {
+        *self.replacement.lock().unwrap() = Some(Arc::new(answer));
+        self.set(LinkState::Reset);
+        self.set(LinkState::Up);
+    }
+
+    pub fn forward_answers(&self) {
+        *self.replacement.lock().unwrap() = None;
+    }
+
+    pub fn replaced_answers(&self) -> usize {
+        self.replacing.load(Ordering::Relaxed)
+    }
+
+    async fn answer(&self, mut stream: TcpStream, answer: Replacement) {
+        self.replacing.fetch_add(1, Ordering::Relaxed);
+        let (mut request, mut buffer) = (Vec::new(), [0; 4096]);
+        while let Ok(length @ 1..) = stream.read(&mut buffer).await {
+            request.extend_from_slice(&buffer[..length]);
+            let text = String::from_utf8_lossy(&request);
+            let id = text.lines().find_map(|line| line.strip_prefix("request-id: "));
+            if !text.contains("\r\n\r\n") {
+                continue;
+            }
+            let (start, repeated) = answer(id.unwrap_or_default());
+            let piece = repeated.repeat(ENDLESS_PIECE_BYTES / repeated.len());
+            drop(stream.write_all(start.as_bytes()).await);
+            while stream.write_all(piece.as_bytes()).await.is_ok() {}
+            break;
+        }
+        self.replacing.fetch_sub(1, Ordering::Relaxed);
+    }
+
     async fn relay(self: Arc<Self>, stream: TcpStream, to: SocketAddr) {
         if *self.state.borrow() == LinkState::Reset {
             return;
         }
+        let answer = self.replacement.lock().unwrap().clone();
+        if let Some(answer) = answer {
+            return self.answer(stream, answer).await;
+        }
         let Ok(server) = TcpStream::connect(to).await else { return };
         drop((stream.set_nodelay(true), server.set_nodelay(true)));
         let (from_client, to_client) = stream.into_split();
--- a/mimosafront/tests/cluster/router.rs
+++ b/mimosafront/tests/cluster/router.rs
@@ -147,6 +147,14 @@
         self.child.as_mut().is_some_and(|child| child.try_wait().unwrap().is_none())
     }
 
+    /// Largest resident memory so far, from `/proc`.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let id = self.child.as_ref().unwrap().id();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+        line.trim().trim_end_matches(" kB").parse().unwrap()
+    }
+
     pub async fn is_ready(&self) -> bool {
         let request = TestRequest::new(hyper::Method::GET, "/api/readiness");
         request.send(self.ready).await.is_some_and(|response| response.status == 200)
--- a/mimosashift/src/event_stream.rs
+++ b/mimosashift/src/event_stream.rs
@@ -16,6 +16,8 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     partial: Vec<u8>,
+    /// Length of the part of `partial` that holds no event end.
+    searched: usize,
     last: Option<u64>,
 }
 
@@ -35,7 +37,7 @@
 impl EventSplitter {
     /// Resumes a stream of which the client has the events up to id `last`.
     pub const fn after(last: Option<u64>) -> Self {
-        Self { partial: Vec::new(), last }
+        Self { partial: Vec::new(), searched: 0, last }
     }
 
     /// Id of the last event forwarded.
@@ -47,6 +49,7 @@
     /// resumed.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
+        self.searched = 0;
     }
 
     /// Whether the bytes after the last complete event are the start of another
@@ -66,7 +69,8 @@
         self.partial.extend_from_slice(bytes);
         let mut complete = CompleteEvents::default();
         let mut from = 0;
-        while let Some(length) = event_length(&self.partial[from..]) {
+        while let Some(length) = event_length(&self.partial[from..], self.searched) {
+            self.searched = 0;
             let event = &self.partial[from..from + length];
             let id = event_id(event);
             let duplicate = id.is_some() && id <= self.last;
@@ -78,6 +82,7 @@
             from += length;
         }
         self.partial.drain(..from);
+        self.searched = self.partial.len();
         if self.partial.len() > MAX_EVENT_BYTES {
             return Err(EventTooLong);
         }
@@ -86,6 +91,7 @@
 
     /// Takes the bytes after the last complete event, at the end of a stream.
     pub fn take_partial(&mut self) -> Vec<u8> {
+        self.searched = 0;
         mem::take(&mut self.partial)
     }
 }
@@ -107,10 +113,13 @@
     lines.split(|byte| *byte == b'\n').any(|line| !matches!(line, b"" | b"\r" | [b':', ..]))
 }
 
-/// Length of the first event, including the empty line that ends it.
-fn event_length(bytes: &[u8]) -> Option<usize> {
+/// Length of the first event, including the empty line that ends it, which is
+/// not within the first `searched` bytes.
+fn event_length(bytes: &[u8], searched: usize) -> Option<usize> {
     let end = |end: &[u8]| {
-        bytes.windows(end.len()).position(|window| window == end).map(|at| at + end.len())
+        let from = (searched + 1).saturating_sub(end.len());
+        let mut windows = bytes[from..].windows(end.len());
+        windows.position(|window| window == end).map(|at| from + at + end.len())
     };
     EVENT_TERMINATORS.into_iter().filter_map(end).min()
 }
