Limit the bytes read from a connection without a response

An endpoint that sent informational responses or the size of a chunk without end kept the HTTP library busy in one poll after the other: the bytes never filled a buffer, and the router's event loop was occupied until the deadline of each request and beyond. The pool now fails a connection after 1 MiB that yields neither a head nor a piece of a body, and reads at most 64 KiB at a time.

--- a/mimosafront/tests/broken_answers.rs
+++ b/mimosafront/tests/broken_answers.rs
@@ -70,7 +70,9 @@
 #[derive(Clone, Copy)]
 enum Endless {
     Head,
+    Informational,
     Body,
+    Chunk,
     Line,
 }
 
@@ -81,7 +83,9 @@
             format!("HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nresponse-signature: sig-{id}\r\n");
         match self {
             Self::Head => (format!("{head}x: "), "xxxxxxxx"),
+            Self::Informational => (String::new(), "HTTP/1.1 100 Continue\r\n\r\n"),
             Self::Body => (format!("{head}\r\n"), "xxxxxxxx"),
+            Self::Chunk => (format!("{head}transfer-encoding: chunked\r\n\r\n"), "00000000"),
             Self::Line => (format!("{head}transfer-encoding: chunked\r\n\r\n"), "4\r\ndata\r\n"),
         }
     }
@@ -95,7 +99,9 @@
 const GIVE_UP_TIMEOUT: Duration = Duration::from_secs(6);
 
 #[test_case(Endless::Head; "head")]
+#[test_case(Endless::Informational; "informational responses")]
 #[test_case(Endless::Body; "body")]
+#[test_case(Endless::Chunk; "size of a chunk")]
 #[test_case(Endless::Line; "line of an event")]
 fn endless_answer_is_given_up(endless: Endless) {
     let cluster = cluster_of(Health::Healthy);
--- a/mimosashift/src/connection_pool/mod.rs
+++ b/mimosashift/src/connection_pool/mod.rs
@@ -5,7 +5,7 @@
 //! whether it may be sent elsewhere. Dropping an exchange closes its
 //! connection, which cancels the request on the server.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
@@ -25,6 +25,10 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
 
+use self::bounded_stream::BoundedStream;
+
+mod bounded_stream;
+
 /// Idle time after which a connection is not reused, unless the server announces
 /// a shorter timeout; below the idle timeouts that servers commonly have.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
@@ -40,6 +44,14 @@
 /// Maximum number of pending addresses of servers that closed connections.
 const MAX_CLOSED_ADDRESSES: usize = 256;
 
+/// Maximum number of bytes read from a connection for one head or piece of a
+/// body. A server that sends endless bytes which are no response would occupy the
+/// event loop until the deadline of the request.
+const MAX_UNDELIVERED_BYTES: usize = 1024 * 1024;
+
+/// Size of a connection's read buffer, which a response head must fit into.
+const READ_BUFFER_BYTES: usize = 64 * 1024;
+
 /// Limits of the pool.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
@@ -85,6 +97,7 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    undelivered: Rc<Cell<usize>>,
 }
 
 /// How the end of a response body is marked.
@@ -237,7 +250,11 @@
             Err(_) => return Err(not_sent("connect: timed out".to_owned(), false)),
         };
         self.configure(&stream).map_err(|error| not_sent(format!("socket: {error}"), false))?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let undelivered = Rc::new(Cell::new(0));
+        let stream = BoundedStream::new(stream, undelivered.clone(), MAX_UNDELIVERED_BYTES);
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| not_sent(error_chain(&error), false))?;
         let pool = Rc::downgrade(self);
@@ -248,7 +265,7 @@
                 pool.record_closed(address);
             }
         });
-        Ok(Connection { sender, task: task.abort_handle() })
+        Ok(Connection { sender, task: task.abort_handle(), undelivered })
     }
 
     fn record_closed(&self, address: SocketAddr) {
@@ -285,6 +302,7 @@
                 return Err((Failure::lost(error.into_error()), unsent));
             }
         };
+        connection.undelivered.set(0);
         let (parts, body) = response.into_parts();
         let idle_timeout = idle_timeout(&parts.headers);
         let framing = framing(&parts.headers, &body);
@@ -342,7 +360,12 @@
         loop {
             match self.body.frame().await {
                 Some(Ok(frame)) => match frame.into_data() {
-                    Ok(data) => return Some(Ok(data)),
+                    Ok(data) => {
+                        if let Some(connection) = &self.connection {
+                            connection.undelivered.set(0);
+                        }
+                        return Some(Ok(data));
+                    }
                     // Trailers are not used.
                     Err(_) => continue,
                 },
