Log the prompt parts of requests and crashes of engines under them

MS0611 now has the shared parts of the prompt (all but the last, at most 8), and MS0519 says that an engine crashed before a request had written there for half a second, with the request's parts. The engine is probed for that; a broken answer of a live engine gives no MS0519.

--- a/mimosafront/src/relay/mod.rs
+++ b/mimosafront/src/relay/mod.rs
@@ -14,7 +14,7 @@
 use mimosashift::deployment::{Denied, Deployment, Route, Service};
 use mimosashift::emit;
 use mimosashift::event::Event;
-use mimosashift::exchange::{Forward, ResponseInfo as AnswerInfo, Tokens};
+use mimosashift::exchange::{Forward, PromptPart, PromptParts, ResponseInfo as AnswerInfo, Tokens};
 use mimosashift::fleet::Hop;
 use mimosashift::meter::{Outcome, RefusalReason};
 use mimosashift::time::Instant;
@@ -44,6 +44,9 @@
 /// take effect.
 const MAX_DENIAL_CONFIG_AGE: Duration = Duration::from_millis(1_500);
 
+/// Maximum number of prompt parts in a log line.
+const MAX_LOGGED_PARTS: usize = 8;
+
 /// Largest stream that is buffered for a client of HTTP/1.0.
 const MAX_BUFFERED_STREAM_BYTES: usize = 8 * 1024 * 1024;
 
@@ -59,6 +62,7 @@
     service: Arc<Service>,
     team: Option<String>,
     tokens: Option<Tokens>,
+    shared_parts: PromptParts,
     last_event: Option<u64>,
     arrived: Instant,
     deadline: Instant,
@@ -92,6 +96,12 @@
     }
 }
 
+/// Ids of prompt parts, for logs.
+fn describe_parts(parts: &[PromptPart]) -> String {
+    let ids: Vec<_> = parts.iter().take(MAX_LOGGED_PARTS).map(PromptPart::to_string).collect();
+    ids.join(",")
+}
+
 impl RequestContext {
     /// Time until the deadline.
     fn remaining(&self) -> Duration {
@@ -129,7 +139,7 @@
         emit!(
             state.log, Event::RequestSent,
             "request" => &*self.id, "attempt" => attempt, "to" => to, "inputs" => inputs,
-            "route" => &*self.route.name, "left_ms" => millis(self.remaining()),
+            "parts" => describe_parts(&self.shared_parts), "route" => &*self.route.name, "left_ms" => millis(self.remaining()),
             "revision" => state.revision(), "config_age_ms" => state.config_age_ms(),
             "directory_age_ms" => state.directory_age_ms(),
         );
@@ -232,6 +242,7 @@
         service,
         team,
         tokens: info.tokens,
+        shared_parts: info.shared_parts,
         last_event: info.last_event,
         arrived,
         deadline: arrived + time_limit,
--- a/mimosafront/src/relay/model/forward.rs
+++ b/mimosafront/src/relay/model/forward.rs
@@ -67,6 +67,7 @@
                     reason
                 }
                 ForwardOutcome::Broken(reason) => {
+                    self.check_crash().await;
                     self.exclude_first_hop();
                     self.release();
                     match self.resume(reason).await {
@@ -136,7 +137,7 @@
         match opened {
             Ok(exchange) if exchange.head.status().is_success() => {
                 self.events.discard_partial();
-                self.events_in_run = 0;
+                self.first_event_in_run = None;
                 self.state().meter.recoveries(1, Recovery::Restarted);
                 Ok(exchange)
             }
@@ -238,7 +239,7 @@
         if framing == Framing::Delimited {
             return ForwardOutcome::Complete;
         }
-        if self.events_in_run == 0 {
+        if self.first_event_in_run.is_none() {
             return ForwardOutcome::Broken("stream closed before its first event");
         }
         // The connections of an endpoint that crashes are closed as well.
@@ -289,7 +290,7 @@
         }
         self.timing.last_event_at = now;
         self.events_forwarded += complete.count;
-        self.events_in_run += complete.count;
+        self.first_event_in_run.get_or_insert(now);
         state.meter.tokens(complete.count as u64 * u64::from(self.engine.tokens_per_event));
         Ok(Some(complete.bytes.into()))
     }
--- a/mimosafront/src/relay/model/mod.rs
+++ b/mimosafront/src/relay/model/mod.rs
@@ -28,6 +28,7 @@
 use crate::probe;
 use crate::state::{RouterState, millis};
 
+mod crash;
 mod forward;
 mod stall;
 mod stall_timer;
@@ -64,8 +65,8 @@
     events: EventSplitter,
     /// Number of events forwarded.
     events_forwarded: usize,
-    /// Number of these since the stream was last resumed.
-    events_in_run: usize,
+    /// When the first event arrived since the stream was last resumed.
+    first_event_in_run: Option<Instant>,
     /// Timing of these events.
     timing: EventTiming,
     /// Number of sends that may have been executed.
@@ -153,7 +154,7 @@
             claim: None,
             events,
             events_forwarded: 0,
-            events_in_run: 0,
+            first_event_in_run: None,
             timing: EventTiming::default(),
             possible_executions: 0,
             rejected_sends: 0,
@@ -355,6 +356,7 @@
             Err(Some(Failure::Lost { reason })) => {
                 self.state().mark_suspect(&first.id, &reason);
                 self.state().pool.close_idle(first.address);
+                self.check_crash().await;
                 self.excluded_hops.push(first);
                 self.possible_executions += 1;
                 Err("answer lost")
--- a/mimosashift/src/event/table.rs
+++ b/mimosashift/src/event/table.rs
@@ -92,6 +92,7 @@
     ReportMissing "MS0516" Info "report missing", "An engine did not answer a request for its speed report.";
     EndpointOverloaded "MS0517" Info "endpoint overloaded", "An endpoint refused work because it has no memory for it or cannot start it.";
     EndpointUsageUntracked "MS0518" Info "endpoint usage untracked", "An endpoint reports much more KV cache in use than the digests of all known routers account for.";
+    EndpointCrashed "MS0519" Warning "endpoint crashed", "An endpoint closed a connection and accepts no new one, or has restarted, before the request named had written there for long.";
 
     StageMoved "MS0601" Warning "stage moved", "A request lost a stage and continued on another endpoint.";
     RequestRefused "MS0602" Info "request refused", "A request was refused before any of it ran.";
--- a/mimosashift/src/exchange/mod.rs
+++ b/mimosashift/src/exchange/mod.rs
@@ -3,10 +3,14 @@
 //! An adapter converts between these types and a platform's headers and bodies,
 //! so that the rest of the router does not depend on their names.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+
 use crate::fleet::Hop;
 
 /// Token counts declared by a request.
@@ -20,6 +24,25 @@
     pub output_hint: Option<u32>,
 }
 
+/// Part of a prompt that several requests may have in common, such as
+/// instructions or a document.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct PromptPart {
+    /// Key of the model that reads it; a hash of its name.
+    pub model: u64,
+    /// Id of its content.
+    pub id: u64,
+}
+
+impl fmt::Display for PromptPart {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.id)
+    }
+}
+
+/// Parts of one prompt, in order.
+pub type PromptParts = SmallVec<[PromptPart; 4]>;
+
 /// Metadata of a client's request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Request {
@@ -31,6 +54,8 @@
     pub api_key: Option<String>,
     /// Token counts, for requests to a model.
     pub tokens: Option<Tokens>,
+    /// Parts of its prompt that other requests may share.
+    pub shared_parts: PromptParts,
     /// Id of the last event that the client received, if it resumes a stream.
     pub last_event: Option<u64>,
 }
--- a/mimosashift/src/fleet/mod.rs
+++ b/mimosashift/src/fleet/mod.rs
@@ -110,7 +110,7 @@
 /// The state of an endpoint as given by one of its reports, for peers.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Observation {
-    /// Key of the endpoint, see [`endpoint_key`].
+    /// Key of the endpoint, see [`name_key`].
     pub endpoint: u64,
     /// Its incarnation.
     pub incarnation: u64,
@@ -132,10 +132,10 @@
     mean_interval: liveness::EventInterval,
 }
 
-/// Hash of an endpoint's id, which identifies it in digests.
-pub fn endpoint_key(id: &str) -> u64 {
+/// Hash of a name, such as an endpoint's id, which stands for it in digests.
+pub fn name_key(name: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
-    id.hash(&mut hasher);
+    name.hash(&mut hasher);
     hasher.finish()
 }
 
@@ -218,7 +218,7 @@
 
     /// Its key and its incarnation.
     pub fn key(&self) -> (u64, u64) {
-        (endpoint_key(&self.endpoint.id), self.endpoint.incarnation)
+        (name_key(&self.endpoint.id), self.endpoint.incarnation)
     }
 
     /// Reported slowdown relative to the nominal speed of its card; 1 is nominal.
@@ -328,7 +328,7 @@
     pub fn apply_report(&mut self, id: &str, report: &Report, now: Instant) -> Option<Observation> {
         let observation = Observation {
             age: Duration::ZERO,
-            endpoint: endpoint_key(id),
+            endpoint: name_key(id),
             incarnation: report.incarnation,
             layers: report.layers,
             pace: report.slowdown.max(1.0) as f32,
@@ -342,10 +342,8 @@
         observation: &Observation,
         now: Instant,
     ) -> Option<Arc<str>> {
-        let member = self
-            .members
-            .values_mut()
-            .find(|m| endpoint_key(&m.endpoint.id) == observation.endpoint)?;
+        let member =
+            self.members.values_mut().find(|m| name_key(&m.endpoint.id) == observation.endpoint)?;
         member.apply(observation, now).then(|| member.endpoint.id.clone())
     }
 }
--- a/mimosashift/src/fleet/usage.rs
+++ b/mimosashift/src/fleet/usage.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Fleet, Member, endpoint_key};
+use super::{Fleet, Member, name_key};
 use crate::exchange::Report;
 use crate::time::Instant;
 
@@ -158,7 +158,7 @@
     /// Usage by this router and its peers.
     pub(super) fn known_usage(&self, member: &Member) -> Usage {
         let mut usage = member.own_usage;
-        usage.add(&self.peer_usage.of(endpoint_key(&member.endpoint.id)));
+        usage.add(&self.peer_usage.of(name_key(&member.endpoint.id)));
         usage
     }
 
@@ -199,7 +199,7 @@
     /// Usage by this router, for digests; unused endpoints are left out.
     pub fn digest(&self) -> Vec<(u64, Usage)> {
         let used = self.members.values().filter(|member| member.own_usage != Usage::default());
-        used.map(|member| (endpoint_key(&member.endpoint.id), member.own_usage)).collect()
+        used.map(|member| (name_key(&member.endpoint.id), member.own_usage)).collect()
     }
 
     /// Replaces a peer's usage and drops expired digests.
--- a/mimosashift/tests/fleet.rs
+++ b/mimosashift/tests/fleet.rs
@@ -5,7 +5,7 @@
 
 use mimosashift::deployment::EndpointStatus;
 use mimosashift::exchange::Report;
-use mimosashift::fleet::{Chain, Fleet, Observation, Query, Shortage, endpoint_key};
+use mimosashift::fleet::{Chain, Fleet, Observation, Query, Shortage, name_key};
 use mimosashift::time::Instant;
 
 use test_case::test_case;
@@ -222,8 +222,7 @@
 #[test]
 fn peer_observation_applies_to_the_same_incarnation_only() {
     let mut fleet = fleet(two_zones());
-    let mut observation =
-        Observation { endpoint: endpoint_key("e1"), incarnation: 2, ..OBSERVATION };
+    let mut observation = Observation { endpoint: name_key("e1"), incarnation: 2, ..OBSERVATION };
     assert_eq!(fleet.apply_observation(&observation, at(1)), None);
     observation.incarnation = 1;
     assert_eq!(fleet.apply_observation(&observation, at(1)).as_deref(), Some("e1"));
@@ -236,7 +235,7 @@
     let report = Report { incarnation: 1, layers: Some(layers(0, 50)), ..Report::default() };
     fleet.apply_report("e1", &report, at(1_000));
     let age = Duration::from_millis(100);
-    let observation = Observation { endpoint: endpoint_key("e1"), age, ..OBSERVATION };
+    let observation = Observation { endpoint: name_key("e1"), age, ..OBSERVATION };
     assert_eq!(fleet.apply_observation(&observation, at(1_050)), None, "observed at 950 ms");
     assert_eq!(fleet.get("e1").unwrap().endpoint.layers, Some(layers(0, 50)));
     assert!(fleet.apply_observation(&observation, at(1_150)).is_some(), "observed at 1,050 ms");
@@ -349,7 +348,7 @@
     fleet.reroute(&mut claim, moved);
     let prefill: Vec<_> =
         fleet.digest().into_iter().filter(|(_, usage)| usage.prefill > 0.0).collect();
-    assert_eq!(prefill.iter().map(|(id, _)| *id).collect::<Vec<_>>(), [endpoint_key("e4")]);
+    assert_eq!(prefill.iter().map(|(id, _)| *id).collect::<Vec<_>>(), [name_key("e4")]);
     fleet.finish_prefill(&mut claim);
     fleet.release(&claim);
     assert!(fleet.digest().is_empty());
--- a/mimosashift/tests/usage.rs
+++ b/mimosashift/tests/usage.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use mimosashift::exchange::Report;
-use mimosashift::fleet::{Shortage, Usage, endpoint_key};
+use mimosashift::fleet::{Shortage, Usage, name_key};
 use mimosashift::time::Instant;
 
 use proptest::collection::vec;
@@ -47,8 +47,7 @@
 fn peer_usage_counts_until_its_digest_expires() {
     let mut fleet = fleet(two_zones());
     let full = Usage { cache: 1e9, ..Usage::default() };
-    let usage: Vec<_> =
-        ["e1", "e2", "e3", "e4"].iter().map(|id| (endpoint_key(id), full)).collect();
+    let usage: Vec<_> = ["e1", "e2", "e3", "e4"].iter().map(|id| (name_key(id), full)).collect();
     fleet.merge_digest(&"peer".into(), &usage, at(100));
     assert_eq!(choose(&fleet, &DEMAND), Err(Shortage::Full(0)));
     fleet.merge_digest(&"other".into(), &[], at(10_000));
@@ -78,7 +77,7 @@
     let mut fleet = fleet(two_zones());
     let half = huge().kv_capacity(&huge().cards["huge"], 40) / 2.0;
     let usage = Usage { cache: half as f32, ..Usage::default() };
-    fleet.merge_digest(&"peer".into(), &[(endpoint_key("e1"), usage)], at(0));
+    fleet.merge_digest(&"peer".into(), &[(name_key("e1"), usage)], at(0));
     let report = Report {
         incarnation: 1,
         layers: Some(layers(0, 40)),
@@ -106,7 +105,7 @@
             let usage: BTreeMap<_, _> = usage.into_iter().collect();
             let entry = |(n, cache): (&u8, &u32)| {
                 let usage = Usage { cache: *cache as f32, ..Usage::default() };
-                (endpoint_key(&format!("e{n}")), usage)
+                (name_key(&format!("e{n}")), usage)
             };
             let entries: Vec<_> = usage.iter().map(entry).collect();
             fleet.merge_digest(&format!("peer-{peer}").into(), &entries, at(ms));
@@ -127,7 +126,7 @@
     let chain = choose(&fleet, &DEMAND).unwrap();
     let half = huge().kv_capacity(&huge().cards["huge"], 40) / 2.0;
     let usage = Usage { cache: half as f32, ..Usage::default() };
-    fleet.merge_digest(&"peer".into(), &[(endpoint_key(&chain[1].id), usage)], at(1_000));
+    fleet.merge_digest(&"peer".into(), &[(name_key(&chain[1].id), usage)], at(1_000));
     fleet.merge_digest(&"other".into(), &[], at(1_800));
     let load = fleet.describe_load(&huge(), &chain, at(2_000));
     assert_eq!(load, "fill=0.50 peers=2 peers_age_ms=1000");
