--- a/mimosafront/tests/cluster/client.rs
+++ b/mimosafront/tests/cluster/client.rs
@@ -74,6 +74,13 @@
         request
     }
 
+    /// The same request with a prompt of these parts and one of its own.
+    pub fn with_parts(mut self, parts: &[&str]) -> Self {
+        let shared: String = parts.iter().map(|part| format!("{part}:40,")).collect();
+        self.headers.push(("prompt-prefix", format!("{shared}{}:60", self.id)));
+        self
+    }
+
     pub fn post() -> Self {
         Self { body: b"posting".to_vec(), ..Self::new(Method::POST, "/post/x") }
     }
--- a/mimosafront/tests/cluster/endpoints.rs
+++ b/mimosafront/tests/cluster/endpoints.rs
@@ -4,16 +4,23 @@
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use serde_json::json;
 
 use super::engine::{self, Engine};
 use super::plain::{self, Plain};
-use super::proxy::Proxy;
+use super::proxy::{LinkState, Proxy};
 use super::store::Store;
 use super::{ClusterOptions, HEARTBEAT_INTERVAL, LAYERS, zone};
 
+/// Id of a prompt part that crashes each engine that begins to write an answer on
+/// it.
+pub const CRASHING_PART: &str = "bad0";
+
+/// Time for which an engine is down after a crash.
+const DOWN_TIME: Duration = Duration::from_millis(1_500);
+
 /// What endpoints recorded about one request.
 #[derive(Clone, Debug, Default)]
 pub struct RequestTrace {
@@ -77,6 +84,10 @@
 pub struct Endpoints {
     pub members: Vec<Arc<Member>>,
     pub traces: Mutex<HashMap<String, RequestTrace>>,
+    /// When each request with [`CRASHING_PART`] arrived at an engine.
+    pub crashing_arrivals: Mutex<Vec<Instant>>,
+    /// When each engine crashed under such a request.
+    pub crashes: Mutex<Vec<Instant>>,
     /// Violations of invariants, as observed by endpoints.
     pub violations: Mutex<Vec<String>>,
     /// Chain of each request by id, also after the request has ended.
@@ -107,6 +118,15 @@
             && state.layers.is_some_and(|(a, b)| a <= from && to <= b)
     }
 
+    /// Closes all connections, refuses new ones, and restarts after `DOWN_TIME`.
+    pub async fn crash(&self) {
+        self.state().health = Health::Unresponsive;
+        self.proxy.set(LinkState::Reset);
+        tokio::time::sleep(DOWN_TIME).await;
+        self.restart();
+        self.proxy.set(LinkState::Up);
+    }
+
     /// Restarts the endpoint, which loses its layers and all state.
     pub fn restart(&self) {
         let mut state = self.state();
@@ -150,6 +170,8 @@
         let endpoints = Arc::new(Self {
             members: started,
             traces: Mutex::default(),
+            crashing_arrivals: Mutex::default(),
+            crashes: Mutex::default(),
             violations: Mutex::default(),
             chains: Mutex::default(),
             options,
--- a/mimosafront/tests/cluster/engine.rs
+++ b/mimosafront/tests/cluster/engine.rs
@@ -17,11 +17,14 @@
 use tokio::sync::mpsc;
 
 use super::LAYERS;
-use super::endpoints::{Endpoints, Health, Member};
+use super::endpoints::{CRASHING_PART, Endpoints, Health, Member};
 
 /// Time for which a request waits for a dead hop before it is aborted.
 const STALL_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// Time after which an engine crashes under a prompt part.
+const CRASH_DELAY: Duration = Duration::from_millis(35);
+
 /// Pause of a stream at a stuck endpoint.
 const STUCK_PAUSE: Duration = Duration::from_millis(800);
 
@@ -196,11 +199,24 @@
         let counts = header_text(headers, "token-counts").unwrap_or("0,40");
         let output: u64 = counts.split(',').nth(1).unwrap().trim().parse().unwrap();
         self.endpoints.chains.lock().unwrap().insert(id.clone(), hops);
+        if has_crashing_part(headers) {
+            self.endpoints.crashing_arrivals.lock().unwrap().push(Instant::now());
+            tokio::spawn(self.clone().crash());
+        }
         let (sender, chunks) = mpsc::channel(1);
         tokio::spawn(self.clone().stream(id.clone(), after, output / 4, sender));
         stream_response(&id, self.member.state().health, chunks)
     }
 
+    /// Crashes shortly after a request began to run.
+    async fn crash(self) {
+        tokio::time::sleep(CRASH_DELAY).await;
+        if self.member.state().health == Health::Healthy {
+            self.endpoints.crashes.lock().unwrap().push(Instant::now());
+            self.member.crash().await;
+        }
+    }
+
     /// Generates the events after `after`, each of which passes through every
     /// hop.
     async fn stream(self, id: String, after: u64, total: u64, to: mpsc::Sender<Chunk>) {
@@ -256,6 +272,13 @@
     }
 }
 
+/// Whether the crashing part is among those that other requests may share.
+fn has_crashing_part(headers: &HeaderMap) -> bool {
+    let parts = header_text(headers, "prompt-prefix").unwrap_or_default();
+    let shared = parts.rsplit_once(',').map_or("", |(shared, _own)| shared);
+    shared.split(',').any(|part| part.split(':').next() == Some(CRASHING_PART))
+}
+
 /// Whether the hops run every layer once and in order.
 fn is_complete_chain(hops: &[Hop]) -> bool {
     let mut next = 0;
