Block prompt parts that crash engines

Cause: a crash excluded the engine and left no trace of the request. The next request with the part went to the next engine, at each router anew, and the router itself sent one that had lost its engine to a second.

Now routers record which parts were in the prompts that an engine had just begun to run when it crashed, share that in digests, and block a part after three crashes that no part with a more recent success explains. Requests with it are refused at once; one is tried after 60 s.

Ruled out: overload (the engines crash 35 to 104 ms after one request each while others are refused).

--- a/mimosafront/src/gossip.rs
+++ b/mimosafront/src/gossip.rs
@@ -62,6 +62,7 @@
     if due.is_empty() {
         return;
     }
+    state.update_quarantine("expiry", |quarantine| quarantine.expire(now));
     let mut digest = digest(state, now);
     digest.truncate(&mut state.rng.borrow_mut());
     for (to, echo) in due {
@@ -107,6 +108,7 @@
             .map(|(at, observed)| Observation { age: now.since(*at), ..*observed })
             .collect(),
         dead: state.fleet.borrow().dead().map(Member::key).collect(),
+        prompt_parts: state.quarantine.borrow().records(now),
         peers: state.peers.borrow().shared_addresses(now, &mut state.rng.borrow_mut()),
     }
 }
@@ -135,6 +137,9 @@
             state.log_observed(&id, seen, &digest.node);
         }
     }
+    if !digest.prompt_parts.is_empty() {
+        state.update_quarantine(&digest.node, |parts| parts.merge(&digest.prompt_parts, now));
+    }
     probe_reported_dead(state, &digest);
     apply_config(state, &digest, from, now, last_fetch);
 }
--- a/mimosafront/src/relay/model/crash.rs
+++ b/mimosafront/src/relay/model/crash.rs
@@ -1,19 +1,26 @@
-//! Checks whether an engine crashed under a request that it began to run.
+//! Finds prompt parts that crash engines, and keeps requests with them away.
 
 use std::time::Duration;
 
+use hyper::StatusCode;
 use mimosashift::emit;
 use mimosashift::event::Event;
+use mimosashift::fleet::name_key;
+use mimosashift::quarantine::Verdict;
 
 use super::ModelRequest;
 use crate::clock;
 use crate::probe::{self, ProbeResult};
-use crate::relay::describe_parts;
+use crate::relay::{RequestError, describe_parts};
+use crate::state::millis;
 
 /// Time for which a stream must have had events before its prompt counts as
 /// harmless: many steps of an engine.
 const PROOF_TIME: Duration = Duration::from_millis(500);
 
+/// Reason for refusing a request with a blocked part.
+const BLOCKED_REASON: &str = "a part of the prompt crashes engines";
+
 impl ModelRequest {
     /// Whether the first engine has written events for `PROOF_TIME`.
     pub(super) fn has_written_for_long(&self) -> bool {
@@ -23,7 +30,7 @@
 
     /// Checks whether the first engine, which has closed the connection, crashed
     /// when it began to run the request.
-    pub(super) async fn check_crash(&self) {
+    pub(super) async fn check_crash(&mut self) {
         let Some(first) = self.claim.as_ref().map(|claim| claim.chain[0].clone()) else { return };
         if self.has_written_for_long() {
             return;
@@ -33,7 +40,51 @@
             ProbeResult::Alive(report) => report.incarnation != first.incarnation,
         };
         if crashed {
+            self.crashed_engines += 1;
+            let crash = (name_key(&first.id), first.incarnation);
+            let parts = &self.ctx.shared_parts;
+            self.state().update_quarantine(&self.ctx.id, |quarantine| {
+                quarantine.record_crash(parts, crash, clock::now());
+            });
+            self.state().peers.borrow_mut().expedite(clock::now());
             emit!(self.state().log, Event::EndpointCrashed, "request" => &*self.ctx.id, "endpoint" => &*first.id, "incarnation" => first.incarnation, "events" => self.events_forwarded, "parts" => describe_parts(&self.ctx.shared_parts));
         }
     }
+
+    /// Records once for each run that its engine has not crashed: after
+    /// `PROOF_TIME`, or at the end of the stream.
+    pub(super) fn record_success(&mut self, is_complete: bool) {
+        if self.success_recorded || !(is_complete || self.has_written_for_long()) {
+            return;
+        }
+        self.success_recorded = true;
+        let parts = &self.ctx.shared_parts;
+        if !parts.is_empty() {
+            self.state().update_quarantine(&self.ctx.id, |quarantine| {
+                quarantine.record_success(parts, clock::now());
+            });
+        }
+    }
+
+    /// Refuses the request if a part of its prompt is blocked.
+    pub(super) fn check_parts(&self) -> Result<(), RequestError> {
+        match self.state().admit_parts(&self.ctx.shared_parts) {
+            Verdict::Admitted => Ok(()),
+            Verdict::Trial(part) => {
+                emit!(self.state().log, Event::PartTried, "part" => part.to_string(), "request" => &*self.ctx.id);
+                Ok(())
+            }
+            Verdict::Blocked(part, left) => {
+                emit!(self.state().log, Event::PartRefused, "part" => part.to_string(), "request" => &*self.ctx.id, "blocked_ms" => millis(left));
+                Err(self.unanswered_error(StatusCode::BAD_GATEWAY, BLOCKED_REASON, left))
+            }
+        }
+    }
+
+    /// Whether an engine crashed when it began to run the request, and one of its
+    /// parts has never been served, which makes that part a likely cause.
+    pub(super) fn may_have_crashed_engines(&self) -> bool {
+        self.crashed_engines > 0
+            && !self.state().quarantine.borrow().are_served(&self.ctx.shared_parts)
+    }
 }
--- a/mimosafront/src/relay/model/forward.rs
+++ b/mimosafront/src/relay/model/forward.rs
@@ -138,6 +138,7 @@
             Ok(exchange) if exchange.head.status().is_success() => {
                 self.events.discard_partial();
                 self.first_event_in_run = None;
+                self.success_recorded = false;
                 self.state().meter.recoveries(1, Recovery::Restarted);
                 Ok(exchange)
             }
@@ -153,6 +154,7 @@
     }
 
     async fn complete_stream(&mut self, framing: Framing, sender: &mpsc::Sender<Chunk>) {
+        self.record_success(true);
         let rest = self.events.take_partial();
         let partial_bytes = rest.len();
         if !rest.is_empty() {
@@ -218,6 +220,7 @@
                 Err(reason) => return ForwardOutcome::Broken(reason),
                 Ok(None) => {}
                 Ok(Some(complete)) => {
+                    self.record_success(false);
                     last_event_at = clock::now();
                     stall_timer.on_event(last_event_at);
                     if sender.send(Chunk::Data(complete)).await.is_err() {
--- a/mimosafront/src/relay/model/mod.rs
+++ b/mimosafront/src/relay/model/mod.rs
@@ -67,6 +67,10 @@
     events_forwarded: usize,
     /// When the first event arrived since the stream was last resumed.
     first_event_in_run: Option<Instant>,
+    /// Whether the current run counts as a success of the prompt's parts.
+    success_recorded: bool,
+    /// Number of engines that crashed when they began to run the request.
+    crashed_engines: u32,
     /// Timing of these events.
     timing: EventTiming,
     /// Number of sends that may have been executed.
@@ -155,6 +159,8 @@
             events,
             events_forwarded: 0,
             first_event_in_run: None,
+            success_recorded: false,
+            crashed_engines: 0,
             timing: EventTiming::default(),
             possible_executions: 0,
             rejected_sends: 0,
@@ -185,10 +191,12 @@
                     DEADLINE_RETRY_AFTER,
                 ));
             }
+            self.check_parts()?;
             let sends = self.possible_executions + self.rejected_sends;
             if sends > 0 {
                 let must_not_repeat =
                     self.possible_executions > 0 && !self.ctx.route.is_idempotent();
+                let must_not_repeat = must_not_repeat || self.may_have_crashed_engines();
                 let attempts_used = self.possible_executions >= self.ctx.route.attempts;
                 if must_not_repeat
                     || attempts_used
--- a/mimosafront/src/state.rs
+++ b/mimosafront/src/state.rs
@@ -12,12 +12,13 @@
 use mimosashift::deployment::{Deployment, Node};
 use mimosashift::emit;
 use mimosashift::event::{Event, Logger};
-use mimosashift::exchange::Report;
-use mimosashift::fleet::{Fleet, Member, Observation};
+use mimosashift::exchange::{PromptPart, Report};
+use mimosashift::fleet::{Fleet, Member, Observation, name_key};
 use mimosashift::freshness::Freshness;
 use mimosashift::meter::Meter;
 use mimosashift::peer::Peers;
 use mimosashift::pipeline::retry::{Window, WindowLimits};
+use mimosashift::quarantine::{Quarantine, Verdict};
 use mimosashift::time::Instant;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -53,6 +54,8 @@
     pub fleet: RefCell<Fleet>,
     /// Other routers, as known by gossip.
     pub peers: RefCell<Peers>,
+    /// Prompt parts that crash engines.
+    pub quarantine: RefCell<Quarantine>,
     /// Recent liveness probes, by endpoint.
     pub probe_results: RefCell<ProbeResults>,
     /// Queue of requests that wait for engine memory, and recent admissions and
@@ -129,6 +132,7 @@
             active_config: RefCell::default(),
             config_freshness: Cell::default(),
             fleet: RefCell::default(),
+            quarantine: RefCell::default(),
             probe_results: RefCell::default(),
             pressure: RefCell::default(),
             faults: Notify::new(),
@@ -255,6 +259,36 @@
         }
     }
 
+    /// Whether a request with these prompt parts may be sent.
+    pub fn admit_parts(&self, parts: &[PromptPart]) -> Verdict {
+        let now = clock::now();
+        self.quarantine.borrow_mut().admit(parts, |part| self.trial_rank(part, now), now)
+    }
+
+    /// Number of live routers that try a blocked prompt part before this one;
+    /// rendezvous hashing orders them differently for each part.
+    fn trial_rank(&self, part: PromptPart, now: Instant) -> usize {
+        let key = |node: &str| name_key(&format!("{part} {node}"));
+        let own = key(&self.node().name);
+        self.peers.borrow().alive(now).filter(|peer| key(&peer.digest.node) > own).count()
+    }
+
+    /// Changes what is known of prompt parts, and logs which are blocked since,
+    /// or no longer. `source` is a router or a request.
+    pub fn update_quarantine(&self, source: &str, update: impl FnOnce(&mut Quarantine)) {
+        let blocked = || self.quarantine.borrow().blocked().collect::<Vec<_>>();
+        let before = blocked();
+        update(&mut self.quarantine.borrow_mut());
+        let after = blocked();
+        let is_new = |list: &[(PromptPart, usize)], part| list.iter().all(|(p, _)| *p != part);
+        for (part, crashes) in after.iter().filter(|(part, _)| is_new(&before, *part)) {
+            emit!(self.log, Event::PartBlocked, "part" => part.to_string(), "crashes" => *crashes, "source" => source);
+        }
+        for (part, _) in before.iter().filter(|(part, _)| is_new(&after, *part)) {
+            emit!(self.log, Event::PartUnblocked, "part" => part.to_string(), "source" => source);
+        }
+    }
+
     /// A random number in `0.0..1.0`.
     pub fn random_fraction(&self) -> f64 {
         self.rng.borrow_mut().random_range(0.0..1.0)
--- a/mimosafront/tests/crashing_parts.rs
+++ b/mimosafront/tests/crashing_parts.rs
@@ -96,7 +96,7 @@
 /// one if there are fewer.
 fn late_arrivals(cluster: &TestCluster) -> usize {
     let crashes = cluster.endpoints.crashes.lock().unwrap();
-    let from = crashes.iter().take(5).last().map(|crash| *crash + WINDOW);
+    let from = crashes.get(4).or(crashes.last()).map(|crash| *crash + WINDOW);
     let arrivals = cluster.endpoints.crashing_arrivals.lock().unwrap();
     arrivals.iter().filter(|at| from.is_some_and(|from| **at > from)).count()
 }
--- a/mimosashift/src/lib.rs
+++ b/mimosashift/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod pipeline;
 pub mod platform;
 pub mod posting;
+pub mod quarantine;
 pub mod resource;
 pub mod route;
 pub mod settings;
--- a/mimosashift/src/peer/mod.rs
+++ b/mimosashift/src/peer/mod.rs
@@ -4,6 +4,7 @@
 //! All of it is soft state. Each router sends a digest to every other one
 //! within a fixed byte rate; see `docs/design/peers.md`.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -15,6 +16,7 @@
 
 use crate::fleet::{Observation, Usage};
 use crate::freshness::PeerConfirmation;
+use crate::quarantine;
 use crate::time::Instant;
 
 /// Minimum time between two digests to a peer in the same zone.
@@ -67,6 +69,13 @@
 /// network partition, which each router detects by itself.
 const MAX_DEAD_ENDPOINTS: usize = 8;
 
+/// Maximum number of prompt parts in one digest that are there for their crashes;
+/// those of the others that are there change from digest to digest.
+const MAX_CRASHING_PARTS: usize = 8;
+
+/// Maximum number of other prompt parts in one digest.
+const MAX_OTHER_PARTS: usize = 8;
+
 /// Largest encoded digest.
 pub const MAX_DIGEST_BYTES: usize = 16 * 1024;
 
@@ -103,6 +112,8 @@
     pub observed: Vec<Observation>,
     /// Endpoints that did not answer the sender, with their incarnations.
     pub dead: Vec<(u64, u64)>,
+    /// Prompt parts that may crash engines.
+    pub prompt_parts: Vec<quarantine::Record>,
     /// Addresses of other routers.
     pub peers: Vec<SocketAddr>,
 }
@@ -236,6 +247,12 @@
         due
     }
 
+    /// Makes the next round of digests due at once, and at all peers.
+    pub fn expedite(&mut self, now: Instant) {
+        self.next = now;
+        self.rounds = self.rounds.next_multiple_of(ROUNDS_PER_REMOTE);
+    }
+
     /// The router in the own zone that reads the store on behalf of `node`: the
     /// first by name that is alive and reaches the store. `None` if `node` has
     /// to read the store itself.
@@ -316,6 +333,11 @@
     pub fn truncate(&mut self, rng: &mut Pcg64Mcg) {
         keep_random(&mut self.dead, MAX_DEAD_ENDPOINTS, rng);
         keep_random(&mut self.observed, MAX_OBSERVATIONS, rng);
+        self.prompt_parts.sort_by_key(|record| Reverse(record.crashes.len()));
+        let mut others =
+            self.prompt_parts.split_off(MAX_CRASHING_PARTS.min(self.prompt_parts.len()));
+        keep_random(&mut others, MAX_OTHER_PARTS, rng);
+        self.prompt_parts.append(&mut others);
         if self.usage.len() > MAX_USAGE_ENTRIES {
             self.usage.sort_by(|a, b| b.1.cache.total_cmp(&a.1.cache));
             self.usage.truncate(MAX_USAGE_ENTRIES);
--- a/mimosashift/tests/peer.rs
+++ b/mimosashift/tests/peer.rs
@@ -5,9 +5,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use mimosashift::exchange::PromptPart;
 use mimosashift::fleet::{Observation, Usage};
 use mimosashift::freshness::PeerConfirmation;
 use mimosashift::peer::{Config, Digest, Event, MAX_DIGEST_BYTES, Peers};
+use mimosashift::quarantine::Record;
 use mimosashift::time::Instant;
 
 use rand::SeedableRng;
@@ -54,6 +56,7 @@
         usage: Vec::new(),
         observed: Vec::new(),
         dead: Vec::new(),
+        prompt_parts: Vec::new(),
         peers: Vec::new(),
     }
 }
@@ -256,11 +259,66 @@
 
 #[test]
 fn digest_of_a_router_that_sees_1000_endpoints_fits_into_a_datagram() {
-    let digest = truncated(1_000, 1_000, 1_000, &mut Pcg64Mcg::seed_from_u64(1));
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let mut digest = truncated(1_000, 1_000, 1_000, &mut rng);
+    digest.prompt_parts = vec![prompt_parts(1).remove(0); 64];
+    digest.truncate(&mut rng);
     let bytes = postcard::to_stdvec(&digest).unwrap().len();
     assert!(bytes <= MAX_DIGEST_BYTES, "{bytes} bytes");
 }
 
+/// `count` prompt parts, under the first of which eight engines crashed and under
+/// the others one.
+fn prompt_parts(count: u64) -> Vec<Record> {
+    let record = |id| Record {
+        part: PromptPart { model: u64::MAX, id },
+        crashes: (0..if id == 0 { 8 } else { 1 })
+            .map(|n| ((u64::MAX - n, u64::MAX), Duration::from_secs(1)))
+            .collect(),
+        success_age: Some(Duration::from_secs(1)),
+    };
+    (0..count).map(record).collect()
+}
+
+#[test]
+fn prompt_parts_with_most_crashes_are_in_every_digest_and_the_others_in_some() {
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let mut named = BTreeSet::new();
+    for _ in 0..100 {
+        let mut digest = truncated(0, 0, 0, &mut rng);
+        digest.prompt_parts = prompt_parts(64);
+        digest.prompt_parts.reverse();
+        digest.truncate(&mut rng);
+        assert_eq!(digest.prompt_parts[0].crashes.len(), 8);
+        named.extend(digest.prompt_parts.iter().map(|record| record.part.id));
+    }
+    assert_eq!(named.len(), 64);
+}
+
+#[test]
+fn digest_with_prompt_parts_of_many_crashes_stays_small() {
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let mut digest = truncated(0, 0, 0, &mut rng);
+    let empty = postcard::to_stdvec(&digest).unwrap().len();
+    let crashing = prompt_parts(1).remove(0);
+    digest.prompt_parts = vec![crashing; 64];
+    digest.truncate(&mut rng);
+    let bytes = postcard::to_stdvec(&digest).unwrap().len() - empty;
+    assert!(bytes <= MAX_DIGEST_BYTES / 4, "{bytes} bytes");
+}
+
+#[test]
+fn expedited_digests_are_due_at_once_at_all_peers() {
+    let mut peers = Peers::new(address(1), "a".into(), &[address(2), address(3)], at(0));
+    let mut received = digest("r2", 1, 1);
+    received.zone = "b".into();
+    peers.on_digest(address(2), received, at(0));
+    assert_eq!(peers.due(at(0)).len(), 2);
+    assert_eq!(peers.due(at(10)).len(), 0);
+    peers.expedite(at(10));
+    assert_eq!(peers.due(at(10)).len(), 2);
+}
+
 /// A router sends at least ten digests in the 3 s for which an observation is shared.
 #[test]
 fn every_dead_or_observed_endpoint_is_named_in_some_of_10_digests() {
--- /dev/null
+++ b/mimosashift/tests/quarantine.rs
@@ -0,0 +1,302 @@
+//! Tests of prompt parts that crash engines: which part is blocked, when it is
+//! tried again, and what routers tell each other.
+
+use std::collections::BTreeMap;
+
+use mimosashift::exchange::PromptPart;
+use mimosashift::quarantine::{Incarnation, Quarantine, Verdict};
+use mimosashift::time::Instant;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use test_case::test_case;
+
+const CRASHING: PromptPart = part(0xbad);
+const COMMON: PromptPart = part(0x5a);
+const OTHER: PromptPart = part(0xd1);
+
+const fn part(id: u64) -> PromptPart {
+    PromptPart { model: 1, id }
+}
+
+fn at(ms: u64) -> Instant {
+    Instant::from_millis(ms)
+}
+
+const fn engine(number: u64) -> Incarnation {
+    (number, 1)
+}
+
+/// Engines 0, 1, … crash one second after the other under these prompts.
+fn after_crashes(prompts: &[&[PromptPart]]) -> Quarantine {
+    let mut quarantine = Quarantine::default();
+    for (number, parts) in (0..).zip(prompts) {
+        quarantine.record_crash(parts, engine(number), at(1_000 + number * 1_000));
+    }
+    quarantine
+}
+
+fn is_admitted(quarantine: &mut Quarantine, parts: &[PromptPart], ms: u64) -> bool {
+    quarantine.admit(parts, |_| 0, at(ms)) == Verdict::Admitted
+}
+
+macro_rules! blocking_tests {
+    ($($name:ident: $prompts:expr => $blocked:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let blocked: Vec<_> = after_crashes(&$prompts).blocked().map(|(part, _)| part).collect();
+            assert_eq!(blocked, $blocked);
+        }
+    )*};
+}
+
+blocking_tests! {
+    two_crashes_are_not_enough: [&[CRASHING], &[CRASHING]] => [];
+    three_crashes_block_a_part: [&[CRASHING], &[CRASHING], &[CRASHING]] => [CRASHING];
+    part_in_fewer_crashes_is_not_blocked:
+        [&[CRASHING], &[OTHER, CRASHING], &[OTHER, CRASHING], &[OTHER, CRASHING]] => [CRASHING];
+    parts_that_crash_apart_are_both_blocked:
+        [&[CRASHING], &[OTHER], &[CRASHING], &[OTHER], &[CRASHING], &[OTHER]] => [OTHER, CRASHING];
+    prompts_without_shared_parts_block_nothing: [&[], &[], &[]] => [];
+}
+
+#[test]
+fn part_that_has_been_served_is_not_blamed_for_an_unserved_one() {
+    let mut quarantine = Quarantine::default();
+    quarantine.record_success(&[COMMON], at(500));
+    for number in 0..5 {
+        quarantine.record_crash(&[COMMON, CRASHING], engine(number), at(1_000 * (number + 1)));
+    }
+    assert!(is_admitted(&mut quarantine, &[COMMON, OTHER], 6_000));
+    assert!(matches!(
+        quarantine.admit(&[COMMON, CRASHING], |_| 0, at(6_000)),
+        Verdict::Blocked(CRASHING, _)
+    ));
+}
+
+#[test]
+fn part_that_was_sound_before_is_blocked_once_it_crashes_engines() {
+    let mut quarantine = Quarantine::default();
+    quarantine.record_success(&[COMMON, CRASHING], at(500));
+    for number in 0..3 {
+        quarantine.record_success(&[COMMON], at(900 + 1_000 * number));
+        quarantine.record_crash(&[COMMON, CRASHING], engine(number), at(1_000 * (number + 1)));
+    }
+    let blocked: Vec<_> = quarantine.blocked().collect();
+    assert_eq!(blocked, [(CRASHING, 3)]);
+}
+
+#[test]
+fn success_clears_a_part() {
+    let mut quarantine = after_crashes(&[&[CRASHING][..]; 3]);
+    assert_eq!(quarantine.record_success(&[CRASHING], at(5_000)).as_slice(), [CRASHING]);
+    assert!(is_admitted(&mut quarantine, &[CRASHING], 5_001));
+}
+
+#[test]
+fn engines_that_crash_at_the_same_moment_count_once() {
+    let mut quarantine = Quarantine::default();
+    for number in 0..6 {
+        quarantine.record_crash(&[CRASHING], engine(number), at(1_000 + number));
+    }
+    assert_eq!(quarantine.crash_count(CRASHING), 1);
+}
+
+#[test]
+fn crash_seen_by_several_routers_counts_once() {
+    let mut quarantine = Quarantine::default();
+    for number in 0..6 {
+        quarantine.record_crash(&[CRASHING], engine(0), at(1_000 + number * 500));
+    }
+    assert_eq!(quarantine.crash_count(CRASHING), 1);
+}
+
+#[test]
+fn request_without_the_crashing_part_clears_its_companion() {
+    let mut quarantine =
+        after_crashes(&[&[CRASHING, OTHER], &[CRASHING, OTHER], &[CRASHING, OTHER]]);
+    assert!(matches!(quarantine.admit(&[CRASHING, OTHER], |_| 0, at(4_000)), Verdict::Blocked(..)));
+    assert_eq!(quarantine.admit(&[COMMON, OTHER], |_| 3, at(4_000)), Verdict::Trial(OTHER));
+    // One trial at a time.
+    assert!(matches!(quarantine.admit(&[COMMON, OTHER], |_| 3, at(4_100)), Verdict::Blocked(..)));
+    quarantine.record_success(&[COMMON, OTHER], at(5_000));
+    assert!(is_admitted(&mut quarantine, &[COMMON, OTHER], 5_001));
+    assert!(!is_admitted(&mut quarantine, &[COMMON, CRASHING], 5_001));
+}
+
+#[test]
+fn blocked_part_is_tried_by_one_router_after_another() {
+    let mut quarantine = after_crashes(&[&[CRASHING][..]; 3]);
+    let left = |verdict| match verdict {
+        Verdict::Blocked(_, left) => left.as_secs(),
+        _ => panic!("{verdict:?}"),
+    };
+    // The last crash was at 3 s.
+    assert_eq!(left(quarantine.admit(&[CRASHING], |_| 0, at(3_000))), 60);
+    assert_eq!(left(quarantine.admit(&[CRASHING], |_| 2, at(63_000))), 10);
+    assert_eq!(quarantine.admit(&[CRASHING], |_| 0, at(63_000)), Verdict::Trial(CRASHING));
+    quarantine.record_crash(&[CRASHING], engine(7), at(63_100));
+    assert_eq!(left(quarantine.admit(&[CRASHING], |_| 0, at(63_100))), 60);
+}
+
+#[test_case(2, 61; "suspicion")]
+#[test_case(3, 601; "block")]
+fn crashes_are_forgotten(crashes: usize, seconds: u64) {
+    let mut quarantine = after_crashes(&vec![&[CRASHING][..]; crashes]);
+    let last = crashes as u64 * 1_000;
+    quarantine.expire(at(last + (seconds - 2) * 1_000));
+    assert_eq!(quarantine.records(at(0)).len(), 1);
+    quarantine.expire(at(last + seconds * 1_000));
+    assert_eq!(quarantine.records(at(0)).len(), 0);
+}
+
+#[test]
+fn restarted_router_learns_from_its_peers() {
+    let known = after_crashes(&[&[CRASHING][..]; 3]);
+    let mut restarted = Quarantine::default();
+    // Its clock starts anew.
+    restarted.merge(&known.records(at(4_000)), at(70));
+    assert!(!is_admitted(&mut restarted, &[CRASHING], 100));
+    restarted.merge(&known.records(at(5_000)), at(1_070));
+    assert_eq!(restarted.crash_count(CRASHING), 3);
+}
+
+#[test]
+fn crashes_seen_by_different_routers_add_up() {
+    let mut quarantine = Quarantine::default();
+    for number in 0..3 {
+        let mut peer = Quarantine::default();
+        peer.record_crash(&[CRASHING], engine(number), at(1_000 * (number + 1)));
+        quarantine.merge(&peer.records(at(4_000)), at(4_000));
+    }
+    assert_eq!(quarantine.crash_count(CRASHING), 3);
+}
+
+#[test]
+fn success_reaches_peers_and_is_not_undone_by_older_crashes() {
+    let mut one = after_crashes(&[&[CRASHING][..]; 3]);
+    let stale = one.records(at(4_000));
+    let mut other = Quarantine::default();
+    other.merge(&stale, at(4_000));
+    one.record_success(&[CRASHING], at(4_500));
+    other.merge(&one.records(at(5_000)), at(5_000));
+    other.merge(&stale, at(5_000));
+    assert!(is_admitted(&mut other, &[CRASHING], 5_001));
+}
+
+#[test]
+fn memory_is_bounded_and_blocked_parts_are_kept() {
+    let mut quarantine = after_crashes(&[&[CRASHING][..]; 3]);
+    for number in 0..20_000 {
+        quarantine.record_crash(&[part(number << 16)], engine(number), at(4_000 + number));
+        quarantine.record_success(&[part((number << 16) | 1)], at(4_000 + number));
+    }
+    assert!(quarantine.records(at(24_000)).len() <= 64);
+    assert!(quarantine.is_blocked(CRASHING));
+}
+
+/// Routers of the simulation, and engines.
+const ROUTERS: usize = 4;
+const ENGINES: u64 = 40;
+
+/// Time after its start at which an engine has proven a request harmless, and
+/// at which it crashes under the part.
+const PROOF_MS: u64 = 600;
+const CRASH_MS: u64 = 60;
+
+/// Time after which the digests of a router have reached all others.
+const GOSSIP_MS: u64 = 900;
+
+struct Run {
+    router: usize,
+    engine: u64,
+    parts: Vec<PromptPart>,
+    started: u64,
+}
+
+/// Outcome of a simulated minute.
+struct Outcome {
+    crashes: usize,
+    sound: usize,
+    sound_refused: usize,
+    /// Sound parts that were in three crashes or more, which a count without
+    /// successes would block.
+    sound_in_crashes: usize,
+}
+
+/// 40 sound requests a second with a common part and one of 30 documents, 5 a
+/// second with the crashing part instead, and a random crash every three seconds.
+fn simulate(seed: u64) -> Outcome {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut routers: Vec<_> = (0..ROUTERS).map(|_| Quarantine::default()).collect();
+    let mut incarnations = vec![0_u64; ENGINES as usize];
+    let mut runs: Vec<Run> = Vec::new();
+    let mut outcome = Outcome { crashes: 0, sound: 0, sound_refused: 0, sound_in_crashes: 0 };
+    let mut crashes_of: BTreeMap<PromptPart, usize> = BTreeMap::new();
+    for now in (0..60_000).step_by(10) {
+        let mut crashed = Vec::new();
+        if rng.random_ratio(1, 300) {
+            crashed.push(rng.random_range(0..ENGINES));
+        }
+        for run in &runs {
+            if run.parts.contains(&CRASHING) && now >= run.started + CRASH_MS {
+                crashed.push(run.engine);
+                outcome.crashes += 1;
+            } else if now == run.started + PROOF_MS {
+                routers[run.router].record_success(&run.parts, at(now));
+            }
+        }
+        runs.retain(|run| {
+            let is_lost = crashed.contains(&run.engine);
+            if is_lost && now < run.started + PROOF_MS {
+                let incarnation = (run.engine, incarnations[run.engine as usize]);
+                routers[run.router].record_crash(&run.parts, incarnation, at(now));
+                run.parts.iter().for_each(|part| *crashes_of.entry(*part).or_default() += 1);
+            }
+            !is_lost && now < run.started + PROOF_MS
+        });
+        crashed.into_iter().for_each(|engine| incarnations[engine as usize] += 1);
+        for (one_in, is_crashing) in [(20, true), (2, false), (2, false)] {
+            // Some 5 and 100 requests a second.
+            if !rng.random_ratio(1, one_in) || (is_crashing && now < 5_000) {
+                continue;
+            }
+            let document = part(0x1000 + rng.random_range(0..30));
+            let parts = if is_crashing { vec![COMMON, CRASHING] } else { vec![COMMON, document] };
+            let router = rng.random_range(0..ROUTERS);
+            let verdict = routers[router].admit(&parts, |_| router, at(now));
+            let is_sent = !matches!(verdict, Verdict::Blocked(..));
+            if !is_crashing {
+                outcome.sound += 1;
+                outcome.sound_refused += usize::from(!is_sent);
+            }
+            if is_sent {
+                let engine = rng.random_range(0..ENGINES);
+                runs.push(Run { router, engine, parts, started: now });
+            }
+        }
+        if now % GOSSIP_MS == 0 {
+            let records: Vec<_> = routers.iter().map(|router| router.records(at(now))).collect();
+            for router in &mut routers {
+                router.expire(at(now));
+                records.iter().for_each(|records| router.merge(records, at(now)));
+            }
+        }
+    }
+    crashes_of.remove(&CRASHING);
+    outcome.sound_in_crashes = crashes_of.values().filter(|count| **count >= 3).count();
+    outcome
+}
+
+#[test]
+fn few_engines_crash_and_hardly_any_sound_request_is_refused_in_100_seeds() {
+    let outcomes: Vec<_> = (0..100).map(simulate).collect();
+    let worst = outcomes.iter().map(|outcome| outcome.crashes).max();
+    let refused: usize = outcomes.iter().map(|outcome| outcome.sound_refused).sum();
+    let sound: usize = outcomes.iter().map(|outcome| outcome.sound).sum();
+    let blamed: usize = outcomes.iter().map(|outcome| outcome.sound_in_crashes).sum();
+    println!("{blamed} sound parts in three crashes or more");
+    println!("at most {worst:?} crashes; {refused} of {sound} sound requests refused");
+    assert!(worst <= Some(20), "{worst:?}");
+    assert!(refused * 1_000 < sound, "{refused} of {sound}");
+    assert!(blamed > 0, "no sound part was in three crashes");
+}
