Bound the engines that one stream can end along its chains

A later engine that refuses or closes connections now counts as crashed under the request like the first one, so that its parts are suspected and it is neither moved nor sent again while one of them was never served. A request of which nothing is known is moved twice at most before its stream has had events for some time.

That time is now the span of the events: a stream that stalled after its first event counted as harmless half a second later.

--- a/mimosafront/src/probe.rs
+++ b/mimosafront/src/probe.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use mimosaplatform::engine;
+use mimosashift::connection_pool::Failure;
 use mimosashift::emit;
 use mimosashift::event::Event;
 use mimosashift::exchange::Report;
@@ -50,15 +51,38 @@
 pub enum ProbeResult {
     /// The endpoint answered.
     Alive(Report),
-    /// The endpoint did not answer, for this reason.
-    Dead(String),
+    /// The endpoint did not answer.
+    Dead(NoReport),
+}
+
+/// Why an endpoint gave no report.
+#[derive(Clone, Debug)]
+pub struct NoReport {
+    /// The error, for logs.
+    pub reason: String,
+    /// Whether it refused or closed the connection, as the system does for a process
+    /// that has ended, instead of staying silent.
+    pub closed: bool,
+}
+
+impl From<Failure> for NoReport {
+    fn from(failure: Failure) -> Self {
+        let closed = !matches!(failure, Failure::NotSent { refused: false, .. });
+        Self { reason: failure.to_string(), closed }
+    }
+}
+
+impl From<String> for NoReport {
+    fn from(reason: String) -> Self {
+        Self { reason, closed: false }
+    }
 }
 
 /// Probe results by endpoint, with the time when the probe started.
 pub type ProbeResults = HashMap<Arc<str>, (Instant, Rc<OnceCell<ProbeResult>>)>;
 
 /// Requests a report from an endpoint and applies it.
-pub async fn fetch_report(state: &Rc<RouterState>, hop: &Hop) -> Result<Report, String> {
+pub async fn fetch_report(state: &Rc<RouterState>, hop: &Hop) -> Result<Report, NoReport> {
     request_report(state, hop, false, REPORT_TIMEOUT).await
 }
 
@@ -96,10 +120,10 @@
     };
     match outcome {
         Ok(report) => ProbeResult::Alive(report),
-        Err(reason) => {
+        Err(error) => {
             state.pool.close_idle(hop.address);
-            state.mark_dead(&hop.id, &reason);
-            ProbeResult::Dead(reason)
+            state.mark_dead(&hop.id, &error.reason);
+            ProbeResult::Dead(error)
         }
     }
 }
@@ -133,13 +157,12 @@
     hop: &Hop,
     new_connection: bool,
     time_limit: Duration,
-) -> Result<Report, String> {
+) -> Result<Report, NoReport> {
     let call = engine::report_request(hop.address);
     let exchange = async {
-        let mut exchange =
-            state.pool.send(hop.address, call, new_connection).await.map_err(|e| e.to_string())?;
-        let body = exchange.collect(MAX_REPORT_BYTES).await.map_err(|e| e.to_string())?;
-        engine::decode_report(&body).map_err(|e| e.to_string())
+        let mut exchange = state.pool.send(hop.address, call, new_connection).await?;
+        let body = exchange.collect(MAX_REPORT_BYTES).await?;
+        Ok::<_, NoReport>(engine::decode_report(&body).map_err(|e| e.to_string())?)
     };
     let mut exchange = std::pin::pin!(exchange);
     let report = match timeout(time_limit, &mut exchange).await {
@@ -147,7 +170,7 @@
         // If this router itself was delayed, a response may be waiting unread.
         Err(_) => match timeout(LATE_READ_GRACE, &mut exchange).await {
             Ok(report) => report?,
-            Err(_) => return Err("report timed out".to_owned()),
+            Err(_) => return Err("report timed out".to_owned().into()),
         },
     };
     state.apply_report(&hop.id, &report);
@@ -160,9 +183,9 @@
     loop {
         sleep(REPORT_POLL_INTERVAL).await;
         for hop in assigned_engines(&state) {
-            if let Err(reason) = fetch_report(&state, &hop).await {
+            if let Err(error) = fetch_report(&state, &hop).await {
                 // A later request detects whether the endpoint is gone.
-                emit!(state.log, Event::ReportMissing, "endpoint" => &*hop.id, "reason" => reason);
+                emit!(state.log, Event::ReportMissing, "endpoint" => &*hop.id, "reason" => error.reason);
             }
         }
     }
--- a/mimosafront/src/relay/model/crash.rs
+++ b/mimosafront/src/relay/model/crash.rs
@@ -5,7 +5,7 @@
 use hyper::StatusCode;
 use mimosashift::emit;
 use mimosashift::event::Event;
-use mimosashift::fleet::name_key;
+use mimosashift::fleet::{Hop, name_key};
 use mimosashift::quarantine::Verdict;
 
 use super::ModelRequest;
@@ -22,10 +22,10 @@
 const BLOCKED_REASON: &str = "a part of the prompt crashes engines";
 
 impl ModelRequest {
-    /// Whether the first engine has written events for `PROOF_TIME`.
+    /// Whether the events of the current run span `PROOF_TIME`.
     pub(super) fn has_written_for_long(&self) -> bool {
         let first = self.first_event_in_run;
-        first.is_some_and(|first| clock::now().since(first) >= PROOF_TIME)
+        first.is_some_and(|first| self.timing.last_event_at.since(first) >= PROOF_TIME)
     }
 
     /// Checks whether the first engine, which has closed the connection, crashed
@@ -40,17 +40,36 @@
             ProbeResult::Alive(report) => report.incarnation != first.incarnation,
         };
         if crashed {
-            self.crashed_engines += 1;
-            let crash = (name_key(&first.id), first.incarnation);
-            let parts = &self.ctx.shared_parts;
-            self.state().update_quarantine(&self.ctx.id, |quarantine| {
-                quarantine.record_crash(parts, crash, clock::now());
-            });
-            self.state().peers.borrow_mut().expedite(clock::now());
-            emit!(self.state().log, Event::EndpointCrashed, "request" => &*self.ctx.id, "endpoint" => &*first.id, "incarnation" => first.incarnation, "events" => self.events_forwarded, "parts" => describe_parts(&self.ctx.shared_parts));
+            self.record_crash(&first);
         }
     }
 
+    /// Checks which of the dead engines of the chain crashed when the request began
+    /// to run. One that does not answer at all may be cut off instead.
+    pub(super) async fn check_crashes(&mut self, dead: &[Hop]) {
+        if self.has_written_for_long() {
+            return;
+        }
+        for hop in dead {
+            if let ProbeResult::Dead(error) = probe::check_alive(self.state(), hop).await
+                && error.closed
+            {
+                self.record_crash(hop);
+            }
+        }
+    }
+
+    fn record_crash(&mut self, hop: &Hop) {
+        self.crashed_engines += 1;
+        let state = self.state();
+        let (crash, parts) = ((name_key(&hop.id), hop.incarnation), &self.ctx.shared_parts);
+        emit!(state.log, Event::EndpointCrashed, "request" => &*self.ctx.id, "endpoint" => &*hop.id, "incarnation" => hop.incarnation, "events" => self.events_forwarded, "parts" => describe_parts(parts));
+        state.update_quarantine(&self.ctx.id, |quarantine| {
+            quarantine.record_crash(parts, crash, clock::now());
+        });
+        state.peers.borrow_mut().expedite(clock::now());
+    }
+
     /// Records once for each run that its engine has not crashed: after
     /// `PROOF_TIME`, or at the end of the stream.
     pub(super) fn record_success(&mut self, is_complete: bool) {
@@ -85,6 +104,7 @@
     /// parts has never been served, which makes that part a likely cause.
     pub(super) fn may_have_crashed_engines(&self) -> bool {
         self.crashed_engines > 0
+            && !self.has_written_for_long()
             && !self.state().quarantine.borrow().are_served(&self.ctx.shared_parts)
     }
 }
--- a/mimosafront/src/relay/model/mod.rs
+++ b/mimosafront/src/relay/model/mod.rs
@@ -71,6 +71,9 @@
     success_recorded: bool,
     /// Number of engines that crashed when they began to run the request.
     crashed_engines: u32,
+    /// Number of reroutes around dead endpoints before the stream had had events
+    /// for some time.
+    moves_before_writing: u32,
     /// Timing of these events.
     timing: EventTiming,
     /// Number of sends that may have been executed.
@@ -161,6 +164,7 @@
             first_event_in_run: None,
             success_recorded: false,
             crashed_engines: 0,
+            moves_before_writing: 0,
             timing: EventTiming::default(),
             possible_executions: 0,
             rejected_sends: 0,
--- a/mimosafront/src/relay/model/stall.rs
+++ b/mimosafront/src/relay/model/stall.rs
@@ -26,6 +26,10 @@
 /// names an endpoint to exclude.
 const MAX_REROUTES: usize = 4;
 
+/// Maximum number of times that a request is rerouted around dead endpoints before
+/// its stream has had events for some time. Each such chain may crash as well.
+const MAX_MOVES_BEFORE_WRITING: u32 = 2;
+
 /// Result of checking a chain that makes no progress.
 pub(super) enum StallCheck {
     /// No hop is dead, and slow ones, if any, cannot be avoided.
@@ -66,13 +70,22 @@
         if dead.is_empty() {
             return self.avoid_slow(&first, slow).await;
         }
+        self.check_crashes(&dead).await;
         self.excluded_hops.extend(dead);
+        if self.may_have_crashed_engines() || self.has_moved_too_often() {
+            return StallCheck::Lost("engines crash under the request");
+        }
+        self.moves_before_writing += u32::from(!self.has_written_for_long());
         match self.reroute(&first, &slow).await {
             StallCheck::Lost(_) if !slow.is_empty() => self.reroute(&first, &[]).await,
             check => check,
         }
     }
 
+    fn has_moved_too_often(&self) -> bool {
+        !self.has_written_for_long() && self.moves_before_writing >= MAX_MOVES_BEFORE_WRITING
+    }
+
     /// Reroutes a request around slow endpoints, if others have memory for it.
     async fn avoid_slow(&mut self, first: &Hop, slow: SmallVec<[Hop; 4]>) -> StallCheck {
         let slow_beyond_first = slow.iter().any(|hop| hop.id != first.id);
--- a/mimosafront/tests/cluster/endpoints.rs
+++ b/mimosafront/tests/cluster/endpoints.rs
@@ -1,7 +1,7 @@
 //! Endpoints of a test cluster: their entries in the store, and a record of the
 //! requests they received.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -18,6 +18,10 @@
 /// it.
 pub const CRASHING_PART: &str = "bad0";
 
+/// Id of a prompt part that crashes the last engine of each chain that begins to
+/// write an answer on it.
+pub const CRASHING_LAST_PART: &str = "bad1";
+
 /// Time for which an engine is down after a crash.
 const DOWN_TIME: Duration = Duration::from_millis(1_500);
 
@@ -86,6 +90,8 @@
     pub traces: Mutex<HashMap<String, RequestTrace>>,
     /// When each request with [`CRASHING_PART`] arrived at an engine.
     pub crashing_arrivals: Mutex<Vec<Instant>>,
+    /// Ids of requests with [`CRASHING_LAST_PART`].
+    pub crashing_last: Mutex<HashSet<String>>,
     /// When each engine crashed under such a request.
     pub crashes: Mutex<Vec<Instant>>,
     /// Violations of invariants, as observed by endpoints.
@@ -171,6 +177,7 @@
             members: started,
             traces: Mutex::default(),
             crashing_arrivals: Mutex::default(),
+            crashing_last: Mutex::default(),
             crashes: Mutex::default(),
             violations: Mutex::default(),
             chains: Mutex::default(),
--- a/mimosafront/tests/cluster/engine.rs
+++ b/mimosafront/tests/cluster/engine.rs
@@ -17,7 +17,7 @@
 use tokio::sync::mpsc;
 
 use super::LAYERS;
-use super::endpoints::{CRASHING_PART, Endpoints, Health, Member};
+use super::endpoints::{CRASHING_LAST_PART, CRASHING_PART, Endpoints, Health, Member};
 
 /// Time for which a request waits for a dead hop before it is aborted.
 const STALL_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -159,6 +159,8 @@
             return reply(404, &[], "{}");
         };
         *current = chain;
+        drop(chains);
+        self.crash_last_hop(id);
         reply(200, &[], "{}")
     }
 
@@ -199,10 +201,14 @@
         let counts = header_text(headers, "token-counts").unwrap_or("0,40");
         let output: u64 = counts.split(',').nth(1).unwrap().trim().parse().unwrap();
         self.endpoints.chains.lock().unwrap().insert(id.clone(), hops);
-        if has_crashing_part(headers) {
+        if has_shared_part(headers, CRASHING_PART) {
             self.endpoints.crashing_arrivals.lock().unwrap().push(Instant::now());
             tokio::spawn(self.clone().crash());
         }
+        if has_shared_part(headers, CRASHING_LAST_PART) {
+            self.endpoints.crashing_last.lock().unwrap().insert(id.clone());
+        }
+        self.crash_last_hop(&id);
         let (sender, chunks) = mpsc::channel(1);
         tokio::spawn(self.clone().stream(id.clone(), after, output / 4, sender));
         stream_response(&id, self.member.state().health, chunks)
@@ -217,6 +223,16 @@
         }
     }
 
+    /// Crashes the last hop of a request's chain, if the request has the part that
+    /// does so.
+    fn crash_last_hop(&self, id: &str) {
+        if self.endpoints.crashing_last.lock().unwrap().contains(id) {
+            let (last, ..) = *self.endpoints.chains.lock().unwrap()[id].last().unwrap();
+            let member = self.endpoints.at(last).unwrap().clone();
+            tokio::spawn(Self { endpoints: self.endpoints.clone(), member }.crash());
+        }
+    }
+
     /// Generates the events after `after`, each of which passes through every
     /// hop.
     async fn stream(self, id: String, after: u64, total: u64, to: mpsc::Sender<Chunk>) {
@@ -272,11 +288,11 @@
     }
 }
 
-/// Whether the crashing part is among those that other requests may share.
-fn has_crashing_part(headers: &HeaderMap) -> bool {
+/// Whether a part is among those that other requests may share.
+fn has_shared_part(headers: &HeaderMap, id: &str) -> bool {
     let parts = header_text(headers, "prompt-prefix").unwrap_or_default();
     let shared = parts.rsplit_once(',').map_or("", |(shared, _own)| shared);
-    shared.split(',').any(|part| part.split(':').next() == Some(CRASHING_PART))
+    shared.split(',').any(|part| part.split(':').next() == Some(id))
 }
 
 /// Whether the hops run every layer once and in order.
--- a/mimosafront/tests/crashing_parts.rs
+++ b/mimosafront/tests/crashing_parts.rs
@@ -10,7 +10,7 @@
 use nix::sys::signal::Signal;
 
 use cluster::client::TestRequest;
-use cluster::endpoints::CRASHING_PART;
+use cluster::endpoints::{CRASHING_LAST_PART, CRASHING_PART};
 use cluster::{ClusterOptions, TestCluster};
 
 /// Time after the fifth crash in which requests with the part may still reach
@@ -20,6 +20,10 @@
 /// Requests with the part that may reach engines after that.
 const MAX_LATE_ARRIVALS: usize = 3;
 
+/// Engines that a request may end of which nothing is known: its route allows two
+/// attempts, each of which may be moved to other engines twice.
+const MAX_CRASHES_OF_A_REQUEST: usize = 6;
+
 /// Interval of sound requests and of those with the part.
 const SOUND_INTERVAL: Duration = Duration::from_millis(50);
 const CRASHING_INTERVAL: Duration = Duration::from_millis(200);
@@ -119,6 +123,33 @@
     assert_eq!(after.refused_for_a_part.load(Ordering::Relaxed), 0);
 }
 
+#[test]
+fn request_that_crashes_the_last_engine_of_a_chain_ends_one_engine() {
+    let cluster = cluster();
+    send_sound(&cluster, Duration::from_secs(6));
+    std::thread::sleep(Duration::from_secs(2));
+    let request = TestRequest::draft(EVENTS).with_parts(&["5a", CRASHING_LAST_PART]);
+    cluster.runtime.block_on(request.send(cluster.routers[0].clients));
+    let crashes = cluster.endpoints.crashes.lock().unwrap().len();
+    println!("{crashes} crashes");
+    assert_eq!(crashes, 1);
+}
+
+#[test]
+fn request_without_shared_parts_ends_few_engines() {
+    let cluster = cluster();
+    send_sound(&cluster, Duration::from_secs(6));
+    std::thread::sleep(Duration::from_secs(2));
+    // Its own part, which comes last, is not shared: the endpoints are told which
+    // request it is.
+    let request = TestRequest::draft(EVENTS);
+    cluster.endpoints.crashing_last.lock().unwrap().insert(request.id.clone());
+    cluster.runtime.block_on(request.send(cluster.routers[0].clients));
+    let crashes = cluster.endpoints.crashes.lock().unwrap().len();
+    println!("{crashes} crashes");
+    assert!((1..=MAX_CRASHES_OF_A_REQUEST).contains(&crashes));
+}
+
 #[test]
 fn crashing_part_stays_blocked_after_a_router_restart() {
     let mut cluster = cluster();
--- a/mimosashift/src/connection_pool/mod.rs
+++ b/mimosashift/src/connection_pool/mod.rs
@@ -67,7 +67,8 @@
     #[derive(Debug)]
     #[allow(missing_docs)] // The macro does not accept doc comments on fields.
     pub enum Failure {
-        /// The request was certainly not sent.
+        /// The request was certainly not sent; `refused` if the server refused or
+        /// closed the connection instead of not answering.
         NotSent { reason: String, refused: bool } {
             display("not sent: {}", reason)
         }
@@ -189,7 +190,7 @@
         let connection = self.open(address).await?;
         self.exchange(address, connection, request).await.map_err(|(failure, unsent)| {
             match (failure, unsent) {
-                (Failure::Lost { reason }, Some(_)) => Failure::NotSent { reason, refused: false },
+                (Failure::Lost { reason }, Some(_)) => Failure::NotSent { reason, refused: true },
                 (failure, _) => failure,
             }
         })
