Fail a request after four steps in a row without an answer

After three such steps without a token the fourth one fails the request (502 stage-failed). Refused steps and engines that cannot be reached do not count, since nothing ran there.

--- a/mimosashift/src/node/outcome.rs
+++ b/mimosashift/src/node/outcome.rs
@@ -74,6 +74,10 @@
             let detail = "a stage failed and the retry budget is used up";
             (StatusCode::BAD_GATEWAY, "stage-failed", detail)
         }
+        FailureCode::EnginesLost => {
+            let detail = "several stages in a row gave no answer";
+            (StatusCode::BAD_GATEWAY, "stage-failed", detail)
+        }
         FailureCode::OutOfTime => {
             let detail = "a stage failed and too little time is left to recover";
             (StatusCode::GATEWAY_TIMEOUT, "deadline-exceeded", detail)
--- a/mimosashift/src/pipeline/action.rs
+++ b/mimosashift/src/pipeline/action.rs
@@ -137,6 +137,8 @@
     NoChain,
     /// The retry budget is exhausted.
     RetryBudget,
+    /// Several engines in a row did not answer a step.
+    EnginesLost,
     /// The request cannot finish before its deadline.
     OutOfTime,
     /// The prompt is empty.
--- a/mimosashift/src/pipeline/machine/mod.rs
+++ b/mimosashift/src/pipeline/machine/mod.rs
@@ -68,6 +68,8 @@
     token_sent_at: Instant,
     /// Recoveries since the last accepted token.
     recoveries_since_token: u32,
+    /// Number of steps without an answer since the last token.
+    lost_steps: u32,
     /// Retries at an overloaded endpoint since the last accepted reply or change
     /// of chain.
     overload_retries: u32,
@@ -173,6 +175,7 @@
             used: SmallVec::new(),
             token_sent_at: now,
             recoveries_since_token: 0,
+            lost_steps: 0,
             overload_retries: 0,
             total_recoveries: 0,
             execution: Execution::NothingRan,
--- a/mimosashift/src/pipeline/machine/recover.rs
+++ b/mimosashift/src/pipeline/machine/recover.rs
@@ -20,6 +20,9 @@
 /// Maximum `retry_after` of an overloaded endpoint; with a longer one, the endpoint
 /// is replaced.
 const MAX_OVERLOAD_PAUSE: Duration = Duration::from_millis(100);
+/// Maximum number of steps in a row that may have run and got no answer. A request
+/// that ends each engine it reaches must not go on to the next one.
+const MAX_LOST_STEPS: u32 = 3;
 /// Extra time in the timeout of a transfer.
 const IMPORT_TIMEOUT_MARGIN: Duration = Duration::from_millis(50);
 
@@ -36,6 +39,12 @@
         if !failure.not_run() {
             self.execution = self.execution.max(Execution::MayHaveRun);
         }
+        if matches!(failure, Failure::Silent(_) | Failure::Malformed(_)) {
+            if self.lost_steps == MAX_LOST_STEPS {
+                return self.fail(FailureCode::EnginesLost, None, actions);
+            }
+            self.lost_steps += 1;
+        }
         let recovery = self.choose_recovery(failure, retry_after, ctx.now);
         let immediate = self.recoveries_since_token == 0 && *failure != Failure::Overloaded;
         let pause = if immediate {
--- a/mimosashift/src/pipeline/machine/step.rs
+++ b/mimosashift/src/pipeline/machine/step.rs
@@ -44,6 +44,7 @@
             self.step_times.observe_token(ctx.now.since(self.token_sent_at));
         }
         self.recoveries_since_token = 0;
+        self.lost_steps = 0;
         self.overload_retries = 0;
         if self.request.stop == Some(token) {
             return self.finish(Outcome::Complete, actions);
--- a/mimosashift/tests/pipeline.rs
+++ b/mimosashift/tests/pipeline.rs
@@ -408,6 +408,25 @@
     f64::from(ran) / f64::from(baseline)
 }
 
+#[test]
+fn request_that_every_engine_loses_is_sent_to_few_of_them() {
+    let unbounded = BudgetSettings { per_request: 1.0, per_second: 1e9, burst: 1e9 };
+    let mut harness = Harness::new(4, 600_000, unbounded);
+    let mut sent = 0;
+    while harness.outcome().is_none() {
+        if harness.scope().is_some() {
+            let name = format!("e{sent}");
+            harness.replace(chain(&[(&name, 0, 12)]), &[], 1);
+        } else if matches!(harness.actions.last(), Some(Action::Send { .. })) {
+            sent += 1;
+            harness.fail(&Failure::Silent(ms(1)), None);
+        } else {
+            harness.wait();
+        }
+    }
+    assert_eq!(sent, 4);
+}
+
 #[test]
 fn retry_budget_bounds_load_when_many_stages_fail() {
     let budget_settings = BudgetSettings { per_request: 0.2, per_second: 1.0, burst: 10.0 };
