Read the configuration anew when the store comes back from a copy

The platform's store may come back from a copy of itself some seconds old: revisions go back and are given out again. A router that was away from it meanwhile asked for the changes after the revision that it had, which by then stood for another state, and missed a configuration that was written again under an earlier one, until the next change.

A position in the store's history is now the revision with the era, which the store names in each answer; in another era the history counts as expired, and the whole table is read. Until then an older copy is refused with 410, which was handled before. The endpoint directory is always read whole, and transactions are checked by revision of the row.

--- a/mimosafront/src/directory.rs
+++ b/mimosafront/src/directory.rs
@@ -45,7 +45,7 @@
 
 /// Keeps the configuration up to date until the router exits.
 pub async fn watch_config(state: Rc<RouterState>) {
-    let mut revision = None;
+    let mut position = None;
     let mut last_direct_read = Instant::ZERO;
     loop {
         let started = clock::now();
@@ -58,7 +58,7 @@
             }
         }
         last_direct_read = started;
-        let read = match revision {
+        let read = match position {
             None => match state.store.read(config::TABLE).await {
                 Outcome::Done(rows) => Outcome::Done(Some(rows)),
                 Outcome::NotDone(refusal) => Outcome::NotDone(refusal),
@@ -74,14 +74,14 @@
         record_store_call(&state, PlatformCall::Read, &read);
         let interval = match read {
             Outcome::Done(Some(rows)) => {
-                revision = Some(rows.revision);
+                position = Some(rows.position);
                 apply_config(&state, &rows, started);
                 CONFIG_INTERVAL
             }
             Outcome::Done(None) => {
-                // The store has truncated its change history: read the whole
-                // table.
-                revision = None;
+                // The store has truncated its change history, or come back from a
+                // copy: read the whole table.
+                position = None;
                 continue;
             }
             Outcome::NotDone(_) | Outcome::Unknown => RETRY_INTERVAL,
--- a/mimosafront/tests/cluster/store.rs
+++ b/mimosafront/tests/cluster/store.rs
@@ -31,13 +31,18 @@
     NoHistory,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Rows {
+    /// Number of times that the store has come back from a copy.
+    era: u64,
     version: u64,
     rows: BTreeMap<(String, String), (u64, Vec<u8>)>,
     deleted: BTreeMap<(String, String), u64>,
 }
 
+/// Rows of a store at some time.
+pub struct Copy(Rows);
+
 pub struct Store {
     rows: Mutex<Rows>,
     mode: Mutex<StoreMode>,
@@ -72,6 +77,21 @@
         *self.mode.lock().unwrap() = mode;
     }
 
+    /// A copy of all rows, from which the store may come back.
+    pub fn copy(&self) -> Copy {
+        Copy(self.rows.lock().unwrap().clone())
+    }
+
+    /// Replaces all rows by those of a copy; versions go back as well.
+    pub fn restore(&self, copy: Copy) {
+        let mut rows = self.rows.lock().unwrap();
+        *rows = Rows { era: rows.era + 1, ..copy.0 };
+    }
+
+    pub fn version(&self) -> u64 {
+        self.rows.lock().unwrap().version
+    }
+
     pub fn put(&self, table: &str, key: &str, value: &Value) {
         let mut rows = self.rows.lock().unwrap();
         rows.version += 1;
@@ -119,6 +139,11 @@
         let (status, body) = match head.uri.path() {
             "/api/rows-get" => self.rows(&query("table"), None),
             "/api/rows-feed" if mode == StoreMode::NoHistory => (410, json!({})),
+            "/api/rows-feed"
+                if query("after").parse().is_ok_and(|after: u64| after > self.version()) =>
+            {
+                (410, json!({}))
+            }
             "/api/rows-feed" => self.rows(&query("table"), query("after").parse().ok()),
             "/api/rows-tx" => self.transact(&body),
             _ => (404, json!({})),
@@ -126,7 +151,10 @@
         if mode == StoreMode::DropsResponses && head.uri.path() == "/api/rows-tx" {
             std::future::pending::<()>().await;
         }
-        Ok(reply(status, &body))
+        let mut response = reply(status, &body);
+        let era = self.rows.lock().unwrap().era;
+        response.headers_mut().insert("store-era", era.into());
+        Ok(response)
     }
 
     fn rows(&self, table: &str, after: Option<u64>) -> (u16, Value) {
--- a/mimosafront/tests/end_to_end.rs
+++ b/mimosafront/tests/end_to_end.rs
@@ -436,6 +436,24 @@
     });
 }
 
+#[test]
+fn configuration_is_applied_that_a_restored_store_holds_under_an_earlier_version() {
+    let mut cluster =
+        TestCluster::start(ClusterOptions { routers: 1, ..ClusterOptions::default() });
+    let copy = cluster.store.copy();
+    std::thread::sleep(Duration::from_secs(1));
+    cluster.store_proxies[0].set(LinkState::Silent);
+    let known = cluster.store.version();
+    cluster.store.restore(copy);
+    cluster.configure(&[("liaison", &[OTHER_KEY])]);
+    assert!(cluster.store.version() < known);
+    cluster.wait_until("versions are higher again", |cluster| cluster.store.version() > known);
+    cluster.store_proxies[0].set(LinkState::Up);
+    cluster.wait_until("the key is unknown", |cluster| {
+        send(cluster, 0, &TestRequest::post()).is_some_and(|response| response.status == 401)
+    });
+}
+
 #[test]
 fn lease_is_acquired_when_store_responses_are_lost() {
     let mut cluster =
