Let the soak break answers off, crash engines by a prompt part and restore the store

Endpoints now also answer without a length or chunks, close such answers inside an event or crash between events; one stream in 50 has a part that crashes engines, and all share another part, which must be served after each run; the store comes back from a copy of itself.

--- a/mimosafront/tests/cluster/store.rs
+++ b/mimosafront/tests/cluster/store.rs
@@ -82,10 +82,16 @@
         Copy(self.rows.lock().unwrap().clone())
     }
 
-    /// Replaces all rows by those of a copy; versions go back as well.
+    /// Replaces all rows by those of a copy; versions go back as well. The operator
+    /// writes its row again, and the endpoints theirs with the next heartbeat.
     pub fn restore(&self, copy: Copy) {
         let mut rows = self.rows.lock().unwrap();
+        let operator = ("op".to_owned(), "config".to_owned());
+        let (_, config) = rows.rows[&operator].clone();
         *rows = Rows { era: rows.era + 1, ..copy.0 };
+        rows.version += 1;
+        let version = rows.version;
+        rows.rows.insert(operator, (version, config));
     }
 
     pub fn version(&self) -> u64 {
--- a/mimosafront/tests/soak.rs
+++ b/mimosafront/tests/soak.rs
@@ -15,10 +15,10 @@
 use rand::{RngExt, SeedableRng};
 
 use cluster::client::{Connection, TestRequest, TestResponse};
-use cluster::endpoints::Health;
+use cluster::endpoints::{CRASHING_PART, Health};
 use cluster::proxy::LinkState;
 use cluster::router::REVOCATION_BOUND;
-use cluster::store::StoreMode;
+use cluster::store::{Copy, StoreMode};
 use cluster::{ClusterOptions, KEY, OTHER_KEY, TEAM, TestCluster};
 
 /// Seeds that have failed before, with the cause.
@@ -33,6 +33,12 @@
 /// Number of concurrent clients.
 const CLIENTS: usize = 8;
 
+/// One in this many streams has a prompt part that crashes engines.
+const CRASHING_ONE_IN: u32 = 50;
+
+/// Part of every prompt.
+const SOUND_PART: &str = "5a";
+
 /// One request and its response, as seen by the client.
 struct SentRequest {
     request: TestRequest,
@@ -105,7 +111,12 @@
     let mut persistent: Option<Connection> = None;
     while !*stop.lock().unwrap() {
         let mut request = match rng.random_range(0..3) {
-            0 => TestRequest::draft(rng.random_range(1..40)),
+            0 => {
+                let events = rng.random_range(1..40);
+                let crashing = rng.random_ratio(1, CRASHING_ONE_IN);
+                let part = if crashing { CRASHING_PART } else { SOUND_PART };
+                TestRequest::draft(events).with_parts(&[SOUND_PART, part])
+            }
             1 => TestRequest::post(),
             _ => TestRequest::read(),
         };
@@ -149,6 +160,8 @@
     /// Restores the link between a router and the store.
     StoreLink(usize),
     Store,
+    /// Brings the store back from a copy; the operator writes its row again.
+    StoreFrom(Copy),
     Endpoint(String),
 }
 
@@ -169,7 +182,7 @@
     ];
     let link = *links.choose(rng).unwrap();
     let member = cluster.endpoints.members.choose(rng).unwrap().clone();
-    let repair = match rng.random_range(0..10) {
+    let repair = match rng.random_range(0..11) {
         0 if cluster.routers[router].is_running() => {
             cluster.routers[router].stop(Signal::SIGKILL);
             Repair::Restart(router)
@@ -205,10 +218,22 @@
             Repair::Endpoint(member.id.clone())
         }
         8 => {
-            let healths = [Health::Unresponsive, Health::Failing, Health::DropsResponses];
+            let healths = [
+                Health::Unresponsive,
+                Health::Failing,
+                Health::DropsResponses,
+                Health::Unframed,
+                Health::ClosesInsideEvent,
+                Health::CrashesAfterEvent,
+            ];
             member.state().health = *healths.choose(rng).unwrap();
             Repair::Endpoint(member.id.clone())
         }
+        9 => {
+            let copy = cluster.store.copy();
+            cluster.store.set(StoreMode::Busy);
+            Repair::StoreFrom(copy)
+        }
         _ => {
             if revoked.is_none() {
                 cluster.configure(&[(TEAM, &[KEY])]);
@@ -244,6 +269,10 @@
             Repair::Continue(router) => cluster.routers[router].signal(Signal::SIGCONT),
             Repair::StoreLink(router) => cluster.store_proxies[router].set(LinkState::Up),
             Repair::Store => cluster.store.set(StoreMode::Up),
+            Repair::StoreFrom(copy) => {
+                cluster.store.restore(copy);
+                cluster.store.set(StoreMode::Up);
+            }
             Repair::Endpoint(id) => {
                 let member = cluster.endpoints.get(&id);
                 member.proxy.set(LinkState::Up);
@@ -263,7 +292,8 @@
     let end = Instant::now() + cluster::WAIT_TIMEOUT;
     let mut violations = Vec::new();
     for router in 0..cluster.routers.len() {
-        for make in [|| TestRequest::draft(5), TestRequest::post, TestRequest::read] {
+        let draft = || TestRequest::draft(5).with_parts(&[SOUND_PART, "d1"]);
+        for make in [draft, TestRequest::post, TestRequest::read] {
             let mut served = false;
             while !served && Instant::now() < end {
                 let response =
