Send an idempotent call to three endpoints at most without an answer

Evidence: idempotent_call_that_ends_each_endpoint_reaches_few_of_them, all of 8 endpoints before, 3 now.

--- a/mimosashift/src/node/services.rs
+++ b/mimosashift/src/node/services.rs
@@ -16,6 +16,10 @@
 /// Request headers that are forwarded to a service.
 const FORWARDED_HEADERS: [&str; 4] = ["content-type", "accept", "traceparent", "idempotency-key"];
 
+/// Maximum number of endpoints to which an idempotent call is sent without an
+/// answer. A call that ends each endpoint must not reach all of them.
+const MAX_LOST_CALLS: usize = 3;
+
 /// A call to one service.
 pub struct Target<'a> {
     /// The team of the caller.
@@ -42,7 +46,7 @@
     if !target.idempotent {
         return postings::post(node, installed, target, request, responder);
     }
-    let mut tried = Vec::new();
+    let (mut tried, mut lost) = (Vec::new(), 0);
     loop {
         let Some((name, endpoint)) = choose_endpoint(node, installed, target.service, &tried)
         else {
@@ -53,7 +57,8 @@
             Err(Failure::NotSent { .. }) => tried.push(name.clone()),
             Err(failure) => {
                 tried.push(name.clone());
-                if node.lock_budget().take(node.clock.now()).is_err() {
+                lost += 1;
+                if lost == MAX_LOST_CALLS || node.lock_budget().take(node.clock.now()).is_err() {
                     let problem = Problem::not_run(
                         StatusCode::BAD_GATEWAY,
                         "answer-lost",
--- a/mimosashiftd/tests/common/mod.rs
+++ b/mimosashiftd/tests/common/mod.rs
@@ -115,6 +115,25 @@
         }
     }
 
+    /// Starts another instance of the service and declares it on all routers.
+    pub fn add_endpoint(&self, number: usize) -> service::Instance {
+        let service = service::Instance::start(EPHEMERAL).unwrap();
+        let address = service.address();
+        let endpoint =
+            format!(r#"{{"address":"{address}","domain":"a","role":{{"service":"register"}}}}"#);
+        let path = format!("/api/v1/endpoint/register-{number}");
+        for router in &self.routers {
+            let answer = self.call_operator_api(router, Method::PUT, &path, &endpoint);
+            assert!(answer.status.is_success(), "{}", String::from_utf8_lossy(&answer.body));
+        }
+        service
+    }
+
+    /// Sends an idempotent call with `body` through the first router.
+    pub fn put(&self, body: &str, timeout: Duration) -> Result<Response, Failure> {
+        self.call_service(0, Method::PUT, None, body, timeout)
+    }
+
     /// Calls the operator API of a router.
     pub fn call_operator_api(
         &self,
@@ -143,13 +162,24 @@
         key: Option<&str>,
         body: &str,
         timeout: Duration,
+    ) -> Result<Response, Failure> {
+        self.call_service(router, Method::POST, key, body, timeout)
+    }
+
+    fn call_service(
+        &self,
+        router: usize,
+        method: Method,
+        key: Option<&str>,
+        body: &str,
+        timeout: Duration,
     ) -> Result<Response, Failure> {
         let authorization = format!("Bearer {CALLER_TOKEN}");
         let mut headers = vec![("authorization", authorization.as_str())];
         headers.extend(key.map(|key| ("idempotency-key", key)));
         self.client.call(&Call {
             address: self.routers[router].caller_address,
-            method: Method::POST,
+            method,
             path: "/services/register/adjustments",
             headers: &headers,
             body: body.as_bytes(),
--- a/mimosashiftd/tests/postings.rs
+++ b/mimosashiftd/tests/postings.rs
@@ -120,6 +120,22 @@
     assert!(duplicated > 0, "the fault causes no duplicate run even without claims");
 }
 
+#[test]
+fn idempotent_call_that_ends_each_endpoint_reaches_few_of_them() {
+    let cluster = Cluster::start(1);
+    let spec = r#"{"idempotent":["PUT"]}"#;
+    let path = "/api/v1/service/register";
+    cluster.call_operator_api(&cluster.routers[0], Method::PUT, path, spec);
+    cluster.service.set_fault(service::Fault::LoseAnswers);
+    let others: Vec<_> = (2..=8).map(|n| cluster.add_endpoint(n)).collect();
+    others.iter().for_each(|other| other.set_fault(service::Fault::LoseAnswers));
+    let answer = cluster.put("a", TIMEOUT).unwrap();
+    assert_eq!(problem(&answer)["code"], "answer-lost");
+    let runs = |instance: &service::Instance| instance.runs().values().sum::<u64>();
+    let total = runs(&cluster.service) + others.iter().map(runs).sum::<u64>();
+    assert_eq!(total, 3);
+}
+
 #[test]
 fn operator_resolves_an_unknown_posting() {
     let cluster = Cluster::start(2);
