Report an idempotent call without an answer as one that may have run

A call that got no answer from any endpoint of its service, with retry budget left, was answered 'endpoint-unreachable' with the effect 'not-run', although it may have run at each of them. It is now 'answer-lost' with 'failed', as it was when the retry budget ended the call.

Evidence: idempotent_call_that_may_have_run_is_not_reported_as_not_run failed before.

--- a/mimosashift/src/node/services.rs
+++ b/mimosashift/src/node/services.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use hyper::{Method, StatusCode};
+use smallvec::SmallVec;
 
 use super::Node;
 use super::installed::Installed;
@@ -46,29 +47,27 @@
     if !target.idempotent {
         return postings::post(node, installed, target, request, responder);
     }
-    let (mut tried, mut lost) = (Vec::new(), 0);
-    loop {
-        let Some((name, endpoint)) = choose_endpoint(node, installed, target.service, &tried)
-        else {
-            return responder.problem(&unreachable_problem(target.service, tried.is_empty()));
-        };
+    let mut tried = Vec::new();
+    let mut lost: SmallVec<[Failure; MAX_LOST_CALLS]> = SmallVec::new();
+    while let Some((name, endpoint)) = choose_endpoint(node, installed, target.service, &tried) {
+        tried.push(name.clone());
         match exchange(node, name, endpoint, target, request) {
             Ok(response) => return forward_response(responder, response),
-            Err(Failure::NotSent { .. }) => tried.push(name.clone()),
+            Err(Failure::NotSent { .. }) => {}
             Err(failure) => {
-                tried.push(name.clone());
-                lost += 1;
-                if lost == MAX_LOST_CALLS || node.lock_budget().take(node.clock.now()).is_err() {
-                    let problem = Problem::not_run(
-                        StatusCode::BAD_GATEWAY,
-                        "answer-lost",
-                        failure.to_string(),
-                    );
-                    return responder.problem(&problem.with_effect(Effect::Failed));
+                lost.push(failure);
+                let is_last = lost.len() == MAX_LOST_CALLS;
+                if is_last || node.lock_budget().take(node.clock.now()).is_err() {
+                    break;
                 }
             }
         }
     }
+    let problem = match lost.last() {
+        Some(failure) => lost_problem(failure),
+        None => unreachable_problem(target.service, tried.is_empty()),
+    };
+    responder.problem(&problem);
 }
 
 /// The best endpoint of a service not yet tried: ordered by availability, then
@@ -150,6 +149,11 @@
     responder.send(response.status, &[(hyper::header::CONTENT_TYPE, &content_type)], response.body);
 }
 
+fn lost_problem(failure: &Failure) -> Problem {
+    Problem::not_run(StatusCode::BAD_GATEWAY, "answer-lost", failure.to_string())
+        .with_effect(Effect::Failed)
+}
+
 fn unreachable_problem(service: &Name, none_tried: bool) -> Problem {
     let detail = if none_tried {
         format!("no endpoint of service {:?} is live", service.as_str())
--- a/mimosashiftd/tests/postings.rs
+++ b/mimosashiftd/tests/postings.rs
@@ -136,6 +136,18 @@
     assert_eq!(total, 3);
 }
 
+#[test]
+fn idempotent_call_that_may_have_run_is_not_reported_as_not_run() {
+    let cluster = Cluster::start(1);
+    let spec = r#"{"idempotent":["PUT"]}"#;
+    let path = "/api/v1/service/register";
+    cluster.call_operator_api(&cluster.routers[0], Method::PUT, path, spec);
+    cluster.service.set_fault(service::Fault::LoseAnswers);
+    let answer = cluster.put("a", TIMEOUT).unwrap();
+    assert_eq!(cluster.service.runs()["a"], 1);
+    assert_eq!(problem(&answer)["effect"], "failed");
+}
+
 #[test]
 fn operator_resolves_an_unknown_posting() {
     let cluster = Cluster::start(2);
