Do not take a cut for a dead engine for the end of a stream

An engine cuts off a stream that a dead engine of its chain holds up for too long. Without a length or chunks that is a closed connection between two events, while the first engine is alive, and the stream reached its client as complete. A stream that is closed while an engine of its chain is known to be dead now counts as broken off.

The soak prints the log lines of each violation, and the changes of endpoints' health.

Refusals for a blocked prompt part have a reason of their own in the metrics.

--- a/mimosafront/src/relay/model/crash.rs
+++ b/mimosafront/src/relay/model/crash.rs
@@ -6,6 +6,7 @@
 use mimosashift::emit;
 use mimosashift::event::Event;
 use mimosashift::fleet::{Hop, name_key};
+use mimosashift::meter::RefusalReason;
 use mimosashift::quarantine::Verdict;
 
 use super::ModelRequest;
@@ -95,7 +96,12 @@
             }
             Verdict::Blocked(part, left) => {
                 emit!(self.state().log, Event::PartRefused, "part" => part.to_string(), "request" => &*self.ctx.id, "blocked_ms" => millis(left));
-                Err(self.unanswered_error(StatusCode::BAD_GATEWAY, BLOCKED_REASON, left))
+                Err(self.unanswered_error(
+                    StatusCode::BAD_GATEWAY,
+                    RefusalReason::Blocked,
+                    BLOCKED_REASON,
+                    left,
+                ))
             }
         }
     }
--- a/mimosafront/src/relay/model/forward.rs
+++ b/mimosafront/src/relay/model/forward.rs
@@ -245,7 +245,11 @@
         if self.first_event_in_run.is_none() {
             return ForwardOutcome::Broken("stream closed before its first event");
         }
-        // The connections of an endpoint that crashes are closed as well.
+        // An engine cuts off a stream that another one of its chain holds up.
+        if !self.known_faults().dead.is_empty() {
+            return ForwardOutcome::Broken("stream closed while an engine was dead");
+        }
+        // The connections of an engine that crashes are closed as well.
         if !self.is_first_hop_alive().await {
             return ForwardOutcome::Broken("stream closed by a crash");
         }
--- a/mimosafront/src/relay/model/mod.rs
+++ b/mimosafront/src/relay/model/mod.rs
@@ -191,6 +191,7 @@
             if self.ctx.remaining().is_zero() {
                 return Err(self.unanswered_error(
                     StatusCode::GATEWAY_TIMEOUT,
+                    RefusalReason::Late,
                     "deadline passed",
                     DEADLINE_RETRY_AFTER,
                 ));
@@ -209,6 +210,7 @@
                 {
                     return Err(self.unanswered_error(
                         StatusCode::BAD_GATEWAY,
+                        RefusalReason::NoEndpoint,
                         cause,
                         RETRIES_EXHAUSTED_RETRY_AFTER,
                     ));
@@ -236,13 +238,14 @@
     fn unanswered_error(
         &self,
         status: StatusCode,
+        kind: RefusalReason,
         reason: &'static str,
         retry_after: Duration,
     ) -> RequestError {
         if self.possible_executions > 0 {
             return RequestError::Failed(status, reason);
         }
-        RequestError::Refused(RefusalReason::NoEndpoint, reason, retry_after)
+        RequestError::Refused(kind, reason, retry_after)
     }
 
     /// Selects a chain for the request once there is memory for it.
--- a/mimosafront/tests/cluster/engine.rs
+++ b/mimosafront/tests/cluster/engine.rs
@@ -210,8 +210,10 @@
         }
         self.crash_last_hop(&id);
         let (sender, chunks) = mpsc::channel(1);
-        tokio::spawn(self.clone().stream(id.clone(), after, output / 4, sender));
-        stream_response(&id, self.member.state().health, chunks)
+        let health = self.member.state().health;
+        let stream = self.clone().stream(id.clone(), after, output / 4, health, sender);
+        tokio::spawn(stream);
+        stream_response(&id, health, chunks)
     }
 
     /// Crashes shortly after a request began to run.
@@ -235,7 +237,15 @@
 
     /// Generates the events after `after`, each of which passes through every
     /// hop.
-    async fn stream(self, id: String, after: u64, total: u64, to: mpsc::Sender<Chunk>) {
+    async fn stream(
+        self,
+        id: String,
+        after: u64,
+        total: u64,
+        health_at_start: Health,
+        to: mpsc::Sender<Chunk>,
+    ) {
+        let is_unframed = health_at_start.is_unframed();
         for event in after + 1..=total {
             tokio::time::sleep(self.endpoints.options.event_interval).await;
             if self.member.state().health == Health::Stuck && event == after + 6 {
@@ -243,11 +253,12 @@
             }
             let waited = Instant::now();
             while !self.is_chain_alive(&id) {
-                if waited.elapsed() > STALL_TIMEOUT
-                    || self.member.state().health == Health::Unresponsive
-                {
+                if self.member.state().health == Health::Unresponsive {
                     return;
                 }
+                if waited.elapsed() > STALL_TIMEOUT {
+                    return break_off(is_unframed, &to).await;
+                }
                 tokio::time::sleep(Duration::from_millis(10)).await;
             }
             if self.member.state().health == Health::DropsResponses && event > after + 2 {
@@ -255,15 +266,13 @@
             }
             if self.member.state().health == Health::CrashesAfterEvent && event > after + 2 {
                 self.member.state().health = Health::Unresponsive;
-                drop(to.send(None).await);
-                return;
+                return break_off(is_unframed, &to).await;
             }
             let data = format!("id: {event}\ndata: {id} {event}/{total}\n\n");
             if self.member.state().health == Health::ClosesInsideEvent && event > after + 2 {
                 let (start, _) = data.split_at(data.len() / 2);
                 drop(to.send(Some(start.to_owned().into())).await);
-                drop(to.send(None).await);
-                return;
+                return break_off(is_unframed, &to).await;
             }
             if to.send(Some(data.into())).await.is_err() {
                 self.endpoints
@@ -288,6 +297,13 @@
     }
 }
 
+/// Ends a stream early: without a length or chunks its end looks like any other.
+async fn break_off(is_unframed: bool, to: &mpsc::Sender<Chunk>) {
+    if is_unframed {
+        drop(to.send(None).await);
+    }
+}
+
 /// Whether a part is among those that other requests may share.
 fn has_shared_part(headers: &HeaderMap, id: &str) -> bool {
     let parts = header_text(headers, "prompt-prefix").unwrap_or_default();
--- a/mimosafront/tests/cluster/router.rs
+++ b/mimosafront/tests/cluster/router.rs
@@ -123,6 +123,17 @@
         text
     }
 
+    /// Log lines of all starts that contain a text.
+    pub fn log_lines(&self, text: &str) -> Vec<String> {
+        let mut lines = Vec::new();
+        for start in 1..=self.start_count {
+            let log = std::fs::read_to_string(self.folder.join(format!("log-{start}")));
+            let log = log.unwrap_or_default();
+            lines.extend(log.lines().filter(|line| line.contains(text)).map(str::to_owned));
+        }
+        lines
+    }
+
     pub fn signal(&self, signal: Signal) {
         if let Some(child) = &self.child {
             kill(Pid::from_raw(child.id() as i32), signal).unwrap();
--- a/mimosafront/tests/soak.rs
+++ b/mimosafront/tests/soak.rs
@@ -7,7 +7,7 @@
 mod cluster;
 
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use nix::sys::signal::Signal;
 use rand::rngs::StdRng;
@@ -94,6 +94,10 @@
     std::thread::sleep(Duration::from_secs(7));
     violations.extend(cluster.endpoints.violations.lock().unwrap().drain(..));
     violations.extend(check_history(&cluster, &history.lock().unwrap(), revoked));
+    for id in violations.iter().filter_map(|violation| violation.split(' ').next()) {
+        let lines = cluster.routers.iter().flat_map(|router| router.log_lines(id));
+        lines.for_each(|line| println!("{line}"));
+    }
     println!(
         "seed {seed}: {} requests, {} violations",
         history.lock().unwrap().len(),
@@ -226,7 +230,9 @@
                 Health::ClosesInsideEvent,
                 Health::CrashesAfterEvent,
             ];
-            member.state().health = *healths.choose(rng).unwrap();
+            let health = *healths.choose(rng).unwrap();
+            println!("{:?}: {} becomes {health:?}", SystemTime::now(), member.id);
+            member.state().health = health;
             Repair::Endpoint(member.id.clone())
         }
         9 => {
--- a/mimosashift/src/meter/label.rs
+++ b/mimosashift/src/meter/label.rs
@@ -51,6 +51,7 @@
         NotReady "not_ready" "The router had no configuration or was stopping.",
         NoEndpoint "no_endpoint" "No endpoints cover the model.",
         Invalid "invalid" "The request was not valid.",
+        Blocked "blocked" "A part of its prompt crashes engines.",
     }
 
     /// How a request was recovered after it lost a stage.
