Try a blocked part also if a prompt has it twice

A prompt with the same part twice counted as one with two blocked parts, which is never tried. The part stayed blocked for such requests until another one was served. A success no longer returns what it unblocks, which the caller finds by comparing.

--- a/mimosafront/src/state.rs
+++ b/mimosafront/src/state.rs
@@ -274,7 +274,7 @@
     }
 
     /// Changes what is known of prompt parts, and logs which are blocked since,
-    /// or no longer. `source` is a router or a request.
+    /// or no longer. `source` is a router, a request or the passing of time.
     pub fn update_quarantine(&self, source: &str, update: impl FnOnce(&mut Quarantine)) {
         let blocked = || self.quarantine.borrow().blocked().collect::<Vec<_>>();
         let before = blocked();
--- a/mimosashift/src/quarantine/mod.rs
+++ b/mimosashift/src/quarantine/mod.rs
@@ -37,10 +37,10 @@
 /// Time after which the outcome of a trial is no longer waited for.
 const TRIAL_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Time after which crashes are forgotten that did not suffice to block a part.
+/// Time after its last crash for which a part is remembered that is not blocked.
 const SUSPICION_TTL: Duration = Duration::from_secs(60);
 
-/// Time after which a blocked part is forgotten if it is not requested.
+/// Time after its last crash for which a blocked part is remembered.
 const BLOCK_TTL: Duration = Duration::from_secs(600);
 
 /// Time for which peers are told that a part was served.
@@ -115,21 +115,15 @@
     }
 
     /// Records that an endpoint has run a request with these parts for some time
-    /// without a crash. Returns the parts that are no longer blocked.
-    pub fn record_success(
-        &mut self,
-        parts: &[PromptPart],
-        now: Instant,
-    ) -> SmallVec<[PromptPart; 1]> {
+    /// without a crash.
+    pub fn record_success(&mut self, parts: &[PromptPart], now: Instant) {
         let now = now + EPOCH_OFFSET;
-        let blocked = parts.iter().copied().filter(|part| self.is_blocked(*part)).collect();
         for part in parts {
             if let Some(suspect) = self.suspects.get_mut(part) {
                 suspect.add_success(now);
             }
             self.remember_success(*part, now);
         }
-        blocked
     }
 
     fn remember_success(&mut self, part: PromptPart, at: Instant) {
@@ -157,7 +151,7 @@
     ) -> Verdict {
         let mut blocked = parts.iter().copied().filter(|part| self.is_blocked(*part));
         let Some(part) = blocked.next() else { return Verdict::Admitted };
-        if blocked.next().is_some() {
+        if blocked.any(|other| other != part) {
             // A crash would not tell which of the parts caused it.
             return Verdict::Blocked(part, BLOCK_TIME);
         }
