Allow seven steps in a row without an answer

A step without an answer is also one that an overloaded engine answers too late. Eight steps still end a request that every engine loses (1,224 engines without a limit).

--- a/mimosashift/src/pipeline/machine/recover.rs
+++ b/mimosashift/src/pipeline/machine/recover.rs
@@ -22,7 +22,7 @@
 const MAX_OVERLOAD_PAUSE: Duration = Duration::from_millis(100);
 /// Maximum number of steps in a row that may have run and got no answer. A request
 /// that ends each engine it reaches must not go on to the next one.
-const MAX_LOST_STEPS: u32 = 3;
+const MAX_LOST_STEPS: u32 = 7;
 /// Extra time in the timeout of a transfer.
 const IMPORT_TIMEOUT_MARGIN: Duration = Duration::from_millis(50);
 
