Log the limits that endpoints name on the requests that they take

MS0520 to MS0522 name the endpoint, the limit and where it comes from. Nothing depends on the limit yet.

--- /dev/null
+++ b/mimosafront/src/call.rs
@@ -0,0 +1,67 @@
+//! Sends requests to endpoints, and records the limits that their answers name.
+
+use http_body_util::Full;
+use hyper::body::Bytes;
+use hyper::{Request, StatusCode};
+use mimosaplatform::header;
+use mimosashift::connection_pool::{Exchange, Failure};
+use mimosashift::emit;
+use mimosashift::event::Event;
+use mimosashift::fleet::{Hop, LimitChange, name_key};
+use mimosashift::time::Instant;
+
+use crate::clock;
+use crate::state::RouterState;
+
+impl RouterState {
+    /// Sends a request to an endpoint and waits for the head of its answer; see
+    /// [`Pool::send`](mimosashift::connection_pool::Pool::send).
+    pub async fn call(
+        &self,
+        hop: &Hop,
+        request: Request<Full<Bytes>>,
+        new_connection: bool,
+    ) -> Result<Exchange, Failure> {
+        let sent = clock::now();
+        let id = request.headers().get(header::REQUEST_ID).cloned();
+        let exchange = self.pool.send(hop.address, request, new_connection).await?;
+        // Status 421 is the answer of another endpoint at the same address.
+        if exchange.head.status() != StatusCode::MISDIRECTED_REQUEST {
+            let echoed = exchange.head.headers().get(header::REQUEST_ID);
+            self.record_limit(hop, &exchange, sent, echoed.is_some() && echoed == id.as_ref());
+        }
+        Ok(exchange)
+    }
+
+    /// Records the limit that an answer names. Only an answer to a request of a client
+    /// shows that there is none: reports and answers to orders may not name it.
+    fn record_limit(&self, hop: &Hop, exchange: &Exchange, sent: Instant, is_answer: bool) {
+        let (rate, at) = match header::response(exchange.head.headers()).request_limit {
+            Some(Ok(rate)) => (Some(rate), clock::now()),
+            Some(Err(error)) => {
+                emit!(self.log, Event::EndpointLimitInvalid, "endpoint" => &*hop.id, "reason" => error.to_string());
+                return;
+            }
+            None if is_answer => (None, sent),
+            None => return,
+        };
+        let endpoint = (name_key(&hop.id), hop.incarnation);
+        let change = self.fleet.borrow_mut().observe_limit(endpoint, rate, at);
+        if let Some(change) = change {
+            self.log_limit(&hop.id, &change, "answer");
+        }
+    }
+
+    /// Logs a change of an endpoint's limit; `source` is `answer` or a peer.
+    pub fn log_limit(&self, id: &str, change: &LimitChange, source: &str) {
+        let before = change.before.map(f64::from);
+        match change.now.map(f64::from) {
+            Some(rate) => {
+                emit!(self.log, Event::EndpointLimited, "endpoint" => id, "per_second" => rate, "before" => before, "source" => source);
+            }
+            None => {
+                emit!(self.log, Event::EndpointLimitLifted, "endpoint" => id, "before" => before, "source" => source);
+            }
+        }
+    }
+}
--- a/mimosafront/src/lib.rs
+++ b/mimosafront/src/lib.rs
@@ -6,6 +6,7 @@
 //! await. See `docs/design/deployment.md`, "The shell".
 
 pub mod body;
+pub mod call;
 pub mod clock;
 pub mod directory;
 pub mod flags;
--- a/mimosafront/src/placement.rs
+++ b/mimosafront/src/placement.rs
@@ -340,7 +340,7 @@
         state.meter.orders(1);
         emit!(state.log, Event::OrderSent, "endpoint" => &*hop.id, "layers" => hop.layers.to_string(), "after" => orders_started, "fencing_token" => token.0);
         let response = async {
-            let mut exchange = state.pool.send(hop.address, call, false).await.ok()?;
+            let mut exchange = state.call(hop, call, false).await.ok()?;
             let body = exchange.collect(64 * 1024).await.ok()?;
             Some(engine_protocol::order_outcome(exchange.head.status(), &body))
         };
--- a/mimosafront/src/probe.rs
+++ b/mimosafront/src/probe.rs
@@ -160,7 +160,7 @@
 ) -> Result<Report, NoReport> {
     let call = engine::report_request(hop.address);
     let exchange = async {
-        let mut exchange = state.pool.send(hop.address, call, new_connection).await?;
+        let mut exchange = state.call(hop, call, new_connection).await?;
         let body = exchange.collect(MAX_REPORT_BYTES).await?;
         Ok::<_, NoReport>(engine::decode_report(&body).map_err(|e| e.to_string())?)
     };
--- a/mimosafront/src/relay/model/mod.rs
+++ b/mimosafront/src/relay/model/mod.rs
@@ -358,8 +358,8 @@
         let request = self.ctx.request(&first, &chain, self.events.last());
         let claim = self.state().fleet.borrow_mut().claim(chain, &self.demand);
         self.claim = Some(claim);
-        let pool = self.state().pool.clone();
-        let sending = pool.send(first.address, request, false);
+        let state = self.state().clone();
+        let sending = state.call(&first, request, false);
         match self.wait_for_head(sending).await {
             Ok(exchange) => self.check_response(&first, exchange),
             Err(Some(Failure::NotSent { reason, .. })) => {
--- a/mimosafront/src/relay/model/stall.rs
+++ b/mimosafront/src/relay/model/stall.rs
@@ -137,7 +137,7 @@
         let order = Order::Reroute { id: &self.ctx.id, chain };
         let call = engine_protocol::order_request(first.address, &first.id, &order);
         let response = async {
-            let mut exchange = self.state().pool.send(first.address, call, false).await.ok()?;
+            let mut exchange = self.state().call(first, call, false).await.ok()?;
             let body = exchange.collect(MAX_BUFFERED_RESPONSE_BYTES).await.ok()?;
             Some(engine_protocol::order_outcome(exchange.head.status(), &body))
         };
--- a/mimosafront/src/relay/plain.rs
+++ b/mimosafront/src/relay/plain.rs
@@ -171,7 +171,7 @@
 
 async fn send_and_collect(ctx: &RequestContext, hop: &Hop) -> Result<(Exchange, Bytes), Failure> {
     let request = ctx.request(hop, &[], ctx.last_event);
-    let mut exchange = ctx.state.pool.send(hop.address, request, false).await?;
+    let mut exchange = ctx.state.call(hop, request, false).await?;
     let body = exchange.collect(MAX_RESPONSE_BYTES).await?;
     Ok((exchange, body))
 }
--- a/mimosashift/src/event/table.rs
+++ b/mimosashift/src/event/table.rs
@@ -93,6 +93,9 @@
     EndpointOverloaded "MS0517" Info "endpoint overloaded", "An endpoint refused work because it has no memory for it or cannot start it.";
     EndpointUsageUntracked "MS0518" Info "endpoint usage untracked", "An endpoint reports much more KV cache in use than the digests of all known routers account for.";
     EndpointCrashed "MS0519" Warning "endpoint crashed", "An endpoint closed a connection and accepts no new one, or has restarted, before the request named had written there for long.";
+    EndpointLimited "MS0520" Warning "endpoint limit named", "An endpoint, or a peer that had its answer, names a new limit on the requests per second that it takes from all routers.";
+    EndpointLimitLifted "MS0521" Info "endpoint limit lifted", "An endpoint no longer names a limit on the requests that it takes.";
+    EndpointLimitInvalid "MS0522" Warning "endpoint limit invalid", "An endpoint named a limit that is not a number of requests per second; it is ignored.";
 
     StageMoved "MS0601" Warning "stage moved", "A request lost a stage and continued on another endpoint.";
     RequestRefused "MS0602" Info "request refused", "A request was refused before any of it ran.";
--- a/mimosashift/src/exchange/mod.rs
+++ b/mimosashift/src/exchange/mod.rs
@@ -34,6 +34,12 @@
     pub id: u64,
 }
 
+impl fmt::Display for Malformed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.0)
+    }
+}
+
 impl fmt::Display for PromptPart {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:x}", self.id)
@@ -81,8 +87,46 @@
     pub priority: Option<u8>,
 }
 
+/// Requests per second that an endpoint takes from all routers together; finite and
+/// not negative.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(try_from = "f64", into = "f64")]
+pub struct RequestRate(f64);
+
+impl RequestRate {
+    /// The rate in requests per second.
+    pub const fn per_second(self) -> f64 {
+        self.0
+    }
+}
+
+impl TryFrom<f64> for RequestRate {
+    type Error = Malformed;
+
+    fn try_from(per_second: f64) -> Result<Self, Malformed> {
+        let is_valid = per_second.is_finite() && per_second >= 0.0;
+        is_valid.then_some(Self(per_second)).ok_or(Malformed("a request rate is out of range"))
+    }
+}
+
+impl From<RequestRate> for f64 {
+    fn from(rate: RequestRate) -> Self {
+        rate.0
+    }
+}
+
+impl TryFrom<&str> for RequestRate {
+    type Error = Malformed;
+
+    fn try_from(text: &str) -> Result<Self, Malformed> {
+        let per_second: f64 =
+            text.trim().parse().map_err(|_| Malformed("a request rate is not a number"))?;
+        per_second.try_into()
+    }
+}
+
 /// Metadata of an endpoint's response.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseInfo {
     /// Id of the request to which it responds.
     pub id: Option<String>,
@@ -94,6 +138,8 @@
     pub at_fault: Option<SocketAddr>,
     /// Id of the endpoint that responded, if given.
     pub endpoint: Option<String>,
+    /// Limit on the requests that the endpoint takes, if it names one.
+    pub request_limit: Option<Result<RequestRate, Malformed>>,
 }
 
 /// State that a model engine reports; it lags by several hundred milliseconds.
--- a/mimosashift/src/fleet/mod.rs
+++ b/mimosashift/src/fleet/mod.rs
@@ -21,14 +21,17 @@
 mod chain;
 mod claim;
 mod describe;
+mod limit;
 mod liveness;
 mod plain;
 mod usage;
 
+use limit::Limits;
 use usage::{PeerUsage, UntrackedCache};
 
 pub use chain::{Demand, Query, Shortage};
 pub use claim::Claim;
+pub use limit::Change as LimitChange;
 pub use usage::Usage;
 
 /// Slowdown from which an endpoint gets no new work while others hold its layers,
@@ -130,6 +133,8 @@
     peer_usage: PeerUsage,
     /// Average time between two events of a stream.
     mean_interval: liveness::EventInterval,
+    /// Limits that endpoints name.
+    limits: Limits,
 }
 
 /// Hash of a name, such as an endpoint's id, which stands for it in digests.
