--- a/mimosafront/tests/cluster/endpoints.rs
+++ b/mimosafront/tests/cluster/endpoints.rs
@@ -8,7 +8,7 @@
 
 use serde_json::json;
 
-use super::engine::{self, Engine};
+use super::engine::{self, Engine, Reply};
 use super::plain::{self, Plain};
 use super::proxy::{LinkState, Proxy};
 use super::store::Store;
@@ -83,11 +83,15 @@
     pub layers: Option<(u16, u16)>,
     pub orders: u64,
     pub busy: bool,
+    /// Limit on its requests per second, as named in its answers.
+    pub request_limit: Option<&'static str>,
 }
 
 pub struct Endpoints {
     pub members: Vec<Arc<Member>>,
     pub traces: Mutex<HashMap<String, RequestTrace>>,
+    /// When each request arrived, also one that was rejected, and at which endpoint.
+    pub arrivals: Mutex<Vec<(Instant, String)>>,
     /// When each request with [`CRASHING_PART`] arrived at an engine.
     pub crashing_arrivals: Mutex<Vec<Instant>>,
     /// Ids of requests with [`CRASHING_LAST_PART`].
@@ -117,6 +121,18 @@
         self.proxy.address()
     }
 
+    pub fn limit_requests(&self, limit: Option<&'static str>) {
+        self.state().request_limit = limit;
+    }
+
+    /// The answer with the limit that this endpoint names.
+    pub fn name_limit(&self, mut reply: Reply) -> Reply {
+        if let Some(limit) = self.state().request_limit {
+            reply.headers_mut().insert("server-limit", limit.parse().unwrap());
+        }
+        reply
+    }
+
     /// Whether the endpoint responds and holds these layers.
     pub fn holds(&self, from: u16, to: u16) -> bool {
         let state = self.state();
@@ -141,6 +157,7 @@
         state.orders = 0;
         state.busy = false;
         state.health = Health::Healthy;
+        state.request_limit = None;
         state.removed = false;
         state.draining = false;
     }
@@ -169,6 +186,7 @@
                 layers: None,
                 orders: 0,
                 busy: false,
+                request_limit: None,
             };
             started.push(Arc::new(Member { id, service, zone, proxy, state: Mutex::new(state) }));
             listeners.push(listener);
@@ -176,6 +194,7 @@
         let endpoints = Arc::new(Self {
             members: started,
             traces: Mutex::default(),
+            arrivals: Mutex::default(),
             crashing_arrivals: Mutex::default(),
             crashing_last: Mutex::default(),
             crashes: Mutex::default(),
@@ -223,6 +242,10 @@
         change(self.traces.lock().unwrap().entry(id.to_owned()).or_default());
     }
 
+    pub fn record_arrival(&self, member: &Member) {
+        self.arrivals.lock().unwrap().push((Instant::now(), member.id.clone()));
+    }
+
     pub fn violation(&self, what: String) {
         self.violations.lock().unwrap().push(what);
     }
--- a/mimosafront/tests/cluster/engine.rs
+++ b/mimosafront/tests/cluster/engine.rs
@@ -48,7 +48,10 @@
         let engine = engine.clone();
         let service = service_fn(move |request| {
             let engine = engine.clone();
-            async move { Ok::<_, Infallible>(engine.answer(request).await) }
+            async move {
+                let reply = engine.answer(request).await;
+                Ok::<_, Infallible>(engine.member.name_limit(reply))
+            }
         });
         let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
         tokio::spawn(async move { drop(connection.await) });
@@ -170,6 +173,7 @@
     }
 
     async fn run(&self, headers: &HeaderMap, path: &str, body: &[u8]) -> Reply {
+        self.endpoints.record_arrival(&self.member);
         let id = header_text(headers, "request-id").unwrap_or_default().to_owned();
         if header_text(headers, "target-instance") != Some(&self.member.id) {
             return reply(421, &[("not-executed", "1")], "{}");
--- a/mimosafront/tests/cluster/mod.rs
+++ b/mimosafront/tests/cluster/mod.rs
@@ -5,6 +5,7 @@
 pub mod client;
 pub mod endpoints;
 pub mod engine;
+pub mod load;
 pub mod plain;
 pub mod proxy;
 pub mod router;
--- a/mimosafront/tests/cluster/plain.rs
+++ b/mimosafront/tests/cluster/plain.rs
@@ -31,7 +31,9 @@
         let plain = plain.clone();
         let service = service_fn(move |request| {
             let plain = plain.clone();
-            async move { plain.answer(request).await }
+            async move {
+                Ok::<_, DroppedConnection>(plain.member.name_limit(plain.answer(request).await?))
+            }
         });
         let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
         tokio::spawn(async move { drop(connection.await) });
@@ -56,6 +58,7 @@
         if health == Health::Unresponsive {
             std::future::pending::<()>().await;
         }
+        self.endpoints.record_arrival(&self.member);
         let (head, body) = request.into_parts();
         let body = body.collect().await.map(|body| body.to_bytes()).unwrap_or_default();
         let id = header_text(&head.headers, "request-id").unwrap_or_default().to_owned();
