Share the limits that endpoints name among the routers

Callers saw nothing; endpoints in need got up to 161 requests in 4 s where 11 are allowed, since no router read the limit that they name.

Cause: an endpoint that states what it takes had no place in the choice of endpoints. Ruled out: that a first engine has no alternative (with the limit in force others serve as much), retries (none in the first seconds).

Each router now sends an endpoint its share of the limit, by its part of the demand of all routers as last reported in digests. Random thresholds, a bound on what idle routers save up, and a stop when all together have sent a quarter more than the limit keep many routers with small shares within it. The count is taken where a request is sent, so that retries and resumed streams are in it. Newest observation wins, also between routers, so a restarted router has the limits with the first digest; malformed ones are logged and ignored.

--- a/mimosafront/src/call.rs
+++ b/mimosafront/src/call.rs
@@ -15,7 +15,8 @@
 
 impl RouterState {
     /// Sends a request to an endpoint and waits for the head of its answer; see
-    /// [`Pool::send`](mimosashift::connection_pool::Pool::send).
+    /// [`Pool::send`](mimosashift::connection_pool::Pool::send). A client's request, which
+    /// has an id, counts against the endpoint's limit.
     pub async fn call(
         &self,
         hop: &Hop,
@@ -24,6 +25,11 @@
     ) -> Result<Exchange, Failure> {
         let sent = clock::now();
         let id = request.headers().get(header::REQUEST_ID).cloned();
+        let endpoint = (name_key(&hop.id), hop.incarnation);
+        if id.is_some() {
+            let random = self.random_fraction();
+            self.fleet.borrow_mut().record_sent(endpoint, sent, random);
+        }
         let exchange = self.pool.send(hop.address, request, new_connection).await?;
         // Status 421 is the answer of another endpoint at the same address.
         if exchange.head.status() != StatusCode::MISDIRECTED_REQUEST {
@@ -46,9 +52,11 @@
             None => return,
         };
         let endpoint = (name_key(&hop.id), hop.incarnation);
-        let change = self.fleet.borrow_mut().observe_limit(endpoint, rate, at);
+        let (now, random) = (clock::now(), self.random_fraction());
+        let change = self.fleet.borrow_mut().observe_limit(endpoint, rate, at, now, random);
         if let Some(change) = change {
             self.log_limit(&hop.id, &change, "answer");
+            self.peers.borrow_mut().expedite(now);
         }
     }
 
--- a/mimosafront/src/gossip.rs
+++ b/mimosafront/src/gossip.rs
@@ -63,6 +63,8 @@
         return;
     }
     state.update_quarantine("expiry", |quarantine| quarantine.expire(now));
+    let routers = state.peers.borrow().alive(now).count() + 1;
+    state.fleet.borrow_mut().update_limits(routers, now);
     let mut digest = digest(state, now);
     digest.truncate(&mut state.rng.borrow_mut());
     for (to, echo) in due {
@@ -109,6 +111,7 @@
             .collect(),
         dead: state.fleet.borrow().dead().map(Member::key).collect(),
         prompt_parts: state.quarantine.borrow().records(now),
+        limits: state.fleet.borrow().limit_records(now),
         peers: state.peers.borrow().shared_addresses(now, &mut state.rng.borrow_mut()),
     }
 }
@@ -129,6 +132,11 @@
         mimosashift::peer::Event::Renewed => {}
     }
     state.fleet.borrow_mut().merge_digest(&digest.node, &digest.usage, now);
+    let random = state.random_fraction();
+    let limited = state.fleet.borrow_mut().merge_limits(&digest.node, &digest.limits, now, random);
+    for (id, change) in limited {
+        state.log_limit(&id, &change, &digest.node);
+    }
     // The digest may show free memory at an endpoint.
     state.memory_released.notify_one();
     for seen in &digest.observed {
--- a/mimosafront/src/relay/mod.rs
+++ b/mimosafront/src/relay/mod.rs
@@ -44,6 +44,9 @@
 /// take effect.
 const MAX_DENIAL_CONFIG_AGE: Duration = Duration::from_millis(1_500);
 
+/// Reason for refusing a request if the endpoints have reached their limits.
+const LIMITED_REASON: &str = "endpoints at their limits";
+
 /// Maximum number of prompt parts in a log line.
 const MAX_LOGGED_PARTS: usize = 8;
 
--- a/mimosafront/src/relay/model/mod.rs
+++ b/mimosafront/src/relay/model/mod.rs
@@ -22,7 +22,7 @@
 
 use self::stall::{FaultyHops, StallCheck};
 use self::stall_timer::{StallTimer, wait_for_fault_or_tick};
-use super::{RequestContext, RequestError, forward_response};
+use super::{LIMITED_REASON, RequestContext, RequestError, forward_response};
 use crate::body::ResponseBody;
 use crate::clock;
 use crate::probe;
@@ -48,6 +48,9 @@
 /// order.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 1024 * 1024;
 
+/// Interval in which a waiting request checks whether a limit permits it.
+const LIMIT_RECHECK: Duration = Duration::from_millis(25);
+
 /// Retry-After if the deadline passed before the request was executed: in each
 /// such interval a few streams end and free memory.
 const DEADLINE_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -256,7 +259,7 @@
         if state.pressure.borrow().waiting() == 0 {
             match self.select_chain() {
                 Ok(chain) => return Ok(self.record_admission(chain)),
-                Err(Shortage::Full(_)) => {}
+                Err(Shortage::Full(_) | Shortage::Limited) => {}
                 Err(uncovered) => shortage = Some(uncovered),
             }
         }
@@ -283,7 +286,8 @@
                 return Err(shortage);
             }
             // The next iteration checks whether memory was released or time ran
-            // out.
+            // out. Nothing signals that a limit permits a request again.
+            let left = if shortage == Shortage::Limited { left.min(LIMIT_RECHECK) } else { left };
             drop(timeout(left, released).await);
         }
     }
@@ -336,9 +340,15 @@
         let mut pressure = self.state().pressure.borrow_mut();
         pressure.record_refused(clock::now());
         let retry_after = pressure.retry_after(self.state().random_fraction());
+        let limited = || self.state().record_limited(&self.ctx.service.name);
+        let retry_after = match shortage {
+            Shortage::Limited => limited().unwrap_or(retry_after),
+            Shortage::Full(_) | Shortage::Uncovered(_) => retry_after,
+        };
         let (kind, reason) = match shortage {
             Shortage::Full(_) => (RefusalReason::Shed, "no memory free"),
             Shortage::Uncovered(_) => (RefusalReason::NoEndpoint, "layers without an endpoint"),
+            Shortage::Limited => (RefusalReason::OverLimit, LIMITED_REASON),
         };
         if self.possible_executions > 0 {
             return RequestError::Failed(StatusCode::BAD_GATEWAY, reason);
--- a/mimosafront/src/relay/plain.rs
+++ b/mimosafront/src/relay/plain.rs
@@ -18,7 +18,7 @@
 use smallvec::SmallVec;
 use tokio::time::timeout;
 
-use super::{RequestContext, RequestError, forward_response};
+use super::{LIMITED_REASON, RequestContext, RequestError, forward_response};
 use crate::body::ResponseBody;
 use crate::clock;
 use crate::state::RouterState;
@@ -67,6 +67,7 @@
     let (mut possible_executions, mut rejected_sends) = (0, 0);
     let mut last_response = None;
     let mut cause = "no endpoint left";
+    let (mut reason, mut retry_after) = (RefusalReason::NoEndpoint, NOT_EXECUTED_RETRY_AFTER);
     loop {
         if ctx.remaining().is_zero() {
             return Err(deadline_error(possible_executions > 0));
@@ -77,7 +78,13 @@
         let now = clock::now();
         let zone = ctx.state.node().zone.clone();
         let hop = ctx.state.fleet.borrow().choose_endpoint(&ctx.service.name, &zone, &tried, now);
-        let Some(hop) = hop else { break };
+        let Some(hop) = hop else {
+            if let Some(wait) = ctx.state.record_limited(&ctx.service.name) {
+                (cause, reason) = (LIMITED_REASON, RefusalReason::OverLimit);
+                retry_after = wait;
+            }
+            break;
+        };
         let attempt = tried.len() as u32 + 1;
         if attempt > 1 {
             emit!(ctx.state.log, Event::RequestRetried, "request" => &*ctx.id, "attempt" => attempt, "reason" => cause);
@@ -113,9 +120,7 @@
         None if possible_executions > 0 => {
             Err(RequestError::Failed(StatusCode::BAD_GATEWAY, cause))
         }
-        None => {
-            Err(RequestError::Refused(RefusalReason::NoEndpoint, cause, NOT_EXECUTED_RETRY_AFTER))
-        }
+        None => Err(RequestError::Refused(reason, cause, retry_after)),
     }
 }
 
--- a/mimosafront/src/state.rs
+++ b/mimosafront/src/state.rs
@@ -42,6 +42,13 @@
 /// router that has not yet heard of its peers.
 const MIN_RETRY_BUDGET_ROUTERS: f64 = 4.0;
 
+/// Minimum delay before a client returns that was refused because of the limits of
+/// endpoints.
+const MIN_LIMITED_RETRY_AFTER: Duration = Duration::from_millis(150);
+
+/// Upper bound of that delay: a third of the usual deadline.
+const MAX_LIMITED_RETRY_AFTER: Duration = Duration::from_millis(6_500);
+
 /// State that the tasks of a router share.
 pub struct RouterState {
     /// Settings of this router in force.
@@ -289,6 +296,17 @@
         }
     }
 
+    /// Records a request that is refused because of the limits of a service's endpoints;
+    /// returns when its client may come back. `None` if no endpoint has reached its limit.
+    pub fn record_limited(&self, service: &str) -> Option<Duration> {
+        let (now, random) = (clock::now(), self.random_fraction());
+        let wait = self.fleet.borrow().time_to_credit(service, now)?;
+        self.fleet.borrow_mut().record_limited(service, now);
+        // Spreads the clients over a time in which the endpoints take more requests.
+        let wait = wait.max(MIN_LIMITED_RETRY_AFTER).mul_f64(1.0 + random);
+        Some(wait.min(MAX_LIMITED_RETRY_AFTER))
+    }
+
     /// A random number in `0.0..1.0`.
     pub fn random_fraction(&self) -> f64 {
         self.rng.borrow_mut().random_range(0.0..1.0)
--- a/mimosashift/src/fleet/chain.rs
+++ b/mimosashift/src/fleet/chain.rs
@@ -73,6 +73,8 @@
     /// The endpoints that hold this layer have no free memory or slot. Also returned,
     /// with layer 0, if the cheapest chain has more than `MAX_HOPS` hops.
     Full(u16),
+    /// The endpoints that could begin the chain have reached the limits that they name.
+    Limited,
 }
 
 /// An endpoint that can be a hop of the chain.
@@ -89,6 +91,8 @@
     free_layers: u16,
     /// Whether it has a free slot, which the first hop of a chain needs.
     has_slot: bool,
+    /// Whether its limit, which applies to the first hop, permits a request.
+    has_credit: bool,
 }
 
 /// Raises the cost of endpoints with the fill level of their KV cache, in zones that
@@ -150,10 +154,11 @@
 }
 
 impl Shortage {
-    /// The layer that is uncovered or full.
+    /// The layer that is uncovered or full, or the first one.
     pub const fn layer(&self) -> u16 {
         match self {
             Self::Uncovered(layer) | Self::Full(layer) => *layer,
+            Self::Limited => 0,
         }
     }
 }
@@ -188,6 +193,7 @@
                 + f64::from(usage.prefill) * prefill_ms_per_token / layer_count,
             free_layers: (free / demand.tokens().max(1.0)).min(layer_count) as u16,
             has_slot: usage.requests < engine.slots,
+            has_credit: fleet.has_credit(member, now),
         })
     }
 
@@ -225,14 +231,25 @@
         for layer in from..self.query.engine.layers {
             let paths = self.paths_to(layer);
             if paths.is_empty() {
-                let held = self.candidates.iter().any(|c| c.holds(layer));
-                return Err(if held { Shortage::Full(layer) } else { Shortage::Uncovered(layer) });
+                return Err(self.shortage(layer));
             }
             self.table.push(paths);
         }
         self.build_chain()
     }
 
+    /// The reason why no path leads to `layer`.
+    fn shortage(&self, layer: u16) -> Shortage {
+        let holders = || self.candidates.iter().filter(|candidate| candidate.holds(layer));
+        if holders().next().is_none() {
+            Shortage::Uncovered(layer)
+        } else if layer == 0 && holders().any(|candidate| !candidate.has_credit) {
+            Shortage::Limited
+        } else {
+            Shortage::Full(layer)
+        }
+    }
+
     /// Adds the kept first hop to the table as the only path to each of its layers, at no
     /// cost.
     fn keep_first(&mut self, hop: &Hop) {
@@ -264,12 +281,16 @@
         paths
     }
 
-    /// The path that begins at a candidate, if it has a free slot.
+    /// The path that begins at a candidate, if it has a free slot and its limit permits.
     fn begin(&self, candidate: &Candidate<'_>) -> Option<Path> {
         let is_local = &*candidate.member.endpoint.zone == self.query.zone;
         let entry_ms = if is_local { 0.0 } else { REMOTE_ENTRY_MS };
         let cost = entry_ms + candidate.hop_ms + candidate.layer_ms;
-        candidate.has_slot.then_some(Path { cost, start: 0, previous: None })
+        (candidate.has_slot && candidate.has_credit).then_some(Path {
+            cost,
+            start: 0,
+            previous: None,
+        })
     }
 
     /// The cheapest path to `layer` at a candidate.
--- a/mimosashift/src/fleet/describe.rs
+++ b/mimosashift/src/fleet/describe.rs
@@ -29,7 +29,7 @@
     /// Every endpoint that holds a layer, with the share of its KV cache in use and
     /// its state if it is not preferred for new work, as in `i-1 0.97, i-2 0.40 doubted`.
     /// `doubted` (ejected) and `crowded` (cache full) are the words in the titles of the
-    /// events. An endpoint that is marked dead has no state of its own here.
+    /// events, `limited` is an endpoint that has reached its limit. An endpoint that is marked dead has no state of its own here.
     pub fn describe_holders(&self, query: &Query<'_>, layer: u16, now: Instant) -> String {
         let holds = |member: &&Member| {
             let layers = member.endpoint.layers;
@@ -48,6 +48,8 @@
                 " doubted"
             } else if now < member.cache_full_until {
                 " crowded"
+            } else if !self.has_credit(member, now) {
+                " limited"
             } else if member.is_slow() {
                 " slow"
             } else {
--- a/mimosashift/src/fleet/mod.rs
+++ b/mimosashift/src/fleet/mod.rs
@@ -31,7 +31,7 @@
 
 pub use chain::{Demand, Query, Shortage};
 pub use claim::Claim;
-pub use limit::Change as LimitChange;
+pub use limit::{Change as LimitChange, Record as LimitRecord};
 pub use usage::Usage;
 
 /// Slowdown from which an endpoint gets no new work while others hold its layers,
--- a/mimosashift/src/peer/mod.rs
+++ b/mimosashift/src/peer/mod.rs
@@ -14,7 +14,7 @@
 use rand_pcg::Pcg64Mcg;
 use serde::{Deserialize, Serialize};
 
-use crate::fleet::{Observation, Usage};
+use crate::fleet::{LimitRecord, Observation, Usage};
 use crate::freshness::PeerConfirmation;
 use crate::quarantine;
 use crate::time::Instant;
@@ -76,6 +76,9 @@
 /// Maximum number of other prompt parts in one digest.
 const MAX_OTHER_PARTS: usize = 8;
 
+/// Maximum number of limits of endpoints in one digest.
+const MAX_LIMITS: usize = 64;
+
 /// Largest encoded digest.
 pub const MAX_DIGEST_BYTES: usize = 16 * 1024;
 
@@ -114,6 +117,8 @@
     pub dead: Vec<(u64, u64)>,
     /// Prompt parts that may crash engines.
     pub prompt_parts: Vec<quarantine::Record>,
+    /// Limits that endpoints name, and the demand of the sender.
+    pub limits: Vec<LimitRecord>,
     /// Addresses of other routers.
     pub peers: Vec<SocketAddr>,
 }
@@ -328,11 +333,12 @@
     }
 
     /// Limits the size of the digest. Of the usage the largest entries are kept; of the
-    /// dead endpoints and the observations a random part, so that later digests contain
-    /// the others.
+    /// dead endpoints, the observations and the limits a random part, so that later digests
+    /// contain the others.
     pub fn truncate(&mut self, rng: &mut Pcg64Mcg) {
         keep_random(&mut self.dead, MAX_DEAD_ENDPOINTS, rng);
         keep_random(&mut self.observed, MAX_OBSERVATIONS, rng);
+        keep_random(&mut self.limits, MAX_LIMITS, rng);
         self.prompt_parts.sort_by_key(|record| Reverse(record.crashes.len()));
         let mut others =
             self.prompt_parts.split_off(MAX_CRASHING_PARTS.min(self.prompt_parts.len()));
--- a/mimosashift/tests/peer.rs
+++ b/mimosashift/tests/peer.rs
@@ -57,6 +57,7 @@
         observed: Vec::new(),
         dead: Vec::new(),
         prompt_parts: Vec::new(),
+        limits: Vec::new(),
         peers: Vec::new(),
     }
 }
