Log the content of requests and the crashes of plain endpoints under them

MS0611 and MS0519 have the hash of caller, method, target and body as 'content'; MS0519 is written for plain services too, after a health check over a new connection. Nothing depends on it yet.

--- a/mimosafront/src/probe.rs
+++ b/mimosafront/src/probe.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use mimosaplatform::engine;
+use mimosaplatform::{engine, header};
 use mimosashift::connection_pool::Failure;
 use mimosashift::emit;
 use mimosashift::event::Event;
@@ -105,6 +105,23 @@
     check_alive(state, hop).await
 }
 
+/// Whether an endpoint of a plain service, which has closed a connection, has crashed: it
+/// accepts no new one, or another incarnation answers its health check.
+pub async fn has_crashed(state: &Rc<RouterState>, hop: &Hop, health_path: &str) -> bool {
+    let check = async {
+        let mut exchange =
+            state.call(hop, engine::health_request(hop.address, health_path), true).await?;
+        exchange.collect(MAX_REPORT_BYTES).await?;
+        Ok::<_, NoReport>(header::response(exchange.head.headers()).endpoint)
+    };
+    match timeout(FRESH_PROBE_TIMEOUT, check).await {
+        Ok(Ok(endpoint)) => endpoint.is_some_and(|id| *id != *hop.id),
+        Ok(Err(error)) => error.closed,
+        // A silent endpoint may be cut off.
+        Err(_) => false,
+    }
+}
+
 /// Tries a pooled connection and, after a delay, a new one in parallel. The
 /// endpoint is marked dead if the new one fails before either returns a report.
 async fn probe_liveness(state: &Rc<RouterState>, hop: &Hop) -> ProbeResult {
--- a/mimosafront/src/relay/mod.rs
+++ b/mimosafront/src/relay/mod.rs
@@ -17,6 +17,7 @@
 use mimosashift::exchange::{Forward, PromptPart, PromptParts, ResponseInfo as AnswerInfo, Tokens};
 use mimosashift::fleet::Hop;
 use mimosashift::meter::{Outcome, RefusalReason};
+use mimosashift::quarantine::Fingerprint;
 use mimosashift::time::Instant;
 
 use crate::body::{ResponseBody, TruncatedBody};
@@ -66,6 +67,7 @@
     team: Option<String>,
     tokens: Option<Tokens>,
     shared_parts: PromptParts,
+    fingerprint: Fingerprint,
     last_event: Option<u64>,
     arrived: Instant,
     deadline: Instant,
@@ -142,7 +144,7 @@
         emit!(
             state.log, Event::RequestSent,
             "request" => &*self.id, "attempt" => attempt, "to" => to, "inputs" => inputs,
-            "parts" => describe_parts(&self.shared_parts), "route" => &*self.route.name, "left_ms" => millis(self.remaining()),
+            "parts" => describe_parts(&self.shared_parts), "content" => self.fingerprint.to_string(), "route" => &*self.route.name, "left_ms" => millis(self.remaining()),
             "revision" => state.revision(), "config_age_ms" => state.config_age_ms(),
             "directory_age_ms" => state.directory_age_ms(),
         );
@@ -225,20 +227,22 @@
     let path = head.uri.path();
     let (deployment, route, team) =
         resolve_route(state, &host, path, info.api_key.as_deref()).await?;
-    let target = route.target(state.random_fraction());
-    let service = deployment.service(target).cloned();
+    let service = deployment.service(route.target(state.random_fraction())).cloned();
     let service = service.ok_or(RequestError::Refused(
         RefusalReason::NoEndpoint,
         "service is not declared",
         DEFAULT_RETRY_AFTER,
     ))?;
     state.count_request(&service.name);
+    let target = origin_form(&head.uri);
+    let fingerprint =
+        Fingerprint::new(team.as_deref(), head.method.as_str(), &host, &target.to_string(), &body);
     let time_limit = info.timeout.map_or(route.timeout, |limit| limit.min(route.timeout));
     Ok(RequestContext {
         state: state.clone(),
         id: info.id,
         method: head.method,
-        uri: origin_form(&head.uri),
+        uri: target,
         headers: head.headers,
         body,
         route,
@@ -246,6 +250,7 @@
         team,
         tokens: info.tokens,
         shared_parts: info.shared_parts,
+        fingerprint,
         last_event: info.last_event,
         arrived,
         deadline: arrived + time_limit,
--- a/mimosafront/src/relay/model/crash.rs
+++ b/mimosafront/src/relay/model/crash.rs
@@ -64,7 +64,7 @@
         self.crashed_engines += 1;
         let state = self.state();
         let (crash, parts) = ((name_key(&hop.id), hop.incarnation), &self.ctx.shared_parts);
-        emit!(state.log, Event::EndpointCrashed, "request" => &*self.ctx.id, "endpoint" => &*hop.id, "incarnation" => hop.incarnation, "events" => self.events_forwarded, "parts" => describe_parts(parts));
+        emit!(state.log, Event::EndpointCrashed, "request" => &*self.ctx.id, "endpoint" => &*hop.id, "incarnation" => hop.incarnation, "events" => self.events_forwarded, "parts" => describe_parts(parts), "content" => self.ctx.fingerprint.to_string());
         state.update_quarantine(&self.ctx.id, |quarantine| {
             quarantine.record_crash(parts, crash, clock::now());
         });
--- a/mimosafront/src/relay/plain.rs
+++ b/mimosafront/src/relay/plain.rs
@@ -21,6 +21,7 @@
 use super::{LIMITED_REASON, RequestContext, RequestError, forward_response};
 use crate::body::ResponseBody;
 use crate::clock;
+use crate::probe;
 use crate::state::RouterState;
 
 /// Largest response that is accepted.
@@ -152,6 +153,7 @@
         Ok(Err(Failure::Lost { reason })) => {
             state.mark_suspect(&hop.id, &reason);
             state.pool.close_idle(hop.address);
+            ctx.check_crash(hop).await;
             return SendOutcome::Lost("answer lost");
         }
         Err(_) => {
@@ -174,6 +176,16 @@
     outcome
 }
 
+impl RequestContext {
+    /// Checks whether an endpoint that has closed the connection of this request crashed
+    /// under it.
+    async fn check_crash(&self, hop: &Hop) {
+        if probe::has_crashed(&self.state, hop, &self.service.health_path).await {
+            emit!(self.state.log, Event::EndpointCrashed, "request" => &*self.id, "endpoint" => &*hop.id, "incarnation" => hop.incarnation, "events" => 0, "parts" => "", "content" => self.fingerprint.to_string());
+        }
+    }
+}
+
 async fn send_and_collect(ctx: &RequestContext, hop: &Hop) -> Result<(Exchange, Bytes), Failure> {
     let request = ctx.request(hop, &[], ctx.last_event);
     let mut exchange = ctx.state.call(hop, request, false).await?;
--- /dev/null
+++ b/mimosashift/src/quarantine/content.rs
@@ -0,0 +1,26 @@
+//! What requests may have in common that crashes endpoints.
+
+use std::fmt;
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use serde::{Deserialize, Serialize};
+
+/// Hash of a request's caller, method, target and body; the same for repeats of a
+/// request, which have ids of their own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Fingerprint(u64);
+
+impl Fingerprint {
+    /// The fingerprint of a request to `path` at `host`; the same on every router.
+    pub fn new(caller: Option<&str>, method: &str, host: &str, path: &str, body: &[u8]) -> Self {
+        let mut hasher = DefaultHasher::new();
+        (caller, method, host.to_ascii_lowercase(), path, body).hash(&mut hasher);
+        Self(hasher.finish())
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
--- a/mimosashift/src/quarantine/mod.rs
+++ b/mimosashift/src/quarantine/mod.rs
@@ -13,9 +13,11 @@
 use crate::exchange::PromptPart;
 use crate::time::Instant;
 
+mod content;
 mod history;
 mod record;
 
+pub use content::Fingerprint;
 pub use record::Record;
 
 use self::history::History;
