--- a/mimosafront/tests/cluster/endpoints.rs
+++ b/mimosafront/tests/cluster/endpoints.rs
@@ -22,7 +22,13 @@
 /// write an answer on it.
 pub const CRASHING_LAST_PART: &str = "bad1";
 
-/// Time for which an engine is down after a crash.
+/// Body of a request that crashes each endpoint that begins to run it.
+pub const CRASHING_BODY: &[u8] = b"crash";
+
+/// Time after which an endpoint crashes under such a request.
+const CRASH_DELAY: Duration = Duration::from_millis(35);
+
+/// Time for which an endpoint is down after a crash.
 const DOWN_TIME: Duration = Duration::from_millis(1_500);
 
 /// What endpoints recorded about one request.
@@ -92,11 +98,12 @@
     pub traces: Mutex<HashMap<String, RequestTrace>>,
     /// When each request arrived, also one that was rejected, and at which endpoint.
     pub arrivals: Mutex<Vec<(Instant, String)>>,
-    /// When each request with [`CRASHING_PART`] arrived at an engine.
+    /// When each request with [`CRASHING_PART`] or [`CRASHING_BODY`] arrived at an
+    /// endpoint.
     pub crashing_arrivals: Mutex<Vec<Instant>>,
     /// Ids of requests with [`CRASHING_LAST_PART`].
     pub crashing_last: Mutex<HashSet<String>>,
-    /// When each engine crashed under such a request.
+    /// When each endpoint crashed under such a request.
     pub crashes: Mutex<Vec<Instant>>,
     /// Violations of invariants, as observed by endpoints.
     pub violations: Mutex<Vec<String>>,
@@ -170,7 +177,10 @@
             for n in 0..options.engines_per_zone {
                 members.push(("model", zone(z), format!("engine-{z}-{n}")));
             }
-            members.push(("register", zone(z), format!("register-{z}")));
+            for n in 0..options.registers_per_zone {
+                let number = if n == 0 { String::new() } else { format!("-{n}") };
+                members.push(("register", zone(z), format!("register-{z}{number}")));
+            }
         }
         let mut started = Vec::new();
         let mut listeners = Vec::new();
@@ -246,6 +256,27 @@
         self.arrivals.lock().unwrap().push((Instant::now(), member.id.clone()));
     }
 
+    /// Crashes `member` after `CRASH_DELAY`.
+    pub fn crash(self: &Arc<Self>, member: &Arc<Member>) {
+        let (endpoints, member) = (self.clone(), member.clone());
+        tokio::spawn(async move {
+            tokio::time::sleep(CRASH_DELAY).await;
+            if member.state().health == Health::Healthy {
+                endpoints.crashes.lock().unwrap().push(Instant::now());
+                member.crash().await;
+            }
+        });
+    }
+
+    /// Arrivals of requests that crash endpoints later than `window` after the
+    /// `number`th crash, or the last one if there are fewer.
+    pub fn late_arrivals(&self, number: usize, window: Duration) -> usize {
+        let crashes = self.crashes.lock().unwrap();
+        let from = crashes.get(number - 1).or(crashes.last()).map(|crash| *crash + window);
+        let arrivals = self.crashing_arrivals.lock().unwrap();
+        arrivals.iter().filter(|at| from.is_some_and(|from| **at > from)).count()
+    }
+
     pub fn violation(&self, what: String) {
         self.violations.lock().unwrap().push(what);
     }
--- a/mimosafront/tests/cluster/engine.rs
+++ b/mimosafront/tests/cluster/engine.rs
@@ -17,14 +17,13 @@
 use tokio::sync::mpsc;
 
 use super::LAYERS;
-use super::endpoints::{CRASHING_LAST_PART, CRASHING_PART, Endpoints, Health, Member};
+use super::endpoints::{
+    CRASHING_BODY, CRASHING_LAST_PART, CRASHING_PART, Endpoints, Health, Member,
+};
 
 /// Time for which a request waits for a dead hop before it is aborted.
 const STALL_TIMEOUT: Duration = Duration::from_millis(2_500);
 
-/// Time after which an engine crashes under a prompt part.
-const CRASH_DELAY: Duration = Duration::from_millis(35);
-
 /// Pause of a stream at a stuck endpoint.
 const STUCK_PAUSE: Duration = Duration::from_millis(800);
 
@@ -205,9 +204,9 @@
         let counts = header_text(headers, "token-counts").unwrap_or("0,40");
         let output: u64 = counts.split(',').nth(1).unwrap().trim().parse().unwrap();
         self.endpoints.chains.lock().unwrap().insert(id.clone(), hops);
-        if has_shared_part(headers, CRASHING_PART) {
+        if has_shared_part(headers, CRASHING_PART) || body == CRASHING_BODY {
             self.endpoints.crashing_arrivals.lock().unwrap().push(Instant::now());
-            tokio::spawn(self.clone().crash());
+            self.endpoints.crash(&self.member);
         }
         if has_shared_part(headers, CRASHING_LAST_PART) {
             self.endpoints.crashing_last.lock().unwrap().insert(id.clone());
@@ -220,22 +219,12 @@
         stream_response(&id, health, chunks)
     }
 
-    /// Crashes shortly after a request began to run.
-    async fn crash(self) {
-        tokio::time::sleep(CRASH_DELAY).await;
-        if self.member.state().health == Health::Healthy {
-            self.endpoints.crashes.lock().unwrap().push(Instant::now());
-            self.member.crash().await;
-        }
-    }
-
     /// Crashes the last hop of a request's chain, if the request has the part that
     /// does so.
     fn crash_last_hop(&self, id: &str) {
         if self.endpoints.crashing_last.lock().unwrap().contains(id) {
             let (last, ..) = *self.endpoints.chains.lock().unwrap()[id].last().unwrap();
-            let member = self.endpoints.at(last).unwrap().clone();
-            tokio::spawn(Self { endpoints: self.endpoints.clone(), member }.crash());
+            self.endpoints.crash(self.endpoints.at(last).unwrap());
         }
     }
 
--- a/mimosafront/tests/cluster/mod.rs
+++ b/mimosafront/tests/cluster/mod.rs
@@ -48,6 +48,8 @@
     pub routers: usize,
     pub zones: usize,
     pub engines_per_zone: usize,
+    /// Endpoints of the plain service in each zone.
+    pub registers_per_zone: usize,
     /// Time between two events of a stream.
     pub event_interval: Duration,
     /// Memory of an engine, in MB; a layer with its cache takes 250.
@@ -60,6 +62,7 @@
             routers: 2,
             zones: 2,
             engines_per_zone: 3,
+            registers_per_zone: 1,
             event_interval: Duration::from_millis(20),
             engine_memory_mb: 1_000,
         }
--- a/mimosafront/tests/cluster/plain.rs
+++ b/mimosafront/tests/cluster/plain.rs
@@ -10,7 +10,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 
-use super::endpoints::{Endpoints, Health, Member};
+use super::endpoints::{CRASHING_BODY, Endpoints, Health, Member};
 use super::engine::{Reply, header_text, reply, stream_reply};
 
 /// Service time of a request.
@@ -58,8 +58,11 @@
         if health == Health::Unresponsive {
             std::future::pending::<()>().await;
         }
-        self.endpoints.record_arrival(&self.member);
         let (head, body) = request.into_parts();
+        if head.uri.path() == "/health" {
+            return Ok(reply(200, &[("instance-id", &self.member.id)], ""));
+        }
+        self.endpoints.record_arrival(&self.member);
         let body = body.collect().await.map(|body| body.to_bytes()).unwrap_or_default();
         let id = header_text(&head.headers, "request-id").unwrap_or_default().to_owned();
         if header_text(&head.headers, "target-instance") != Some(&self.member.id) {
@@ -72,6 +75,11 @@
             trace.key_leaked |= head.headers.contains_key("authorization");
             trace.call = format!("{} {} {}", head.method, head.uri, String::from_utf8_lossy(&body));
         });
+        if body == CRASHING_BODY {
+            self.endpoints.crashing_arrivals.lock().unwrap().push(Instant::now());
+            self.endpoints.crash(&self.member);
+            std::future::pending::<()>().await;
+        }
         tokio::time::sleep(SERVICE_TIME).await;
         if head.uri.path().starts_with("/feed/") {
             return Ok(feed(&id, health));
--- a/mimosafront/tests/crashing_parts.rs
+++ b/mimosafront/tests/crashing_parts.rs
@@ -96,13 +96,8 @@
     });
 }
 
-/// Arrivals of the part later than `WINDOW` after the fifth crash, or the last
-/// one if there are fewer.
 fn late_arrivals(cluster: &TestCluster) -> usize {
-    let crashes = cluster.endpoints.crashes.lock().unwrap();
-    let from = crashes.get(4).or(crashes.last()).map(|crash| *crash + WINDOW);
-    let arrivals = cluster.endpoints.crashing_arrivals.lock().unwrap();
-    arrivals.iter().filter(|at| from.is_some_and(|from| **at > from)).count()
+    cluster.endpoints.late_arrivals(5, WINDOW)
 }
 
 #[test]
