Block repeated requests that crash endpoints

Callers saw 502 and 503 for seconds: a request that crashes each endpoint that runs it came again, and was sent to every endpoint of its service by each router anew; all other requests there were lost with them.

Cause: only shared prompt parts were suspected of a crash, and only at engines. Ruled out: load, by a test whose endpoints have none.

A request as a whole, as a hash of caller, method, target and body, is now a content that can be blocked like a part of its prompt, by the same rules, at plain services as well as at chains. It explains the crashes of other contents only once it was in two of them, since each request that never comes again would otherwise explain its own. Another content counts as a possible cause for an early trial only if it explains the crashes as well: a sound request that is always in flight beside the crashing one would otherwise have it tried over and over. Crashes 25 ms apart count (100 ms before): with three endpoints a request ends all of them within 250 ms, and a rack that goes down closes its connections at once.

--- a/mimosafront/src/gossip.rs
+++ b/mimosafront/src/gossip.rs
@@ -110,7 +110,7 @@
             .map(|(at, observed)| Observation { age: now.since(*at), ..*observed })
             .collect(),
         dead: state.fleet.borrow().dead().map(Member::key).collect(),
-        prompt_parts: state.quarantine.borrow().records(now),
+        suspects: state.quarantine.borrow().records(now),
         limits: state.fleet.borrow().limit_records(now),
         peers: state.peers.borrow().shared_addresses(now, &mut state.rng.borrow_mut()),
     }
@@ -145,8 +145,8 @@
             state.log_observed(&id, seen, &digest.node);
         }
     }
-    if !digest.prompt_parts.is_empty() {
-        state.update_quarantine(&digest.node, |parts| parts.merge(&digest.prompt_parts, now));
+    if !digest.suspects.is_empty() {
+        state.update_quarantine(&digest.node, |known| known.merge(&digest.suspects, now));
     }
     probe_reported_dead(state, &digest);
     apply_config(state, &digest, from, now, last_fetch);
--- a/mimosafront/src/relay/mod.rs
+++ b/mimosafront/src/relay/mod.rs
@@ -14,10 +14,10 @@
 use mimosashift::deployment::{Denied, Deployment, Route, Service};
 use mimosashift::emit;
 use mimosashift::event::Event;
-use mimosashift::exchange::{Forward, PromptPart, PromptParts, ResponseInfo as AnswerInfo, Tokens};
+use mimosashift::exchange::{Forward, ResponseInfo as AnswerInfo, Tokens};
 use mimosashift::fleet::Hop;
 use mimosashift::meter::{Outcome, RefusalReason};
-use mimosashift::quarantine::Fingerprint;
+use mimosashift::quarantine::{Content, Contents, Fingerprint};
 use mimosashift::time::Instant;
 
 use crate::body::{ResponseBody, TruncatedBody};
@@ -26,6 +26,7 @@
 
 mod model;
 mod plain;
+mod quarantine;
 
 /// Retry-After of refusals that are not caused by load, such as a missing
 /// configuration or keys that may not be accepted: both are checked several
@@ -48,9 +49,6 @@
 /// Reason for refusing a request if the endpoints have reached their limits.
 const LIMITED_REASON: &str = "endpoints at their limits";
 
-/// Maximum number of prompt parts in a log line.
-const MAX_LOGGED_PARTS: usize = 8;
-
 /// Largest stream that is buffered for a client of HTTP/1.0.
 const MAX_BUFFERED_STREAM_BYTES: usize = 8 * 1024 * 1024;
 
@@ -66,8 +64,8 @@
     service: Arc<Service>,
     team: Option<String>,
     tokens: Option<Tokens>,
-    shared_parts: PromptParts,
-    fingerprint: Fingerprint,
+    /// What it may have in common with others that crashes endpoints.
+    contents: Contents,
     last_event: Option<u64>,
     arrived: Instant,
     deadline: Instant,
@@ -101,12 +99,6 @@
     }
 }
 
-/// Ids of prompt parts, for logs.
-fn describe_parts(parts: &[PromptPart]) -> String {
-    let ids: Vec<_> = parts.iter().take(MAX_LOGGED_PARTS).map(PromptPart::to_string).collect();
-    ids.join(",")
-}
-
 impl RequestContext {
     /// Time until the deadline.
     fn remaining(&self) -> Duration {
@@ -144,7 +136,7 @@
         emit!(
             state.log, Event::RequestSent,
             "request" => &*self.id, "attempt" => attempt, "to" => to, "inputs" => inputs,
-            "parts" => describe_parts(&self.shared_parts), "content" => self.fingerprint.to_string(), "route" => &*self.route.name, "left_ms" => millis(self.remaining()),
+            "contents" => self.describe_contents(), "route" => &*self.route.name, "left_ms" => millis(self.remaining()),
             "revision" => state.revision(), "config_age_ms" => state.config_age_ms(),
             "directory_age_ms" => state.directory_age_ms(),
         );
@@ -235,8 +227,9 @@
     ))?;
     state.count_request(&service.name);
     let target = origin_form(&head.uri);
-    let fingerprint =
-        Fingerprint::new(team.as_deref(), head.method.as_str(), &host, &target.to_string(), &body);
+    let (method, path) = (head.method.as_str(), target.to_string());
+    let fingerprint = Fingerprint::new(team.as_deref(), method, &host, &path, &body);
+    let parts = info.shared_parts.into_iter().map(Content::Part);
     let time_limit = info.timeout.map_or(route.timeout, |limit| limit.min(route.timeout));
     Ok(RequestContext {
         state: state.clone(),
@@ -249,8 +242,7 @@
         service,
         team,
         tokens: info.tokens,
-        shared_parts: info.shared_parts,
-        fingerprint,
+        contents: parts.chain([Content::Request(fingerprint)]).collect(),
         last_event: info.last_event,
         arrived,
         deadline: arrived + time_limit,
--- a/mimosafront/src/relay/model/crash.rs
+++ b/mimosafront/src/relay/model/crash.rs
@@ -1,27 +1,16 @@
-//! Finds prompt parts that crash engines, and keeps requests with them away.
+//! Finds out which engines crashed when they began to run a request.
 
 use std::time::Duration;
 
-use hyper::StatusCode;
-use mimosashift::emit;
-use mimosashift::event::Event;
-use mimosashift::fleet::{Hop, name_key};
-use mimosashift::meter::RefusalReason;
-use mimosashift::quarantine::Verdict;
+use mimosashift::fleet::Hop;
 
 use super::ModelRequest;
-use crate::clock;
 use crate::probe::{self, ProbeResult};
-use crate::relay::{RequestError, describe_parts};
-use crate::state::millis;
 
 /// Time for which a stream must have had events before its prompt counts as
 /// harmless: many steps of an engine.
 const PROOF_TIME: Duration = Duration::from_millis(500);
 
-/// Reason for refusing a request with a blocked part.
-const BLOCKED_REASON: &str = "a part of the prompt crashes engines";
-
 impl ModelRequest {
     /// Whether the events of the current run span `PROOF_TIME`.
     pub(super) fn has_written_for_long(&self) -> bool {
@@ -62,13 +51,7 @@
 
     fn record_crash(&mut self, hop: &Hop) {
         self.crashed_engines += 1;
-        let state = self.state();
-        let (crash, parts) = ((name_key(&hop.id), hop.incarnation), &self.ctx.shared_parts);
-        emit!(state.log, Event::EndpointCrashed, "request" => &*self.ctx.id, "endpoint" => &*hop.id, "incarnation" => hop.incarnation, "events" => self.events_forwarded, "parts" => describe_parts(parts), "content" => self.ctx.fingerprint.to_string());
-        state.update_quarantine(&self.ctx.id, |quarantine| {
-            quarantine.record_crash(parts, crash, clock::now());
-        });
-        state.peers.borrow_mut().expedite(clock::now());
+        self.ctx.record_crash(hop, self.events_forwarded);
     }
 
     /// Records once for each run that its engine has not crashed: after
@@ -78,39 +61,14 @@
             return;
         }
         self.success_recorded = true;
-        let parts = &self.ctx.shared_parts;
-        if !parts.is_empty() {
-            self.state().update_quarantine(&self.ctx.id, |quarantine| {
-                quarantine.record_success(parts, clock::now());
-            });
-        }
-    }
-
-    /// Refuses the request if a part of its prompt is blocked.
-    pub(super) fn check_parts(&self) -> Result<(), RequestError> {
-        match self.state().admit_parts(&self.ctx.shared_parts) {
-            Verdict::Admitted => Ok(()),
-            Verdict::Trial(part) => {
-                emit!(self.state().log, Event::PartTried, "part" => part.to_string(), "request" => &*self.ctx.id);
-                Ok(())
-            }
-            Verdict::Blocked(part, left) => {
-                emit!(self.state().log, Event::PartRefused, "part" => part.to_string(), "request" => &*self.ctx.id, "blocked_ms" => millis(left));
-                Err(self.unanswered_error(
-                    StatusCode::BAD_GATEWAY,
-                    RefusalReason::Blocked,
-                    BLOCKED_REASON,
-                    left,
-                ))
-            }
-        }
+        self.ctx.record_success();
     }
 
-    /// Whether an engine crashed when it began to run the request, and one of its
-    /// parts has never been served, which makes that part a likely cause.
+    /// Whether an engine crashed when it began to run the request, which is a likely
+    /// cause.
     pub(super) fn may_have_crashed_engines(&self) -> bool {
         self.crashed_engines > 0
             && !self.has_written_for_long()
-            && !self.state().quarantine.borrow().are_served(&self.ctx.shared_parts)
+            && self.state().quarantine.borrow().is_likely_cause(&self.ctx.contents)
     }
 }
--- a/mimosafront/src/relay/model/mod.rs
+++ b/mimosafront/src/relay/model/mod.rs
@@ -199,7 +199,7 @@
                     DEADLINE_RETRY_AFTER,
                 ));
             }
-            self.check_parts()?;
+            self.ctx.check_contents(self.possible_executions > 0)?;
             let sends = self.possible_executions + self.rejected_sends;
             if sends > 0 {
                 let must_not_repeat =
--- a/mimosafront/src/relay/plain.rs
+++ b/mimosafront/src/relay/plain.rs
@@ -73,6 +73,7 @@
         if ctx.remaining().is_zero() {
             return Err(deadline_error(possible_executions > 0));
         }
+        ctx.check_contents(possible_executions > 0)?;
         if !tried.is_empty() && !ctx.state.take_retry(&ctx.service.name) {
             break;
         }
@@ -153,7 +154,9 @@
         Ok(Err(Failure::Lost { reason })) => {
             state.mark_suspect(&hop.id, &reason);
             state.pool.close_idle(hop.address);
-            ctx.check_crash(hop).await;
+            if probe::has_crashed(state, hop, &ctx.service.health_path).await {
+                ctx.record_crash(hop, 0);
+            }
             return SendOutcome::Lost("answer lost");
         }
         Err(_) => {
@@ -167,6 +170,9 @@
     let succeeded =
         matches!(&outcome, SendOutcome::Answered(r, _) if !r.status().is_server_error());
     state.fleet.borrow_mut().record_answer(&hop.id, succeeded);
+    if matches!(outcome, SendOutcome::Answered(..)) {
+        ctx.record_success();
+    }
     if let SendOutcome::Answered(response, true) = &outcome {
         let status = response.status();
         let label = if status.is_success() { Outcome::Completed } else { Outcome::Failed };
@@ -176,16 +182,6 @@
     outcome
 }
 
-impl RequestContext {
-    /// Checks whether an endpoint that has closed the connection of this request crashed
-    /// under it.
-    async fn check_crash(&self, hop: &Hop) {
-        if probe::has_crashed(&self.state, hop, &self.service.health_path).await {
-            emit!(self.state.log, Event::EndpointCrashed, "request" => &*self.id, "endpoint" => &*hop.id, "incarnation" => hop.incarnation, "events" => 0, "parts" => "", "content" => self.fingerprint.to_string());
-        }
-    }
-}
-
 async fn send_and_collect(ctx: &RequestContext, hop: &Hop) -> Result<(Exchange, Bytes), Failure> {
     let request = ctx.request(hop, &[], ctx.last_event);
     let mut exchange = ctx.state.call(hop, request, false).await?;
--- a/mimosafront/src/state.rs
+++ b/mimosafront/src/state.rs
@@ -12,13 +12,13 @@
 use mimosashift::deployment::{Deployment, Node};
 use mimosashift::emit;
 use mimosashift::event::{Event, Logger};
-use mimosashift::exchange::{PromptPart, Report};
+use mimosashift::exchange::Report;
 use mimosashift::fleet::{Fleet, Member, Observation, name_key};
 use mimosashift::freshness::Freshness;
 use mimosashift::meter::Meter;
 use mimosashift::peer::Peers;
 use mimosashift::pipeline::retry::{Window, WindowLimits};
-use mimosashift::quarantine::{Quarantine, Verdict};
+use mimosashift::quarantine::{Content, Quarantine, Verdict};
 use mimosashift::time::Instant;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -61,7 +61,7 @@
     pub fleet: RefCell<Fleet>,
     /// Other routers, as known by gossip.
     pub peers: RefCell<Peers>,
-    /// Prompt parts that crash engines.
+    /// Contents of requests that crash endpoints.
     pub quarantine: RefCell<Quarantine>,
     /// Recent liveness probes, by endpoint.
     pub probe_results: RefCell<ProbeResults>,
@@ -266,33 +266,34 @@
         }
     }
 
-    /// Whether a request with these prompt parts may be sent.
-    pub fn admit_parts(&self, parts: &[PromptPart]) -> Verdict {
+    /// Whether a request with these contents may be sent.
+    pub fn admit_contents(&self, contents: &[Content]) -> Verdict {
         let now = clock::now();
-        self.quarantine.borrow_mut().admit(parts, |part| self.trial_rank(part, now), now)
+        let rank = |content| self.trial_rank(content, now);
+        self.quarantine.borrow_mut().admit(contents, rank, now)
     }
 
-    /// Number of live routers that try a blocked prompt part before this one;
-    /// rendezvous hashing orders them differently for each part.
-    fn trial_rank(&self, part: PromptPart, now: Instant) -> usize {
-        let key = |node: &str| name_key(&format!("{part} {node}"));
+    /// Number of live routers that try a blocked content before this one; rendezvous
+    /// hashing orders them differently for each content.
+    fn trial_rank(&self, content: Content, now: Instant) -> usize {
+        let key = |node: &str| name_key(&format!("{content} {node}"));
         let own = key(&self.node().name);
         self.peers.borrow().alive(now).filter(|peer| key(&peer.digest.node) > own).count()
     }
 
-    /// Changes what is known of prompt parts, and logs which are blocked since,
-    /// or no longer. `source` is a router, a request or the passing of time.
+    /// Changes what is known of contents, and logs which are blocked since, or no
+    /// longer. `source` is a router, a request or the passing of time.
     pub fn update_quarantine(&self, source: &str, update: impl FnOnce(&mut Quarantine)) {
         let blocked = || self.quarantine.borrow().blocked().collect::<Vec<_>>();
         let before = blocked();
         update(&mut self.quarantine.borrow_mut());
         let after = blocked();
-        let is_new = |list: &[(PromptPart, usize)], part| list.iter().all(|(p, _)| *p != part);
-        for (part, crashes) in after.iter().filter(|(part, _)| is_new(&before, *part)) {
-            emit!(self.log, Event::PartBlocked, "part" => part.to_string(), "crashes" => *crashes, "source" => source);
+        let is_new = |list: &[(Content, usize)], content| list.iter().all(|(c, _)| *c != content);
+        for (content, crashes) in after.iter().filter(|(content, _)| is_new(&before, *content)) {
+            emit!(self.log, Event::ContentBlocked, "content" => content.to_string(), "crashes" => *crashes, "source" => source);
         }
-        for (part, _) in before.iter().filter(|(part, _)| is_new(&after, *part)) {
-            emit!(self.log, Event::PartUnblocked, "part" => part.to_string(), "source" => source);
+        for (content, _) in before.iter().filter(|(content, _)| is_new(&after, *content)) {
+            emit!(self.log, Event::ContentUnblocked, "content" => content.to_string(), "source" => source);
         }
     }
 
--- a/mimosashift/src/event/table.rs
+++ b/mimosashift/src/event/table.rs
@@ -111,10 +111,10 @@
     RequestDenied "MS0615" Info "request denied", "A request was not allowed or not valid and was answered with a client error.";
     RequestStalled "MS0616" Info "request stalled", "A request made no progress, and the endpoints of its chain were asked for reports.";
     LayerShortage "MS0617" Info "layer shortage", "No endpoint that holds a layer has memory for a request.";
-    PartBlocked "MS0618" Warning "prompt part blocked", "Several engines crashed when they began to run requests with a prompt part, and none served one since; such requests are refused for a while.";
-    PartUnblocked "MS0619" Info "prompt part unblocked", "A prompt part is no longer blocked: a request with it was served, or its crashes are forgotten.";
-    PartTried "MS0620" Info "prompt part tried", "A request with a blocked prompt part is sent to see whether it still crashes engines.";
-    PartRefused "MS0621" Info "prompt part refused", "A request is not sent because of a blocked prompt part.";
+    ContentBlocked "MS0618" Warning "content blocked", "Several endpoints crashed when they began to run requests with the same prompt part, or repeats of one request, and none served one since; such requests are refused for a while.";
+    ContentUnblocked "MS0619" Info "content unblocked", "A prompt part or request is no longer blocked: one like it was served, its crashes are forgotten, or another content explains them.";
+    ContentTried "MS0620" Info "content tried", "A request with a blocked content is sent to see whether it still crashes endpoints.";
+    ContentRefused "MS0621" Info "content refused", "A request is not sent because of a blocked content.";
 
     PostingClaimed "MS0701" Debug "posting claimed", "The idempotency key of a posting was claimed.";
     PostingRecorded "MS0702" Debug "posting recorded", "The outcome of a posting was recorded.";
--- a/mimosashift/src/peer/mod.rs
+++ b/mimosashift/src/peer/mod.rs
@@ -69,12 +69,12 @@
 /// network partition, which each router detects by itself.
 const MAX_DEAD_ENDPOINTS: usize = 8;
 
-/// Maximum number of prompt parts in one digest that are there for their crashes;
+/// Maximum number of contents in one digest that are there for their crashes;
 /// those of the others that are there change from digest to digest.
-const MAX_CRASHING_PARTS: usize = 8;
+const MAX_CRASHING_CONTENTS: usize = 8;
 
-/// Maximum number of other prompt parts in one digest.
-const MAX_OTHER_PARTS: usize = 8;
+/// Maximum number of other contents in one digest.
+const MAX_OTHER_CONTENTS: usize = 8;
 
 /// Maximum number of limits of endpoints in one digest.
 const MAX_LIMITS: usize = 64;
@@ -115,8 +115,8 @@
     pub observed: Vec<Observation>,
     /// Endpoints that did not answer the sender, with their incarnations.
     pub dead: Vec<(u64, u64)>,
-    /// Prompt parts that may crash engines.
-    pub prompt_parts: Vec<quarantine::Record>,
+    /// Contents of requests that may crash endpoints.
+    pub suspects: Vec<quarantine::Record>,
     /// Limits that endpoints name, and the demand of the sender.
     pub limits: Vec<LimitRecord>,
     /// Addresses of other routers.
@@ -339,11 +339,10 @@
         keep_random(&mut self.dead, MAX_DEAD_ENDPOINTS, rng);
         keep_random(&mut self.observed, MAX_OBSERVATIONS, rng);
         keep_random(&mut self.limits, MAX_LIMITS, rng);
-        self.prompt_parts.sort_by_key(|record| Reverse(record.crashes.len()));
-        let mut others =
-            self.prompt_parts.split_off(MAX_CRASHING_PARTS.min(self.prompt_parts.len()));
-        keep_random(&mut others, MAX_OTHER_PARTS, rng);
-        self.prompt_parts.append(&mut others);
+        self.suspects.sort_by_key(|record| Reverse(record.crashes.len()));
+        let mut others = self.suspects.split_off(MAX_CRASHING_CONTENTS.min(self.suspects.len()));
+        keep_random(&mut others, MAX_OTHER_CONTENTS, rng);
+        self.suspects.append(&mut others);
         if self.usage.len() > MAX_USAGE_ENTRIES {
             self.usage.sort_by(|a, b| b.1.cache.total_cmp(&a.1.cache));
             self.usage.truncate(MAX_USAGE_ENTRIES);
--- a/mimosashift/src/quarantine/content.rs
+++ b/mimosashift/src/quarantine/content.rs
@@ -4,6 +4,21 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+
+use crate::exchange::PromptPart;
+
+/// Content that requests share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Content {
+    /// A part of their prompts.
+    Part(PromptPart),
+    /// All of it: they are repeats of one request.
+    Request(Fingerprint),
+}
+
+/// The contents of one request.
+pub type Contents = SmallVec<[Content; 4]>;
 
 /// Hash of a request's caller, method, target and body; the same for repeats of a
 /// request, which have ids of their own.
@@ -19,6 +34,15 @@
     }
 }
 
+impl fmt::Display for Content {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Part(part) => write!(f, "part {part}"),
+            Self::Request(fingerprint) => write!(f, "request {fingerprint}"),
+        }
+    }
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}", self.0)
--- a/mimosashift/src/quarantine/history.rs
+++ b/mimosashift/src/quarantine/history.rs
@@ -1,17 +1,16 @@
-//! Crashes and the last success of one prompt part.
+//! Crashes and the last success of one content.
 
 use std::time::Duration;
 
 use smallvec::SmallVec;
 
-use super::{CRASHES_TO_BLOCK, Incarnation, MIN_CRASH_SPACING, Record, count_spaced};
-use crate::exchange::PromptPart;
+use super::{CRASHES_TO_BLOCK, Content, Incarnation, MIN_CRASH_SPACING, Record, count_spaced};
 use crate::time::Instant;
 
-/// Maximum number of crashes that are remembered of a part, the latest ones.
+/// Maximum number of crashes that are remembered of a content, the latest ones.
 pub const MAX_CRASHES: usize = 8;
 
-/// Crashes and the last success of a part.
+/// Crashes and the last success of a content.
 #[derive(Clone, Debug)]
 pub(super) struct History {
     /// Endpoints that crashed since the last success, in order of time.
@@ -65,12 +64,12 @@
         self.crashes.iter().filter(|(_, endpoint)| filter(*endpoint)).map(|(at, _)| *at).collect()
     }
 
-    /// Whether there were enough crashes to block the part.
+    /// Whether there were enough crashes to block the content.
     pub(super) fn is_suspicious(&self) -> bool {
         count_spaced(self.times_of(|_| true), MIN_CRASH_SPACING) >= CRASHES_TO_BLOCK
     }
 
-    /// Whether this part is a better explanation than `other` of a crash under
+    /// Whether this content is a better explanation than `other` of a crash under
     /// both: it was served longer ago or never, or crashed more endpoints.
     pub(super) fn explains_better(&self, other: &Self) -> bool {
         let rank =
@@ -87,10 +86,10 @@
         self.last_crash().max(self.last_success.unwrap_or(Instant::ZERO))
     }
 
-    pub(super) fn record(&self, part: PromptPart, now: Instant) -> Record {
+    pub(super) fn record(&self, content: Content, now: Instant) -> Record {
         let age = |at: Instant| now.since(at);
         Record {
-            part,
+            content,
             crashes: self.crashes.iter().map(|(at, endpoint)| (*endpoint, age(*at))).collect(),
             success_age: self.last_success.map(age),
         }
--- a/mimosashift/src/quarantine/mod.rs
+++ b/mimosashift/src/quarantine/mod.rs
@@ -1,35 +1,39 @@
-//! Prompt parts that crash engines.
+//! Requests and prompt contents that crash endpoints.
 //!
-//! Routers record which parts were in the prompts that an engine had just begun
-//! to run when it crashed, and share this. A part under which several engines
+//! Routers record the contents of the requests that an endpoint had just begun to
+//! run when it crashed, and share this. A content under which several endpoints
 //! have crashed, and no request has been served since, is blocked for a while.
 //! See `docs/design/quarantine.md`.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use smallvec::SmallVec;
 
-use crate::exchange::PromptPart;
 use crate::time::Instant;
 
 mod content;
 mod history;
 mod record;
+mod served;
 
-pub use content::Fingerprint;
+pub use content::{Content, Contents, Fingerprint};
 pub use record::Record;
 
 use self::history::History;
+use self::served::Served;
 
-/// Crashes after which a part is blocked. Two may be a coincidence.
+/// Crashes after which a content is blocked. Two may be a coincidence.
 const CRASHES_TO_BLOCK: usize = 3;
 
+/// Crashes from which a repeated request counts as their likely cause.
+const CRASHES_OF_LIKELY_CAUSE: usize = 2;
+
 /// Crashes that follow each other faster than this count as one: a rack or a
 /// failure domain that goes down takes many engines at the same moment.
-const MIN_CRASH_SPACING: Duration = Duration::from_millis(100);
+const MIN_CRASH_SPACING: Duration = Duration::from_millis(25);
 
-/// Time after its last crash for which a part is blocked before a request with it
+/// Time after its last crash for which a content is blocked before a request with it
 /// is tried again.
 const BLOCK_TIME: Duration = Duration::from_secs(60);
 
@@ -39,20 +43,17 @@
 /// Time after which the outcome of a trial is no longer waited for.
 const TRIAL_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Time after its last crash for which a part is remembered that is not blocked.
+/// Time after its last crash for which a content is remembered that is not blocked.
 const SUSPICION_TTL: Duration = Duration::from_secs(60);
 
-/// Time after its last crash for which a blocked part is remembered.
+/// Time after its last crash for which a blocked content is remembered.
 const BLOCK_TTL: Duration = Duration::from_secs(600);
 
-/// Time for which peers are told that a part was served.
+/// Time for which peers are told that a content was served.
 const CLEARED_TTL: Duration = Duration::from_secs(10);
 
-/// Maximum number of parts with crashes.
-const MAX_SUSPECTS: usize = 64;
-
-/// Maximum number of parts whose last success is remembered.
-const MAX_SERVED: usize = 4096;
+/// Maximum number of contents with crashes.
+const MAX_SUSPECTS: usize = 512;
 
 /// Added to each time, so that crashes from before the boot of this machine, of
 /// which peers tell, have a time as well.
@@ -64,51 +65,51 @@
 /// Whether a request may be sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
-    /// No part of it is blocked.
+    /// Nothing of it is blocked.
     Admitted,
-    /// One part is blocked, and this request tries it.
-    Trial(PromptPart),
-    /// It contains this blocked part, which is not tried before this time has
+    /// One content is blocked, and this request tries it.
+    Trial(Content),
+    /// It has this blocked content, which is not tried before this time has
     /// passed.
-    Blocked(PromptPart, Duration),
+    Blocked(Content, Duration),
 }
 
-/// Crashes and successes by prompt part, as known to one router.
+/// Crashes and successes by content, as known to one router.
 #[derive(Debug, Default)]
 pub struct Quarantine {
-    suspects: BTreeMap<PromptPart, History>,
-    /// Last success of each part.
-    served: BTreeMap<PromptPart, Instant>,
+    suspects: BTreeMap<Content, History>,
+    /// Last successes.
+    served: Served,
 }
 
 impl Quarantine {
     /// Records that an endpoint crashed when it began to run a request with these
-    /// parts.
-    pub fn record_crash(&mut self, parts: &[PromptPart], endpoint: Incarnation, now: Instant) {
+    /// contents.
+    pub fn record_crash(&mut self, contents: &[Content], endpoint: Incarnation, now: Instant) {
         let now = now + EPOCH_OFFSET;
-        for part in parts {
-            let suspect = self.suspect(*part, now);
+        for content in contents {
+            let suspect = self.suspect(*content, now);
             suspect.add_crash(endpoint, now);
             suspect.trial = None;
         }
     }
 
-    /// The history of a part, which is new if the part was no suspect.
-    fn suspect(&mut self, part: PromptPart, now: Instant) -> &mut History {
-        if self.suspects.len() >= MAX_SUSPECTS && !self.suspects.contains_key(&part) {
+    /// The history of a content, which is new if it was no suspect.
+    fn suspect(&mut self, content: Content, now: Instant) -> &mut History {
+        if self.suspects.len() >= MAX_SUSPECTS && !self.suspects.contains_key(&content) {
             self.expire_at(now);
             self.make_room();
         }
-        let served = self.served.get(&part).copied();
-        self.suspects.entry(part).or_insert_with(|| History::new(served))
+        let served = self.served.last(content);
+        self.suspects.entry(content).or_insert_with(|| History::new(served))
     }
 
-    /// Forgets the least suspicious part if no other one fits.
+    /// Forgets the least suspicious content if no other one fits.
     fn make_room(&mut self) {
         if self.suspects.len() < MAX_SUSPECTS {
             return;
         }
-        let by_suspicion = |(_, history): &(&PromptPart, &History)| {
+        let by_suspicion = |(_, history): &(&Content, &History)| {
             (history.crashes().count(), history.last_change())
         };
         if let Some((&least, _)) = self.suspects.iter().min_by_key(by_suspicion) {
@@ -116,74 +117,75 @@
         }
     }
 
-    /// Records that an endpoint has run a request with these parts for some time
+    /// Records that an endpoint has run a request with these contents for some time
     /// without a crash.
-    pub fn record_success(&mut self, parts: &[PromptPart], now: Instant) {
+    pub fn record_success(&mut self, contents: &[Content], now: Instant) {
         let now = now + EPOCH_OFFSET;
-        for part in parts {
-            if let Some(suspect) = self.suspects.get_mut(part) {
+        for content in contents {
+            if let Some(suspect) = self.suspects.get_mut(content) {
                 suspect.add_success(now);
             }
-            self.remember_success(*part, now);
-        }
-    }
-
-    fn remember_success(&mut self, part: PromptPart, at: Instant) {
-        let last = self.served.entry(part).or_insert(at);
-        *last = at.max(*last);
-        if self.served.len() > MAX_SERVED {
-            let oldest = self.served.iter().min_by_key(|(_, at)| **at).map(|(part, _)| *part);
-            self.served.remove(&oldest.expect("the map is not empty"));
+            self.served.insert(*content, now);
         }
     }
 
-    /// Whether every part is known to have been served at some time.
-    pub fn are_served(&self, parts: &[PromptPart]) -> bool {
-        parts.iter().all(|part| self.served.contains_key(part))
+    /// Whether a request under which an endpoint crashed is a likely cause: it was in an
+    /// earlier crash, or a part of its prompt has never been served.
+    pub fn is_likely_cause(&self, contents: &[Content]) -> bool {
+        contents.iter().any(|content| match content {
+            Content::Part(_) => self.served.last(*content).is_none(),
+            Content::Request(_) => self.crash_count(*content) >= CRASHES_OF_LIKELY_CAUSE,
+        })
     }
 
-    /// Whether a request with these parts may be sent; `rank` gives the number of
-    /// routers that try a blocked part before this one. A trial that is returned
+    /// Whether a request with these contents may be sent; `rank` gives the number of
+    /// routers that try a blocked content before this one. A trial that is returned
     /// has begun.
     pub fn admit(
         &mut self,
-        parts: &[PromptPart],
-        rank: impl FnOnce(PromptPart) -> usize,
+        contents: &[Content],
+        rank: impl Fn(Content) -> usize,
         now: Instant,
     ) -> Verdict {
-        let mut blocked = parts.iter().copied().filter(|part| self.is_blocked(*part));
-        let Some(part) = blocked.next() else { return Verdict::Admitted };
-        if blocked.any(|other| other != part) {
+        let blocked = contents.iter().copied().filter(|content| self.is_blocked(*content));
+        let blocked: BTreeSet<_> = blocked.collect();
+        let Some(&first) = blocked.first() else { return Verdict::Admitted };
+        if blocked.iter().filter(|content| matches!(content, Content::Part(_))).count() > 1 {
             // A crash would not tell which of the parts caused it.
-            return Verdict::Blocked(part, BLOCK_TIME);
+            return Verdict::Blocked(first, BLOCK_TIME);
         }
         let now = now + EPOCH_OFFSET;
-        let left = self.time_to_trial(part, parts, rank(part), now);
+        let time_left = |content| self.time_to_trial(content, contents, rank(content), now);
+        let (left, content) =
+            blocked.iter().map(|content| (time_left(*content), *content)).max().expect("not empty");
         if !left.is_zero() {
-            return Verdict::Blocked(part, left);
+            return Verdict::Blocked(content, left);
+        }
+        for content in blocked {
+            let suspect = self.suspects.get_mut(&content).expect("a blocked content is a suspect");
+            suspect.trial = Some(now);
         }
-        let suspect = self.suspects.get_mut(&part).expect("a blocked part is a suspect");
-        suspect.trial = Some(now);
-        Verdict::Trial(part)
+        Verdict::Trial(content)
     }
 
-    /// Time until a request with these parts, of which one is blocked, may try it.
+    /// Time until a request with these contents, of which one is blocked, may try it.
     fn time_to_trial(
         &self,
-        part: PromptPart,
-        parts: &[PromptPart],
+        content: Content,
+        contents: &[Content],
         rank: usize,
         now: Instant,
     ) -> Duration {
-        let suspect = &self.suspects[&part];
+        let suspect = &self.suspects[&content];
         if let Some(trial) = suspect.trial.filter(|at| now.since(*at) < TRIAL_TIMEOUT) {
             return (trial + TRIAL_TIMEOUT).since(now);
         }
-        // Without the part that was in all the crashes as well, this request is
+        // Without the content that was in all the crashes as well, this request is
         // likely to succeed and clear its own.
-        let other_cause = |(other, history): (&PromptPart, &History)| {
-            !parts.contains(other)
+        let other_cause = |(other, history): (&Content, &History)| {
+            !contents.contains(other)
                 && history.is_suspicious()
+                && !suspect.explains_better(history)
                 && suspect.crashes().all(|crash| history.contains(crash))
         };
         if self.suspects.iter().any(other_cause) {
@@ -194,24 +196,27 @@
         trial_at.since(now)
     }
 
-    /// Whether a part is blocked: enough crashes are best explained by it.
-    pub fn is_blocked(&self, part: PromptPart) -> bool {
-        self.suspects.contains_key(&part) && self.crash_count(part) >= CRASHES_TO_BLOCK
+    /// Whether a content is blocked: enough crashes are best explained by it.
+    pub fn is_blocked(&self, content: Content) -> bool {
+        self.suspects.contains_key(&content) && self.crash_count(content) >= CRASHES_TO_BLOCK
     }
 
-    /// Blocked parts and the number of their crashes.
-    pub fn blocked(&self) -> impl Iterator<Item = (PromptPart, usize)> {
+    /// Blocked contents and the number of their crashes.
+    pub fn blocked(&self) -> impl Iterator<Item = (Content, usize)> {
         let suspicious = self.suspects.iter().filter(|(_, history)| history.is_suspicious());
-        let counts = suspicious.map(|(part, _)| (*part, self.crash_count(*part)));
+        let counts = suspicious.map(|(content, _)| (*content, self.crash_count(*content)));
         counts.filter(|(_, count)| *count >= CRASHES_TO_BLOCK)
     }
 
-    /// Number of crashes under a part that no other part explains better.
-    pub fn crash_count(&self, part: PromptPart) -> usize {
-        let Some(suspect) = self.suspects.get(&part) else { return 0 };
+    /// Number of crashes under a content that no other one explains better.
+    pub fn crash_count(&self, content: Content) -> usize {
+        let Some(suspect) = self.suspects.get(&content) else { return 0 };
         let unexplained = suspect.times_of(|crash| {
             !self.suspects.iter().any(|(other, history)| {
-                *other != part && history.contains(crash) && history.explains_better(suspect)
+                *other != content
+                    && is_cause(*other, history)
+                    && history.contains(crash)
+                    && history.explains_better(suspect)
             })
         });
         count_spaced(unexplained, MIN_CRASH_SPACING)
@@ -223,9 +228,9 @@
     }
 
     fn expire_at(&mut self, now: Instant) {
-        let blocked: SmallVec<[PromptPart; 4]> = self.blocked().map(|(part, _)| part).collect();
-        self.suspects.retain(|part, history| {
-            let ttl = match (history.crashes().next(), blocked.contains(part)) {
+        let blocked: SmallVec<[Content; 4]> = self.blocked().map(|(content, _)| content).collect();
+        self.suspects.retain(|content, history| {
+            let ttl = match (history.crashes().next(), blocked.contains(content)) {
                 (None, _) => CLEARED_TTL,
                 (Some(_), false) => SUSPICION_TTL,
                 (Some(_), true) => BLOCK_TTL,
@@ -237,7 +242,7 @@
     /// What peers have to know.
     pub fn records(&self, now: Instant) -> Vec<Record> {
         let now = now + EPOCH_OFFSET;
-        let record = |(part, history): (&PromptPart, &History)| history.record(*part, now);
+        let record = |(content, history): (&Content, &History)| history.record(*content, now);
         self.suspects.iter().map(record).collect()
     }
 
@@ -245,15 +250,21 @@
     pub fn merge(&mut self, records: &[Record], now: Instant) {
         let now = now + EPOCH_OFFSET;
         for record in records {
-            let suspect = self.suspect(record.part, now);
+            let suspect = self.suspect(record.content, now);
             suspect.merge(record, now);
             if let Some(at) = suspect.last_success() {
-                self.remember_success(record.part, at);
+                self.served.insert(record.content, at);
             }
         }
     }
 }
 
+/// Whether a content can explain crashes under others. Each request that was in one crash
+/// only would explain that crash, since it has never been served.
+fn is_cause(content: Content, history: &History) -> bool {
+    matches!(content, Content::Part(_)) || history.crashes().count() >= CRASHES_OF_LIKELY_CAUSE
+}
+
 /// Number of times of which each is at least `spacing` after the one counted
 /// before; `times` are in order.
 fn count_spaced(times: impl IntoIterator<Item = Instant>, spacing: Duration) -> usize {
--- a/mimosashift/src/quarantine/record.rs
+++ b/mimosashift/src/quarantine/record.rs
@@ -1,17 +1,16 @@
-//! What routers tell each other about prompt parts.
+//! What routers tell each other about contents.
 
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
-use super::Incarnation;
-use crate::exchange::PromptPart;
+use super::{Content, Incarnation};
 
-/// What a router knows of a prompt part.
+/// What a router knows of a content.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Record {
-    /// The part.
-    pub part: PromptPart,
+    /// The content.
+    pub content: Content,
     /// Endpoints that crashed under it since the last success, and how long ago.
     pub crashes: Vec<(Incarnation, Duration)>,
     /// Time since a request with it was last served.
--- a/mimosashift/tests/peer.rs
+++ b/mimosashift/tests/peer.rs
@@ -9,7 +9,7 @@
 use mimosashift::fleet::{Observation, Usage};
 use mimosashift::freshness::PeerConfirmation;
 use mimosashift::peer::{Config, Digest, Event, MAX_DIGEST_BYTES, Peers};
-use mimosashift::quarantine::Record;
+use mimosashift::quarantine::{Content, Record};
 use mimosashift::time::Instant;
 
 use rand::SeedableRng;
@@ -56,7 +56,7 @@
         usage: Vec::new(),
         observed: Vec::new(),
         dead: Vec::new(),
-        prompt_parts: Vec::new(),
+        suspects: Vec::new(),
         limits: Vec::new(),
         peers: Vec::new(),
     }
@@ -262,7 +262,7 @@
 fn digest_of_a_router_that_sees_1000_endpoints_fits_into_a_datagram() {
     let mut rng = Pcg64Mcg::seed_from_u64(1);
     let mut digest = truncated(1_000, 1_000, 1_000, &mut rng);
-    digest.prompt_parts = vec![prompt_parts(1).remove(0); 64];
+    digest.suspects = vec![prompt_parts(1).remove(0); 64];
     digest.truncate(&mut rng);
     let bytes = postcard::to_stdvec(&digest).unwrap().len();
     assert!(bytes <= MAX_DIGEST_BYTES, "{bytes} bytes");
@@ -272,7 +272,7 @@
 /// the others one.
 fn prompt_parts(count: u64) -> Vec<Record> {
     let record = |id| Record {
-        part: PromptPart { model: u64::MAX, id },
+        content: Content::Part(PromptPart { model: u64::MAX, id }),
         crashes: (0..if id == 0 { 8 } else { 1 })
             .map(|n| ((u64::MAX - n, u64::MAX), Duration::from_secs(1)))
             .collect(),
@@ -287,11 +287,11 @@
     let mut named = BTreeSet::new();
     for _ in 0..100 {
         let mut digest = truncated(0, 0, 0, &mut rng);
-        digest.prompt_parts = prompt_parts(64);
-        digest.prompt_parts.reverse();
+        digest.suspects = prompt_parts(64);
+        digest.suspects.reverse();
         digest.truncate(&mut rng);
-        assert_eq!(digest.prompt_parts[0].crashes.len(), 8);
-        named.extend(digest.prompt_parts.iter().map(|record| record.part.id));
+        assert_eq!(digest.suspects[0].crashes.len(), 8);
+        named.extend(digest.suspects.iter().map(|record| record.content));
     }
     assert_eq!(named.len(), 64);
 }
@@ -302,7 +302,7 @@
     let mut digest = truncated(0, 0, 0, &mut rng);
     let empty = postcard::to_stdvec(&digest).unwrap().len();
     let crashing = prompt_parts(1).remove(0);
-    digest.prompt_parts = vec![crashing; 64];
+    digest.suspects = vec![crashing; 64];
     digest.truncate(&mut rng);
     let bytes = postcard::to_stdvec(&digest).unwrap().len() - empty;
     assert!(bytes <= MAX_DIGEST_BYTES / 4, "{bytes} bytes");
