Check suspects with fewer than three crashes first

A content with fewer crashes cannot be blocked; up to 512 of them were compared with one another at each success. The digest test now has limits of 1,000 endpoints as well: it still fits into a datagram.

--- a/mimosashift/src/quarantine/history.rs
+++ b/mimosashift/src/quarantine/history.rs
@@ -66,7 +66,8 @@
 
     /// Whether there were enough crashes to block the content.
     pub(super) fn is_suspicious(&self) -> bool {
-        count_spaced(self.times_of(|_| true), MIN_CRASH_SPACING) >= CRASHES_TO_BLOCK
+        self.crashes.len() >= CRASHES_TO_BLOCK
+            && count_spaced(self.times_of(|_| true), MIN_CRASH_SPACING) >= CRASHES_TO_BLOCK
     }
 
     /// Whether this content is a better explanation than `other` of a crash under
--- a/mimosashift/src/quarantine/mod.rs
+++ b/mimosashift/src/quarantine/mod.rs
@@ -198,7 +198,8 @@
 
     /// Whether a content is blocked: enough crashes are best explained by it.
     pub fn is_blocked(&self, content: Content) -> bool {
-        self.suspects.contains_key(&content) && self.crash_count(content) >= CRASHES_TO_BLOCK
+        self.suspects.get(&content).is_some_and(History::is_suspicious)
+            && self.crash_count(content) >= CRASHES_TO_BLOCK
     }
 
     /// Blocked contents and the number of their crashes.
--- a/mimosashift/tests/peer.rs
+++ b/mimosashift/tests/peer.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use mimosashift::exchange::PromptPart;
-use mimosashift::fleet::{Observation, Usage};
+use mimosashift::fleet::{LimitRecord, Observation, Usage};
 use mimosashift::freshness::PeerConfirmation;
 use mimosashift::peer::{Config, Digest, Event, MAX_DIGEST_BYTES, Peers};
 use mimosashift::quarantine::{Content, Record};
@@ -263,11 +263,22 @@
     let mut rng = Pcg64Mcg::seed_from_u64(1);
     let mut digest = truncated(1_000, 1_000, 1_000, &mut rng);
     digest.suspects = vec![prompt_parts(1).remove(0); 64];
+    digest.limits = vec![largest_limit(); 1_000];
     digest.truncate(&mut rng);
     let bytes = postcard::to_stdvec(&digest).unwrap().len();
     assert!(bytes <= MAX_DIGEST_BYTES, "{bytes} bytes");
 }
 
+fn largest_limit() -> LimitRecord {
+    LimitRecord {
+        endpoint: (u64::MAX, u64::MAX),
+        rate: Some(0.1.try_into().unwrap()),
+        age: Duration::from_secs(60),
+        demand: 0.1,
+        sent: 0.1,
+    }
+}
+
 /// `count` prompt parts, under the first of which eight engines crashed and under
 /// the others one.
 fn prompt_parts(count: u64) -> Vec<Record> {
