Check the deadline of a stream that comes in tiny pieces

The wait for a fault or the next check began anew with each piece of a stream. An engine that sends pieces of an event faster than every 60 ms, and never its end, was held until 1 MiB had arrived: its deadline passed unnoticed, and its chain was not checked for a stall. The wait now goes on over pieces.

Evidence: stream_in_tiny_pieces_is_given_up_at_its_deadline failed before (the client left after 4 s, with a deadline of 2 s).

--- a/mimosafront/src/relay/model/forward.rs
+++ b/mimosafront/src/relay/model/forward.rs
@@ -1,5 +1,6 @@
 //! Forwards the events of a stream, and resumes it after a failure.
 
+use std::pin::pin;
 use std::time::Duration;
 
 use hyper::StatusCode;
@@ -192,11 +193,14 @@
     ) -> ForwardOutcome {
         let mut last_event_at = clock::now();
         let state = self.state().clone();
+        // Bytes that complete no event must not put off the next check.
+        let mut tick = pin!(wait_for_fault_or_tick(&state));
         loop {
             let next = tokio::select! {
                 next = exchange.next() => next,
                 () = sender.closed() => return ForwardOutcome::ClientGone,
-                () = wait_for_fault_or_tick(&state) => {
+                () = &mut tick => {
+                    tick.set(wait_for_fault_or_tick(&state));
                     let now = clock::now();
                     if now >= self.ctx.deadline {
                         return ForwardOutcome::DeadlineExceeded;
--- a/mimosafront/tests/broken_answers.rs
+++ b/mimosafront/tests/broken_answers.rs
@@ -156,3 +156,16 @@
         })
     });
 }
+
+#[test]
+fn stream_in_tiny_pieces_is_given_up_at_its_deadline() {
+    let cluster = cluster_of(Health::Trickles);
+    let timeout = Duration::from_secs(2);
+    for request in [TestRequest::draft(4), TestRequest::note(4)] {
+        let request = TestRequest { timeout, ..request };
+        let started = Instant::now();
+        let response = cluster.runtime.block_on(request.send(cluster.routers[0].clients));
+        let took = started.elapsed();
+        assert!(took < timeout + Duration::from_millis(500), "{took:?} {response:?}");
+    }
+}
--- a/mimosafront/tests/cluster/endpoints.rs
+++ b/mimosafront/tests/cluster/endpoints.rs
@@ -67,6 +67,8 @@
     /// Marks the end only by closing the connection, and crashes after two events
     /// of a stream.
     CrashesAfterEvent,
+    /// Each of its streams is an event without end, in tiny pieces.
+    Trickles,
     /// Gives no report, and each of its streams pauses once, for `STUCK_PAUSE`.
     Stuck,
 }
--- a/mimosafront/tests/cluster/engine.rs
+++ b/mimosafront/tests/cluster/engine.rs
@@ -27,6 +27,9 @@
 /// Pause of a stream at a stuck endpoint.
 const STUCK_PAUSE: Duration = Duration::from_millis(800);
 
+/// Interval of the pieces of an event without end.
+const TRICKLE_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Time that loading layers takes.
 const LOAD_TIME: Duration = Duration::from_millis(100);
 
@@ -261,6 +264,12 @@
                 self.member.state().health = Health::Unresponsive;
                 return break_off(is_unframed, &to).await;
             }
+            if self.member.state().health == Health::Trickles {
+                while to.send(Some("data".into())).await.is_ok() {
+                    tokio::time::sleep(TRICKLE_INTERVAL).await;
+                }
+                return;
+            }
             let data = format!("id: {event}\ndata: {id} {event}/{total}\n\n");
             if self.member.state().health == Health::ClosesInsideEvent && event > after + 2 {
                 let (start, _) = data.split_at(data.len() / 2);
--- a/mimosafront/tests/cluster/plain.rs
+++ b/mimosafront/tests/cluster/plain.rs
@@ -92,6 +92,7 @@
             Health::Healthy
             | Health::Unresponsive
             | Health::Stuck
+            | Health::Trickles
             | Health::Unframed
             | Health::ClosesInsideEvent
             | Health::CrashesAfterEvent => {
