Let the soak name limits and crash engines by whole requests

Endpoints name limits, zero and malformed ones too, by a random generator of their own, so that the other faults of each seed stay as they were; half of the crashing streams crash engines as a whole instead of by a part. The faults of a seed are printed.

Seeds 505 and 541 are regression cases. 541 had not been traced: its faults are the same each time, and of engines hold only two that begin to crash between events. On that alone lets a stream of 31 events reach the client with 24, framed as complete (a trial), by the fault of the tests' engine that was traced for 505.

--- a/mimosafront/tests/broken_answers.rs
+++ b/mimosafront/tests/broken_answers.rs
@@ -169,3 +169,18 @@
         assert!(took < timeout + Duration::from_millis(500), "{took:?} {response:?}");
     }
 }
+
+#[test]
+fn stream_of_an_engine_that_begins_to_crash_is_not_complete() {
+    let options = ClusterOptions { zones: 1, engines_per_zone: 2, ..ClusterOptions::default() };
+    let cluster = TestCluster::start(options);
+    let request = TestRequest::draft(31);
+    let (sent, to) = (request.clone(), cluster.routers[0].clients);
+    let sending = cluster.runtime.spawn(async move { sent.send(to).await });
+    cluster
+        .wait_until("the stream runs", |cluster| cluster.endpoints.trace(&request.id).events > 23);
+    let crash = Health::CrashesAfterEvent;
+    cluster.endpoints.engines().for_each(|engine| engine.state().health = crash);
+    let response = cluster.runtime.block_on(sending).unwrap().unwrap();
+    assert!(response.events().len() < 31 && !response.complete, "{response:?}");
+}
--- a/mimosafront/tests/soak.rs
+++ b/mimosafront/tests/soak.rs
@@ -15,14 +15,17 @@
 use rand::{RngExt, SeedableRng};
 
 use cluster::client::{Connection, TestRequest, TestResponse};
-use cluster::endpoints::{CRASHING_PART, Health};
+use cluster::endpoints::{CRASHING_BODY, CRASHING_PART, Health};
 use cluster::proxy::LinkState;
 use cluster::router::REVOCATION_BOUND;
 use cluster::store::{Copy, StoreMode};
 use cluster::{ClusterOptions, KEY, OTHER_KEY, TEAM, TestCluster};
 
 /// Seeds that have failed before, with the cause.
-const REGRESSIONS: [(u64, &str); 0] = [];
+const REGRESSIONS: [(u64, &str); 2] = [
+    (505, "an engine of the tests ended streams with their last chunk when it broke them off"),
+    (541, "as with seed 505"),
+];
 
 /// Seeds that run by default.
 const DEFAULT_SEEDS: std::ops::Range<u64> = 1..3;
@@ -36,6 +39,9 @@
 /// One in this many streams has a prompt part that crashes engines.
 const CRASHING_ONE_IN: u32 = 50;
 
+/// One in this many faults comes with a change of an endpoint's request limit.
+const LIMIT_ONE_IN: u32 = 3;
+
 /// Part of every prompt.
 const SOUND_PART: &str = "5a";
 
@@ -75,17 +81,21 @@
         let rng = StdRng::seed_from_u64(seed * 1_000 + client as u64);
         cluster.runtime.spawn(send_requests(history, stop, routers, rng));
     }
+    // Its own generator keeps the other faults of a seed as they were.
+    let mut limit_rng = StdRng::seed_from_u64(!seed);
     let end = Instant::now() + duration;
     let mut revoked = None;
     let mut pending: Vec<(Instant, Repair)> = Vec::new();
     while Instant::now() < end {
         let (repair, repair_after) = inject_fault(&mut cluster, &mut rng, &mut revoked);
         pending.push((Instant::now() + repair_after, repair));
+        change_limit(&cluster, &mut limit_rng);
         let pause = Duration::from_millis(rng.random_range(100..900));
         std::thread::sleep(pause);
         pending = apply_due_repairs(&mut cluster, pending, Instant::now());
     }
     std::thread::sleep(Duration::from_millis(500));
+    cluster.endpoints.members.iter().for_each(|member| member.limit_requests(None));
     // Applies all repairs, whenever they are due.
     apply_due_repairs(&mut cluster, pending, Instant::now() + Duration::from_secs(3_600));
     let mut violations = check_recovery(&mut cluster);
@@ -118,8 +128,12 @@
             0 => {
                 let events = rng.random_range(1..40);
                 let crashing = rng.random_ratio(1, CRASHING_ONE_IN);
-                let part = if crashing { CRASHING_PART } else { SOUND_PART };
-                TestRequest::draft(events).with_parts(&[SOUND_PART, part])
+                // Some of them crash engines by a part, the others as a whole.
+                let by_part = crashing && events % 2 == 0;
+                let part = if by_part { CRASHING_PART } else { SOUND_PART };
+                let draft = TestRequest::draft(events).with_parts(&[SOUND_PART, part]);
+                let body = if crashing && !by_part { CRASHING_BODY } else { b"draft" };
+                TestRequest { body: body.to_vec(), ..draft }
             }
             1 => TestRequest::post(),
             _ => TestRequest::read(),
@@ -186,7 +200,13 @@
     ];
     let link = *links.choose(rng).unwrap();
     let member = cluster.endpoints.members.choose(rng).unwrap().clone();
-    let repair = match rng.random_range(0..11) {
+    let kind = rng.random_range(0..11);
+    println!(
+        "{:?}: fault {kind}, router {router}, {}, {link:?}, for {repair_after:?}",
+        SystemTime::now(),
+        member.id
+    );
+    let repair = match kind {
         0 if cluster.routers[router].is_running() => {
             cluster.routers[router].stop(Signal::SIGKILL);
             Repair::Restart(router)
@@ -253,6 +273,17 @@
     (repair, repair_after)
 }
 
+/// Lets an endpoint name another limit on its requests, or none, now and then.
+fn change_limit(cluster: &TestCluster, rng: &mut StdRng) {
+    let limits = [None, None, Some("0"), Some("2"), Some("20"), Some("many")];
+    let member = cluster.endpoints.members.choose(rng).unwrap();
+    let limit = *limits.choose(rng).unwrap();
+    if rng.random_ratio(1, LIMIT_ONE_IN) {
+        println!("{:?}: {} names the limit {limit:?}", SystemTime::now(), member.id);
+        member.limit_requests(limit);
+    }
+}
+
 /// Applies the repairs that are due and returns the others.
 fn apply_due_repairs(
     cluster: &mut TestCluster,
