Do not take a stream for complete whose engine has restarted

Its engine, which marks the end of an answer by closing only, crashed and had restarted when the router, suspended in between, read the close: the check whether the first engine is alive passed, for another incarnation. A later engine that crashes and restarts unnoticed was not checked at all, though the first one cuts off the stream for it.

Before such a stream counts as complete, all engines of its chain are now asked for their incarnation, at the same time. A later one that does not answer at all does not count, since it may be cut off from this router only.

Evidence: stream_of_an_engine_that_restarts_unnoticed_is_not_complete and stream_cut_off_for_an_engine_that_restarts_unnoticed_is_not_complete failed before.

--- a/mimosafront/src/relay/model/forward.rs
+++ b/mimosafront/src/relay/model/forward.rs
@@ -11,6 +11,7 @@
 use mimosashift::event::Event;
 use mimosashift::meter::{Outcome, Recovery};
 use tokio::sync::mpsc;
+use tokio::task::JoinSet;
 
 use super::stall::StallCheck;
 use super::stall_timer::{StallTimer, wait_for_fault_or_tick};
@@ -253,18 +254,30 @@
         if !self.known_faults().dead.is_empty() {
             return ForwardOutcome::Broken("stream closed while an engine was dead");
         }
-        // The connections of an engine that crashes are closed as well.
-        if !self.is_first_hop_alive().await {
-            return ForwardOutcome::Broken("stream closed by a crash");
-        }
-        ForwardOutcome::Complete
+        self.check_engines_at_end().await
     }
 
-    async fn is_first_hop_alive(&self) -> bool {
-        let Some(first) = self.claim.as_ref().map(|claim| claim.chain[0].clone()) else {
-            return false;
-        };
-        matches!(probe::check_still_alive(self.state(), &first).await, ProbeResult::Alive(_))
+    /// Checks whether a stream that ended with its connection was closed by a crash: that of
+    /// the first engine closes its connections, and a later one that crashes makes the
+    /// first cut off the stream. Either may have restarted since, if this router was
+    /// delayed.
+    async fn check_engines_at_end(&self) -> ForwardOutcome {
+        let Some(claim) = &self.claim else { return ForwardOutcome::Broken("no chain assigned") };
+        let mut probes = JoinSet::new();
+        for (position, hop) in claim.chain.clone().into_iter().enumerate() {
+            let state = self.state().clone();
+            probes.spawn_local(async move {
+                match probe::check_still_alive(&state, &hop).await {
+                    ProbeResult::Alive(report) => report.incarnation != hop.incarnation,
+                    // A later engine may be cut off from this router only.
+                    ProbeResult::Dead(error) => position == 0 || error.closed,
+                }
+            });
+        }
+        match probes.join_all().await.contains(&true) {
+            true => ForwardOutcome::Broken("stream closed by a crash"),
+            false => ForwardOutcome::Complete,
+        }
     }
 
     fn is_event_stream(&self) -> bool {
--- a/mimosafront/tests/broken_answers.rs
+++ b/mimosafront/tests/broken_answers.rs
@@ -4,10 +4,12 @@
 
 use std::time::{Duration, Instant};
 
+use nix::sys::signal::Signal;
 use test_case::test_case;
 
 use cluster::client::TestRequest;
 use cluster::endpoints::Health;
+use cluster::engine::Hop;
 use cluster::{ClusterOptions, TestCluster};
 
 /// Requests for streams of each route.
@@ -184,3 +186,44 @@
     let response = cluster.runtime.block_on(sending).unwrap().unwrap();
     assert!(response.events().len() < 31 && !response.complete, "{response:?}");
 }
+
+/// Checks that a stream is not complete of which an engine crashes and restarts while its
+/// router is suspended; `crash` makes it end.
+fn assert_restart_is_noticed(crash: impl FnOnce(&TestCluster, &[Hop])) {
+    let options = ClusterOptions { zones: 1, engines_per_zone: 2, ..ClusterOptions::default() };
+    let cluster = TestCluster::start(options);
+    cluster.endpoints.engines().for_each(|engine| engine.state().health = Health::Unframed);
+    let request = TestRequest::note(60);
+    let (sent, to) = (request.clone(), cluster.routers[0].clients);
+    let sending = cluster.runtime.spawn(async move { sent.send(to).await });
+    cluster
+        .wait_until("the stream runs", |cluster| cluster.endpoints.trace(&request.id).events > 3);
+    cluster.routers[0].signal(Signal::SIGSTOP);
+    let chain = cluster.endpoints.chains.lock().unwrap()[&request.id].clone();
+    crash(&cluster, &chain);
+    cluster.routers[0].signal(Signal::SIGCONT);
+    let response = cluster.runtime.block_on(sending).unwrap().unwrap();
+    assert!(response.events().len() < 60 && !response.complete, "{response:?}");
+}
+
+#[test]
+fn stream_of_an_engine_that_restarts_unnoticed_is_not_complete() {
+    assert_restart_is_noticed(|cluster, chain| {
+        let first = cluster.endpoints.at(chain[0].0).unwrap();
+        first.state().health = Health::CrashesAfterEvent;
+        cluster
+            .wait_until("the engine has crashed", |_| first.state().health == Health::Unresponsive);
+        first.restart();
+    });
+}
+
+#[test]
+fn stream_cut_off_for_an_engine_that_restarts_unnoticed_is_not_complete() {
+    assert_restart_is_noticed(|cluster, chain| {
+        let last = cluster.endpoints.at(chain.last().unwrap().0).unwrap();
+        last.state().health = Health::Unresponsive;
+        // Longer than the first engine waits for it.
+        std::thread::sleep(Duration::from_secs(3));
+        last.restart();
+    });
+}
--- a/mimosafront/tests/soak.rs
+++ b/mimosafront/tests/soak.rs
@@ -22,9 +22,10 @@
 use cluster::{ClusterOptions, KEY, OTHER_KEY, TEAM, TestCluster};
 
 /// Seeds that have failed before, with the cause.
-const REGRESSIONS: [(u64, &str); 2] = [
+const REGRESSIONS: [(u64, &str); 3] = [
     (505, "an engine of the tests ended streams with their last chunk when it broke them off"),
     (541, "as with seed 505"),
+    (607, "an engine restarted while a router was suspended, and its stream looked complete"),
 ];
 
 /// Seeds that run by default.
