--- a/mimosashift/src/fleet/mod.rs
+++ b/mimosashift/src/fleet/mod.rs
@@ -24,6 +24,7 @@
 mod limit;
 mod liveness;
 mod plain;
+mod share;
 mod usage;
 
 use limit::Limits;
@@ -54,6 +55,9 @@
     pub layers: Layers,
 }
 
+/// An incarnation of an endpoint: the key of its id, see [`name_key`], and its start.
+pub type Incarnation = (u64, u64);
+
 /// The hops of one request, in layer order.
 pub type Chain = SmallVec<[Hop; 12]>;
 
@@ -222,7 +226,7 @@
     }
 
     /// Its key and its incarnation.
-    pub fn key(&self) -> (u64, u64) {
+    pub fn key(&self) -> Incarnation {
         (name_key(&self.endpoint.id), self.endpoint.incarnation)
     }
 
--- a/mimosashift/src/quarantine/history.rs
+++ b/mimosashift/src/quarantine/history.rs
@@ -4,7 +4,8 @@
 
 use smallvec::SmallVec;
 
-use super::{CRASHES_TO_BLOCK, Content, Incarnation, MIN_CRASH_SPACING, Record, count_spaced};
+use super::{CRASHES_TO_BLOCK, Content, MIN_CRASH_SPACING, Record, count_spaced};
+use crate::fleet::Incarnation;
 use crate::time::Instant;
 
 /// Maximum number of crashes that are remembered of a content, the latest ones.
--- a/mimosashift/src/quarantine/mod.rs
+++ b/mimosashift/src/quarantine/mod.rs
@@ -10,6 +10,7 @@
 
 use smallvec::SmallVec;
 
+use crate::fleet::Incarnation;
 use crate::time::Instant;
 
 mod content;
@@ -59,9 +60,6 @@
 /// which peers tell, have a time as well.
 const EPOCH_OFFSET: Duration = BLOCK_TTL;
 
-/// An incarnation of an endpoint: the key of its id, and its start.
-pub type Incarnation = (u64, u64);
-
 /// Whether a request may be sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
--- a/mimosashift/src/quarantine/record.rs
+++ b/mimosashift/src/quarantine/record.rs
@@ -4,7 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Content, Incarnation};
+use super::Content;
+use crate::fleet::Incarnation;
 
 /// What a router knows of a content.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/mimosashift/tests/quarantine.rs
+++ b/mimosashift/tests/quarantine.rs
@@ -4,7 +4,8 @@
 use std::collections::BTreeMap;
 
 use mimosashift::exchange::PromptPart;
-use mimosashift::quarantine::{Content, Fingerprint, Incarnation, Quarantine, Verdict};
+use mimosashift::fleet::Incarnation;
+use mimosashift::quarantine::{Content, Fingerprint, Quarantine, Verdict};
 use mimosashift::time::Instant;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
