Give routers of tests ports that the system does not give out

The ports of a test process were chosen from those that the system gives out, and released again; the proxy between a router and the store takes one of these at the router's own address, and other test processes open theirs at all addresses for a moment. Ports below that range, by process id, cannot be taken so.

--- a/mimosafront/tests/cluster/router.rs
+++ b/mimosafront/tests/cluster/router.rs
@@ -2,10 +2,9 @@
 
 use std::fs::File;
 use std::io::Read;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::OnceLock;
 use std::time::{Duration, Instant};
 
 use nix::sys::signal::{Signal, kill};
@@ -31,14 +30,12 @@
     start_count: usize,
 }
 
-/// Free ports, the same for every router of the test, as in a deployment.
+/// Ports of this process, the same for every router of the test, as in a deployment. They
+/// are below those that the system gives out, for which proxies at the same address, or
+/// other processes for a moment at all addresses, could come first.
 fn ports() -> [u16; 5] {
-    static PORTS: OnceLock<[u16; 5]> = OnceLock::new();
-    *PORTS.get_or_init(|| {
-        let any = || TcpListener::bind((Ipv4Addr::UNSPECIFIED, 0)).unwrap();
-        let listeners = [any(), any(), any(), any(), any()];
-        listeners.map(|listener| listener.local_addr().unwrap().port())
-    })
+    let first = 20_000 + (std::process::id() % 2_000) as u16 * 5;
+    std::array::from_fn(|number| first + number as u16)
 }
 
 impl Router {
