Announce changes of a limit by more than a tenth only

An endpoint may name a slightly different limit in each answer; each was logged, and made a digest due at once at all peers. Every change still applies and is in the next regular digest.

Evidence: small_changes_of_a_limit_apply_and_are_not_announced failed before.

--- a/mimosashift/src/fleet/limit.rs
+++ b/mimosashift/src/fleet/limit.rs
@@ -58,7 +58,8 @@
 }
 
 impl Limits {
-    /// Applies an observation that is newer than the last one.
+    /// Applies an observation that is newer than the last one; returns the change if it
+    /// has to be announced.
     fn observe(
         &mut self,
         endpoint: Incarnation,
@@ -76,9 +77,7 @@
         if at <= limit.observed_at() {
             return None;
         }
-        let before = limit.rate_in_force(now);
-        limit.renew(rate, at, now);
-        (before != rate).then_some(Change { before, now: rate })
+        limit.renew(rate, at, now)
     }
 
     fn make_room(&mut self) {
--- a/mimosashift/src/fleet/share.rs
+++ b/mimosashift/src/fleet/share.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use super::Incarnation;
-use super::limit::Record;
+use super::limit::{Change, Record};
 use crate::exchange::RequestRate;
 use crate::time::Instant;
 
@@ -46,6 +46,10 @@
 /// stop further ones: chance may let many routers send at once.
 const MAX_RECENT: f64 = 1.25;
 
+/// Change of a limit, as a part of the one last announced, from which it is announced
+/// anew: an endpoint may name a slightly different one in each answer.
+const MIN_ANNOUNCED_CHANGE: f64 = 0.1;
+
 /// Lowest rate that is applied: without any request, the end of a limit would go
 /// unnoticed.
 const MIN_RATE: f64 = 0.25;
@@ -62,6 +66,8 @@
     /// When an answer last named the limit; if it is lifted, when the request was sent
     /// whose answer showed that.
     observed_at: Instant,
+    /// The limit that logs and peers were last told of at once.
+    announced: Option<RequestRate>,
     /// Share of the limit that this router may use.
     share: f64,
     /// Requests that may be sent, as of `credited_at`; negative after a request that was
@@ -129,6 +135,7 @@
         Self {
             rate: Some(rate),
             observed_at: at,
+            announced: Some(rate),
             share: 1.0 / routers as f64,
             idle_bound: idle_bound(rate, routers),
             idle_accrued: 0.0,
@@ -147,11 +154,26 @@
         self.observed_at
     }
 
-    /// Replaces the limit by what was observed at `at`.
-    pub(super) fn renew(&mut self, rate: Option<RequestRate>, at: Instant, now: Instant) {
+    /// Replaces the limit by what was observed at `at`; returns the change if it has to be
+    /// announced.
+    pub(super) fn renew(
+        &mut self,
+        rate: Option<RequestRate>,
+        at: Instant,
+        now: Instant,
+    ) -> Option<Change> {
         self.settle(now);
         self.rate = rate;
         self.observed_at = at;
+        let is_small = self.announced.zip(rate).is_some_and(|(before, now)| {
+            let (before, now) = (before.per_second(), now.per_second());
+            (now - before).abs() <= before * MIN_ANNOUNCED_CHANGE
+        });
+        if is_small || self.announced == rate {
+            return None;
+        }
+        let before = std::mem::replace(&mut self.announced, rate);
+        Some(Change { before, now: rate })
     }
 
     /// Makes the demand that which peers are told from now on.
@@ -178,7 +200,7 @@
         self.update_share(routers, now);
     }
 
-    pub(super) fn rate_in_force(&self, now: Instant) -> Option<RequestRate> {
+    fn rate_in_force(&self, now: Instant) -> Option<RequestRate> {
         self.rate.filter(|_| now.since(self.observed_at) < LIMIT_TTL)
     }
 
--- a/mimosashift/tests/endpoint_limits.rs
+++ b/mimosashift/tests/endpoint_limits.rs
@@ -266,6 +266,17 @@
     assert_eq!(fleet.time_to_credit(PLAIN, at(102)), None);
 }
 
+#[test]
+fn small_changes_of_a_limit_apply_and_are_not_announced() {
+    let mut fleet = fleet(vec![plain(1, "a")]);
+    assert!(observe(&mut fleet, Some(10.0), 100));
+    assert!(!observe(&mut fleet, Some(9.5), 200));
+    assert_eq!(fleet.limit_records(at(200))[0].rate, Some(rate(9.5)));
+    assert!(observe(&mut fleet, Some(8.9), 300), "further from the one last announced");
+    assert!(observe(&mut fleet, None, 400));
+    assert!(observe(&mut fleet, Some(8.9), 500));
+}
+
 #[test]
 fn limit_lapses_if_no_answer_confirms_it() {
     let mut fleet = fleet(vec![plain(1, "a")]);
