--- a/mimosafront/tests/cluster/endpoints.rs
+++ b/mimosafront/tests/cluster/endpoints.rs
@@ -112,6 +112,8 @@
     /// Chain of each request by id, also after the request has ended.
     pub chains: Mutex<HashMap<String, Vec<engine::Hop>>>,
     pub options: ClusterOptions,
+    /// Addresses of links of single routers, and the numbers of the endpoints they lead to.
+    links: Mutex<HashMap<SocketAddr, usize>>,
 }
 
 impl Health {
@@ -213,6 +215,7 @@
             violations: Mutex::default(),
             chains: Mutex::default(),
             options,
+            links: Mutex::default(),
         });
         for (member, listener) in endpoints.members.iter().zip(listeners) {
             let (endpoints, member) = (endpoints.clone(), member.clone());
@@ -234,7 +237,20 @@
     }
 
     pub fn at(&self, address: SocketAddr) -> Option<&Arc<Member>> {
-        self.members.iter().find(|member| member.address() == address)
+        let link = self.links.lock().unwrap().get(&address).copied();
+        let listens = || self.members.iter().find(|member| member.address() == address);
+        link.map(|number| &self.members[number]).or_else(listens)
+    }
+
+    /// Opens a link to each endpoint for a single router; returns the links, in order.
+    pub async fn open_links(&self, from: Ipv4Addr) -> Vec<Arc<Proxy>> {
+        let mut links = Vec::new();
+        for (number, member) in self.members.iter().enumerate() {
+            let link = Proxy::start(from, member.address()).await;
+            self.links.lock().unwrap().insert(link.address(), number);
+            links.push(link);
+        }
+        links
     }
 
     /// Whether every zone holds every layer.
--- a/mimosafront/tests/cluster/engine.rs
+++ b/mimosafront/tests/cluster/engine.rs
@@ -189,7 +189,8 @@
                 "{}",
             );
         }
-        if !is_complete_chain(&hops) || hops[0].0 != self.member.address() {
+        let is_first = |hop: &Hop| self.endpoints.at(hop.0).is_some_and(|m| m.id == self.member.id);
+        if !is_complete_chain(&hops) || !is_first(&hops[0]) {
             self.endpoints.violation(format!("{id}: chain {hops:?}"));
         }
         self.endpoints.update_trace(&id, |trace| {
--- a/mimosafront/tests/cluster/load.rs
+++ b/mimosafront/tests/cluster/load.rs
@@ -19,9 +19,21 @@
     interval: Duration,
     duration: Duration,
     request: impl Fn(usize) -> TestRequest + Send + 'static,
+) -> Results {
+    let all: Vec<_> = (0..cluster.routers.len()).collect();
+    send_requests_to(cluster, &all, interval, duration, request)
+}
+
+/// Sends requests like [`send_requests`], to these routers only.
+pub fn send_requests_to(
+    cluster: &TestCluster,
+    routers: &[usize],
+    interval: Duration,
+    duration: Duration,
+    request: impl Fn(usize) -> TestRequest + Send + 'static,
 ) -> Results {
     let results = Results::default();
-    let routers: Vec<_> = cluster.routers.iter().map(|router| router.clients).collect();
+    let routers: Vec<_> = routers.iter().map(|router| cluster.routers[*router].clients).collect();
     let ended = results.clone();
     cluster.runtime.spawn(async move {
         let mut ticks = tokio::time::interval(interval);
@@ -45,8 +57,13 @@
 
 /// Share of the requests sent after `from` that were served.
 pub fn served_share(results: &Results, from: Instant) -> f64 {
+    served_share_between(results, from, from + Duration::from_secs(3_600))
+}
+
+/// Share of the requests sent from `from` to `to` that were served.
+pub fn served_share_between(results: &Results, from: Instant, to: Instant) -> f64 {
     let results = results.lock().unwrap();
-    let sent: Vec<_> = results.iter().filter(|(sent, ..)| *sent >= from).collect();
+    let sent: Vec<_> = results.iter().filter(|(sent, ..)| (from..to).contains(sent)).collect();
     let served = sent.iter().filter(|(_, request, response)| {
         response.as_ref().is_some_and(|response| {
             assert_eq!(response.protocol_error(request), None);
--- a/mimosafront/tests/cluster/mod.rs
+++ b/mimosafront/tests/cluster/mod.rs
@@ -11,7 +11,7 @@
 pub mod router;
 pub mod store;
 
-use std::net::Ipv4Addr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
@@ -21,7 +21,7 @@
 
 use client::TestRequest;
 use endpoints::Endpoints;
-use proxy::Proxy;
+use proxy::{LinkState, Proxy};
 use router::Router;
 use store::Store;
 
@@ -54,6 +54,8 @@
     pub event_interval: Duration,
     /// Memory of an engine, in MB; a layer with its cache takes 250.
     pub engine_memory_mb: u32,
+    /// Whether each router has links of its own to the endpoints, which can be cut.
+    pub separate_links: bool,
 }
 
 impl Default for ClusterOptions {
@@ -65,6 +67,7 @@
             registers_per_zone: 1,
             event_interval: Duration::from_millis(20),
             engine_memory_mb: 1_000,
+            separate_links: false,
         }
     }
 }
@@ -77,6 +80,8 @@
     pub routers: Vec<Router>,
     /// Proxies between each router and the store.
     pub store_proxies: Vec<Arc<Proxy>>,
+    /// Links between each router and the endpoints, if they are separate.
+    links: Vec<Vec<Arc<Proxy>>>,
     pub revision: u64,
     network: Ipv4Addr,
 }
@@ -125,6 +130,7 @@
             endpoints,
             routers: Vec::new(),
             store_proxies: Vec::new(),
+            links: Vec::new(),
             revision: 0,
             network,
         };
@@ -135,12 +141,32 @@
     pub fn start_router(&mut self, number: usize, zone_number: usize) {
         let seeds: Vec<_> = (0..3).map(|n| host_address(self.network, 10 + n)).collect();
         let address = host_address(self.network, 10 + number as u8);
-        let proxy = self.runtime.block_on(Proxy::start(address, self.store.address()));
+        let store = self.open_links(address);
+        let proxy = self.runtime.block_on(Proxy::start(address, store));
         let router = Router::start(number, &zone(zone_number), address, &seeds, proxy.address());
         self.store_proxies.push(proxy);
         self.routers.push(router);
     }
 
+    /// Opens a router's own links to the endpoints, if it has any; returns the address at
+    /// which the store names these to it.
+    fn open_links(&mut self, router: Ipv4Addr) -> SocketAddr {
+        if !self.endpoints.options.separate_links {
+            return self.store.address();
+        }
+        let links = self.runtime.block_on(self.endpoints.open_links(router));
+        let addresses = self.endpoints.members.iter().map(|member| member.address().to_string());
+        let names = addresses.zip(links.iter().map(|link| link.address().to_string())).collect();
+        self.links.push(links);
+        self.runtime.block_on(self.store.listen(router, names))
+    }
+
+    /// Changes the links between some routers and all endpoints.
+    pub fn set_links(&self, routers: &[usize], state: LinkState) {
+        let links = routers.iter().flat_map(|router| &self.links[*router]);
+        links.for_each(|link| link.set(state));
+    }
+
     /// Writes the next configuration, with these teams and their keys.
     pub fn configure(&mut self, teams: &[(&str, &[&str])]) -> u64 {
         // Revisions may skip numbers.
--- a/mimosafront/tests/cluster/proxy.rs
+++ b/mimosafront/tests/cluster/proxy.rs
@@ -18,6 +18,8 @@
     Delayed(Duration),
     /// Closes open connections, and new ones at once.
     Reset,
+    /// Closes new connections at once; open ones work.
+    RefuseNew,
     /// Blocks data to the server.
     BlockedToServer,
     /// Blocks data to the client.
@@ -116,7 +118,7 @@
     }
 
     async fn relay(self: Arc<Self>, stream: TcpStream, to: SocketAddr) {
-        if *self.state.borrow() == LinkState::Reset {
+        if matches!(*self.state.borrow(), LinkState::Reset | LinkState::RefuseNew) {
             return;
         }
         let answer = self.replacement.lock().unwrap().clone();
--- a/mimosafront/tests/cluster/router.rs
+++ b/mimosafront/tests/cluster/router.rs
@@ -33,8 +33,8 @@
 /// Ports of this process, the same for every router of the test, as in a deployment. They
 /// are below those that the system gives out, for which proxies at the same address, or
 /// other processes for a moment at all addresses, could come first.
-fn ports() -> [u16; 5] {
-    let first = 20_000 + (std::process::id() % 2_000) as u16 * 5;
+fn ports() -> [u16; 6] {
+    let first = 20_000 + (std::process::id() % 2_000) as u16 * 6;
     std::array::from_fn(|number| first + number as u16)
 }
 
@@ -46,7 +46,7 @@
         seeds: &[Ipv4Addr],
         store: SocketAddr,
     ) -> Self {
-        let [clients, ready, peers, control, metrics] = ports();
+        let [clients, ready, control, metrics, first_peer, last_peer] = ports();
         let folder =
             std::env::temp_dir().join(format!("mimosafront-{}-{}", std::process::id(), address));
         std::fs::create_dir_all(&folder).unwrap();
@@ -56,7 +56,7 @@
              listen_addresses.front={address}:{clients}\n\
              listen_addresses.ready={address}:{ready}\n\
              listen_addresses.control={address}:{control}\n\
-             internal_ports={peers},{peers}\nseeds={}\nfirst_start=true\n\
+             internal_ports={first_peer},{last_peer}\nseeds={}\nfirst_start=true\n\
              heartbeat_interval_ms={}\nplatform.address={store}\n\
              platform.writes_per_s=400\nplatform.reads_per_s=2000\n\
              bounds.grace_s={}\nbounds.strict_revocation=true\nbounds.revocation_ms={}\n\
@@ -151,13 +151,18 @@
         }
     }
 
+    /// Id of the running process.
+    pub fn process_id(&self) -> u32 {
+        self.child.as_ref().unwrap().id()
+    }
+
     pub fn is_running(&mut self) -> bool {
         self.child.as_mut().is_some_and(|child| child.try_wait().unwrap().is_none())
     }
 
     /// Largest resident memory so far, from `/proc`.
     pub fn peak_memory_kb(&self) -> u64 {
-        let id = self.child.as_ref().unwrap().id();
+        let id = self.process_id();
         let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap();
         let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
         line.trim().trim_end_matches(" kB").parse().unwrap()
--- a/mimosafront/tests/cluster/store.rs
+++ b/mimosafront/tests/cluster/store.rs
@@ -1,6 +1,6 @@
 //! A stand-in for the store of the platform, according to its protocol.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::convert::Infallible;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex};
@@ -55,18 +55,36 @@
         let address = listener.local_addr().unwrap();
         let store =
             Arc::new(Self { rows: Mutex::default(), mode: Mutex::new(StoreMode::Up), address });
-        let serving = store.clone();
+        store.clone().serve(listener, HashMap::new());
+        store
+    }
+
+    /// Listens at another address, where endpoints appear at these addresses instead of
+    /// their own.
+    pub async fn listen(
+        self: &Arc<Self>,
+        address: Ipv4Addr,
+        links: HashMap<String, String>,
+    ) -> SocketAddr {
+        let listener = TcpListener::bind((address, 0)).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        self.clone().serve(listener, links);
+        address
+    }
+
+    fn serve(self: Arc<Self>, listener: TcpListener, links: HashMap<String, String>) {
+        let links = Arc::new(links);
         tokio::spawn(async move {
             loop {
                 let (stream, _) = listener.accept().await.unwrap();
-                let store = serving.clone();
-                let service = service_fn(move |request| store.clone().answer(request));
+                let (store, links) = (self.clone(), links.clone());
+                let service =
+                    service_fn(move |request| store.clone().answer(request, links.clone()));
                 let connection =
                     http1::Builder::new().serve_connection(TokioIo::new(stream), service);
                 tokio::spawn(async move { drop(connection.await) });
             }
         });
-        store
     }
 
     pub fn address(&self) -> SocketAddr {
@@ -126,6 +144,7 @@
     async fn answer(
         self: Arc<Self>,
         request: Request<Incoming>,
+        links: Arc<HashMap<String, String>>,
     ) -> Result<Response<Full<Bytes>>, Infallible> {
         let mode = *self.mode.lock().unwrap();
         if mode == StoreMode::Busy {
@@ -143,14 +162,14 @@
             found.next().map(|(_, value)| value.to_owned()).unwrap_or_default()
         };
         let (status, body) = match head.uri.path() {
-            "/api/rows-get" => self.rows(&query("table"), None),
+            "/api/rows-get" => self.rows(&query("table"), None, &links),
             "/api/rows-feed" if mode == StoreMode::NoHistory => (410, json!({})),
             "/api/rows-feed"
                 if query("after").parse().is_ok_and(|after: u64| after > self.version()) =>
             {
                 (410, json!({}))
             }
-            "/api/rows-feed" => self.rows(&query("table"), query("after").parse().ok()),
+            "/api/rows-feed" => self.rows(&query("table"), query("after").parse().ok(), &links),
             "/api/rows-tx" => self.transact(&body),
             _ => (404, json!({})),
         };
@@ -163,11 +182,16 @@
         Ok(response)
     }
 
-    fn rows(&self, table: &str, after: Option<u64>) -> (u16, Value) {
+    fn rows(
+        &self,
+        table: &str,
+        after: Option<u64>,
+        links: &HashMap<String, String>,
+    ) -> (u16, Value) {
         let rows = self.rows.lock().unwrap();
         let to_json = |(key, (version, value)): (&(String, String), &(u64, Vec<u8>))| {
             json!({"table": key.0, "part": "", "key": key.1, "record_version": version,
-                "value": STANDARD.encode(value)})
+                "value": STANDARD.encode(with_link(value, links))})
         };
         let is_newer = |version: u64| after.is_none_or(|after| version > after);
         let present =
@@ -216,6 +240,15 @@
     }
 }
 
+/// A row's value, with the address of an endpoint replaced by that of the link to it.
+fn with_link(value: &[u8], links: &HashMap<String, String>) -> Vec<u8> {
+    let Ok(mut row) = serde_json::from_slice::<Value>(value) else { return value.to_vec() };
+    let link = row["address"].as_str().and_then(|address| links.get(address)).cloned();
+    let Some(link) = link else { return value.to_vec() };
+    row["address"] = link.into();
+    row.to_string().into_bytes()
+}
+
 fn reply(status: u16, body: &Value) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from(body.to_string())));
     *response.status_mut() = StatusCode::from_u16(status).unwrap();
--- /dev/null
+++ b/mimosafront/tests/unreachable_endpoints.rs
@@ -0,0 +1,177 @@
+//! Tests of routers that are cut off from all endpoints, while clients, the store and
+//! other routers still reach them.
+
+mod cluster;
+
+use std::time::{Duration, Instant};
+
+use cluster::client::TestRequest;
+use cluster::load::{Results, Sent, send_requests_to, served_share_between};
+use cluster::proxy::LinkState;
+use cluster::{ClusterOptions, TestCluster};
+
+/// Time after which requests at a router that is cut off must be served.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+
+/// Time before the cut, its length, and the time after it.
+const BEFORE_CUT: Duration = Duration::from_secs(2);
+const CUT: Duration = Duration::from_secs(8);
+const AFTER_CUT: Duration = Duration::from_secs(4);
+
+/// Share of the requests that may fail while routers are cut off.
+const MAX_FAILED: f64 = 0.02;
+
+/// Time within which a request is refused that no router can serve.
+const REFUSAL_TIME: Duration = Duration::from_millis(250);
+
+/// Interval of the requests to one router.
+const INTERVAL: Duration = Duration::from_millis(50);
+
+/// Events of a stream.
+const EVENTS: u64 = 4;
+
+/// Interval of further streams at each router that is cut off, from when the cut begins,
+/// and their events. They need more connections than are open by then.
+const FURTHER_INTERVAL: Duration = Duration::from_millis(50);
+const FURTHER_EVENTS: u64 = 30;
+
+/// Time that clients wait.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Routers with links of their own to the endpoints.
+fn options(routers: usize) -> ClusterOptions {
+    ClusterOptions { routers, separate_links: true, ..ClusterOptions::default() }
+}
+
+/// A stream, a posting or a read in turn.
+fn mixed_request(number: usize) -> TestRequest {
+    let request = match number % 3 {
+        0 => TestRequest::draft(EVENTS),
+        1 => TestRequest::post(),
+        _ => TestRequest::read(),
+    };
+    TestRequest { timeout: TIMEOUT, ..request }
+}
+
+fn was_served((_, _, response): &Sent) -> bool {
+    response.as_ref().is_some_and(|response| response.status == 200 && response.complete)
+}
+
+/// Checks that postings ran at most once, and not at all if they were refused.
+fn assert_runs(cluster: &TestCluster, results: &Results) {
+    for (_, request, response) in results.lock().unwrap().iter() {
+        let runs = cluster.endpoints.trace(&request.id).runs;
+        let is_refused = response.as_ref().is_some_and(|response| response.status == 503);
+        if request.path.starts_with("/post/") {
+            assert!(runs <= 1, "{} ran {runs} times", request.id);
+        }
+        assert!(!is_refused || runs == 0, "{} was refused and ran", request.id);
+    }
+}
+
+/// Results at routers that are cut off and at the others.
+struct Run {
+    at_cut_off: Results,
+    at_others: Results,
+    began: Instant,
+}
+
+/// Cuts off some routers for `CUT` under load.
+fn run_cut(cluster: &TestCluster, cut_off: &[usize], cut: LinkState) -> Run {
+    let others: Vec<_> = (0..cluster.routers.len()).filter(|n| !cut_off.contains(n)).collect();
+    let duration = BEFORE_CUT + CUT + AFTER_CUT;
+    let send = |routers: &[usize]| {
+        let interval = INTERVAL / routers.len().max(1) as u32;
+        let duration = if routers.is_empty() { Duration::ZERO } else { duration };
+        send_requests_to(cluster, routers, interval, duration, mixed_request)
+    };
+    let (at_cut_off, at_others) = (send(cut_off), send(&others));
+    std::thread::sleep(BEFORE_CUT);
+    cluster.set_links(cut_off, cut);
+    let began = Instant::now();
+    let interval = FURTHER_INTERVAL / cut_off.len() as u32;
+    let further = send_requests_to(cluster, cut_off, interval, CUT, |_| TestRequest {
+        timeout: TIMEOUT,
+        ..TestRequest::draft(FURTHER_EVENTS)
+    });
+    std::thread::sleep(CUT);
+    cluster.set_links(cut_off, LinkState::Up);
+    std::thread::sleep(AFTER_CUT + Duration::from_secs(3));
+    at_cut_off.lock().unwrap().append(&mut further.lock().unwrap());
+    Run { at_cut_off, at_others, began }
+}
+
+/// Checks that requests at routers that are cut off are served like those at others.
+fn assert_served_despite_cut(routers: usize, cut_off: &[usize], cut: LinkState) {
+    let cluster = TestCluster::start(options(routers));
+    let Run { at_cut_off, at_others, began } = run_cut(&cluster, cut_off, cut);
+    let share = |results| served_share_between(results, began + SETTLE_TIME, began + CUT - TIMEOUT);
+    let (there, elsewhere) = (share(&at_cut_off), share(&at_others));
+    println!("{there:.3} served at routers that are cut off, {elsewhere:.3} at others");
+    assert_runs(&cluster, &at_cut_off);
+    assert!(there >= 1.0 - MAX_FAILED, "{there:.3} served at routers that are cut off");
+    assert!(elsewhere >= 1.0 - MAX_FAILED, "{elsewhere:.3} served at others");
+    assert_eq!(*cluster.endpoints.violations.lock().unwrap(), Vec::<String>::new());
+}
+
+/// Names a test for each way in which a router is cut off.
+macro_rules! requests_are_served_by_other_routers {
+    ($($name:ident: $routers:literal, $cut_off:expr, $cut:ident;)*) => {$(
+        #[test]
+        fn $name() {
+            assert_served_despite_cut($routers, &$cut_off, LinkState::$cut);
+        }
+    )*};
+}
+
+requests_are_served_by_other_routers! {
+    router_whose_connections_hang_serves_through_another: 2, [0], Silent;
+    router_whose_connections_are_reset_serves_through_another: 2, [0], Reset;
+    router_whose_new_connections_are_refused_serves_through_another: 2, [0], RefuseNew;
+    most_routers_of_a_domain_serve_through_the_others: 5, [0, 2, 4], Silent;
+}
+
+#[test]
+fn requests_that_no_router_can_serve_are_refused_at_once() {
+    let cluster = TestCluster::start(options(2));
+    let Run { at_cut_off: results, began, .. } = run_cut(&cluster, &[0, 1], LinkState::Silent);
+    assert_runs(&cluster, &results);
+    let (settled, end) = (began + SETTLE_TIME, began + CUT - TIMEOUT);
+    let results = results.lock().unwrap();
+    let during = results.iter().filter(|(sent, ..)| (settled..end).contains(sent));
+    let refused = |(_, _, response): &Sent| {
+        response.as_ref().is_some_and(|r| r.status == 503 && r.header("retry-after").is_some())
+    };
+    let (sent, refused) = (during.clone().count(), during.filter(|sent| refused(sent)).count());
+    assert_eq!((sent > 0, refused), (true, sent), "refused, of all sent during the cut");
+}
+
+#[test]
+fn refusal_of_requests_that_no_router_can_serve_takes_no_time() {
+    let cluster = TestCluster::start(options(2));
+    send_requests_to(&cluster, &[0, 1], INTERVAL / 2, BEFORE_CUT + CUT, mixed_request);
+    std::thread::sleep(BEFORE_CUT);
+    cluster.set_links(&[0, 1], LinkState::Silent);
+    std::thread::sleep(SETTLE_TIME);
+    for number in 0..12 {
+        let (request, to) = (mixed_request(number), cluster.routers[number % 2].clients);
+        let sent = Instant::now();
+        let response = cluster.runtime.block_on(request.send(to));
+        let elapsed = sent.elapsed();
+        assert_eq!(response.map(|response| response.status), Some(503));
+        assert!(elapsed < REFUSAL_TIME, "refused after {elapsed:?}");
+    }
+}
+
+#[test]
+fn service_returns_when_the_cut_ends() {
+    let cluster = TestCluster::start(options(2));
+    let Run { at_cut_off: results, began, .. } = run_cut(&cluster, &[0, 1], LinkState::Silent);
+    let back = began + CUT + Duration::from_secs(1);
+    let results = results.lock().unwrap();
+    let after: Vec<_> = results.iter().filter(|(sent, ..)| *sent >= back).collect();
+    let served = after.iter().filter(|sent| was_served(sent)).count();
+    let share = served as f64 / after.len().max(1) as f64;
+    println!("{share:.3} served from 1 s after the cut");
+    assert!(share >= 1.0 - MAX_FAILED, "{share:.3} served from 1 s after the cut");
+}
