Serve through other routers when no endpoint is reachable

Cause: a router had one way to serve, its own connections.

Now doubts about two endpoints start a check that opens new connections to a sample of a service's endpoints. If none accepts, the service's paths count as lost, digests say so, and requests go through a router that reaches the service, on a port of their own. With no such router they are refused at once. Posts that may have reached an endpoint are sent to nobody else. An endpoint that closes connections counts as crashed only if others are reached.

The tests now drop packets where connections hang, as silent connections are accepted by the system.

--- a/mimosafront/src/call.rs
+++ b/mimosafront/src/call.rs
@@ -31,6 +31,7 @@
             self.fleet.borrow_mut().record_sent(endpoint, sent, random);
         }
         let exchange = self.pool.send(hop.address, request, new_connection).await?;
+        self.record_endpoint_answer(&hop.id);
         // Status 421 is the answer of another endpoint at the same address.
         if exchange.head.status() != StatusCode::MISDIRECTED_REQUEST {
             let echoed = exchange.head.headers().get(header::REQUEST_ID);
--- a/mimosafront/src/gossip.rs
+++ b/mimosafront/src/gossip.rs
@@ -8,7 +8,7 @@
 use mimosaplatform::config;
 use mimosashift::emit;
 use mimosashift::event::Event;
-use mimosashift::fleet::{Member, Observation};
+use mimosashift::fleet::{Incarnation, Member, Observation, name_key};
 use mimosashift::peer::{Config, Digest, Directory, MAX_DIGEST_BYTES};
 use mimosashift::time::Instant;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -109,13 +109,21 @@
             .iter()
             .map(|(at, observed)| Observation { age: now.since(*at), ..*observed })
             .collect(),
-        dead: state.fleet.borrow().dead().map(Member::key).collect(),
+        dead: dead_endpoints(state),
+        unreachable: state.reach.borrow().lost().map(|service| name_key(service)).collect(),
         suspects: state.quarantine.borrow().records(now),
         limits: state.fleet.borrow().limit_records(now),
         peers: state.peers.borrow().shared_addresses(now, &mut state.rng.borrow_mut()),
     }
 }
 
+/// The dead endpoints of services that this router reaches.
+fn dead_endpoints(state: &RouterState) -> Vec<Incarnation> {
+    let (fleet, reach) = (state.fleet.borrow(), state.reach.borrow());
+    let dead = fleet.dead().filter(|member| !reach.is_lost(&member.endpoint.service));
+    dead.map(Member::key).collect()
+}
+
 fn receive(state: &Rc<RouterState>, bytes: &[u8], from: SocketAddr, last_fetch: &mut Instant) {
     let now = clock::now();
     let Ok(digest) = postcard::from_bytes::<Digest>(bytes) else {
--- a/mimosafront/src/lib.rs
+++ b/mimosafront/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod metrics;
 pub mod placement;
 pub mod probe;
+pub mod reach;
 pub mod readiness;
 pub mod relay;
 pub mod run;
--- a/mimosafront/src/relay/mod.rs
+++ b/mimosafront/src/relay/mod.rs
@@ -22,9 +22,13 @@
 
 use crate::body::{ResponseBody, TruncatedBody};
 use crate::clock;
+use crate::server::Listener;
 use crate::state::{RouterState, millis};
 
+use self::peer::Origin;
+
 mod model;
+mod peer;
 mod plain;
 mod quarantine;
 
@@ -67,6 +71,7 @@
     /// What it may have in common with others that crashes endpoints.
     contents: Contents,
     last_event: Option<u64>,
+    origin: Origin,
     arrived: Instant,
     deadline: Instant,
     _in_flight_guard: InFlightGuard,
@@ -138,7 +143,7 @@
             "request" => &*self.id, "attempt" => attempt, "to" => to, "inputs" => inputs,
             "contents" => self.describe_contents(), "route" => &*self.route.name, "left_ms" => millis(self.remaining()),
             "revision" => state.revision(), "config_age_ms" => state.config_age_ms(),
-            "directory_age_ms" => state.directory_age_ms(),
+            "directory_age_ms" => state.directory_age_ms(), "relayed_by" => self.origin.relayed_by(),
         );
     }
 
@@ -154,13 +159,18 @@
 /// Handles one request.
 pub async fn handle(
     state: Rc<RouterState>,
-    request: Request<Incoming>,
+    listener: Listener,
+    mut request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, TruncatedBody> {
     let arrived = clock::now();
+    let origin = match listener {
+        Listener::Clients => Origin::Client,
+        Listener::Routers => Origin::take(request.headers_mut()),
+    };
     let is_chunked = request.headers().contains_key(TRANSFER_ENCODING);
     let id = request.headers().get(header::REQUEST_ID).cloned();
     let version = request.version();
-    let result = match accept(&state, request, arrived).await {
+    let result = match accept(&state, request, origin, arrived).await {
         Ok(ctx) if ctx.service.engine.is_some() => model::relay(ctx).await,
         Ok(ctx) => plain::relay(ctx).await,
         Err(error) => Err(error),
@@ -198,6 +208,7 @@
 async fn accept(
     state: &Rc<RouterState>,
     request: Request<Incoming>,
+    origin: Origin,
     arrived: Instant,
 ) -> Result<RequestContext, RequestError> {
     let in_flight = InFlightGuard::new(state);
@@ -225,7 +236,9 @@
         "service is not declared",
         DEFAULT_RETRY_AFTER,
     ))?;
-    state.count_request(&service.name);
+    if origin == Origin::Client {
+        state.count_request(&service.name);
+    }
     let target = origin_form(&head.uri);
     let (method, path) = (head.method.as_str(), target.to_string());
     let fingerprint = Fingerprint::new(team.as_deref(), method, &host, &path, &body);
@@ -244,6 +257,7 @@
         tokens: info.tokens,
         contents: parts.chain([Content::Request(fingerprint)]).collect(),
         last_event: info.last_event,
+        origin,
         arrived,
         deadline: arrived + time_limit,
         _in_flight_guard: in_flight,
@@ -392,6 +406,15 @@
     response
 }
 
+/// How a request ended that another router has answered.
+fn relayed_outcome(status: StatusCode) -> Outcome {
+    match status {
+        status if status.is_success() => Outcome::Completed,
+        StatusCode::SERVICE_UNAVAILABLE => Outcome::Refused,
+        _ => Outcome::Failed,
+    }
+}
+
 /// Forwards an endpoint's response, except for hop-by-hop headers.
 fn forward_response(head: &Response<()>, body: ResponseBody) -> Response<ResponseBody> {
     let mut response = Response::new(body);
--- a/mimosafront/src/relay/model/crash.rs
+++ b/mimosafront/src/relay/model/crash.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 use mimosashift::fleet::Hop;
+use mimosashift::time::Instant;
 
 use super::ModelRequest;
 use crate::probe::{self, ProbeResult};
+use crate::{clock, reach};
 
 /// Time for which a stream must have had events before its prompt counts as
 /// harmless: many steps of an engine.
@@ -25,11 +27,12 @@
         if self.has_written_for_long() {
             return;
         }
+        let failed = clock::now();
         let crashed = match probe::check_still_alive(self.state(), &first).await {
             ProbeResult::Dead(_) => true,
             ProbeResult::Alive(report) => report.incarnation != first.incarnation,
         };
-        if crashed {
+        if crashed && self.reaches_engines(failed).await {
             self.record_crash(&first);
         }
     }
@@ -40,15 +43,23 @@
         if self.has_written_for_long() {
             return;
         }
+        let failed = clock::now();
         for hop in dead {
             if let ProbeResult::Dead(error) = probe::check_alive(self.state(), hop).await
                 && error.closed
+                && self.reaches_engines(failed).await
             {
                 self.record_crash(hop);
             }
         }
     }
 
+    /// Whether this router still reaches engines; otherwise the one that failed need not
+    /// have crashed.
+    async fn reaches_engines(&self, failed: Instant) -> bool {
+        reach::is_reached(self.state(), &self.ctx.service.name, failed).await
+    }
+
     fn record_crash(&mut self, hop: &Hop) {
         self.crashed_engines += 1;
         self.ctx.record_crash(hop, self.events_forwarded);
--- a/mimosafront/src/relay/model/forward.rs
+++ b/mimosafront/src/relay/model/forward.rs
@@ -20,6 +20,7 @@
 use crate::clock;
 use crate::probe::{self, ProbeResult};
 use crate::relay::RequestError;
+use crate::relay::peer::Path;
 use crate::state::millis;
 
 /// Time since the first hop was marked dead after which a stream without a
@@ -97,7 +98,7 @@
     /// kept until that has succeeded, since it may only be slow.
     async fn replace_chain(&mut self, reason: &str) -> Option<Exchange> {
         self.exclude_first_hop();
-        if !self.is_resumable() || self.select_chain().is_err() {
+        if !self.is_resumable() || !self.has_replacement() {
             return None;
         }
         let old_claim = self.claim.take();
@@ -116,6 +117,15 @@
         }
     }
 
+    /// Whether another chain or router may continue the stream.
+    fn has_replacement(&self) -> bool {
+        match self.ctx.path(&self.tried_relays) {
+            Path::Direct => self.select_chain().is_ok(),
+            Path::Relayed(_) => true,
+            Path::Lost => false,
+        }
+    }
+
     /// Whether the first hop has been dead for `ABANDON_AFTER`.
     fn is_first_hop_lost(&self) -> bool {
         let fleet = self.state().fleet.borrow();
@@ -166,7 +176,8 @@
         drop(sender.send(Chunk::End).await);
         self.outcome_recorded = true;
         self.state().meter.requests(1, Outcome::Completed);
-        let by = self.claim.as_ref().map(|claim| claim.chain[0].id.clone());
+        let chain = self.claim.as_ref().map(|claim| claim.chain[0].id.clone());
+        let by = chain.or_else(|| self.relay.as_ref().map(|relay| relay.name.clone()));
         let by = by.as_deref().unwrap_or_default();
         let ms = millis(clock::now().since(self.ctx.arrived));
         emit!(
@@ -210,6 +221,9 @@
                         match self.check_stall(last_event_at).await {
                             StallCheck::Progressing => stall_timer.schedule_recheck(now),
                             StallCheck::Healthy | StallCheck::Rerouted => stall_timer.on_check(clock::now()),
+                            StallCheck::Lost(reason) if self.relay.is_some() => {
+                                return ForwardOutcome::Broken(reason);
+                            }
                             StallCheck::Lost(reason) => return ForwardOutcome::Stalled(reason),
                         }
                     }
--- a/mimosafront/src/relay/model/mod.rs
+++ b/mimosafront/src/relay/model/mod.rs
@@ -22,7 +22,8 @@
 
 use self::stall::{FaultyHops, StallCheck};
 use self::stall_timer::{StallTimer, wait_for_fault_or_tick};
-use super::{LIMITED_REASON, RequestContext, RequestError, forward_response};
+use super::peer::{Path, Relay, UNREACHABLE_REASON};
+use super::{LIMITED_REASON, RequestContext, RequestError, forward_response, relayed_outcome};
 use crate::body::ResponseBody;
 use crate::clock;
 use crate::probe;
@@ -65,6 +66,10 @@
     engine: Arc<Engine>,
     demand: Demand,
     claim: Option<Claim>,
+    /// The router that serves it instead of a chain.
+    relay: Option<Relay>,
+    /// Routers that were tried.
+    tried_relays: SmallVec<[Arc<str>; 2]>,
     events: EventSplitter,
     /// Number of events forwarded.
     events_forwarded: usize,
@@ -157,11 +162,14 @@
             }
         };
         let events = EventSplitter::after(ctx.last_event);
+        let possible_executions = ctx.origin.executions();
         Self {
             ctx,
             engine,
             demand,
             claim: None,
+            relay: None,
+            tried_relays: SmallVec::new(),
             events,
             events_forwarded: 0,
             first_event_in_run: None,
@@ -169,7 +177,7 @@
             crashed_engines: 0,
             moves_before_writing: 0,
             timing: EventTiming::default(),
-            possible_executions: 0,
+            possible_executions,
             rejected_sends: 0,
             excluded_hops: SmallVec::new(),
             outcome_recorded: false,
@@ -181,6 +189,7 @@
     }
 
     fn release(&mut self) {
+        self.relay = None;
         if let Some(claim) = self.claim.take() {
             self.state().fleet.borrow_mut().release(&claim);
             self.state().memory_released.notify_one();
@@ -200,7 +209,8 @@
                 ));
             }
             self.ctx.check_contents(self.possible_executions > 0)?;
-            let sends = self.possible_executions + self.rejected_sends;
+            let sends =
+                self.possible_executions - self.ctx.origin.executions() + self.rejected_sends;
             if sends > 0 {
                 let must_not_repeat =
                     self.possible_executions > 0 && !self.ctx.route.is_idempotent();
@@ -219,8 +229,22 @@
                     ));
                 }
             }
-            let chain = self.admit().await?;
-            match self.send(chain, sends + 1).await {
+            let sent = match self.ctx.path(&self.tried_relays) {
+                Path::Direct => {
+                    let chain = self.admit().await?;
+                    self.send(chain, sends + 1).await
+                }
+                Path::Relayed(relay) => self.send_through(relay, sends + 1).await,
+                Path::Lost => {
+                    return Err(self.unanswered_error(
+                        StatusCode::BAD_GATEWAY,
+                        RefusalReason::NoEndpoint,
+                        UNREACHABLE_REASON,
+                        self.ctx.unreachable_retry_after(),
+                    ));
+                }
+            };
+            match sent {
                 Ok(exchange) => return Ok(exchange),
                 Err(reason) => cause = reason,
             }
@@ -393,6 +417,38 @@
         }
     }
 
+    /// Sends the request through another router; returns the reason if there is no
+    /// response.
+    async fn send_through(&mut self, relay: Relay, attempt: u32) -> Result<Exchange, &'static str> {
+        self.tried_relays.push(relay.name.clone());
+        let (executions, last_event) = (self.possible_executions, self.events.last());
+        let sending = self.ctx.send_to_router(&relay, attempt, executions, last_event);
+        let result = timeout(self.ctx.remaining(), sending).await;
+        let lost = |_| Err(Failure::Lost { reason: "no answer in time".to_owned() });
+        match result.unwrap_or_else(lost) {
+            Ok(exchange) => {
+                let info = header::response(exchange.head.headers());
+                self.possible_executions += 1;
+                if !self.ctx.is_answered_by(&info, exchange.head.status()) {
+                    return Err("answer to another request");
+                }
+                if exchange.head.status().is_success() && !info.signed {
+                    return Err("answer without a signature");
+                }
+                self.relay = Some(relay);
+                Ok(exchange)
+            }
+            Err(Failure::NotSent { .. }) => {
+                self.rejected_sends += 1;
+                Err("router not reached")
+            }
+            Err(Failure::Lost { .. }) => {
+                self.possible_executions += 1;
+                Err("router did not answer")
+            }
+        }
+    }
+
     /// Waits for the response head and checks the chain meanwhile; `Err(None)`
     /// if the chain is lost or the deadline has passed.
     async fn wait_for_head(
@@ -507,8 +563,17 @@
         let Ok(body) = exchange.collect(MAX_BUFFERED_RESPONSE_BYTES).await else {
             return Err(RequestError::Failed(StatusCode::BAD_GATEWAY, "answer lost"));
         };
-        self.state().meter.requests(1, Outcome::Failed);
-        self.ctx.log_answered(exchange.head.status(), "first of the chain");
+        let status = exchange.head.status();
+        match &self.relay {
+            Some(relay) => {
+                self.state().meter.requests(1, relayed_outcome(status));
+                self.ctx.log_answered(status, &relay.name);
+            }
+            None => {
+                self.state().meter.requests(1, Outcome::Failed);
+                self.ctx.log_answered(status, "first of the chain");
+            }
+        }
         Ok(forward_response(&exchange.head, ResponseBody::Full(Some(body))))
     }
 }
--- a/mimosafront/src/relay/model/stall.rs
+++ b/mimosafront/src/relay/model/stall.rs
@@ -47,7 +47,7 @@
     /// Checks a chain that has delivered no event since `since`, and reroutes
     /// the request if a hop is dead or slow.
     pub(super) async fn check_stall(&mut self, since: Instant) -> StallCheck {
-        let Some(claim) = &self.claim else { return StallCheck::Lost("no chain assigned") };
+        let Some(claim) = &self.claim else { return self.check_relay() };
         let chain = claim.chain.clone();
         let silent = self.state().fleet.borrow().silent(&chain, clock::now());
         let known = self.known_faults();
@@ -82,6 +82,15 @@
         }
     }
 
+    /// Checks the router that serves the request, which itself reroutes it.
+    fn check_relay(&self) -> StallCheck {
+        match &self.relay {
+            Some(relay) if relay.is_alive() => StallCheck::Progressing,
+            Some(_) => StallCheck::Lost("router is gone"),
+            None => StallCheck::Lost("no chain assigned"),
+        }
+    }
+
     fn has_moved_too_often(&self) -> bool {
         !self.has_written_for_long() && self.moves_before_writing >= MAX_MOVES_BEFORE_WRITING
     }
--- a/mimosafront/src/relay/plain.rs
+++ b/mimosafront/src/relay/plain.rs
@@ -18,11 +18,11 @@
 use smallvec::SmallVec;
 use tokio::time::timeout;
 
-use super::{LIMITED_REASON, RequestContext, RequestError, forward_response};
+use super::peer::{Path, Relay, UNREACHABLE_REASON};
+use super::{LIMITED_REASON, RequestContext, RequestError, forward_response, relayed_outcome};
 use crate::body::ResponseBody;
-use crate::clock;
-use crate::probe;
 use crate::state::RouterState;
+use crate::{clock, probe, reach};
 
 /// Largest response that is accepted.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
@@ -65,7 +65,7 @@
 /// Tries one endpoint after another.
 pub async fn relay(ctx: RequestContext) -> Result<Response<ResponseBody>, RequestError> {
     let mut tried: SmallVec<[Arc<str>; 4]> = SmallVec::new();
-    let (mut possible_executions, mut rejected_sends) = (0, 0);
+    let (mut possible_executions, mut rejected_sends) = (ctx.origin.executions(), 0);
     let mut last_response = None;
     let mut cause = "no endpoint left";
     let (mut reason, mut retry_after) = (RefusalReason::NoEndpoint, NOT_EXECUTED_RETRY_AFTER);
@@ -77,23 +77,34 @@
         if !tried.is_empty() && !ctx.state.take_retry(&ctx.service.name) {
             break;
         }
-        let now = clock::now();
-        let zone = ctx.state.node().zone.clone();
-        let hop = ctx.state.fleet.borrow().choose_endpoint(&ctx.service.name, &zone, &tried, now);
-        let Some(hop) = hop else {
-            if let Some(wait) = ctx.state.record_limited(&ctx.service.name) {
-                (cause, reason) = (LIMITED_REASON, RefusalReason::OverLimit);
-                retry_after = wait;
-            }
-            break;
-        };
         let attempt = tried.len() as u32 + 1;
         if attempt > 1 {
             emit!(ctx.state.log, Event::RequestRetried, "request" => &*ctx.id, "attempt" => attempt, "reason" => cause);
         }
-        tried.push(hop.id.clone());
-        let can_retry = ctx.route.is_idempotent() && possible_executions + 1 < ctx.route.attempts;
-        match send(&ctx, &hop, attempt, can_retry).await {
+        let outcome = match ctx.path(&tried) {
+            Path::Relayed(relay) => {
+                tried.push(relay.name.clone());
+                send_through(&ctx, &relay, attempt, possible_executions).await
+            }
+            Path::Lost => {
+                (cause, retry_after) = (UNREACHABLE_REASON, ctx.unreachable_retry_after());
+                break;
+            }
+            Path::Direct => {
+                let Some(hop) = choose_endpoint(&ctx, &tried) else {
+                    if let Some(wait) = ctx.state.record_limited(&ctx.service.name) {
+                        (cause, reason) = (LIMITED_REASON, RefusalReason::OverLimit);
+                        retry_after = wait;
+                    }
+                    break;
+                };
+                tried.push(hop.id.clone());
+                let can_retry =
+                    ctx.route.is_idempotent() && possible_executions + 1 < ctx.route.attempts;
+                send(&ctx, &hop, attempt, can_retry).await
+            }
+        };
+        match outcome {
             SendOutcome::Answered(response, true) => return Ok(response),
             SendOutcome::Answered(response, false) => {
                 possible_executions += 1;
@@ -126,6 +137,11 @@
     }
 }
 
+fn choose_endpoint(ctx: &RequestContext, tried: &[Arc<str>]) -> Option<Hop> {
+    let (zone, now) = (ctx.state.node().zone.clone(), clock::now());
+    ctx.state.fleet.borrow().choose_endpoint(&ctx.service.name, &zone, tried, now)
+}
+
 fn deadline_error(may_have_run: bool) -> RequestError {
     if may_have_run {
         return RequestError::Failed(StatusCode::GATEWAY_TIMEOUT, "deadline passed");
@@ -154,7 +170,10 @@
         Ok(Err(Failure::Lost { reason })) => {
             state.mark_suspect(&hop.id, &reason);
             state.pool.close_idle(hop.address);
-            if probe::has_crashed(state, hop, &ctx.service.health_path).await {
+            let failed = clock::now();
+            if probe::has_crashed(state, hop, &ctx.service.health_path).await
+                && reach::is_reached(state, &ctx.service.name, failed).await
+            {
                 ctx.record_crash(hop, 0);
             }
             return SendOutcome::Lost("answer lost");
@@ -182,6 +201,32 @@
     outcome
 }
 
+/// Sends the request through another router, whose response is final.
+async fn send_through(
+    ctx: &RequestContext,
+    relay: &Relay,
+    attempt: u32,
+    executions: u32,
+) -> SendOutcome {
+    let response = async {
+        let mut exchange = ctx.send_to_router(relay, attempt, executions, ctx.last_event).await?;
+        let body = exchange.collect(MAX_RESPONSE_BYTES).await?;
+        Ok::<_, Failure>((exchange, body))
+    };
+    match timeout(ctx.remaining(), response).await {
+        Ok(Ok((exchange, body))) => {
+            let outcome = check_response(ctx, exchange, body, false);
+            if let SendOutcome::Answered(response, _) = &outcome {
+                ctx.state.meter.requests(1, relayed_outcome(response.status()));
+                ctx.log_answered(response.status(), &relay.name);
+            }
+            outcome
+        }
+        Ok(Err(Failure::NotSent { .. })) => SendOutcome::NotRun("router not reached"),
+        Ok(Err(Failure::Lost { .. })) | Err(_) => SendOutcome::Lost("router did not answer"),
+    }
+}
+
 async fn send_and_collect(ctx: &RequestContext, hop: &Hop) -> Result<(Exchange, Bytes), Failure> {
     let request = ctx.request(hop, &[], ctx.last_event);
     let mut exchange = ctx.state.call(hop, request, false).await?;
--- a/mimosafront/src/run.rs
+++ b/mimosafront/src/run.rs
@@ -11,10 +11,11 @@
 use tokio::sync::watch;
 use tokio::task::{LocalSet, spawn_local};
 
+use crate::server::Listener;
 use crate::settings::SettingsFile;
 use crate::shutdown::{self, Signals};
 use crate::state::RouterState;
-use crate::{directory, gossip, metrics, placement, probe, readiness, server};
+use crate::{directory, gossip, metrics, placement, probe, reach, readiness, server};
 
 /// Inputs of [`run`].
 pub struct StartOptions {
@@ -40,11 +41,11 @@
 
 async fn serve(options: StartOptions, signals: Signals) -> io::Result<usize> {
     let StartOptions { file, node, metrics, log, meter } = options;
-    let peer = SocketAddr::new(node.client_address.ip(), node.peer_ports.0);
     let clients = TcpListener::bind(node.client_address).await?;
     let readiness = TcpListener::bind(node.readiness_address).await?;
-    let peer_listener = TcpListener::bind(peer).await?;
-    let peer_socket = UdpSocket::bind(peer).await?;
+    let peer_listener = TcpListener::bind(node.peer_address()).await?;
+    let peer_socket = UdpSocket::bind(node.peer_address()).await?;
+    let relays = TcpListener::bind(node.relay_address()).await?;
     let state = RouterState::new(node, log, meter);
     let node = state.node();
     emit!(
@@ -61,7 +62,9 @@
     spawn_local(probe::poll_reports(state.clone()));
     spawn_local(probe::watch_liveness(state.clone()));
     spawn_local(readiness::serve(state.clone(), readiness));
-    spawn_local(server::serve(state.clone(), clients, stop_receiver));
+    spawn_local(reach::watch(state.clone()));
+    spawn_local(server::serve(state.clone(), clients, Listener::Clients, stop_receiver.clone()));
+    spawn_local(server::serve(state.clone(), relays, Listener::Routers, stop_receiver));
     match TcpListener::bind(metrics).await {
         Ok(listener) => drop(spawn_local(metrics::serve(state.clone(), listener))),
         // A router without metrics is preferable to no router.
--- a/mimosafront/src/server.rs
+++ b/mimosafront/src/server.rs
@@ -1,4 +1,4 @@
-//! Accepts client connections.
+//! Accepts connections of clients, and of routers that relay requests.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,10 +19,20 @@
 /// Smallest head buffer that hyper accepts.
 const MIN_HEAD_BUFFER_BYTES: usize = 8 * 1024;
 
+/// Who connects.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listener {
+    /// Clients.
+    Clients,
+    /// Routers that reach no endpoint.
+    Routers,
+}
+
 /// Accepts connections until the router stops accepting.
 pub async fn serve(
     state: Rc<RouterState>,
     listener: TcpListener,
+    kind: Listener,
     stop_receiver: watch::Receiver<bool>,
 ) {
     let mut stop = stop_receiver.clone();
@@ -34,7 +44,7 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                let serving = serve_connection(state.clone(), stream, stop_receiver.clone());
+                let serving = serve_connection(state.clone(), stream, kind, stop_receiver.clone());
                 tokio::task::spawn_local(serving);
             }
             Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
@@ -45,12 +55,13 @@
 async fn serve_connection(
     state: Rc<RouterState>,
     stream: TcpStream,
+    kind: Listener,
     mut stop_receiver: watch::Receiver<bool>,
 ) {
     // Streams consist of small events, which Nagle's algorithm would delay.
     drop(stream.set_nodelay(true));
     let limits = state.deployment().map_or_else(Default::default, |d| d.limits);
-    let service = service_fn(|request| relay::handle(state.clone(), request));
+    let service = service_fn(|request| relay::handle(state.clone(), kind, request));
     let mut builder = http1::Builder::new();
     // hyper applies this timer to idle keep-alive connections as well, so the
     // longer of the two time-outs is used.
--- a/mimosafront/src/state.rs
+++ b/mimosafront/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,6 +20,7 @@
 use mimosashift::peer::Peers;
 use mimosashift::pipeline::retry::{Window, WindowLimits};
 use mimosashift::quarantine::{Content, Quarantine, Verdict};
+use mimosashift::reach::Reach;
 use mimosashift::time::Instant;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -26,6 +28,7 @@
 
 use crate::clock;
 use crate::probe::ProbeResults;
+use crate::reach::SharedCheck;
 
 /// Time limit for opening a connection: a few round trips between zones. Opening
 /// one takes longer if the peer's accept queue is full.
@@ -61,6 +64,12 @@
     pub fleet: RefCell<Fleet>,
     /// Other routers, as known by gossip.
     pub peers: RefCell<Peers>,
+    /// Whether endpoints of each service are reached.
+    pub reach: RefCell<Reach>,
+    /// Recent checks of the paths to services.
+    pub reach_checks: RefCell<HashMap<Arc<str>, SharedCheck>>,
+    /// Requests relayed to each router that have not ended.
+    pub relayed: RefCell<HashMap<Arc<str>, usize>>,
     /// Contents of requests that crash endpoints.
     pub quarantine: RefCell<Quarantine>,
     /// Recent liveness probes, by endpoint.
@@ -128,10 +137,10 @@
         let pool = Pool::new(settings);
         let store = Store::new(pool.clone(), node.store.address, STORE_TIMEOUT);
         let now = clock::now();
-        let port = node.peer_ports.0;
-        let own_address = std::net::SocketAddr::new(node.client_address.ip(), port);
+        let own_address = node.peer_address();
+        let seeds = node.seeds.iter();
         let seeds: Vec<_> =
-            node.seeds.iter().map(|seed| std::net::SocketAddr::new(seed.ip(), port)).collect();
+            seeds.map(|seed| SocketAddr::new(seed.ip(), own_address.port())).collect();
         let incarnation = clock::unix_micros();
         Rc::new(Self {
             peers: RefCell::new(Peers::new(own_address, node.zone.clone(), &seeds, now)),
@@ -139,6 +148,9 @@
             active_config: RefCell::default(),
             config_freshness: Cell::default(),
             fleet: RefCell::default(),
+            reach: RefCell::default(),
+            reach_checks: RefCell::default(),
+            relayed: RefCell::default(),
             quarantine: RefCell::default(),
             probe_results: RefCell::default(),
             pressure: RefCell::default(),
@@ -343,6 +355,7 @@
     /// that use it.
     pub fn mark_dead(&self, id: &str, reason: &str) {
         self.fleet.borrow_mut().mark_dead(id, clock::now());
+        self.doubt_path(id);
         self.faults.notify_waiters();
         emit!(self.log, Event::EndpointSuspect, "endpoint" => id, "reason" => reason, "dead" => true);
     }
@@ -350,8 +363,30 @@
     /// Excludes an endpoint for a while after a failure.
     pub fn mark_suspect(&self, id: &str, reason: &str) {
         self.fleet.borrow_mut().record_failure(id, clock::now());
+        self.doubt_path(id);
         emit!(self.log, Event::EndpointSuspect, "endpoint" => id, "reason" => reason);
     }
+
+    /// Records that the path to an endpoint may be lost, and with it those to the others of
+    /// its service.
+    fn doubt_path(&self, id: &str) {
+        let fleet = self.fleet.borrow();
+        let Some(endpoint) = fleet.get(id).map(|member| &member.endpoint) else { return };
+        let known = fleet.ready_count(&endpoint.service);
+        let mut reach = self.reach.borrow_mut();
+        reach.record_failure(&endpoint.service, &endpoint.id, known, clock::now());
+    }
+
+    /// Records an answer of an endpoint, which shows that open connections work.
+    pub fn record_endpoint_answer(&self, id: &str) {
+        if self.reach.borrow().lost().next().is_none() {
+            return;
+        }
+        let fleet = self.fleet.borrow();
+        if let Some(member) = fleet.get(id) {
+            self.reach.borrow_mut().record_answer(&member.endpoint.service, clock::now());
+        }
+    }
 }
 
 /// A duration in whole milliseconds, for logs.
--- a/mimosafront/tests/cluster/proxy.rs
+++ b/mimosafront/tests/cluster/proxy.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -26,8 +27,16 @@
     BlockedToClient,
     /// Blocks all data; new connections are accepted but stay silent as well.
     Silent,
+    /// Drops all packets: open connections are silent, and new ones are not established.
+    Unreachable,
 }
 
+/// Connections that the system establishes before the proxy has accepted them.
+const BACKLOG: i32 = 1_024;
+
+/// Connections that fill the shortest such queue, so that further ones are dropped.
+const FILLING_CONNECTIONS: usize = 2;
+
 pub struct Proxy {
     address: SocketAddr,
     state: watch::Sender<LinkState>,
@@ -58,9 +67,17 @@
         });
         let serving = proxy.clone();
         tokio::spawn(async move {
+            let mut link = serving.state.subscribe();
             loop {
-                let (stream, _) = listener.accept().await.unwrap();
-                tokio::spawn(serving.clone().relay(stream, to));
+                if *link.borrow_and_update() == LinkState::Unreachable {
+                    serving.drop_new_connections(&listener, &mut link).await;
+                }
+                tokio::select! {
+                    accepted = listener.accept() => {
+                        tokio::spawn(serving.clone().relay(accepted.unwrap().0, to));
+                    }
+                    changed = link.changed() => changed.unwrap(),
+                }
             }
         });
         proxy
@@ -74,6 +91,23 @@
         self.state.send_replace(link);
     }
 
+    /// Lets no connection be established until the link changes.
+    async fn drop_new_connections(
+        &self,
+        listener: &TcpListener,
+        link: &mut watch::Receiver<LinkState>,
+    ) {
+        SockRef::from(listener).listen(0).unwrap();
+        let connecting = (0..FILLING_CONNECTIONS).map(|_| {
+            let address = self.address;
+            tokio::spawn(async move { TcpStream::connect(address).await })
+        });
+        let connecting: Vec<_> = connecting.collect();
+        link.wait_for(|link| *link != LinkState::Unreachable).await.unwrap();
+        connecting.iter().for_each(|filling| filling.abort());
+        SockRef::from(listener).listen(BACKLOG).unwrap();
+    }
+
     /// Stalls all open connections permanently; new ones work.
     pub fn stall_open_connections(&self) {
         self.generation.send_modify(|count| *count += 1);
@@ -148,7 +182,9 @@
                 Ok(length) if length > 0 => length,
                 _ => return,
             };
-            let may_pass = |link: &LinkState| *link != blocking && *link != LinkState::Silent;
+            let may_pass = |link: &LinkState| {
+                ![blocking, LinkState::Silent, LinkState::Unreachable].contains(link)
+            };
             // The sender lives as long as the proxy, so this cannot fail.
             drop(link.wait_for(may_pass).await);
             if *self.generation.borrow() != opened_in {
--- a/mimosafront/tests/unreachable_endpoints.rs
+++ b/mimosafront/tests/unreachable_endpoints.rs
@@ -112,6 +112,8 @@
     assert!(there >= 1.0 - MAX_FAILED, "{there:.3} served at routers that are cut off");
     assert!(elsewhere >= 1.0 - MAX_FAILED, "{elsewhere:.3} served at others");
     assert_eq!(*cluster.endpoints.violations.lock().unwrap(), Vec::<String>::new());
+    let crashes = cluster.routers.iter().flat_map(|router| router.log_lines("MS0519"));
+    assert_eq!(crashes.count(), 0, "endpoints that were cut off count as crashed");
 }
 
 /// Names a test for each way in which a router is cut off.
@@ -125,16 +127,16 @@
 }
 
 requests_are_served_by_other_routers! {
-    router_whose_connections_hang_serves_through_another: 2, [0], Silent;
+    router_whose_connections_hang_serves_through_another: 2, [0], Unreachable;
     router_whose_connections_are_reset_serves_through_another: 2, [0], Reset;
     router_whose_new_connections_are_refused_serves_through_another: 2, [0], RefuseNew;
-    most_routers_of_a_domain_serve_through_the_others: 5, [0, 2, 4], Silent;
+    most_routers_of_a_domain_serve_through_the_others: 5, [0, 2, 4], Unreachable;
 }
 
 #[test]
 fn requests_that_no_router_can_serve_are_refused_at_once() {
     let cluster = TestCluster::start(options(2));
-    let Run { at_cut_off: results, began, .. } = run_cut(&cluster, &[0, 1], LinkState::Silent);
+    let Run { at_cut_off: results, began, .. } = run_cut(&cluster, &[0, 1], LinkState::Unreachable);
     assert_runs(&cluster, &results);
     let (settled, end) = (began + SETTLE_TIME, began + CUT - TIMEOUT);
     let results = results.lock().unwrap();
@@ -151,7 +153,7 @@
     let cluster = TestCluster::start(options(2));
     send_requests_to(&cluster, &[0, 1], INTERVAL / 2, BEFORE_CUT + CUT, mixed_request);
     std::thread::sleep(BEFORE_CUT);
-    cluster.set_links(&[0, 1], LinkState::Silent);
+    cluster.set_links(&[0, 1], LinkState::Unreachable);
     std::thread::sleep(SETTLE_TIME);
     for number in 0..12 {
         let (request, to) = (mixed_request(number), cluster.routers[number % 2].clients);
@@ -166,7 +168,7 @@
 #[test]
 fn service_returns_when_the_cut_ends() {
     let cluster = TestCluster::start(options(2));
-    let Run { at_cut_off: results, began, .. } = run_cut(&cluster, &[0, 1], LinkState::Silent);
+    let Run { at_cut_off: results, began, .. } = run_cut(&cluster, &[0, 1], LinkState::Unreachable);
     let back = began + CUT + Duration::from_secs(1);
     let results = results.lock().unwrap();
     let after: Vec<_> = results.iter().filter(|(sent, ..)| *sent >= back).collect();
--- a/mimosashift/src/deployment/node.rs
+++ b/mimosashift/src/deployment/node.rs
@@ -15,7 +15,7 @@
     pub client_address: SocketAddr,
     /// Address of the readiness check, which the load balancer calls.
     pub readiness_address: SocketAddr,
-    /// First and last port for communication between routers.
+    /// First and last port for communication between routers; they differ.
     pub peer_ports: (u16, u16),
     /// Addresses of other routers to contact first; they may be out of date.
     pub seeds: Vec<SocketAddr>,
@@ -27,6 +27,18 @@
     pub bounds: Bounds,
 }
 
+impl Node {
+    /// Address for digests and for fetching the configuration.
+    pub fn peer_address(&self) -> SocketAddr {
+        SocketAddr::new(self.client_address.ip(), self.peer_ports.0)
+    }
+
+    /// Address for requests that another router relays.
+    pub fn relay_address(&self) -> SocketAddr {
+        SocketAddr::new(self.client_address.ip(), self.peer_ports.1)
+    }
+}
+
 /// The platform's store.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Store {
--- a/mimosashift/src/event/table.rs
+++ b/mimosashift/src/event/table.rs
@@ -96,6 +96,8 @@
     EndpointLimited "MS0520" Warning "endpoint limit named", "An endpoint, or a peer that had its answer, names a new limit on the requests per second that it takes from all routers.";
     EndpointLimitLifted "MS0521" Info "endpoint limit lifted", "An endpoint no longer names a limit on the requests that it takes.";
     EndpointLimitInvalid "MS0522" Warning "endpoint limit invalid", "An endpoint named a limit that is not a number of requests per second; it is ignored.";
+    ServiceUnreachable "MS0523" Error "service unreachable", "This router reaches no endpoint of a service; requests for it are relayed by other routers.";
+    ServiceReachable "MS0524" Info "service reachable again", "This router reaches the endpoints of a service again.";
 
     StageMoved "MS0601" Warning "stage moved", "A request lost a stage and continued on another endpoint.";
     RequestRefused "MS0602" Info "request refused", "A request was refused before any of it ran.";
@@ -115,6 +117,7 @@
     ContentUnblocked "MS0619" Info "content unblocked", "A prompt part or request is no longer blocked: one like it was served, its crashes are forgotten, or another content explains them.";
     ContentTried "MS0620" Info "content tried", "A request with a blocked content is sent to see whether it still crashes endpoints.";
     ContentRefused "MS0621" Info "content refused", "A request is not sent because of a blocked content.";
+    RequestRelayed "MS0622" Info "request relayed", "A request is sent to another router, since this one reaches no endpoint of the service.";
 
     PostingClaimed "MS0701" Debug "posting claimed", "The idempotency key of a posting was claimed.";
     PostingRecorded "MS0702" Debug "posting recorded", "The outcome of a posting was recorded.";
--- a/mimosashift/src/fleet/liveness.rs
+++ b/mimosashift/src/fleet/liveness.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use rand::Rng;
+use rand::seq::IteratorRandom;
 use smallvec::SmallVec;
 
 use super::{Fleet, Hop, Member};
@@ -66,6 +68,10 @@
 /// partitioned from this router.
 const PARTITION_DEAD_DIVISOR: usize = 3;
 
+/// Endpoints of the own zone, and of others, in a sample. With a zone cut off, those of
+/// the own zone are still reached.
+const SAMPLE_PER_SIDE: usize = 3;
+
 /// Average time between two events of a stream, in seconds.
 #[derive(Clone, Copy, Debug)]
 pub struct EventInterval(f64);
@@ -145,6 +151,36 @@
         self.members.values().filter(matches).filter_map(Member::hop).collect()
     }
 
+    /// A random sample of a service's endpoints, up to `SAMPLE_PER_SIDE` of `zone` and as
+    /// many of other zones, to check whether this router reaches any.
+    pub fn sample(&self, service: &str, zone: &str, rng: &mut impl Rng) -> Vec<Hop> {
+        let members = || {
+            let listed = self.members.values().filter(|member| member.takes_work());
+            listed.filter(|member| &*member.endpoint.service == service)
+        };
+        let is_local = |member: &&Member| &*member.endpoint.zone == zone;
+        let mut sample = members().filter(is_local).sample(rng, SAMPLE_PER_SIDE);
+        let remote = members().filter(|member| !is_local(member));
+        sample.extend(remote.sample(rng, SAMPLE_PER_SIDE));
+        sample.into_iter().map(Member::address_hop).collect()
+    }
+
+    /// Number of a service's endpoints that are listed as ready.
+    pub fn ready_count(&self, service: &str) -> usize {
+        let listed = self.members.values().filter(|member| member.takes_work());
+        listed.filter(|member| &*member.endpoint.service == service).count()
+    }
+
+    /// Ends the ejections of a service's endpoints, whose failures were those of the
+    /// paths to them.
+    pub fn end_ejections(&mut self, service: &str) {
+        let members = self.members.values_mut();
+        for member in members.filter(|member| &*member.endpoint.service == service) {
+            member.ejected_until = Instant::ZERO;
+            member.consecutive_failures = 0;
+        }
+    }
+
     /// Whether an endpoint is marked dead.
     pub fn is_dead(&self, id: &str) -> bool {
         self.members.get(id).is_some_and(|member| member.dead_since.is_some())
--- a/mimosashift/src/fleet/mod.rs
+++ b/mimosashift/src/fleet/mod.rs
@@ -225,6 +225,14 @@
         layers.map(|layers| Hop { id: id.clone(), address, incarnation, layers })
     }
 
+    /// A hop with placeholder layers if the endpoint holds none, as one of a plain service.
+    pub fn address_hop(&self) -> Hop {
+        let Endpoint { id, address, incarnation, layers, .. } = &self.endpoint;
+        let placeholder = || Layers::try_from((0, 1)).expect("the range is not empty");
+        let layers = layers.unwrap_or_else(placeholder);
+        Hop { id: id.clone(), address: *address, incarnation: *incarnation, layers }
+    }
+
     /// Its key and its incarnation.
     pub fn key(&self) -> Incarnation {
         (name_key(&self.endpoint.id), self.endpoint.incarnation)
--- a/mimosashift/src/fleet/plain.rs
+++ b/mimosashift/src/fleet/plain.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use super::{Fleet, Hop, Member, Usage};
-use crate::resource::Layers;
 use crate::time::Instant;
 
 /// Cost of a failure rate of 1, in units of load (1 if all slots are in use).
@@ -45,14 +44,7 @@
             load + remote + FAILURE_COST * m.failure_rate + unusable
         };
         let eligible = self.members.values().filter(eligible);
-        let best = eligible.min_by(|a, b| cost(a).total_cmp(&cost(b)))?;
-        Some(Hop {
-            id: best.endpoint.id.clone(),
-            address: best.endpoint.address,
-            incarnation: best.endpoint.incarnation,
-            // A plain service has no layers; the range is a placeholder.
-            layers: Layers::try_from((0, 1)).expect("the range is not empty"),
-        })
+        eligible.min_by(|a, b| cost(a).total_cmp(&cost(b))).map(Member::address_hop)
     }
 
     /// Counts a request at the endpoint of a plain service.
--- a/mimosashift/src/lib.rs
+++ b/mimosashift/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod platform;
 pub mod posting;
 pub mod quarantine;
+pub mod reach;
 pub mod resource;
 pub mod route;
 pub mod settings;
--- a/mimosashift/src/meter/table.rs
+++ b/mimosashift/src/meter/table.rs
@@ -107,6 +107,7 @@
     active_teams "mimosashift_active_teams" Gauge [] "Teams for which state is held.";
     retries "mimosashift_retries" Counter [] "Steps and calls that were sent again.";
     retry_budget_exhausted "mimosashift_retry_budget_exhausted" Counter [] "Retries that the budget did not allow.";
+    relayed "mimosashift_relayed_requests" Counter [] "Requests sent to another router because no endpoint was reachable.";
     recoveries "mimosashift_recoveries" Counter [kind: Recovery] "Requests that went on after the loss of a stage, by kind.";
     recovery_time "mimosashift_recovery_seconds" Histogram [] "Time from the loss of a stage to the next token.";
     dropped_replies "mimosashift_dropped_replies" Counter [reason: DropReason] "Replies that were not used, by reason.";
--- a/mimosashift/src/peer/mod.rs
+++ b/mimosashift/src/peer/mod.rs
@@ -115,6 +115,9 @@
     pub observed: Vec<Observation>,
     /// Endpoints that did not answer the sender, with their incarnations.
     pub dead: Vec<(u64, u64)>,
+    /// Keys of the services whose endpoints the sender does not reach, see
+    /// [`name_key`](crate::fleet::name_key).
+    pub unreachable: Vec<u64>,
     /// Contents of requests that may crash endpoints.
     pub suspects: Vec<quarantine::Record>,
     /// Limits that endpoints name, and the demand of the sender.
@@ -226,6 +229,11 @@
             .any(|peer| peer.store_age(now).is_some_and(|age| age < READER_MAX_STORE_AGE))
     }
 
+    /// Live peers that reach endpoints of a service.
+    pub fn reaching(&self, service: u64, now: Instant) -> impl Iterator<Item = &Peer> {
+        self.alive(now).filter(move |peer| !peer.digest.unreachable.contains(&service))
+    }
+
     /// Whether a router is known but no longer alive.
     pub fn is_dead(&self, node: &str, now: Instant) -> bool {
         self.known.get(node).is_some_and(|peer| !peer.is_alive(now))
--- a/mimosashift/tests/meter.rs
+++ b/mimosashift/tests/meter.rs
@@ -43,6 +43,7 @@
         Meter::tokens,
         Meter::retries,
         Meter::retry_budget_exhausted,
+        Meter::relayed,
         Meter::heartbeats_sent,
         Meter::heartbeats_received,
         Meter::lost_leases,
--- a/mimosashift/tests/peer.rs
+++ b/mimosashift/tests/peer.rs
@@ -52,6 +52,7 @@
         config: None,
         store_age: Some(Duration::ZERO),
         store_lost: false,
+        unreachable: Vec::new(),
         directory: None,
         usage: Vec::new(),
         observed: Vec::new(),
