Wait 3 s for data to be acknowledged before a connection counts as dead

Callers got 502 when a sound endpoint paused for more than a second: the system closed the connection 1 s after data that the endpoint had not yet taken (TCP_USER_TIMEOUT). On Linux the same option also ends keep-alive probes, so that their count of 2 never applied.

Evidence: the new test, in which a server reads nothing for 1.8 s, failed with 'Connection timed out (os error 110)' and passes now. Limits of the pool are its defaults now, for the test. Keep-alive probes go out each second as before.

--- a/mimosafront/src/state.rs
+++ b/mimosafront/src/state.rs
@@ -30,14 +30,6 @@
 use crate::probe::ProbeResults;
 use crate::reach::SharedCheck;
 
-/// Time limit for opening a connection: a few round trips between zones. Opening
-/// one takes longer if the peer's accept queue is full.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-
-/// Time with unacknowledged data after which a connection counts as dead: far
-/// above a round trip and shorter than a client waits for the next event.
-const UNACKED_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Time limit for a call to the store: many times its usual latency.
 const STORE_TIMEOUT: Duration = Duration::from_millis(900);
 
@@ -130,11 +122,7 @@
 impl RouterState {
     /// Creates the initial state.
     pub fn new(node: Node, log: Logger, meter: Meter) -> Rc<Self> {
-        let settings = connection_pool::Settings {
-            connect_timeout: CONNECT_TIMEOUT,
-            unacked_timeout: UNACKED_TIMEOUT,
-        };
-        let pool = Pool::new(settings);
+        let pool = Pool::new(connection_pool::Settings::default());
         let store = Store::new(pool.clone(), node.store.address, STORE_TIMEOUT);
         let now = clock::now();
         let own_address = node.peer_address();
--- a/mimosashift/src/connection_pool/mod.rs
+++ b/mimosashift/src/connection_pool/mod.rs
@@ -55,13 +55,25 @@
 /// Time after which a new connection counts as accepted: several round trips.
 const SETTLE_TIME: Duration = Duration::from_millis(20);
 
+/// Time limit for opening a connection: a few round trips between zones. Opening
+/// one takes longer if the peer's accept queue is full.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Time with unacknowledged data, or without an answer to keep-alive probes, after which a
+/// connection counts as dead. A sound endpoint may pause for more than a second; requests
+/// that can be sent elsewhere, and probes, do not wait for this.
+const UNACKED_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Interval of keep-alive probes on a silent connection.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Limits of the pool.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
     /// Time limit for opening a connection.
     pub connect_timeout: Duration,
-    /// Time for which sent data may remain unacknowledged before the connection
-    /// is closed; also the interval of keep-alive probes, at least one second.
+    /// Time for which sent data may remain unacknowledged, or keep-alive probes
+    /// unanswered, before the connection is closed.
     pub unacked_timeout: Duration,
 }
 
@@ -127,6 +139,12 @@
     address: SocketAddr,
 }
 
+impl Default for Settings {
+    fn default() -> Self {
+        Self { connect_timeout: CONNECT_TIMEOUT, unacked_timeout: UNACKED_TIMEOUT }
+    }
+}
+
 impl Framing {
     /// Name in logs.
     pub const fn label(self) -> &'static str {
@@ -299,10 +317,10 @@
         let unacked_timeout = self.settings.unacked_timeout;
         let socket = SockRef::from(stream);
         socket.set_tcp_user_timeout(Some(unacked_timeout))?;
-        let probe = unacked_timeout.max(Duration::from_secs(1));
-        socket.set_tcp_keepalive(
-            &TcpKeepalive::new().with_time(probe).with_interval(probe).with_retries(2),
-        )
+        // Linux gives up after the timeout set above, whatever the number of probes.
+        let retries = unacked_timeout.as_secs().max(1) as u32;
+        let keepalive = TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL);
+        socket.set_tcp_keepalive(&keepalive.with_interval(KEEPALIVE_INTERVAL).with_retries(retries))
     }
 
     /// Sends a request on a connection. A failure returns the request if it was
--- a/mimosashift/tests/connection_pool.rs
+++ b/mimosashift/tests/connection_pool.rs
@@ -1,4 +1,5 @@
-//! Tests of the connection pool: where the body of a response ends.
+//! Tests of the connection pool: where the body of a response ends, and servers that
+//! pause.
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -35,8 +36,23 @@
     address
 }
 
+/// Answers one request, of which it reads nothing for a while.
+fn serve_after_pause(pause: Duration, body_bytes: usize) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        std::thread::sleep(pause);
+        read_request(&mut stream);
+        let body = std::io::copy(&mut (&stream).take(body_bytes as u64), &mut std::io::sink());
+        assert_eq!(body.unwrap(), body_bytes as u64);
+        stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nab").unwrap();
+    });
+    address
+}
+
 fn read_request(stream: &mut TcpStream) {
-    let (mut request, mut buffer) = (Vec::new(), [0; 1024]);
+    let (mut request, mut buffer) = (Vec::new(), [0; 1]);
     while !request.ends_with(b"\r\n\r\n") {
         let length = stream.read(&mut buffer).unwrap();
         request.extend_from_slice(&buffer[..length]);
@@ -68,3 +84,18 @@
     let body = is_complete.then(|| Bytes::from("ab"));
     assert_eq!(fetch(serve_once(bytes.leak(), end)), (framing, body));
 }
+
+#[test]
+fn server_that_pauses_for_over_a_second_gets_the_whole_request() {
+    // More than the system buffers, so that data stays unacknowledged during the pause.
+    let body = vec![0; 32 << 20];
+    let address = serve_after_pause(Duration::from_millis(1_800), body.len());
+    let pool = Pool::new(Settings::default());
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let status = tokio::task::LocalSet::new().block_on(&runtime, async {
+        let request = Request::post("/").header("host", "x").body(Full::from(body));
+        let exchange = pool.send(address, request.unwrap(), false).await;
+        exchange.map(|exchange| exchange.head.status().as_u16())
+    });
+    assert_eq!(status.map_err(|failure| failure.to_string()), Ok(200));
+}
