--- a/mimosafront/src/placement.rs
+++ b/mimosafront/src/placement.rs
@@ -10,7 +10,7 @@
 use mimosashift::emit;
 use mimosashift::event::Event;
 use mimosashift::exchange::{Order, OrderOutcome, Report};
-use mimosashift::fleet::{Hop, Member};
+use mimosashift::fleet::{Hop, Member, name_key};
 use mimosashift::layout::{self, Assignment, EndpointState};
 use mimosashift::meter::PlatformCall;
 use mimosashift::order::lease::{Lease, Settings, TABLE};
@@ -120,12 +120,35 @@
     }
 
     /// Whether another router should hold the lease because this one has lost the
-    /// store, and with it the endpoint directory, and a peer reaches it.
+    /// store, and with it the endpoint directory, or the paths to engines, and a peer
+    /// reaches them.
     fn defers_to_peer(&self) -> bool {
         let now = clock::now();
         let last_answer = self.state.last_store_answer.get();
         let is_stale = last_answer.is_none_or(|at| now.since(at) > STORE_LOST_AFTER);
-        self.state.store_lost.get() && is_stale && self.state.peers.borrow().reaches_store(now)
+        let peers = self.state.peers.borrow();
+        let is_reached = |service: &u64| peers.reaching(*service, now).next().is_some();
+        self.state.store_lost.get() && is_stale && peers.reaches_store(now)
+            || self.engine_services(true).iter().any(is_reached)
+    }
+
+    /// Keys of the services with engines whose paths are lost, or those whose paths are in
+    /// use.
+    fn engine_services(&self, lost: bool) -> Vec<u64> {
+        let Some(deployment) = self.state.deployment() else { return Vec::new() };
+        let reach = self.state.reach.borrow();
+        let services = deployment.services().filter(|service| service.engine.is_some());
+        let services = services.filter(|service| reach.is_lost(&service.name) == lost);
+        services.map(|service| name_key(&service.name)).collect()
+    }
+
+    /// Whether a live router cannot place layers, and this one can: it has lost the store or
+    /// the paths to engines.
+    fn can_replace(&self, holder: &str, now: Instant) -> bool {
+        let peers = self.state.peers.borrow();
+        let reached = self.engine_services(false);
+        peers.has_lost_store(holder, now)
+            || peers.unreachable_at(holder, now).iter().any(|service| reached.contains(service))
     }
 
     /// Acquires, renews or takes over the lease, unless a peer holds it or is to
@@ -144,27 +167,33 @@
             self.set_lease_holder(false);
             return;
         }
-        let Some(lease) = &mut self.lease else { return };
+        let Some(mut lease) = self.lease.take() else { return };
+        self.write_lease(&mut lease, held).await;
+        self.lease = Some(lease);
+        let may_order = self.may_order();
+        self.set_lease_holder(may_order);
+    }
+
+    async fn write_lease(&self, lease: &mut Lease, held: bool) {
+        let state = &self.state;
         if !held {
             let read = state.store.read(TABLE).await;
-            record_store_call(&state, PlatformCall::Read, &read);
+            record_store_call(state, PlatformCall::Read, &read);
             let Outcome::Done(rows) = read else { return };
             let row = rows.rows.iter().find(|row| row.key == *lease.key());
             lease.observe(row, clock::now());
         }
         let now = clock::now();
         let holder_is_inactive = lease.holder().is_some_and(|holder| {
-            let peers = state.peers.borrow();
-            peers.is_dead(holder.as_str(), now) || peers.has_lost_store(holder.as_str(), now)
+            let is_dead = state.peers.borrow().is_dead(holder.as_str(), now);
+            is_dead || self.can_replace(holder.as_str(), now)
         });
         let takeover = holder_is_inactive || lease.is_overdue(now);
         if let Some(transaction) = lease.next_transaction(takeover, now) {
             let outcome = state.store.commit(&transaction).await;
-            record_store_call(&state, PlatformCall::Commit, &outcome);
+            record_store_call(state, PlatformCall::Commit, &outcome);
             lease.on_write_result(&outcome, clock::now());
         }
-        let may_order = self.may_order();
-        self.set_lease_holder(may_order);
     }
 
     fn set_lease_holder(&mut self, is_holder: bool) {
--- a/mimosafront/tests/unreachable_endpoints.rs
+++ b/mimosafront/tests/unreachable_endpoints.rs
@@ -177,3 +177,16 @@
     println!("{share:.3} served from 1 s after the cut");
     assert!(share >= 1.0 - MAX_FAILED, "{share:.3} served from 1 s after the cut");
 }
+
+#[test]
+fn layers_are_placed_while_the_router_that_placed_them_is_cut_off() {
+    let cluster = TestCluster::start(options(2));
+    let acquired = |router: usize| !cluster.routers[router].log_lines("MS0801").is_empty();
+    let holder = (0..2).find(|router| acquired(*router)).unwrap();
+    cluster.set_links(&[holder], LinkState::Unreachable);
+    send_requests_to(&cluster, &[holder], INTERVAL, CUT, mixed_request);
+    std::thread::sleep(SETTLE_TIME);
+    cluster.endpoints.engines().for_each(|engine| engine.restart());
+    cluster.wait_until("layers are placed", |cluster| cluster.endpoints.is_placed(2));
+    assert!(acquired(1 - holder), "the other router places layers");
+}
--- a/mimosashift/src/peer/mod.rs
+++ b/mimosashift/src/peer/mod.rs
@@ -229,6 +229,12 @@
             .any(|peer| peer.store_age(now).is_some_and(|age| age < READER_MAX_STORE_AGE))
     }
 
+    /// Keys of the services whose endpoints a live router does not reach.
+    pub fn unreachable_at(&self, node: &str, now: Instant) -> &[u64] {
+        let peer = self.known.get(node).filter(|peer| peer.is_alive(now));
+        peer.map_or(&[], |peer| &peer.digest.unreachable)
+    }
+
     /// Live peers that reach endpoints of a service.
     pub fn reaching(&self, service: u64, now: Instant) -> impl Iterator<Item = &Peer> {
         self.alive(now).filter(move |peer| !peer.digest.unreachable.contains(&service))
