Log the rests that endpoints ask for

An endpoint that rejects a request with 503 may say in Retry-After for how long it wants none from this router. MS0525 names endpoint and length, MS0526 a value that is not a number of seconds. No change of what is sent.

--- a/mimosafront/src/call.rs
+++ b/mimosafront/src/call.rs
@@ -1,4 +1,4 @@
-//! Sends requests to endpoints, and records the limits that their answers name.
+//! Sends requests to endpoints, and records the limits and rests that their answers name.
 
 use http_body_util::Full;
 use hyper::body::Bytes;
@@ -11,7 +11,7 @@
 use mimosashift::time::Instant;
 
 use crate::clock;
-use crate::state::RouterState;
+use crate::state::{RouterState, millis};
 
 impl RouterState {
     /// Sends a request to an endpoint and waits for the head of its answer; see
@@ -36,6 +36,7 @@
         if exchange.head.status() != StatusCode::MISDIRECTED_REQUEST {
             let echoed = exchange.head.headers().get(header::REQUEST_ID);
             self.record_limit(hop, &exchange, sent, echoed.is_some() && echoed == id.as_ref());
+            self.record_rest(hop, &exchange);
         }
         Ok(exchange)
     }
@@ -61,6 +62,22 @@
         }
     }
 
+    /// Records the rest that a rejection asks for.
+    fn record_rest(&self, hop: &Hop, exchange: &Exchange) {
+        if exchange.head.status() != StatusCode::SERVICE_UNAVAILABLE {
+            return;
+        }
+        match header::response(exchange.head.headers()).rest {
+            Some(Ok(rest)) => {
+                emit!(self.log, Event::EndpointResting, "endpoint" => &*hop.id, "rest_ms" => millis(rest.length()));
+            }
+            Some(Err(error)) => {
+                emit!(self.log, Event::EndpointRestInvalid, "endpoint" => &*hop.id, "reason" => error.to_string());
+            }
+            None => {}
+        }
+    }
+
     /// Logs a change of an endpoint's limit; `source` is `answer` or a peer.
     pub fn log_limit(&self, id: &str, change: &LimitChange, source: &str) {
         let before = change.before.map(f64::from);
--- a/mimosashift/src/event/table.rs
+++ b/mimosashift/src/event/table.rs
@@ -98,6 +98,8 @@
     EndpointLimitInvalid "MS0522" Warning "endpoint limit invalid", "An endpoint named a limit that is not a number of requests per second; it is ignored.";
     ServiceUnreachable "MS0523" Error "service unreachable", "This router reaches no endpoint of a service; requests for it are relayed by other routers.";
     ServiceReachable "MS0524" Info "service reachable again", "This router reaches the endpoints of a service again.";
+    EndpointResting "MS0525" Info "endpoint rests", "An endpoint rejected a request and wants none from this router for a while.";
+    EndpointRestInvalid "MS0526" Warning "endpoint rest invalid", "An endpoint rejected a request and named a time to rest that is not a number of seconds; it is ignored.";
 
     StageMoved "MS0601" Warning "stage moved", "A request lost a stage and continued on another endpoint.";
     RequestRefused "MS0602" Info "request refused", "A request was refused before any of it ran.";
--- a/mimosashift/src/exchange/mod.rs
+++ b/mimosashift/src/exchange/mod.rs
@@ -125,6 +125,35 @@
     }
 }
 
+/// Time for which an endpoint wants no requests from the router that it answers; at most
+/// an hour.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rest(Duration);
+
+/// Longest rest. The log shows an endpoint that asks for more.
+const MAX_REST: Duration = Duration::from_secs(3_600);
+
+impl Rest {
+    /// Its length.
+    pub const fn length(self) -> Duration {
+        self.0
+    }
+}
+
+impl TryFrom<&str> for Rest {
+    type Error = Malformed;
+
+    /// Parses a number of seconds, which may have a fraction.
+    fn try_from(text: &str) -> Result<Self, Malformed> {
+        let seconds: f64 =
+            text.trim().parse().map_err(|_| Malformed("a rest is not a number of seconds"))?;
+        if !seconds.is_finite() || seconds < 0.0 {
+            return Err(Malformed("a rest is out of range"));
+        }
+        Ok(Self(Duration::from_secs_f64(seconds.min(MAX_REST.as_secs_f64()))))
+    }
+}
+
 /// Metadata of an endpoint's response.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseInfo {
@@ -140,6 +169,9 @@
     pub endpoint: Option<String>,
     /// Limit on the requests that the endpoint takes, if it names one.
     pub request_limit: Option<Result<RequestRate, Malformed>>,
+    /// Time for which the endpoint wants no requests, if it names one; it counts with a
+    /// rejection only.
+    pub rest: Option<Result<Rest, Malformed>>,
 }
 
 /// State that a model engine reports; it lags by several hundred milliseconds.
