Test that endpoints that ask for a rest get one, failing

Three engines of those that begin chains answer 503 with Retry-After: 3. On one gets 84 requests between 0.5 s after a rejection and the end of its rest, where 2 are allowed. While all endpoints rest for 30 s, clients are told to return after 0.7 s.

--- a/mimosafront/tests/cluster/endpoints.rs
+++ b/mimosafront/tests/cluster/endpoints.rs
@@ -80,6 +80,8 @@
     pub zone: String,
     pub proxy: Arc<Proxy>,
     pub state: Mutex<State>,
+    /// When it rejected each request.
+    pub rejections: Mutex<Vec<Instant>>,
 }
 
 pub struct State {
@@ -93,6 +95,8 @@
     pub busy: bool,
     /// Limit on its requests per second, as named in its answers.
     pub request_limit: Option<&'static str>,
+    /// Time to rest, as named in its answers; it rejects all requests if there is one.
+    pub rest: Option<&'static str>,
 }
 
 pub struct Endpoints {
@@ -136,6 +140,14 @@
         self.state().request_limit = limit;
     }
 
+    /// The rejection of a request, if it rejects all.
+    pub fn reject(&self, id: &str) -> Option<Reply> {
+        let rest = self.state().rest?;
+        self.rejections.lock().unwrap().push(Instant::now());
+        let headers = [("not-executed", "1"), ("request-id", id), ("retry-after", rest)];
+        Some(engine::reply(503, &headers, "{}"))
+    }
+
     /// The answer with the limit that this endpoint names.
     pub fn name_limit(&self, mut reply: Reply) -> Reply {
         if let Some(limit) = self.state().request_limit {
@@ -169,6 +181,7 @@
         state.busy = false;
         state.health = Health::Healthy;
         state.request_limit = None;
+        state.rest = None;
         state.removed = false;
         state.draining = false;
     }
@@ -201,8 +214,10 @@
                 orders: 0,
                 busy: false,
                 request_limit: None,
+                rest: None,
             };
-            started.push(Arc::new(Member { id, service, zone, proxy, state: Mutex::new(state) }));
+            let (state, rejections) = (Mutex::new(state), Mutex::default());
+            started.push(Arc::new(Member { id, service, zone, proxy, state, rejections }));
             listeners.push(listener);
         }
         let endpoints = Arc::new(Self {
--- a/mimosafront/tests/cluster/engine.rs
+++ b/mimosafront/tests/cluster/engine.rs
@@ -180,6 +180,9 @@
         if header_text(headers, "target-instance") != Some(&self.member.id) {
             return reply(421, &[("not-executed", "1")], "{}");
         }
+        if let Some(rejection) = self.member.reject(&id) {
+            return rejection;
+        }
         let hops = parse_chain(header_text(headers, "hop-count").unwrap_or_default());
         if let Some((address, ..)) = hops.iter().find(|hop| !self.holds(hop)) {
             let at = address.to_string();
--- a/mimosafront/tests/cluster/plain.rs
+++ b/mimosafront/tests/cluster/plain.rs
@@ -68,6 +68,9 @@
         if header_text(&head.headers, "target-instance") != Some(&self.member.id) {
             return Ok(reply(421, &[("not-executed", "1")], "{}"));
         }
+        if let Some(rejection) = self.member.reject(&id) {
+            return Ok(rejection);
+        }
         self.endpoints.update_trace(&id, |trace| {
             trace.runs += 1;
             trace.last_activity = Some(Instant::now());
