Give endpoints the rest that they ask for

Retries used up the budget, and requests were refused while other engines were free.

The end of a rest is now part of an endpoint's state. Until then it is chosen neither for a call nor as the first engine of a chain. If all rest, requests are refused at once with the time until the first rest ends. A new incarnation has none; malformed values are logged and ignored, as before.

--- a/mimosafront/src/call.rs
+++ b/mimosafront/src/call.rs
@@ -69,6 +69,7 @@
         }
         match header::response(exchange.head.headers()).rest {
             Some(Ok(rest)) => {
+                self.fleet.borrow_mut().record_rest(hop, rest, clock::now());
                 emit!(self.log, Event::EndpointResting, "endpoint" => &*hop.id, "rest_ms" => millis(rest.length()));
             }
             Some(Err(error)) => {
--- a/mimosafront/src/probe.rs
+++ b/mimosafront/src/probe.rs
@@ -220,6 +220,7 @@
     let rank = names.iter().position(|name| *name == node.name).unwrap_or_default();
     let fleet = state.fleet.borrow();
     let engines = fleet.members().filter(|m| m.endpoint.zone == node.zone);
+    let engines = engines.filter(|m| !fleet.is_resting(&m.endpoint.id, now));
     let engines = engines.filter_map(|member| member.hop());
     engines.enumerate().filter(|(i, _)| i % names.len() == rank).map(|(_, hop)| hop).collect()
 }
--- a/mimosafront/src/relay/mod.rs
+++ b/mimosafront/src/relay/mod.rs
@@ -53,6 +53,9 @@
 /// Reason for refusing a request if the endpoints have reached their limits.
 const LIMITED_REASON: &str = "endpoints at their limits";
 
+/// Reason for refusing a request if the endpoints want none from this router now.
+const RESTING_REASON: &str = "endpoints rest";
+
 /// Largest stream that is buffered for a client of HTTP/1.0.
 const MAX_BUFFERED_STREAM_BYTES: usize = 8 * 1024 * 1024;
 
--- a/mimosafront/src/relay/model/mod.rs
+++ b/mimosafront/src/relay/model/mod.rs
@@ -23,7 +23,9 @@
 use self::stall::{FaultyHops, StallCheck};
 use self::stall_timer::{StallTimer, wait_for_fault_or_tick};
 use super::peer::{Path, Relay, UNREACHABLE_REASON};
-use super::{LIMITED_REASON, RequestContext, RequestError, forward_response, relayed_outcome};
+use super::{
+    LIMITED_REASON, RESTING_REASON, RequestContext, RequestError, forward_response, relayed_outcome,
+};
 use crate::body::ResponseBody;
 use crate::clock;
 use crate::probe;
@@ -284,7 +286,7 @@
             match self.select_chain() {
                 Ok(chain) => return Ok(self.record_admission(chain)),
                 Err(Shortage::Full(_) | Shortage::Limited) => {}
-                Err(uncovered) => shortage = Some(uncovered),
+                Err(lasting) => shortage = Some(lasting),
             }
         }
         if shortage.is_none() && state.pressure.borrow_mut().begin_wait(now) {
@@ -306,7 +308,8 @@
                 Err(shortage) => shortage,
             };
             let left = until.min(self.ctx.deadline).since(clock::now());
-            if matches!(shortage, Shortage::Uncovered(_)) || left.is_zero() {
+            let is_lasting = matches!(shortage, Shortage::Uncovered(_) | Shortage::Resting);
+            if is_lasting || left.is_zero() {
                 return Err(shortage);
             }
             // The next iteration checks whether memory was released or time ran
@@ -365,14 +368,17 @@
         pressure.record_refused(clock::now());
         let retry_after = pressure.retry_after(self.state().random_fraction());
         let limited = || self.state().record_limited(&self.ctx.service.name);
+        let rest_left = || self.state().time_to_end_of_rest(&self.ctx.service.name);
         let retry_after = match shortage {
             Shortage::Limited => limited().unwrap_or(retry_after),
+            Shortage::Resting => rest_left().unwrap_or(retry_after),
             Shortage::Full(_) | Shortage::Uncovered(_) => retry_after,
         };
         let (kind, reason) = match shortage {
             Shortage::Full(_) => (RefusalReason::Shed, "no memory free"),
             Shortage::Uncovered(_) => (RefusalReason::NoEndpoint, "layers without an endpoint"),
             Shortage::Limited => (RefusalReason::OverLimit, LIMITED_REASON),
+            Shortage::Resting => (RefusalReason::OverLimit, RESTING_REASON),
         };
         if self.possible_executions > 0 {
             return RequestError::Failed(StatusCode::BAD_GATEWAY, reason);
--- a/mimosafront/src/relay/plain.rs
+++ b/mimosafront/src/relay/plain.rs
@@ -19,7 +19,9 @@
 use tokio::time::timeout;
 
 use super::peer::{Path, Relay, UNREACHABLE_REASON};
-use super::{LIMITED_REASON, RequestContext, RequestError, forward_response, relayed_outcome};
+use super::{
+    LIMITED_REASON, RESTING_REASON, RequestContext, RequestError, forward_response, relayed_outcome,
+};
 use crate::body::ResponseBody;
 use crate::state::RouterState;
 use crate::{clock, probe, reach};
@@ -95,6 +97,9 @@
                     if let Some(wait) = ctx.state.record_limited(&ctx.service.name) {
                         (cause, reason) = (LIMITED_REASON, RefusalReason::OverLimit);
                         retry_after = wait;
+                    } else if let Some(wait) = ctx.state.time_to_end_of_rest(&ctx.service.name) {
+                        (cause, reason) = (RESTING_REASON, RefusalReason::OverLimit);
+                        retry_after = wait;
                     }
                     break;
                 };
--- a/mimosafront/src/state.rs
+++ b/mimosafront/src/state.rs
@@ -37,8 +37,8 @@
 /// router that has not yet heard of its peers.
 const MIN_RETRY_BUDGET_ROUTERS: f64 = 4.0;
 
-/// Minimum delay before a client returns that was refused because of the limits of
-/// endpoints.
+/// Minimum delay before a client returns that was refused because of the limits or rests
+/// of endpoints.
 const MIN_LIMITED_RETRY_AFTER: Duration = Duration::from_millis(150);
 
 /// Upper bound of that delay: a third of the usual deadline.
@@ -303,9 +303,14 @@
         let (now, random) = (clock::now(), self.random_fraction());
         let wait = self.fleet.borrow().time_to_credit(service, now)?;
         self.fleet.borrow_mut().record_limited(service, now);
-        // Spreads the clients over a time in which the endpoints take more requests.
-        let wait = wait.max(MIN_LIMITED_RETRY_AFTER).mul_f64(1.0 + random);
-        Some(wait.min(MAX_LIMITED_RETRY_AFTER))
+        Some(spread_returns(wait, random))
+    }
+
+    /// When the client of a request may come back that is refused because endpoints of a
+    /// service rest; `None` if none does.
+    pub fn time_to_end_of_rest(&self, service: &str) -> Option<Duration> {
+        let wait = self.fleet.borrow().time_to_end_of_rest(service, clock::now())?;
+        Some(spread_returns(wait, self.random_fraction()))
     }
 
     /// A random number in `0.0..1.0`.
@@ -377,6 +382,13 @@
     }
 }
 
+/// Spreads clients that return after `wait` over a time in which endpoints take more
+/// requests.
+fn spread_returns(wait: Duration, random: f64) -> Duration {
+    let wait = wait.max(MIN_LIMITED_RETRY_AFTER).mul_f64(1.0 + random);
+    wait.min(MAX_LIMITED_RETRY_AFTER)
+}
+
 /// A duration in whole milliseconds, for logs.
 pub fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
--- a/mimosashift/src/fleet/chain.rs
+++ b/mimosashift/src/fleet/chain.rs
@@ -75,6 +75,8 @@
     Full(u16),
     /// The endpoints that could begin the chain have reached the limits that they name.
     Limited,
+    /// The endpoints that could begin the chain want no requests from this router now.
+    Resting,
 }
 
 /// An endpoint that can be a hop of the chain.
@@ -93,6 +95,8 @@
     has_slot: bool,
     /// Whether its limit, which applies to the first hop, permits a request.
     has_credit: bool,
+    /// Whether it wants no requests, which applies to the first hop as well.
+    is_resting: bool,
 }
 
 /// Raises the cost of endpoints with the fill level of their KV cache, in zones that
@@ -147,7 +151,7 @@
         };
         match search(false) {
             // An ejected or slow endpoint is better than none.
-            Err(Shortage::Uncovered(_)) => search(true),
+            Err(Shortage::Uncovered(_) | Shortage::Resting) => search(true),
             found => found,
         }
     }
@@ -158,7 +162,7 @@
     pub const fn layer(&self) -> u16 {
         match self {
             Self::Uncovered(layer) | Self::Full(layer) => *layer,
-            Self::Limited => 0,
+            Self::Limited | Self::Resting => 0,
         }
     }
 }
@@ -194,6 +198,7 @@
             free_layers: (free / demand.tokens().max(1.0)).min(layer_count) as u16,
             has_slot: usage.requests < engine.slots,
             has_credit: fleet.has_credit(member, now),
+            is_resting: member.is_resting(now),
         })
     }
 
@@ -243,6 +248,8 @@
         let holders = || self.candidates.iter().filter(|candidate| candidate.holds(layer));
         if holders().next().is_none() {
             Shortage::Uncovered(layer)
+        } else if layer == 0 && holders().all(|candidate| candidate.is_resting) {
+            Shortage::Resting
         } else if layer == 0 && holders().any(|candidate| !candidate.has_credit) {
             Shortage::Limited
         } else {
@@ -281,16 +288,14 @@
         paths
     }
 
-    /// The path that begins at a candidate, if it has a free slot and its limit permits.
+    /// The path that begins at a candidate, if it has a free slot, does not rest and its
+    /// limit permits.
     fn begin(&self, candidate: &Candidate<'_>) -> Option<Path> {
         let is_local = &*candidate.member.endpoint.zone == self.query.zone;
         let entry_ms = if is_local { 0.0 } else { REMOTE_ENTRY_MS };
         let cost = entry_ms + candidate.hop_ms + candidate.layer_ms;
-        (candidate.has_slot && candidate.has_credit).then_some(Path {
-            cost,
-            start: 0,
-            previous: None,
-        })
+        let may_begin = candidate.has_slot && candidate.has_credit && !candidate.is_resting;
+        may_begin.then_some(Path { cost, start: 0, previous: None })
     }
 
     /// The cheapest path to `layer` at a candidate.
--- a/mimosashift/src/fleet/describe.rs
+++ b/mimosashift/src/fleet/describe.rs
@@ -29,7 +29,8 @@
     /// Every endpoint that holds a layer, with the share of its KV cache in use and
     /// its state if it is not preferred for new work, as in `i-1 0.97, i-2 0.40 doubted`.
     /// `doubted` (ejected) and `crowded` (cache full) are the words in the titles of the
-    /// events, `limited` is an endpoint that has reached its limit. An endpoint that is marked dead has no state of its own here.
+    /// events, `limited` is an endpoint that has reached its limit, `resting` one that wants
+    /// no requests now. An endpoint that is marked dead has no state of its own here.
     pub fn describe_holders(&self, query: &Query<'_>, layer: u16, now: Instant) -> String {
         let holds = |member: &&Member| {
             let layers = member.endpoint.layers;
@@ -50,6 +51,8 @@
                 " crowded"
             } else if !self.has_credit(member, now) {
                 " limited"
+            } else if member.is_resting(now) {
+                " resting"
             } else if member.is_slow() {
                 " slow"
             } else {
--- a/mimosashift/src/fleet/mod.rs
+++ b/mimosashift/src/fleet/mod.rs
@@ -24,6 +24,7 @@
 mod limit;
 mod liveness;
 mod plain;
+mod rest;
 mod share;
 mod usage;
 
@@ -88,6 +89,8 @@
     /// End of its latest pause: it gets no new work for a time after it refused a request
     /// for lack of memory.
     cache_full_until: Instant,
+    /// End of the rest that it asked this router for: it gets no requests until then.
+    resting_until: Instant,
     /// Length of its latest pause for lack of memory.
     cache_full_pause: Duration,
     /// Consecutive failures.
@@ -170,6 +173,7 @@
             dead_since: None,
             ejected_until: Instant::ZERO,
             cache_full_until: Instant::ZERO,
+            resting_until: Instant::ZERO,
             cache_full_pause: Duration::ZERO,
             consecutive_failures: 0,
             failure_rate: 0.0,
--- a/mimosashift/src/fleet/plain.rs
+++ b/mimosashift/src/fleet/plain.rs
@@ -21,7 +21,7 @@
 
 impl Fleet {
     /// The endpoint for a request to a plain service, other than those in `avoid`;
-    /// `None` if there is none or all are full or have reached their limits.
+    /// `None` if there is none or all are full, rest or have reached their limits.
     pub fn choose_endpoint(
         &self,
         service: &str,
@@ -35,6 +35,7 @@
                 && !avoid.contains(&m.endpoint.id)
                 && f64::from(self.known_usage(m).requests) < MAX_LOAD * f64::from(m.endpoint.slots)
                 && self.has_credit(m, now)
+                && !m.is_resting(now)
         };
         let cost = |m: &Member| {
             let load = f64::from(self.known_usage(m).requests) / f64::from(m.endpoint.slots.max(1));
