Send nothing to endpoints whose answers say that they are leaving

An endpoint that leaves says so in all its answers (Server-Leaving), some time before its directory entry does, or without that.

Any answer of an endpoint counts, for the incarnation that gave it, and the endpoint then takes no work like one that is draining. Digests carry it, so that a router that relays its requests, and passes such answers on, knows of it when it reaches endpoints again.

--- a/mimosafront/src/call.rs
+++ b/mimosafront/src/call.rs
@@ -1,4 +1,4 @@
-//! Sends requests to endpoints, and records the limits and rests that their answers name.
+//! Sends requests to endpoints, and records what their answers say of the endpoints.
 
 use http_body_util::Full;
 use hyper::body::Bytes;
@@ -7,7 +7,7 @@
 use mimosashift::connection_pool::{Exchange, Failure};
 use mimosashift::emit;
 use mimosashift::event::Event;
-use mimosashift::fleet::{Hop, LimitChange, name_key};
+use mimosashift::fleet::{Hop, Incarnation, LimitChange, name_key};
 use mimosashift::time::Instant;
 
 use crate::clock;
@@ -37,6 +37,7 @@
             let echoed = exchange.head.headers().get(header::REQUEST_ID);
             self.record_limit(hop, &exchange, sent, echoed.is_some() && echoed == id.as_ref());
             self.record_rest(hop, &exchange);
+            self.record_leaving(hop, &exchange);
         }
         Ok(exchange)
     }
@@ -79,6 +80,27 @@
         }
     }
 
+    /// Records that an answer says that the endpoint is leaving.
+    fn record_leaving(&self, hop: &Hop, exchange: &Exchange) {
+        if !header::response(exchange.head.headers()).leaving {
+            return;
+        }
+        let endpoint = (name_key(&hop.id), hop.incarnation);
+        if self.apply_leaving(&[endpoint], "answer") {
+            self.peers.borrow_mut().expedite(clock::now());
+        }
+    }
+
+    /// Applies that endpoints have said that they are leaving; returns whether that is new.
+    /// `source` is `answer` or a peer.
+    pub fn apply_leaving(&self, endpoints: &[Incarnation], source: &str) -> bool {
+        let leaving = self.fleet.borrow_mut().record_leaving(endpoints);
+        for id in &leaving {
+            emit!(self.log, Event::EndpointLeaving, "endpoint" => &**id, "source" => source);
+        }
+        !leaving.is_empty()
+    }
+
     /// Logs a change of an endpoint's limit; `source` is `answer` or a peer.
     pub fn log_limit(&self, id: &str, change: &LimitChange, source: &str) {
         let before = change.before.map(f64::from);
--- a/mimosafront/src/directory.rs
+++ b/mimosafront/src/directory.rs
@@ -208,7 +208,7 @@
         emit!(state.log, Event::EndpointLayersChanged, "endpoint" => &**id, "source" => "store", "layers" => layers.map(|layers| layers.to_string()));
     }
     for id in &change.leaving {
-        emit!(state.log, Event::EndpointLeaving, "endpoint" => &**id);
+        emit!(state.log, Event::EndpointLeaving, "endpoint" => &**id, "source" => "store");
     }
     for id in &change.gone {
         emit!(state.log, Event::EndpointGone, "endpoint" => &**id);
--- a/mimosafront/src/gossip.rs
+++ b/mimosafront/src/gossip.rs
@@ -110,6 +110,7 @@
             .map(|(at, observed)| Observation { age: now.since(*at), ..*observed })
             .collect(),
         dead: dead_endpoints(state),
+        leaving_endpoints: state.fleet.borrow().leaving().map(Member::key).collect(),
         unreachable: state.reach.borrow().lost().map(|service| name_key(service)).collect(),
         suspects: state.quarantine.borrow().records(now),
         limits: state.fleet.borrow().limit_records(now),
@@ -145,6 +146,7 @@
     for (id, change) in limited {
         state.log_limit(&id, &change, &digest.node);
     }
+    state.apply_leaving(&digest.leaving_endpoints, &digest.node);
     // The digest may show free memory at an endpoint.
     state.memory_released.notify_one();
     for seen in &digest.observed {
--- a/mimosafront/tests/cluster/endpoints.rs
+++ b/mimosafront/tests/cluster/endpoints.rs
@@ -97,6 +97,8 @@
     pub request_limit: Option<&'static str>,
     /// Time to rest, as named in its answers; it rejects all requests if there is one.
     pub rest: Option<&'static str>,
+    /// Whether its answers say that it is leaving.
+    pub leaving: bool,
 }
 
 pub struct Endpoints {
@@ -148,11 +150,15 @@
         Some(engine::reply(503, &headers, "{}"))
     }
 
-    /// The answer with the limit that this endpoint names.
-    pub fn name_limit(&self, mut reply: Reply) -> Reply {
-        if let Some(limit) = self.state().request_limit {
+    /// The answer with what this endpoint says of itself in all answers.
+    pub fn with_state(&self, mut reply: Reply) -> Reply {
+        let state = self.state();
+        if let Some(limit) = state.request_limit {
             reply.headers_mut().insert("server-limit", limit.parse().unwrap());
         }
+        if state.leaving {
+            reply.headers_mut().insert("server-leaving", "1".parse().unwrap());
+        }
         reply
     }
 
@@ -182,6 +188,7 @@
         state.health = Health::Healthy;
         state.request_limit = None;
         state.rest = None;
+        state.leaving = false;
         state.removed = false;
         state.draining = false;
     }
@@ -215,6 +222,7 @@
                 busy: false,
                 request_limit: None,
                 rest: None,
+                leaving: false,
             };
             let (state, rejections) = (Mutex::new(state), Mutex::default());
             started.push(Arc::new(Member { id, service, zone, proxy, state, rejections }));
--- a/mimosafront/tests/cluster/engine.rs
+++ b/mimosafront/tests/cluster/engine.rs
@@ -52,7 +52,7 @@
             let engine = engine.clone();
             async move {
                 let reply = engine.answer(request).await;
-                Ok::<_, Infallible>(engine.member.name_limit(reply))
+                Ok::<_, Infallible>(engine.member.with_state(reply))
             }
         });
         let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
--- a/mimosafront/tests/cluster/plain.rs
+++ b/mimosafront/tests/cluster/plain.rs
@@ -32,7 +32,7 @@
         let service = service_fn(move |request| {
             let plain = plain.clone();
             async move {
-                Ok::<_, DroppedConnection>(plain.member.name_limit(plain.answer(request).await?))
+                Ok::<_, DroppedConnection>(plain.member.with_state(plain.answer(request).await?))
             }
         });
         let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
--- a/mimosashift/src/exchange/mod.rs
+++ b/mimosashift/src/exchange/mod.rs
@@ -169,6 +169,8 @@
     pub endpoint: Option<String>,
     /// Limit on the requests that the endpoint takes, if it names one.
     pub request_limit: Option<Result<RequestRate, Malformed>>,
+    /// Whether the endpoint is about to shut down.
+    pub leaving: bool,
     /// Time for which the endpoint wants no requests, if it names one; it counts with a
     /// rejection only.
     pub rest: Option<Result<Rest, Malformed>>,
--- a/mimosashift/src/fleet/mod.rs
+++ b/mimosashift/src/fleet/mod.rs
@@ -82,6 +82,9 @@
     last_progress: Instant,
     /// Streams of this router that pass through it.
     active_streams: u32,
+    /// Whether it has said in an answer that it is leaving; its directory entry may say so
+    /// later or never.
+    said_leaving: bool,
     /// When it was first found unresponsive, if it has not responded since.
     dead_since: Option<Instant>,
     /// End of its latest ejection after a failure.
@@ -170,6 +173,7 @@
             observed_at: Instant::ZERO,
             last_progress: now,
             active_streams: 0,
+            said_leaving: false,
             dead_since: None,
             ejected_until: Instant::ZERO,
             cache_full_until: Instant::ZERO,
@@ -201,9 +205,11 @@
         changed
     }
 
-    /// Whether the directory lists it as ready for new work.
+    /// Whether the directory lists it as ready for new work and it has not said otherwise.
     pub fn takes_work(&self) -> bool {
-        self.endpoint.status == EndpointStatus::Ready && self.missing_since.is_none()
+        self.endpoint.status == EndpointStatus::Ready
+            && !self.said_leaving
+            && self.missing_since.is_none()
     }
 
     /// Whether it takes new work and is not marked dead.
@@ -344,6 +350,26 @@
         self.members.values().find(|member| member.endpoint.address == address)
     }
 
+    /// Records that endpoints have said that they are leaving; returns those of which that
+    /// is new.
+    pub fn record_leaving(&mut self, endpoints: &[Incarnation]) -> Vec<Arc<str>> {
+        if endpoints.is_empty() {
+            return Vec::new();
+        }
+        let members = self.members.values_mut();
+        let leaving = members.filter(|m| !m.said_leaving && endpoints.contains(&m.key()));
+        let record = |member: &mut Member| {
+            member.said_leaving = true;
+            member.endpoint.id.clone()
+        };
+        leaving.map(record).collect()
+    }
+
+    /// The endpoints that have said that they are leaving.
+    pub fn leaving(&self) -> impl Iterator<Item = &Member> {
+        self.members.values().filter(|member| member.said_leaving)
+    }
+
     /// Applies an endpoint's report; returns an observation to send to peers if
     /// anything changed.
     pub fn apply_report(&mut self, id: &str, report: &Report, now: Instant) -> Option<Observation> {
--- a/mimosashift/src/peer/mod.rs
+++ b/mimosashift/src/peer/mod.rs
@@ -14,7 +14,7 @@
 use rand_pcg::Pcg64Mcg;
 use serde::{Deserialize, Serialize};
 
-use crate::fleet::{LimitRecord, Observation, Usage};
+use crate::fleet::{Incarnation, LimitRecord, Observation, Usage};
 use crate::freshness::PeerConfirmation;
 use crate::quarantine;
 use crate::time::Instant;
@@ -69,6 +69,10 @@
 /// network partition, which each router detects by itself.
 const MAX_DEAD_ENDPOINTS: usize = 8;
 
+/// Maximum number of leaving endpoints in one digest; more leave at once only when a whole
+/// zone does, which the directory shows.
+const MAX_LEAVING_ENDPOINTS: usize = 32;
+
 /// Maximum number of contents in one digest that are there for their crashes;
 /// those of the others that are there change from digest to digest.
 const MAX_CRASHING_CONTENTS: usize = 8;
@@ -114,10 +118,12 @@
     /// Recent changes of endpoints that the sender has observed.
     pub observed: Vec<Observation>,
     /// Endpoints that did not answer the sender, with their incarnations.
-    pub dead: Vec<(u64, u64)>,
+    pub dead: Vec<Incarnation>,
     /// Keys of the services whose endpoints the sender does not reach, see
     /// [`name_key`](crate::fleet::name_key).
     pub unreachable: Vec<u64>,
+    /// Endpoints that have said that they are leaving, with their incarnations.
+    pub leaving_endpoints: Vec<Incarnation>,
     /// Contents of requests that may crash endpoints.
     pub suspects: Vec<quarantine::Record>,
     /// Limits that endpoints name, and the demand of the sender.
@@ -347,10 +353,11 @@
     }
 
     /// Limits the size of the digest. Of the usage the largest entries are kept; of the
-    /// dead endpoints, the observations and the limits a random part, so that later digests
+    /// dead and leaving endpoints, the observations and the limits a random part, so that later digests
     /// contain the others.
     pub fn truncate(&mut self, rng: &mut Pcg64Mcg) {
         keep_random(&mut self.dead, MAX_DEAD_ENDPOINTS, rng);
+        keep_random(&mut self.leaving_endpoints, MAX_LEAVING_ENDPOINTS, rng);
         keep_random(&mut self.observed, MAX_OBSERVATIONS, rng);
         keep_random(&mut self.limits, MAX_LIMITS, rng);
         self.suspects.sort_by_key(|record| Reverse(record.crashes.len()));
--- a/mimosashift/tests/peer.rs
+++ b/mimosashift/tests/peer.rs
@@ -53,6 +53,7 @@
         store_age: Some(Duration::ZERO),
         store_lost: false,
         unreachable: Vec::new(),
+        leaving_endpoints: Vec::new(),
         directory: None,
         usage: Vec::new(),
         observed: Vec::new(),
