Let the soak cut routers off and endpoints rest and leave

Routers of the soak have links of their own to the endpoints, which are cut in three ways; endpoints ask for rests and say that they are leaving. The faults of earlier seeds stay as they were, from generators of their own.

--- a/mimosafront/tests/cluster/endpoints.rs
+++ b/mimosafront/tests/cluster/endpoints.rs
@@ -142,6 +142,12 @@
         self.state().request_limit = limit;
     }
 
+    /// Whether it asks for rests or says that it is leaving.
+    pub fn is_reluctant(&self) -> bool {
+        let state = self.state();
+        state.rest.is_some() || state.leaving
+    }
+
     /// The rejection of a request, if it rejects all.
     pub fn reject(&self, id: &str) -> Option<Reply> {
         let rest = self.state().rest?;
--- a/mimosafront/tests/soak.rs
+++ b/mimosafront/tests/soak.rs
@@ -43,6 +43,12 @@
 /// One in this many faults comes with a change of an endpoint's request limit.
 const LIMIT_ONE_IN: u32 = 3;
 
+/// One in this many faults comes with a change of a router's paths to all endpoints.
+const PATHS_ONE_IN: u32 = 3;
+
+/// One in this many changes of an endpoint's rest makes it leave as well.
+const LEAVING_ONE_IN: u32 = 8;
+
 /// Part of every prompt.
 const SOUND_PART: &str = "5a";
 
@@ -72,7 +78,7 @@
 
 fn soak(seed: u64, duration: Duration) -> Vec<String> {
     let mut rng = StdRng::seed_from_u64(seed);
-    let options = ClusterOptions { routers: 3, ..ClusterOptions::default() };
+    let options = ClusterOptions { routers: 3, separate_links: true, ..ClusterOptions::default() };
     let mut cluster = TestCluster::start(options);
     let history = History::default();
     let stop = Arc::new(Mutex::new(false));
@@ -84,6 +90,7 @@
     }
     // Its own generator keeps the other faults of a seed as they were.
     let mut limit_rng = StdRng::seed_from_u64(!seed);
+    let mut paths_rng = StdRng::seed_from_u64(seed.rotate_left(32));
     let end = Instant::now() + duration;
     let mut revoked = None;
     let mut pending: Vec<(Instant, Repair)> = Vec::new();
@@ -91,12 +98,16 @@
         let (repair, repair_after) = inject_fault(&mut cluster, &mut rng, &mut revoked);
         pending.push((Instant::now() + repair_after, repair));
         change_limit(&cluster, &mut limit_rng);
+        change_paths(&cluster, &mut paths_rng);
         let pause = Duration::from_millis(rng.random_range(100..900));
         std::thread::sleep(pause);
         pending = apply_due_repairs(&mut cluster, pending, Instant::now());
     }
     std::thread::sleep(Duration::from_millis(500));
     cluster.endpoints.members.iter().for_each(|member| member.limit_requests(None));
+    cluster.set_links(&[0, 1, 2], LinkState::Up);
+    let reluctant = cluster.endpoints.members.iter().filter(|member| member.is_reluctant());
+    reluctant.for_each(|member| member.restart());
     // Applies all repairs, whenever they are due.
     apply_due_repairs(&mut cluster, pending, Instant::now() + Duration::from_secs(3_600));
     let mut violations = check_recovery(&mut cluster);
@@ -285,6 +296,26 @@
     }
 }
 
+/// Changes the paths of a router to all endpoints, and lets an endpoint ask for rests or
+/// say that it is leaving, now and then.
+fn change_paths(cluster: &TestCluster, rng: &mut StdRng) {
+    let paths = [LinkState::Up, LinkState::Unreachable, LinkState::Reset, LinkState::RefuseNew];
+    let (path, router) = (*paths.choose(rng).unwrap(), rng.random_range(0..3));
+    if rng.random_ratio(1, PATHS_ONE_IN) {
+        println!("{:?}: paths of router {router} are {path:?}", SystemTime::now());
+        cluster.set_links(&[router], path);
+    }
+    let member = cluster.endpoints.members.choose(rng).unwrap();
+    let rest = *[None, Some("1"), Some("0.3"), Some("soon")].choose(rng).unwrap();
+    let leaving = rng.random_ratio(1, LEAVING_ONE_IN);
+    if rng.random_ratio(1, LIMIT_ONE_IN) {
+        println!("{:?}: {} asks for {rest:?}, leaving: {leaving}", SystemTime::now(), member.id);
+        let mut state = member.state();
+        state.rest = rest;
+        state.leaving |= leaving;
+    }
+}
+
 /// Applies the repairs that are due and returns the others.
 fn apply_due_repairs(
     cluster: &mut TestCluster,
