--- a/mimosafront/tests/cluster/client.rs
+++ b/mimosafront/tests/cluster/client.rs
@@ -89,6 +89,15 @@
         Self::new(Method::GET, "/read/x?a=1")
     }
 
+    /// A short stream, a posting or a read in turn.
+    pub fn mixed(number: usize) -> Self {
+        match number % 3 {
+            0 => Self::draft(4),
+            1 => Self::post(),
+            _ => Self::read(),
+        }
+    }
+
     fn to_http(&self) -> Request<Full<Bytes>> {
         let mut builder = Request::builder()
             .method(self.method.clone())
--- a/mimosafront/tests/leaving_endpoints.rs
+++ b/mimosafront/tests/leaving_endpoints.rs
@@ -20,15 +20,6 @@
 /// Share of the requests that may fail.
 const MAX_FAILED: f64 = 0.02;
 
-/// A stream, a posting or a read in turn.
-fn mixed_request(number: usize) -> TestRequest {
-    match number % 3 {
-        0 => TestRequest::draft(4),
-        1 => TestRequest::post(),
-        _ => TestRequest::read(),
-    }
-}
-
 fn cluster(routers: usize, zones: usize, separate_links: bool) -> TestCluster {
     TestCluster::start(ClusterOptions {
         routers,
@@ -60,7 +51,7 @@
 #[test]
 fn endpoint_that_says_it_is_leaving_gets_no_new_requests() {
     let cluster = cluster(2, 2, false);
-    let results = send_requests(&cluster, Duration::from_millis(15), DURATION, mixed_request);
+    let results = send_requests(&cluster, Duration::from_millis(15), DURATION, TestRequest::mixed);
     std::thread::sleep(Duration::from_secs(1));
     let leaving = leave(&cluster);
     let from = Instant::now() + DRAIN_TIME;
@@ -75,7 +66,7 @@
 #[test]
 fn router_that_was_cut_off_sends_nothing_to_endpoints_that_said_so_meanwhile() {
     let cluster = cluster(2, 1, true);
-    send_requests(&cluster, Duration::from_millis(15), DURATION + DURATION, mixed_request);
+    send_requests(&cluster, Duration::from_millis(15), DURATION + DURATION, TestRequest::mixed);
     cluster.set_links(&[0], LinkState::Unreachable);
     std::thread::sleep(Duration::from_secs(2));
     let leaving = leave(&cluster);
@@ -91,7 +82,7 @@
 fn restarted_endpoint_is_no_longer_leaving() {
     let cluster = cluster(1, 2, false);
     let leaving = leave(&cluster);
-    send_requests(&cluster, Duration::from_millis(15), DURATION, mixed_request);
+    send_requests(&cluster, Duration::from_millis(15), DURATION, TestRequest::mixed);
     std::thread::sleep(Duration::from_secs(2));
     leaving.iter().for_each(|member| member.restart());
     cluster.endpoints.get("register-0-1").state().draining = true;
--- a/mimosafront/tests/unreachable_endpoints.rs
+++ b/mimosafront/tests/unreachable_endpoints.rs
@@ -27,9 +27,6 @@
 /// Interval of the requests to one router.
 const INTERVAL: Duration = Duration::from_millis(50);
 
-/// Events of a stream.
-const EVENTS: u64 = 4;
-
 /// Interval of further streams at each router that is cut off, from when the cut begins,
 /// and their events. They need more connections than are open by then.
 const FURTHER_INTERVAL: Duration = Duration::from_millis(50);
@@ -43,14 +40,8 @@
     ClusterOptions { routers, separate_links: true, ..ClusterOptions::default() }
 }
 
-/// A stream, a posting or a read in turn.
 fn mixed_request(number: usize) -> TestRequest {
-    let request = match number % 3 {
-        0 => TestRequest::draft(EVENTS),
-        1 => TestRequest::post(),
-        _ => TestRequest::read(),
-    };
-    TestRequest { timeout: TIMEOUT, ..request }
+    TestRequest { timeout: TIMEOUT, ..TestRequest::mixed(number) }
 }
 
 fn was_served((_, _, response): &Sent) -> bool {
