Choose ports of testbeds outside the range for connections

Ports now come from 10,000 to 19,999, a different one for each call in a process and another start for each process.

--- a/mimosastandin/src/testbed.rs
+++ b/mimosastandin/src/testbed.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use mimosashift::event::Logger;
@@ -20,6 +21,18 @@
 /// Loopback address with port 0, which binds to any free port.
 pub const LOOPBACK: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
+/// First port and number of ports for routers, below those that Linux gives out for outgoing
+/// connections.
+const FIRST_PORT: u16 = 10_000;
+const PORT_COUNT: u16 = 10_000;
+
+/// Distance between the first ports of two processes with successive ids: more than a test
+/// takes.
+const PORTS_PER_PROCESS: u32 = 101;
+
+/// Number of ports chosen by this process.
+static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
+
 /// Name of the model served by the testbed.
 pub const MODEL: &str = "advisor";
 
@@ -148,17 +161,25 @@
     }
 }
 
-/// A loopback address whose port is free for UDP and TCP.
+/// A loopback address whose port is free for UDP and TCP, a different one for each call.
+///
+/// The port is not reserved, but it is none that the system gives out for connections.
+/// Processes start at different ports, so that they rarely choose the same one.
+///
+/// # Errors
 ///
-/// The port is not reserved: another process may bind to it first, and a further
-/// call then returns a different one.
+/// If every port of the range is in use.
 pub fn free_address() -> io::Result<SocketAddr> {
-    loop {
-        let address = TcpListener::bind(LOOPBACK)?.local_addr()?;
-        if UdpSocket::bind(address).is_ok() {
+    let start = std::process::id().wrapping_mul(PORTS_PER_PROCESS);
+    for _ in 0..PORT_COUNT {
+        let number = start.wrapping_add(NEXT_PORT.fetch_add(1, Ordering::Relaxed));
+        let port = FIRST_PORT + (number % u32::from(PORT_COUNT)) as u16;
+        let address = SocketAddr::new(LOOPBACK.ip(), port);
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return Ok(address);
         }
     }
+    Err(io::ErrorKind::AddrInUse.into())
 }
 
 /// The settings of router `index` of a testbed.
