--- a/mimosashiftd/tests/cluster.rs
+++ b/mimosashiftd/tests/cluster.rs
@@ -1,13 +1,14 @@
 //! Tests of router processes that share one platform.
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use mimosashift::http::client::{Call, Client, Response, Settings};
 use mimosastandin::platform::{self, Fault};
+use mimosastandin::testbed::free_address;
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
 use ureq::http::Method;
@@ -68,7 +69,7 @@
 
     fn try_start_router(&self, index: usize) -> Option<Router> {
         let [caller_address, operator_address, peer_address] =
-            [free_address(), free_address(), free_address()];
+            [(); 3].map(|()| free_address().unwrap());
         let seed =
             self.routers.first().map_or(String::new(), |first| first.peer_address.to_string());
         let digest = hex::encode(Sha256::digest(OPERATOR_TOKEN));
@@ -486,13 +487,3 @@
 fn text(answer: &Response) -> String {
     String::from_utf8_lossy(&answer.body).into_owned()
 }
-
-/// A local address on which both TCP and UDP are free.
-fn free_address() -> SocketAddr {
-    loop {
-        let address = TcpListener::bind(EPHEMERAL).unwrap().local_addr().unwrap();
-        if UdpSocket::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
--- a/mimosashiftd/tests/common/mod.rs
+++ b/mimosashiftd/tests/common/mod.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc;
 use std::thread;
@@ -12,6 +12,7 @@
 
 use hyper::Method;
 use mimosashift::http::client::{Call, Client, Failure, Response};
+use mimosastandin::testbed::free_address;
 use mimosastandin::{platform, service};
 use serde_json::Value;
 use sha2::{Digest, Sha256};
@@ -222,7 +223,8 @@
 
     fn try_start(number: usize, platform: &str) -> Option<Self> {
         let digest = hex::encode(Sha256::digest(OPERATOR_TOKEN));
-        let [caller_address, operator_address, peer_address] = free_addresses();
+        let [caller_address, operator_address, peer_address] =
+            [(); 3].map(|()| free_address().unwrap());
         let mut child = Command::new(env!("CARGO_BIN_EXE_mimosashiftd"))
             .args(["--node", &format!("r{number}"), "--domain", "a", "--region", "lk-west"])
             .args([
@@ -305,12 +307,6 @@
     }
 }
 
-/// Local addresses with free TCP ports.
-fn free_addresses() -> [SocketAddr; 3] {
-    let listeners = [(); 3].map(|()| TcpListener::bind(EPHEMERAL).unwrap());
-    listeners.each_ref().map(|listener| listener.local_addr().unwrap())
-}
-
 /// Classifies a response as the caller sees it.
 pub fn classify(answer: &Result<Response, Failure>) -> Reply {
     let answer = match answer {
