Do not pass on a second router's refusal as not run after a lost answer

Found by the soak with routers that are cut off (seed 745): a read lost its answer, was relayed, and the second router refused it because its keys were too old. The client got 503, which promises that the request has not run, though an endpoint had run it.

A refusal by another router now counts as a rejected send if an endpoint may have run the request before: the next router is tried, and the end is 502. Routers whose configuration is nearly too old are sent nothing. The seed is a regression case of the soak; its cause is read from the logs of that run.

--- a/mimosafront/src/relay/model/mod.rs
+++ b/mimosafront/src/relay/model/mod.rs
@@ -433,12 +433,22 @@
         let lost = |_| Err(Failure::Lost { reason: "no answer in time".to_owned() });
         match result.unwrap_or_else(lost) {
             Ok(exchange) => {
-                let info = header::response(exchange.head.headers());
+                let (status, info) =
+                    (exchange.head.status(), header::response(exchange.head.headers()));
+                if info.is_refusal(status.as_u16()) {
+                    if executions > 0 {
+                        // It was not run there, but may have been before.
+                        self.rejected_sends += 1;
+                        return Err("refused by a router");
+                    }
+                    self.relay = Some(relay);
+                    return Ok(exchange);
+                }
                 self.possible_executions += 1;
-                if !self.ctx.is_answered_by(&info, exchange.head.status()) {
+                if !self.ctx.is_answered_by(&info, status) {
                     return Err("answer to another request");
                 }
-                if exchange.head.status().is_success() && !info.signed {
+                if status.is_success() && !info.signed {
                     return Err("answer without a signature");
                 }
                 self.relay = Some(relay);
--- a/mimosafront/src/relay/peer.rs
+++ b/mimosafront/src/relay/peer.rs
@@ -1,4 +1,4 @@
-//! Relays requests through other routers while this one reaches no endpoint.
+//! Sends requests through other routers while this one reaches no endpoint.
 //!
 //! The other router serves a request as if it were a client's, with what it knows of
 //! the endpoints and under its own limits. It relays none on. See `docs/design/reach.md`.
@@ -17,6 +17,7 @@
 use mimosashift::emit;
 use mimosashift::event::Event;
 use mimosashift::fleet::name_key;
+use mimosashift::peer::Peer;
 use tokio::time::sleep;
 
 use super::RequestContext;
@@ -32,6 +33,9 @@
 /// Cost of a router in another zone, in requests relayed to it that have not ended.
 const REMOTE_ZONE_COST: usize = 4;
 
+/// Time before its keys become too old in which a router is sent no requests.
+const CONFIG_AGE_MARGIN: Duration = Duration::from_millis(500);
+
 /// Interval of the checks whether the other router is alive.
 const LIVENESS_INTERVAL: Duration = Duration::from_millis(60);
 
@@ -149,14 +153,20 @@
     fn choose_relay(&self, tried: &[Arc<str>]) -> Option<Relay> {
         let state = &self.state;
         let node = state.node();
+        // A router whose keys are too old to be accepted refuses all requests.
+        let max_age = node.bounds.revocation.map(|bound| bound.saturating_sub(CONFIG_AGE_MARGIN));
         let best = {
             let (peers, relayed) = (state.peers.borrow(), state.relayed.borrow());
             let reaching = peers.reaching(name_key(&self.service.name), clock::now());
-            let cost = |peer: &&mimosashift::peer::Peer| {
+            let cost = |peer: &&Peer| {
                 let remote = usize::from(peer.digest.zone != node.zone) * REMOTE_ZONE_COST;
                 relayed.get(&peer.digest.node).copied().unwrap_or_default() + remote
             };
-            let untried = reaching.filter(|peer| !tried.contains(&peer.digest.node));
+            let accepting = reaching.filter(|peer| {
+                let age = peer.config_age(clock::now());
+                age.is_some_and(|age| max_age.is_none_or(|max_age| age < max_age))
+            });
+            let untried = accepting.filter(|peer| !tried.contains(&peer.digest.node));
             untried.min_by_key(cost).map(|peer| (peer.digest.node.clone(), peer.address))
         };
         let (name, address) = best?;
--- a/mimosafront/src/relay/plain.rs
+++ b/mimosafront/src/relay/plain.rs
@@ -220,6 +220,12 @@
     };
     match timeout(ctx.remaining(), response).await {
         Ok(Ok((exchange, body))) => {
+            let status = exchange.head.status();
+            let info = header::response(exchange.head.headers());
+            if executions > 0 && info.is_refusal(status.as_u16()) {
+                // It was not run there, but may have been before.
+                return SendOutcome::NotRun("refused by a router");
+            }
             let outcome = check_response(ctx, exchange, body, false);
             if let SendOutcome::Answered(response, _) = &outcome {
                 ctx.state.meter.requests(1, relayed_outcome(response.status()));
--- a/mimosafront/tests/soak.rs
+++ b/mimosafront/tests/soak.rs
@@ -22,10 +22,14 @@
 use cluster::{ClusterOptions, KEY, OTHER_KEY, TEAM, TestCluster};
 
 /// Seeds that have failed before, with the cause.
-const REGRESSIONS: [(u64, &str); 3] = [
+const REGRESSIONS: [(u64, &str); 4] = [
     (505, "an engine of the tests ended streams with their last chunk when it broke them off"),
     (541, "as with seed 505"),
     (607, "an engine restarted while a router was suspended, and its stream looked complete"),
+    (
+        745,
+        "the refusal of a second router was passed on though an endpoint may have run the request",
+    ),
 ];
 
 /// Seeds that run by default.
--- a/mimosashift/src/exchange/mod.rs
+++ b/mimosashift/src/exchange/mod.rs
@@ -176,6 +176,14 @@
     pub rest: Option<Result<Rest, Malformed>>,
 }
 
+impl ResponseInfo {
+    /// Whether another router, which answered with this status, refused the request, so
+    /// that it was not run there. An answer of an endpoint is signed.
+    pub fn is_refusal(&self, status: u16) -> bool {
+        !self.signed && matches!(status, 408 | 421 | 429 | 503)
+    }
+}
+
 /// State that a model engine reports; it lags by several hundred milliseconds.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Report {
--- a/mimosashift/src/peer/mod.rs
+++ b/mimosashift/src/peer/mod.rs
@@ -338,6 +338,12 @@
         self.digest.store_age.map(|age| age + now.since(self.last_digest_at))
     }
 
+    /// Time since the peer last confirmed its configuration; `None` if it has none.
+    pub fn config_age(&self, now: Instant) -> Option<Duration> {
+        let age = self.digest.config?.age?;
+        Some(age + now.since(self.last_digest_at))
+    }
+
     /// Whether the peer counts as alive.
     pub fn is_alive(&self, now: Instant) -> bool {
         !self.digest.leaving && now.since(self.last_digest_at) < DEAD_AFTER
--- a/mimosashift/tests/reach.rs
+++ b/mimosashift/tests/reach.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use mimosashift::exchange::ResponseInfo;
 use mimosashift::reach::{Change, Reach, Sample};
 use mimosashift::time::Instant;
 
@@ -101,3 +102,13 @@
     reach.apply(&service(), ALL_REACHED, at(1_250));
     assert!(reach.due(|_| 6, at(1_800)).is_empty());
 }
+
+#[test]
+fn answer_of_an_endpoint_is_no_refusal_of_the_router_that_passes_it_on() {
+    let by_router = ResponseInfo::default();
+    let by_endpoint = ResponseInfo { signed: true, ..ResponseInfo::default() };
+    for status in [408, 421, 429, 503] {
+        assert!(by_router.is_refusal(status) && !by_endpoint.is_refusal(status), "{status}");
+    }
+    assert!([200, 401, 404, 500, 502, 504].iter().all(|status| !by_router.is_refusal(*status)));
+}
