--- a/mimosafront/src/relay/model/mod.rs
+++ b/mimosafront/src/relay/model/mod.rs
@@ -7,34 +7,32 @@
 
 use hyper::{Response, StatusCode};
 use mimosaplatform::header;
-use mimosashift::admit::pressure::MAX_WAIT;
 use mimosashift::connection_pool::{Exchange, Failure};
 use mimosashift::deployment::Engine;
 use mimosashift::emit;
 use mimosashift::event::Event;
 use mimosashift::event_stream::EventSplitter;
-use mimosashift::fleet::{Chain, Claim, Demand, Hop, Member, Query, Shortage};
+use mimosashift::fleet::{Chain, Claim, Demand, Hop, Member};
 use mimosashift::meter::{Outcome, RefusalReason};
 use mimosashift::time::Instant;
 use smallvec::SmallVec;
 use tokio::sync::mpsc;
-use tokio::time::timeout;
 
 use self::stall::{FaultyHops, StallCheck};
 use self::stall_timer::{StallTimer, wait_for_fault_or_tick};
 use super::peer::{Path, Relay, UNREACHABLE_REASON};
-use super::{
-    LIMITED_REASON, RESTING_REASON, RequestContext, RequestError, forward_response, relayed_outcome,
-};
+use super::{RequestContext, RequestError, forward_response, relayed_outcome};
 use crate::body::ResponseBody;
 use crate::clock;
 use crate::probe;
 use crate::state::{RouterState, millis};
 
+mod admission;
 mod crash;
 mod forward;
 mod stall;
 mod stall_timer;
+mod through;
 
 /// Number of chunks buffered for a slow client before its stream is held back.
 const BUFFERED_CHUNKS: usize = 32;
@@ -51,9 +49,6 @@
 /// order.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 1024 * 1024;
 
-/// Interval in which a waiting request checks whether a limit permits it.
-const LIMIT_RECHECK: Duration = Duration::from_millis(25);
-
 /// Retry-After if the deadline passed before the request was executed: in each
 /// such interval a few streams end and free memory.
 const DEADLINE_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -109,15 +104,6 @@
     longest_gap_after: Option<u64>,
 }
 
-/// Counts a request as waiting until dropped.
-struct WaitingGuard<'a>(&'a RouterState);
-
-impl Drop for WaitingGuard<'_> {
-    fn drop(&mut self) {
-        self.0.pressure.borrow_mut().end_wait();
-    }
-}
-
 impl Drop for ModelRequest {
     fn drop(&mut self) {
         self.release();
@@ -277,115 +263,6 @@
         RequestError::Refused(kind, reason, retry_after)
     }
 
-    /// Selects a chain for the request once there is memory for it.
-    async fn admit(&self) -> Result<Chain, RequestError> {
-        let state = self.state();
-        let now = clock::now();
-        let mut shortage = None;
-        if state.pressure.borrow().waiting() == 0 {
-            match self.select_chain() {
-                Ok(chain) => return Ok(self.record_admission(chain)),
-                Err(Shortage::Full(_) | Shortage::Limited) => {}
-                Err(lasting) => shortage = Some(lasting),
-            }
-        }
-        if shortage.is_none() && state.pressure.borrow_mut().begin_wait(now) {
-            let _waiting_guard = WaitingGuard(state);
-            match self.wait_for_memory(now + MAX_WAIT).await {
-                Ok(chain) => return Ok(self.record_admission(chain)),
-                Err(found) => shortage = Some(found),
-            }
-        }
-        // If the queue is full, the layer is unknown and logged as 0.
-        Err(self.shortage_error(&shortage.unwrap_or(Shortage::Full(0))))
-    }
-
-    async fn wait_for_memory(&self, until: Instant) -> Result<Chain, Shortage> {
-        loop {
-            let released = self.state().memory_released.notified();
-            let shortage = match self.select_chain() {
-                Ok(chain) => return Ok(chain),
-                Err(shortage) => shortage,
-            };
-            let left = until.min(self.ctx.deadline).since(clock::now());
-            let is_lasting = matches!(shortage, Shortage::Uncovered(_) | Shortage::Resting);
-            if is_lasting || left.is_zero() {
-                return Err(shortage);
-            }
-            // The next iteration checks whether memory was released or time ran
-            // out. Nothing signals that a limit permits a request again.
-            let left = if shortage == Shortage::Limited { left.min(LIMIT_RECHECK) } else { left };
-            drop(timeout(left, released).await);
-        }
-    }
-
-    fn record_admission(&self, chain: Chain) -> Chain {
-        let state = self.state();
-        state.pressure.borrow_mut().record_admitted(clock::now());
-        // There may be memory for the next waiting request as well.
-        state.memory_released.notify_one();
-        chain
-    }
-
-    fn select_chain(&self) -> Result<Chain, Shortage> {
-        self.find_chain(&self.demand, None, &self.excluded_hops)
-    }
-
-    fn find_chain(
-        &self,
-        demand: &Demand,
-        first: Option<&Hop>,
-        avoid: &[Hop],
-    ) -> Result<Chain, Shortage> {
-        let zone = self.state().node().zone.clone();
-        let query = self.query(&zone, demand, first, avoid);
-        self.state().fleet.borrow().chain(&query, clock::now())
-    }
-
-    fn query<'a>(
-        &'a self,
-        zone: &'a str,
-        demand: &'a Demand,
-        first: Option<&'a Hop>,
-        avoid: &'a [Hop],
-    ) -> Query<'a> {
-        let service = &self.ctx.service.name;
-        Query { service, engine: &self.engine, zone, demand, first, avoid }
-    }
-
-    fn log_shortage(&self, shortage: &Shortage) {
-        let zone = self.state().node().zone.clone();
-        let query = self.query(&zone, &self.demand, None, &self.excluded_hops);
-        let layer = shortage.layer();
-        let holders = self.state().fleet.borrow().describe_holders(&query, layer, clock::now());
-        let waiting = self.state().pressure.borrow().waiting();
-        emit!(self.state().log, Event::LayerShortage, "request" => &*self.ctx.id, "layer" => layer, "holders" => holders, "waiting" => waiting);
-    }
-
-    fn shortage_error(&self, shortage: &Shortage) -> RequestError {
-        self.log_shortage(shortage);
-        let mut pressure = self.state().pressure.borrow_mut();
-        pressure.record_refused(clock::now());
-        let retry_after = pressure.retry_after(self.state().random_fraction());
-        let limited = || self.state().record_limited(&self.ctx.service.name);
-        let rest_left = || self.state().time_to_end_of_rest(&self.ctx.service.name);
-        let retry_after = match shortage {
-            Shortage::Limited => limited().unwrap_or(retry_after),
-            Shortage::Resting => rest_left().unwrap_or(retry_after),
-            Shortage::Full(_) | Shortage::Uncovered(_) => retry_after,
-        };
-        let (kind, reason) = match shortage {
-            Shortage::Full(_) => (RefusalReason::Shed, "no memory free"),
-            Shortage::Uncovered(_) => (RefusalReason::NoEndpoint, "layers without an endpoint"),
-            Shortage::Limited => (RefusalReason::OverLimit, LIMITED_REASON),
-            Shortage::Resting => (RefusalReason::OverLimit, RESTING_REASON),
-        };
-        if self.possible_executions > 0 {
-            return RequestError::Failed(StatusCode::BAD_GATEWAY, reason);
-        }
-        RequestError::Refused(kind, reason, retry_after)
-    }
-
     /// Sends the request to a chain; returns the reason if the response must not
     /// be forwarded.
     async fn send(&mut self, chain: Chain, attempt: u32) -> Result<Exchange, &'static str> {
@@ -423,48 +300,6 @@
         }
     }
 
-    /// Sends the request through another router; returns the reason if there is no
-    /// response.
-    async fn send_through(&mut self, relay: Relay, attempt: u32) -> Result<Exchange, &'static str> {
-        self.tried_relays.push(relay.name.clone());
-        let (executions, last_event) = (self.possible_executions, self.events.last());
-        let sending = self.ctx.send_to_router(&relay, attempt, executions, last_event);
-        let result = timeout(self.ctx.remaining(), sending).await;
-        let lost = |_| Err(Failure::Lost { reason: "no answer in time".to_owned() });
-        match result.unwrap_or_else(lost) {
-            Ok(exchange) => {
-                let (status, info) =
-                    (exchange.head.status(), header::response(exchange.head.headers()));
-                if info.is_refusal(status.as_u16()) {
-                    if executions > 0 {
-                        // It was not run there, but may have been before.
-                        self.rejected_sends += 1;
-                        return Err("refused by a router");
-                    }
-                    self.relay = Some(relay);
-                    return Ok(exchange);
-                }
-                self.possible_executions += 1;
-                if !self.ctx.is_answered_by(&info, status) {
-                    return Err("answer to another request");
-                }
-                if status.is_success() && !info.signed {
-                    return Err("answer without a signature");
-                }
-                self.relay = Some(relay);
-                Ok(exchange)
-            }
-            Err(Failure::NotSent { .. }) => {
-                self.rejected_sends += 1;
-                Err("router not reached")
-            }
-            Err(Failure::Lost { .. }) => {
-                self.possible_executions += 1;
-                Err("router did not answer")
-            }
-        }
-    }
-
     /// Waits for the response head and checks the chain meanwhile; `Err(None)`
     /// if the chain is lost or the deadline has passed.
     async fn wait_for_head(
--- /dev/null
+++ b/mimosafront/src/relay/model/through.rs
@@ -0,0 +1,56 @@
+//! Sends a request through another router instead of to a chain.
+
+use mimosaplatform::header;
+use mimosashift::connection_pool::{Exchange, Failure};
+use tokio::time::timeout;
+
+use super::ModelRequest;
+use crate::relay::peer::Relay;
+
+impl ModelRequest {
+    /// Sends the request through another router; returns the reason if there is no
+    /// response.
+    pub(super) async fn send_through(
+        &mut self,
+        relay: Relay,
+        attempt: u32,
+    ) -> Result<Exchange, &'static str> {
+        self.tried_relays.push(relay.name.clone());
+        let (executions, last_event) = (self.possible_executions, self.events.last());
+        let sending = self.ctx.send_to_router(&relay, attempt, executions, last_event);
+        let result = timeout(self.ctx.remaining(), sending).await;
+        let lost = |_| Err(Failure::Lost { reason: "no answer in time".to_owned() });
+        match result.unwrap_or_else(lost) {
+            Ok(exchange) => {
+                let (status, info) =
+                    (exchange.head.status(), header::response(exchange.head.headers()));
+                if info.is_refusal(status.as_u16()) {
+                    if executions > 0 {
+                        // It was not run there, but may have been before.
+                        self.rejected_sends += 1;
+                        return Err("refused by a router");
+                    }
+                    self.relay = Some(relay);
+                    return Ok(exchange);
+                }
+                self.possible_executions += 1;
+                if !self.ctx.is_answered_by(&info, status) {
+                    return Err("answer to another request");
+                }
+                if status.is_success() && !info.signed {
+                    return Err("answer without a signature");
+                }
+                self.relay = Some(relay);
+                Ok(exchange)
+            }
+            Err(Failure::NotSent { .. }) => {
+                self.rejected_sends += 1;
+                Err("router not reached")
+            }
+            Err(Failure::Lost { .. }) => {
+                self.possible_executions += 1;
+                Err("router did not answer")
+            }
+        }
+    }
+}
