Apply the limits in force to open client connections

Callers that kept connections open beside a change of the idle limit found them closed, with neither an answer nor a refusal: a connection read the limits once, when it was accepted, and hyper's head timer enforced them for its whole life, for idle time and heads alike.

An accepted connection now has a module of its own. Its socket notes when a head begins and when a response ends, and hyper has no timer. An idle connection is closed once it was idle for longer than the largest idle limit in force since then, and only after the configuration has been confirmed past that time, or 10 s later if nothing confirms it: a raised limit that the router has not read yet would show in that confirmation. A lowered limit counts from the next idle period, after two more seconds in which clients may not have learned of it. Right before the close, the socket is asked for bytes that the event loop has not seen. A head has its own limit from its first byte, and a client that exceeds it is told 408.

MS0206 sums up, at most once a second and reason, the connections that the router closes, so that these can be told from resets.

--- a/mimosafront/src/lib.rs
+++ b/mimosafront/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod body;
 pub mod call;
 pub mod clock;
+pub mod connection;
 pub mod delay;
 pub mod directory;
 pub mod flags;
--- a/mimosafront/src/run.rs
+++ b/mimosafront/src/run.rs
@@ -11,6 +11,7 @@
 use tokio::sync::watch;
 use tokio::task::{LocalSet, spawn_local};
 
+use crate::connection::closes;
 use crate::server::Listener;
 use crate::settings::SettingsFile;
 use crate::shutdown::{self, Signals};
@@ -54,6 +55,7 @@
         "incarnation" => state.incarnation, "version" => env!("CARGO_PKG_VERSION"), "build" => BUILD,
     );
     let (stop_sender, stop_receiver) = watch::channel(false);
+    spawn_local(closes::watch(state.clone()));
     spawn_local(delay::watch(state.clone()));
     spawn_local(directory::watch_config(state.clone()));
     spawn_local(directory::watch_endpoints(state.clone()));
@@ -74,6 +76,7 @@
         }
     }
     let unfinished = shutdown::run_until_stopped(state.clone(), signals, file, stop_sender).await;
+    closes::report(&state);
     emit!(state.log, Event::FrontStopped, "cut_off" => unfinished);
     Ok(unfinished)
 }
--- a/mimosafront/src/state.rs
+++ b/mimosafront/src/state.rs
@@ -29,6 +29,8 @@
 use tokio::sync::Notify;
 
 use crate::clock;
+use crate::connection::closes::Closes;
+use crate::connection::history::LimitHistory;
 use crate::probe::ProbeResults;
 use crate::reach::SharedCheck;
 
@@ -48,6 +50,10 @@
     pub node: RefCell<Rc<Node>>,
     /// Configuration in force, with its source text for peers.
     pub active_config: RefCell<Option<ActiveConfig>>,
+    /// Limits on client connections, in force and earlier.
+    pub limits: RefCell<LimitHistory>,
+    /// Connections that this router has closed since they were last logged.
+    pub closes: RefCell<Closes>,
     /// When the configuration was last confirmed.
     pub config_freshness: Cell<Freshness>,
     /// Known endpoints and their load.
@@ -156,6 +162,8 @@
             peers: RefCell::new(Peers::new(own_address, node.zone.clone(), &seeds, now)),
             node: RefCell::new(Rc::new(node)),
             active_config: RefCell::default(),
+            limits: RefCell::default(),
+            closes: RefCell::default(),
             config_freshness: Cell::default(),
             fleet: RefCell::default(),
             reach: RefCell::default(),
@@ -222,6 +230,7 @@
             "routes" => deployment.route_count(),
         );
         self.meter.config_revision(deployment.revision);
+        self.limits.borrow_mut().replace(deployment.limits, clock::now());
         let active = ActiveConfig { deployment: Rc::new(deployment), text: text.into() };
         *self.active_config.borrow_mut() = Some(active);
     }
--- a/mimosafront/tests/cluster/mod.rs
+++ b/mimosafront/tests/cluster/mod.rs
@@ -5,6 +5,7 @@
 pub mod client;
 pub mod endpoints;
 pub mod engine;
+pub mod kept;
 pub mod load;
 pub mod plain;
 pub mod proxy;
@@ -72,6 +73,26 @@
     }
 }
 
+/// Limits on client requests and connections.
+#[derive(Clone, Copy, Debug)]
+pub struct TestLimits {
+    pub head_bytes: usize,
+    pub body_bytes: usize,
+    pub head_timeout: Duration,
+    pub idle_timeout: Duration,
+}
+
+impl Default for TestLimits {
+    fn default() -> Self {
+        Self {
+            head_bytes: 16_384,
+            body_bytes: 65_536,
+            head_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        }
+    }
+}
+
 /// Routers, and the store and endpoints that they use.
 pub struct TestCluster {
     pub runtime: Runtime,
@@ -83,6 +104,8 @@
     /// Links between each router and the endpoints, if they are separate.
     links: Vec<Vec<Arc<Proxy>>>,
     pub revision: u64,
+    /// Limits of the next configuration.
+    pub limits: TestLimits,
     network: Ipv4Addr,
 }
 
@@ -132,6 +155,7 @@
             store_proxies: Vec::new(),
             links: Vec::new(),
             revision: 0,
+            limits: TestLimits::default(),
             network,
         };
         cluster.configure(&[(TEAM, &[KEY]), ("liaison", &[OTHER_KEY])]);
@@ -176,12 +200,27 @@
     pub fn configure(&mut self, teams: &[(&str, &[&str])]) -> u64 {
         // Revisions may skip numbers.
         self.revision += 3;
-        let config =
+        let mut config =
             configuration_json(self.revision, teams, self.endpoints.options.engine_memory_mb);
+        config["limits"] = limits_json(&self.limits);
         self.store.put("op", "config", &config);
         self.revision
     }
 
+    /// Writes a configuration with these limits and waits until it is in force.
+    pub fn configure_limits(&mut self, limits: TestLimits) {
+        self.limits = limits;
+        self.configure(&[(TEAM, &[KEY])]);
+        self.wait_for_configuration();
+    }
+
+    /// Waits until all routers have installed the newest configuration.
+    pub fn wait_for_configuration(&self) {
+        self.wait_until("the configuration is in force", |cluster| {
+            cluster.routers.iter().all(|router| router.has_installed(cluster.revision))
+        });
+    }
+
     pub fn wait_until(&self, what: &str, mut condition: impl FnMut(&Self) -> bool) {
         let end = Instant::now() + WAIT_TIMEOUT;
         while !condition(self) {
@@ -196,6 +235,14 @@
     Ipv4Addr::new(a, b, c, last)
 }
 
+fn limits_json(limits: &TestLimits) -> Value {
+    json!({
+        "header_bytes": limits.head_bytes, "body_bytes": limits.body_bytes,
+        "header_timeout_ms": limits.head_timeout.as_millis() as u64,
+        "idle_timeout_ms": limits.idle_timeout.as_millis() as u64,
+    })
+}
+
 fn configuration_json(revision: u64, teams: &[(&str, &[&str])], engine_memory_mb: u32) -> Value {
     let route = |name: &str, kind: &str, service: &str| {
         json!({
@@ -228,10 +275,6 @@
             }},
             {"name": "register", "health_path": "/health", "connection_limit": 100},
         ],
-        "limits": {
-            "header_bytes": 16_384, "body_bytes": 65_536, "header_timeout_ms": 3_000,
-            "idle_timeout_ms": 15_000,
-        },
         "tenants": teams,
     })
 }
--- a/mimosafront/tests/cluster/router.rs
+++ b/mimosafront/tests/cluster/router.rs
@@ -174,6 +174,13 @@
         }
     }
 
+    /// Whether the running process has installed a configuration.
+    pub fn has_installed(&self, revision: u64) -> bool {
+        let installed = format!("\"revision\":{revision},");
+        let log = self.log();
+        log.lines().any(|line| line.contains("MS0301") && line.contains(&installed))
+    }
+
     /// Id of the running process.
     pub fn process_id(&self) -> u32 {
         self.child.as_ref().unwrap().id()
--- /dev/null
+++ b/mimosafront/tests/kept_connections.rs
@@ -0,0 +1,125 @@
+//! Tests of client connections that are kept open while the configuration changes.
+
+mod cluster;
+
+use std::thread::sleep;
+use std::time::Duration;
+
+use cluster::client::TestRequest;
+use cluster::kept::KeptConnection;
+use cluster::store::StoreMode;
+use cluster::{ClusterOptions, KEY, TEAM, TestCluster, TestLimits};
+
+const CONNECTIONS: usize = 20;
+
+const SHORT: Duration = Duration::from_millis(1_500);
+
+const LONG: Duration = Duration::from_secs(10);
+
+/// Time for which the connections stay idle: longer than the short limit, and within half
+/// of the long one.
+const IDLE_TIME: Duration = Duration::from_secs(5);
+
+/// Time for which a replaced limit may still be followed.
+const CLIENT_LAG: Duration = Duration::from_secs(2);
+
+/// Time within which an idle connection is closed after its limit.
+const CLOSE_BOUND: Duration = Duration::from_secs(3);
+
+fn cluster(limits: TestLimits) -> TestCluster {
+    let mut cluster = TestCluster::start(ClusterOptions {
+        routers: 1,
+        zones: 1,
+        engines_per_zone: 1,
+        engine_memory_mb: 4_000,
+        ..ClusterOptions::default()
+    });
+    cluster.configure_limits(limits);
+    sleep(CLIENT_LAG + Duration::from_millis(500));
+    cluster
+}
+
+fn idle_limit(idle_timeout: Duration) -> TestLimits {
+    TestLimits { idle_timeout, ..TestLimits::default() }
+}
+
+fn open(cluster: &TestCluster) -> Vec<KeptConnection> {
+    (0..CONNECTIONS).map(|_| KeptConnection::open(cluster.routers[0].clients)).collect()
+}
+
+/// Sends a request on each connection; returns how many get no response with status 200.
+fn count_unanswered(connections: &mut [KeptConnection]) -> usize {
+    let received = connections.iter_mut().map(|connection| connection.send(&TestRequest::post()));
+    received.filter(|received| received.status() != Some(200)).count()
+}
+
+#[test]
+fn connection_that_is_kept_under_a_longer_idle_limit_is_not_closed_by_the_earlier_one() {
+    let mut cluster = cluster(idle_limit(SHORT));
+    let mut connections = open(&cluster);
+    assert_eq!(count_unanswered(&mut connections), 0);
+    cluster.configure_limits(idle_limit(LONG));
+    sleep(IDLE_TIME);
+    assert_eq!(count_unanswered(&mut connections), 0, "of {CONNECTIONS} after {IDLE_TIME:?}");
+}
+
+#[test]
+fn connection_used_under_a_longer_idle_limit_is_not_closed_by_the_earlier_one() {
+    let mut cluster = cluster(idle_limit(SHORT));
+    let mut connections = open(&cluster);
+    cluster.configure_limits(idle_limit(LONG));
+    assert_eq!(count_unanswered(&mut connections), 0);
+    sleep(IDLE_TIME);
+    assert_eq!(count_unanswered(&mut connections), 0, "of {CONNECTIONS} after {IDLE_TIME:?}");
+}
+
+#[test]
+fn connection_idle_since_before_a_shorter_limit_is_not_closed_by_it() {
+    let mut cluster = cluster(idle_limit(LONG));
+    cluster.configure_limits(idle_limit(LONG));
+    let mut connections = open(&cluster);
+    assert_eq!(count_unanswered(&mut connections), 0);
+    cluster.configure_limits(idle_limit(SHORT));
+    sleep(IDLE_TIME);
+    assert_eq!(count_unanswered(&mut connections), 0, "of {CONNECTIONS} after {IDLE_TIME:?}");
+}
+
+#[test]
+fn connection_used_under_a_shorter_idle_limit_is_closed_by_it() {
+    let mut cluster = cluster(idle_limit(LONG));
+    let mut connection = KeptConnection::open(cluster.routers[0].clients);
+    cluster.configure_limits(idle_limit(SHORT));
+    sleep(CLOSE_BOUND);
+    assert_eq!(connection.send(&TestRequest::post()).status(), Some(200));
+    let idle = connection.wait_until_closed();
+    assert!(idle >= SHORT && idle < SHORT + CLOSE_BOUND, "closed after {idle:?}");
+}
+
+#[test]
+fn idle_connection_is_not_closed_while_a_longer_limit_cannot_be_read() {
+    let mut cluster = cluster(idle_limit(SHORT));
+    let mut connections = open(&cluster);
+    assert_eq!(count_unanswered(&mut connections), 0);
+    cluster.store.set(StoreMode::Busy);
+    cluster.limits = idle_limit(LONG);
+    cluster.configure(&[(TEAM, &[KEY])]);
+    sleep(IDLE_TIME);
+    cluster.store.set(StoreMode::Up);
+    cluster.wait_for_configuration();
+    assert_eq!(count_unanswered(&mut connections), 0, "of {CONNECTIONS} after {IDLE_TIME:?}");
+}
+
+#[test]
+fn head_begun_on_an_idle_connection_has_its_own_limit() {
+    let head_timeout = Duration::from_secs(1);
+    let limits = TestLimits { head_timeout, ..idle_limit(LONG) };
+    let cluster = cluster(limits);
+    let mut connection = KeptConnection::open(cluster.routers[0].clients);
+    assert_eq!(connection.send(&TestRequest::post()).status(), Some(200));
+    sleep(Duration::from_secs(2));
+    let started = std::time::Instant::now();
+    connection.write(b"POST /post/x HTTP/1.1\r\nho");
+    let received = connection.receive();
+    assert_eq!(received.status(), Some(408), "{received:?}");
+    assert!(started.elapsed() < LONG / 2, "{:?}", started.elapsed());
+}
