Apply the head size limit in force to open client connections

A client on a kept connection was answered 431 for a head that the configuration allowed, if the limit had grown since the connection was accepted, and a limit that had shrunk did not apply to it: hyper's buffer size, fixed for the life of a connection, served as the limit.

The buffer of a connection may now grow up to 256 KiB, or up to the limit at its accept if that is larger, and the router compares heads with the limit in force itself: complete ones before the body is read, incomplete ones while they are read, of which no more is buffered than the limit and one read. Reads are at most 16 KiB, so that buffers do not grow for bodies. Both answers are 431 with a body; hyper's had none.

mimosafront/tests/kept_connections.rs, head_*, on the code before: limit raised from 8 to 64 KiB, a head of 40 KB was answered 431 instead of 200; limit lowered from 64 to 8 KiB, a head of 10 KB was answered 200 instead of 431. Both pass now.

The test with a body of 4 MB, of which only the beginning is read, guards the answer of an early refusal: 20 of 20 clients had it before, too.

--- a/mimosafront/src/connection/closes.rs
+++ b/mimosafront/src/connection/closes.rs
@@ -21,6 +21,8 @@
     UnreadResponse,
     /// A head was not complete within its time limit.
     SlowHead,
+    /// A head exceeded the size limit.
+    LargeHead,
     /// The router stops, and the connection was idle.
     Stop,
 }
@@ -56,6 +58,7 @@
             Self::Idle => "idle",
             Self::UnreadResponse => "response not read",
             Self::SlowHead => "head too slow",
+            Self::LargeHead => "head too large",
             Self::Stop => "stop",
         }
     }
--- a/mimosafront/src/connection/mod.rs
+++ b/mimosafront/src/connection/mod.rs
@@ -36,8 +36,9 @@
 mod socket;
 mod timer;
 
-/// Smallest head buffer that hyper accepts.
-const MIN_HEAD_BUFFER_BYTES: usize = 8 * 1024;
+/// Size up to which the buffer of a connection can grow for a head, so that a limit that is
+/// raised later applies to the connection as well.
+const HEAD_BUFFER_BYTES: usize = 256 * 1024;
 
 /// Time for which a connection whose limit has run out is kept at most until the
 /// configuration is confirmed.
@@ -82,12 +83,12 @@
 ) {
     // Streams consist of small events, which Nagle's algorithm would delay.
     drop(stream.set_nodelay(true));
-    let socket = Socket::new(stream);
+    let socket = Socket::new(stream, state.clone());
     let service =
         service_fn(|request| respond(state.clone(), listener, socket.begin_exchange(), request));
     let head_bytes = state.limits.borrow().current().head_bytes;
     let mut builder = http1::Builder::new();
-    builder.max_buf_size(head_bytes.max(MIN_HEAD_BUFFER_BYTES));
+    builder.max_buf_size(head_bytes.max(HEAD_BUFFER_BYTES));
     let mut http = pin!(builder.serve_connection(TokioIo::new(socket.stream()), service));
     let (state, socket) = (state.clone(), socket.clone());
     let mut connection = Connection { state, socket, timer: Timer::new(), is_stopping: false };
@@ -152,6 +153,9 @@
             let waited = clock::now().since(since);
             Close { reason, waited, limit, requests: self.socket.requests() }
         };
+        if self.socket.is_head_too_large() {
+            return Poll::Ready(Step::Close(close(Reason::LargeHead)));
+        }
         let is_idle = matches!(self.socket.phase(), Phase::Idle { .. });
         let reason = if self.is_stopping && is_idle {
             if self.socket.has_unsent() {
@@ -202,6 +206,7 @@
         self.state.closes.borrow_mut().record(close);
         let (status, error) = match close.reason {
             Reason::SlowHead => (StatusCode::REQUEST_TIMEOUT, "head too slow"),
+            Reason::LargeHead => (StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, "head too large"),
             Reason::Idle | Reason::UnreadResponse | Reason::Stop => return,
         };
         let state = &self.state;
--- a/mimosafront/src/connection/socket.rs
+++ b/mimosafront/src/connection/socket.rs
@@ -13,6 +13,11 @@
 use tokio::net::TcpStream;
 
 use crate::clock;
+use crate::state::RouterState;
+
+/// Largest number of bytes read at once, which keeps read buffers small although heads may
+/// be large.
+const MAX_READ_BYTES: usize = 16 * 1024;
 
 /// What a connection does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,6 +31,8 @@
     Head {
         /// When the first byte arrived.
         since: Instant,
+        /// Bytes read of the head.
+        bytes: usize,
     },
     /// It serves a request.
     Exchange,
@@ -34,6 +41,7 @@
 /// A socket that is shared by the HTTP connection and its owner.
 pub struct Socket {
     stream: TcpStream,
+    state: Rc<RouterState>,
     phase: Cell<Phase>,
     requests: Cell<u64>,
     has_unsent: Cell<bool>,
@@ -47,9 +55,10 @@
 
 impl Socket {
     /// The socket of a connection that has just been accepted.
-    pub fn new(stream: TcpStream) -> Rc<Self> {
+    pub fn new(stream: TcpStream, state: Rc<RouterState>) -> Rc<Self> {
         Rc::new(Self {
             stream,
+            state,
             phase: Cell::new(Phase::Idle { since: clock::now() }),
             requests: Cell::default(),
             has_unsent: Cell::default(),
@@ -78,6 +87,12 @@
         Exchange(self.clone())
     }
 
+    /// Whether a head that is being read exceeds the limit in force.
+    pub fn is_head_too_large(&self) -> bool {
+        let Phase::Head { since, bytes } = self.phase.get() else { return false };
+        bytes > self.state.limits.borrow().largest_since(since).head_bytes
+    }
+
     /// Whether bytes have arrived that have not been read, also such of which the event
     /// loop has not been notified yet.
     pub fn has_unread(&self) -> bool {
@@ -108,9 +123,12 @@
             // Empty lines before a request are no part of it.
             Phase::Idle { .. } if bytes.iter().all(|byte| matches!(byte, b'\r' | b'\n')) => {}
             Phase::Idle { .. } => {
-                self.phase.set(Phase::Head { since: clock::now() });
+                self.phase.set(Phase::Head { since: clock::now(), bytes: bytes.len() });
             }
-            Phase::Head { .. } | Phase::Exchange => {}
+            Phase::Head { since, bytes: read } => {
+                self.phase.set(Phase::Head { since, bytes: read + bytes.len() });
+            }
+            Phase::Exchange => {}
         }
     }
 
@@ -150,9 +168,14 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let socket = &self.0;
+        if socket.is_head_too_large() {
+            // The owner of the socket answers and closes it.
+            return Poll::Pending;
+        }
         loop {
             ready!(socket.stream.poll_read_ready(cx))?;
-            match socket.stream.try_read(buffer.initialize_unfilled()) {
+            let size = buffer.remaining().min(MAX_READ_BYTES);
+            match socket.stream.try_read(buffer.initialize_unfilled_to(size)) {
                 Ok(count) => {
                     let start = buffer.filled().len();
                     buffer.advance(count);
--- a/mimosafront/src/relay/mod.rs
+++ b/mimosafront/src/relay/mod.rs
@@ -9,6 +9,7 @@
 use hyper::header::{
     CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING,
 };
+use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode, Uri, Version};
 use mimosaplatform::header;
 use mimosashift::deployment::{Denied, Deployment, Route, Service};
@@ -225,7 +226,13 @@
     let host = host(&head.uri, headers)
         .ok_or(RequestError::Denied(StatusCode::BAD_REQUEST, "host is missing"))?
         .to_owned();
-    let limit = state.deployment().map_or_else(Default::default, |d| d.limits);
+    let limit = state.limits.borrow().largest_since(arrived);
+    if head_size(&head) > limit.head_bytes {
+        return Err(RequestError::Denied(
+            StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            "head too large",
+        ));
+    }
     if body.size_hint().lower() > limit.body_bytes as u64 {
         return Err(RequestError::Denied(StatusCode::PAYLOAD_TOO_LARGE, "body too large"));
     }
@@ -268,6 +275,15 @@
     })
 }
 
+/// Size of the head, in bytes; spaces that carry no meaning do not count.
+fn head_size(head: &Parts) -> usize {
+    let headers = head.headers.iter();
+    let lines = headers.map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len());
+    let target = head.uri.path_and_query().map_or(1, |target| target.as_str().len());
+    let first = head.method.as_str().len() + target + "  HTTP/1.1\r\n".len();
+    first + lines.sum::<usize>() + "\r\n".len()
+}
+
 fn host<'a>(uri: &'a Uri, headers: &'a HeaderMap) -> Option<&'a str> {
     uri.host().or_else(|| headers.get(HOST)?.to_str().ok())
 }
--- a/mimosafront/tests/kept_connections.rs
+++ b/mimosafront/tests/kept_connections.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use cluster::client::TestRequest;
-use cluster::kept::KeptConnection;
+use cluster::kept::{KeptConnection, Received, encode};
 use cluster::store::StoreMode;
 use cluster::{ClusterOptions, KEY, TEAM, TestCluster, TestLimits};
 
@@ -109,6 +109,32 @@
     assert_eq!(count_unanswered(&mut connections), 0, "of {CONNECTIONS} after {IDLE_TIME:?}");
 }
 
+#[test]
+fn head_within_a_grown_limit_is_not_denied_on_a_kept_connection() {
+    let small = TestLimits { head_bytes: 8_192, ..TestLimits::default() };
+    let mut cluster = cluster(small);
+    let mut connection = KeptConnection::open(cluster.routers[0].clients);
+    assert_eq!(connection.send(&TestRequest::post()).status(), Some(200));
+    cluster.configure_limits(TestLimits { head_bytes: 65_536, ..small });
+    let line = format!("x-large: {}\r\n", "a".repeat(40_000));
+    let received = connection.send_bytes(&encode(&TestRequest::post(), &line));
+    assert_eq!(received.status(), Some(200), "{received:?}");
+}
+
+#[test]
+fn head_above_a_shrunk_limit_is_denied_on_a_kept_connection() {
+    let large = TestLimits { head_bytes: 65_536, ..TestLimits::default() };
+    let mut cluster = cluster(large);
+    let mut connections = open(&cluster);
+    assert_eq!(count_unanswered(&mut connections), 0);
+    cluster.configure_limits(TestLimits { head_bytes: 8_192, ..large });
+    for (connection, size) in connections.iter_mut().zip([10_000, 40_000, 400_000]) {
+        let line = format!("x-large: {}\r\n", "a".repeat(size));
+        let received = connection.send_bytes(&encode(&TestRequest::post(), &line));
+        assert_eq!(received.status(), Some(431), "{size}: {received:?}");
+    }
+}
+
 #[test]
 fn head_begun_on_an_idle_connection_has_its_own_limit() {
     let head_timeout = Duration::from_secs(1);
@@ -123,3 +149,15 @@
     assert_eq!(received.status(), Some(408), "{received:?}");
     assert!(started.elapsed() < LONG / 2, "{:?}", started.elapsed());
 }
+
+#[test]
+fn client_that_sends_a_too_large_body_gets_the_answer_and_no_reset() {
+    let cluster = cluster(TestLimits::default());
+    let request = TestRequest { body: vec![b'a'; 4_000_000], ..TestRequest::post() };
+    let unanswered = open(&cluster)
+        .iter_mut()
+        .map(|connection| connection.send(&request))
+        .filter(|received| !matches!(received, Received::Response(413, _)))
+        .collect::<Vec<_>>();
+    assert_eq!(unanswered, [], "of {CONNECTIONS}");
+}
