Answer what arrives on open connections until a stopping router exits

With 32 clients that write without a look at their connections, changes of the configuration, SIGHUP and pauses, and five stops: 98 of 4,546 requests lost, none of which had reached an endpoint or has a log line.

Cause: 2.6 s after SIGTERM all idle connections were closed at once, though no response had told clients to leave; on each stop the new line MS0121 shows 16 to 28 connections open and all but at most one idle at that moment. Of the 98, 71 were written after the end of the connection had arrived at the client, up to 1 s later, and 27 while the router was suspended: on its return it closed the connections with the requests in their sockets. The two classes cover all 98. Two more were shown by tests of their own: connections in the listener's queue or accepted without a first request were reset or closed with it (40 of 40 requests at the end of a pause), and a request that an endpoint had not answered by the end of the grace period was cut off.

Now every response after SIGTERM closes its connection, so clients leave as they use theirs, and connections are accepted and kept until the clients have left or the grace period ends. On closing, the listeners' queues are emptied, and every connection is read once more, after a turn of the I/O driver, before it is closed. Requests without a response head at the end of the grace period are refused as not run, or answered with 502 once an endpoint may have them; plain ones that would probably outlast it are refused at once, as streams were. The router exits when nothing is open, and no longer waits for a fixed time to flush.

--- a/mimosafront/src/connection/mod.rs
+++ b/mimosafront/src/connection/mod.rs
@@ -47,6 +47,10 @@
 /// Interval of the checks whether a connection is kept for longer than that.
 const HOLD_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time between the closing of a router and that of its idle connections: a connection that
+/// was accepted last may not have delivered its request.
+const LAST_READ_PERIOD: Duration = Duration::from_millis(100);
+
 /// The body of a response; the exchange ends with it.
 struct ExchangeBody {
     body: ResponseBody,
@@ -79,7 +83,7 @@
     state: Rc<RouterState>,
     stream: TcpStream,
     listener: Listener,
-    mut stop_receiver: watch::Receiver<bool>,
+    mut closing: watch::Receiver<bool>,
 ) {
     // Streams consist of small events, which Nagle's algorithm would delay.
     drop(stream.set_nodelay(true));
@@ -90,14 +94,19 @@
     let mut builder = http1::Builder::new();
     builder.max_buf_size(head_bytes.max(HEAD_BUFFER_BYTES));
     let mut http = pin!(builder.serve_connection(TokioIo::new(socket.stream()), service));
+    let _open = state.connections.count(listener);
+    let mut closing = pin!(async {
+        // The sender lives as long as the router, so this cannot fail.
+        let _ = closing.wait_for(|closing| *closing).await;
+        tokio::time::sleep(LAST_READ_PERIOD).await;
+    });
     let (state, socket) = (state.clone(), socket.clone());
     let mut connection = Connection { state, socket, timer: Timer::new(), is_stopping: false };
     loop {
         let step = tokio::select! {
             biased;
             step = poll_fn(|cx| connection.poll_step(http.as_mut(), cx)) => step,
-            // The sender lives as long as the router, so this cannot fail.
-            _ = stop_receiver.wait_for(|stopping| *stopping), if !connection.is_stopping => {
+            () = closing.as_mut(), if !connection.is_stopping => {
                 connection.is_stopping = true;
                 continue;
             }
@@ -109,7 +118,7 @@
                 biased;
                 _ = http.as_mut() => return,
                 () = connection.state.config_confirmed.notified() => {}
-                _ = stop_receiver.wait_for(|stopping| *stopping), if !connection.is_stopping => {
+                () = closing.as_mut(), if !connection.is_stopping => {
                     connection.is_stopping = true;
                 }
                 () = tokio::time::sleep(HOLD_CHECK_INTERVAL) => {}
@@ -130,7 +139,9 @@
     exchange: Exchange,
     request: Request<Incoming>,
 ) -> Result<Response<ExchangeBody>, TruncatedBody> {
-    let response = relay::handle(state, listener, request).await?;
+    let busy = state.connections.count_busy();
+    let response = relay::handle(state.clone(), listener, request).await?;
+    drop(busy);
     Ok(response.map(|body| ExchangeBody { body, _exchange: exchange }))
 }
 
--- a/mimosafront/src/relay/mod.rs
+++ b/mimosafront/src/relay/mod.rs
@@ -1,5 +1,6 @@
 //! Relays a client's request to an endpoint and returns the response.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -32,6 +33,7 @@
 mod peer;
 mod plain;
 mod quarantine;
+mod stop;
 
 /// Retry-After of refusals that are not caused by load, such as a missing
 /// configuration or keys that may not be accepted: both are checked several
@@ -78,6 +80,8 @@
     origin: Origin,
     arrived: Instant,
     deadline: Instant,
+    /// Whether an endpoint may have received it.
+    is_sent: Rc<Cell<bool>>,
     _in_flight_guard: InFlightGuard,
 }
 
@@ -116,6 +120,7 @@
 
     /// The request as sent to an endpoint.
     fn request(&self, hop: &Hop, chain: &[Hop], last_event: Option<u64>) -> Request<Full<Bytes>> {
+        self.is_sent.set(true);
         let forward = Forward {
             remaining: self.remaining(),
             endpoint: &hop.id,
@@ -174,10 +179,11 @@
     let is_chunked = request.headers().contains_key(TRANSFER_ENCODING);
     let id = request.headers().get(header::REQUEST_ID).cloned();
     let version = request.version();
-    let result = match accept(&state, request, origin, arrived).await {
-        Ok(ctx) if ctx.service.engine.is_some() => model::relay(ctx).await,
-        Ok(ctx) => plain::relay(ctx).await,
-        Err(error) => Err(error),
+    let is_sent = Rc::new(Cell::new(origin.executions() > 0));
+    let result = tokio::select! {
+        biased;
+        () = stop::deadline(&state) => Err(stop::error(&state, is_sent.get())),
+        result = relay(&state, request, origin, arrived, is_sent.clone()) => result,
     };
     let mut response = match result {
         Ok(response) => response,
@@ -186,8 +192,8 @@
     if version < Version::HTTP_11 {
         response = buffer_stream(response).await?;
     }
-    if is_chunked {
-        // A message with both `Content-Length` and `Transfer-Encoding` may
+    if is_chunked || state.stopping.get() {
+        // Clients leave a router that is stopping with the response. A message with both `Content-Length` and `Transfer-Encoding` may
         // smuggle in a second request; a connection that has carried a chunked
         // request is not reused.
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -195,6 +201,20 @@
     Ok(response)
 }
 
+async fn relay(
+    state: &Rc<RouterState>,
+    request: Request<Incoming>,
+    origin: Origin,
+    arrived: Instant,
+    is_sent: Rc<Cell<bool>>,
+) -> Result<Response<ResponseBody>, RequestError> {
+    let ctx = accept(state, request, origin, arrived, is_sent).await?;
+    match ctx.service.engine {
+        Some(_) => model::relay(ctx).await,
+        None => plain::relay(ctx).await,
+    }
+}
+
 /// Replaces a streamed body by a buffered one, which is sent with a length.
 /// Without chunks, a client could not tell a truncated stream from a complete
 /// one.
@@ -214,6 +234,7 @@
     request: Request<Incoming>,
     origin: Origin,
     arrived: Instant,
+    is_sent: Rc<Cell<bool>>,
 ) -> Result<RequestContext, RequestError> {
     let in_flight = InFlightGuard::new(state);
     let (head, body) = request.into_parts();
@@ -271,6 +292,7 @@
         origin,
         arrived,
         deadline: arrived + time_limit,
+        is_sent,
         _in_flight_guard: in_flight,
     })
 }
--- a/mimosafront/src/relay/model/mod.rs
+++ b/mimosafront/src/relay/model/mod.rs
@@ -21,7 +21,7 @@
 use self::stall::{FIRST_HOP_DEAD, FaultyHops, StallCheck};
 use self::stall_timer::{StallTimer, wait_for_fault_or_tick};
 use super::peer::{Path, Relay, UNREACHABLE_REASON};
-use super::{RequestContext, RequestError, forward_response, relayed_outcome};
+use super::{RequestContext, RequestError, forward_response, relayed_outcome, stop};
 use crate::body::ResponseBody;
 use crate::clock;
 use crate::probe;
@@ -57,10 +57,6 @@
 /// layers load in about a second.
 const RETRIES_EXHAUSTED_RETRY_AFTER: Duration = Duration::from_millis(700);
 
-/// Retry-After, up to twice as long, if this router is stopping: its client reaches
-/// another one over a new connection.
-const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
-
 /// A request to a model engine and its progress.
 struct ModelRequest {
     ctx: RequestContext,
@@ -126,7 +122,7 @@
     let mut session = ModelRequest::new(ctx, engine);
     if session.outlasts_router() {
         session.outcome_recorded = true;
-        return Err(session.stopping_error());
+        return Err(stop::error(session.state(), session.possible_executions > 0));
     }
     let mut exchange = match session.open().await {
         Ok(exchange) => exchange,
@@ -204,16 +200,6 @@
         !fits && state.peers.borrow().alive(now).next().is_some()
     }
 
-    fn stopping_error(&self) -> RequestError {
-        let retry_after = STOPPING_RETRY_AFTER.mul_f64(1.0 + self.state().random_fraction());
-        self.unanswered_error(
-            StatusCode::BAD_GATEWAY,
-            RefusalReason::NotReady,
-            "router is stopping",
-            retry_after,
-        )
-    }
-
     /// Tries one chain after another until one opens a stream.
     async fn open(&mut self) -> Result<Exchange, RequestError> {
         let mut cause = "no chain left";
--- a/mimosafront/src/relay/peer.rs
+++ b/mimosafront/src/relay/peer.rs
@@ -210,6 +210,7 @@
     }
 
     fn relayed_request(&self, executions: u32, last_event: Option<u64>) -> Request<Full<Bytes>> {
+        self.is_sent.set(true);
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
--- a/mimosafront/src/relay/plain.rs
+++ b/mimosafront/src/relay/plain.rs
@@ -20,7 +20,8 @@
 
 use super::peer::{Path, Relay, UNREACHABLE_REASON};
 use super::{
-    LIMITED_REASON, RESTING_REASON, RequestContext, RequestError, forward_response, relayed_outcome,
+    LIMITED_REASON, RESTING_REASON, RequestContext, RequestError, forward_response,
+    relayed_outcome, stop,
 };
 use crate::body::ResponseBody;
 use crate::state::RouterState;
@@ -70,6 +71,9 @@
     let (mut possible_executions, mut rejected_sends) = (ctx.origin.executions(), 0);
     let mut last_response = None;
     let mut cause = "no endpoint left";
+    if stop::outlasts_router(&ctx.state) {
+        return Err(stop::error(&ctx.state, possible_executions > 0));
+    }
     let (mut reason, mut retry_after) = (RefusalReason::NoEndpoint, NOT_EXECUTED_RETRY_AFTER);
     loop {
         if ctx.remaining().is_zero() {
@@ -198,6 +202,9 @@
         ctx.record_success();
     }
     if let SendOutcome::Answered(response, true) = &outcome {
+        let mut latency = state.plain_latency.get();
+        latency.record(clock::now().since(ctx.arrived));
+        state.plain_latency.set(latency);
         let status = response.status();
         let label = if status.is_success() { Outcome::Completed } else { Outcome::Failed };
         state.meter.requests(1, label);
--- /dev/null
+++ b/mimosafront/src/relay/stop.rs
@@ -0,0 +1,44 @@
+//! Requests that a router that is stopping cannot finish.
+
+use std::time::Duration;
+
+use hyper::StatusCode;
+use mimosashift::meter::RefusalReason;
+
+use super::RequestError;
+use crate::clock;
+use crate::state::RouterState;
+
+/// Reason for refusing a request that a router that is stopping cannot finish.
+const REASON: &str = "router is stopping";
+
+/// Retry-After, up to twice as long, if this router is stopping: its client reaches
+/// another one.
+const RETRY_AFTER: Duration = Duration::from_millis(50);
+
+/// Waits until the grace period of a router that is stopping has ended.
+pub(super) async fn deadline(state: &RouterState) {
+    let mut passed = std::pin::pin!(state.stop_deadline_passed.notified());
+    passed.as_mut().enable();
+    if state.stop_deadline.get().is_none_or(|deadline| clock::now() < deadline) {
+        passed.await;
+    }
+}
+
+/// The outcome of a request that a router that is stopping cannot finish.
+pub(super) fn error(state: &RouterState, may_have_run: bool) -> RequestError {
+    if may_have_run {
+        return RequestError::Failed(StatusCode::BAD_GATEWAY, REASON);
+    }
+    let retry_after = RETRY_AFTER.mul_f64(1.0 + state.random_fraction());
+    RequestError::Refused(RefusalReason::NotReady, REASON, retry_after)
+}
+
+/// Whether this router is stopping and would probably not answer a plain request in time,
+/// while another one can.
+pub(super) fn outlasts_router(state: &RouterState) -> bool {
+    let Some(deadline) = state.stop_deadline.get() else { return false };
+    let now = clock::now();
+    let fits = state.plain_latency.get().fits(deadline.since(now));
+    !fits && state.peers.borrow().alive(now).next().is_some()
+}
--- a/mimosafront/src/run.rs
+++ b/mimosafront/src/run.rs
@@ -54,7 +54,7 @@
         "node" => &*node.name, "zone" => &*node.zone, "clients" => node.client_address.to_string(),
         "incarnation" => state.incarnation, "version" => env!("CARGO_PKG_VERSION"), "build" => BUILD,
     );
-    let (stop_sender, stop_receiver) = watch::channel(false);
+    let (closing_sender, closing) = watch::channel(false);
     spawn_local(closes::watch(state.clone()));
     spawn_local(delay::watch(state.clone()));
     spawn_local(directory::watch_config(state.clone()));
@@ -66,8 +66,8 @@
     spawn_local(probe::watch_liveness(state.clone()));
     spawn_local(readiness::serve(state.clone(), readiness));
     spawn_local(reach::watch(state.clone()));
-    spawn_local(server::serve(state.clone(), clients, Listener::Clients, stop_receiver.clone()));
-    spawn_local(server::serve(state.clone(), relays, Listener::Routers, stop_receiver));
+    spawn_local(server::serve(state.clone(), clients, Listener::Clients, closing.clone()));
+    spawn_local(server::serve(state.clone(), relays, Listener::Routers, closing));
     match TcpListener::bind(metrics).await {
         Ok(listener) => drop(spawn_local(metrics::serve(state.clone(), listener))),
         // A router without metrics is preferable to no router.
@@ -75,8 +75,9 @@
             emit!(state.log, Event::MetricsUnavailable, "address" => metrics.to_string(), "error" => error.to_string());
         }
     }
-    let unfinished = shutdown::run_until_stopped(state.clone(), signals, file, stop_sender).await;
+    let unfinished =
+        shutdown::run_until_stopped(state.clone(), signals, file, closing_sender).await;
     closes::report(&state);
-    emit!(state.log, Event::FrontStopped, "cut_off" => unfinished);
+    emit!(state.log, Event::FrontStopped, "cut_off" => unfinished, "open" => state.connections.open());
     Ok(unfinished)
 }
--- a/mimosafront/src/shutdown.rs
+++ b/mimosafront/src/shutdown.rs
@@ -15,25 +15,27 @@
 use crate::settings::SettingsFile;
 use crate::state::RouterState;
 
-/// Interval at which signals, and the number of requests in flight during
-/// shutdown, are polled.
+/// Interval at which signals, and open connections during shutdown, are polled.
 const SIGNAL_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Polls between two checks of the settings file, which may change without a
 /// signal.
 const POLLS_PER_RELOAD: u32 = 20;
 
-/// Time after SIGTERM during which new connections are still accepted, at most
-/// half of the grace period: the load balancer polls readiness every second and removes a router after two failed
-/// checks.
-const ACCEPT_PERIOD: Duration = Duration::from_millis(2_600);
+/// Time after SIGTERM before which the router does not exit, at most half of the grace
+/// period: the load balancer polls readiness every second and removes a router after two
+/// failed checks.
+const MIN_STOP_PERIOD: Duration = Duration::from_millis(2_600);
 
 /// Part of the grace period kept for flushing and exit before the platform sends
 /// SIGKILL.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 
-/// Time allowed for flushing the last bytes of responses.
-const FLUSH_DELAY: Duration = Duration::from_millis(150);
+/// Part of that margin in which what arrives last is answered and responses are flushed.
+const CLOSE_PERIOD: Duration = Duration::from_millis(300);
+
+/// Interval at which open connections are counted while the router closes.
+const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Signals that have been received.
 pub struct Signals {
@@ -59,7 +61,7 @@
     state: Rc<RouterState>,
     signals: Signals,
     mut file: SettingsFile,
-    stop_sender: watch::Sender<bool>,
+    closing: watch::Sender<bool>,
 ) -> usize {
     let mut polls = 0;
     while !signals.stop.load(Ordering::Relaxed) {
@@ -77,15 +79,33 @@
     let in_flight = state.in_flight.get();
     emit!(state.log, Event::FrontStopping, "in_flight" => in_flight, "grace_ms" => crate::state::millis(grace));
     let deadline = tokio::time::Instant::now() + grace.saturating_sub(EXIT_MARGIN);
-    tokio::time::sleep(ACCEPT_PERIOD.min(grace / 2)).await;
-    // The receivers are held by the accept loop and by the connections; with
-    // none left there is nobody to notify.
-    let _ = stop_sender.send(true);
-    while state.in_flight.get() > 0 && tokio::time::Instant::now() < deadline {
+    tokio::time::sleep(MIN_STOP_PERIOD.min(grace / 2)).await;
+    let connections = &state.connections;
+    // Each response closes its connection, so clients leave as they use theirs. Other routers
+    // have learned from digests that this one is leaving.
+    while (connections.of_clients() > 0 || state.in_flight.get() > 0)
+        && tokio::time::Instant::now() < deadline
+    {
         tokio::time::sleep(SIGNAL_POLL_INTERVAL).await;
     }
-    tokio::time::sleep(FLUSH_DELAY).await;
-    state.in_flight.get()
+    emit!(state.log, Event::FrontClosing, "open" => connections.open(), "idle" => connections.idle());
+    // The receivers are held by the accept loops and by the connections; with
+    // none left there is nobody to notify.
+    let _ = closing.send(true);
+    let end = deadline.max(tokio::time::Instant::now()) + CLOSE_PERIOD;
+    let mut has_expired = false;
+    // The accept loops run in the first interval.
+    loop {
+        tokio::time::sleep(CLOSE_POLL_INTERVAL).await;
+        let now = tokio::time::Instant::now();
+        if !has_expired && now >= deadline {
+            has_expired = true;
+            state.stop_deadline_passed.notify_waiters();
+        }
+        if connections.open() == 0 || now >= end {
+            return state.in_flight.get();
+        }
+    }
 }
 
 fn reload(state: &RouterState, file: &mut SettingsFile) {
--- a/mimosafront/src/state.rs
+++ b/mimosafront/src/state.rs
@@ -33,6 +33,7 @@
 use crate::connection::history::LimitHistory;
 use crate::probe::ProbeResults;
 use crate::reach::SharedCheck;
+use crate::server::Connections;
 
 /// Time limit for a call to the store: many times its usual latency.
 const STORE_TIMEOUT: Duration = Duration::from_millis(900);
@@ -104,10 +105,16 @@
     pub stopping: Cell<bool>,
     /// When requests that have not ended are cut off, once SIGTERM has arrived.
     pub stop_deadline: Cell<Option<Instant>>,
+    /// Wakes the requests that have not ended by then.
+    pub stop_deadline_passed: Notify,
+    /// Response time of recent plain requests.
+    pub plain_latency: Cell<drain::Latency>,
     /// Time per token of recent streams.
     pub stream_pace: Cell<drain::Pace>,
     /// Requests in flight.
     pub in_flight: Cell<usize>,
+    /// Open connections of clients and of other routers.
+    pub connections: Connections,
     /// Incarnation number of this process; increases with each start.
     pub incarnation: u64,
     /// When this process started.
@@ -187,8 +194,11 @@
             holds_placement_lease: Cell::default(),
             stopping: Cell::default(),
             stop_deadline: Cell::default(),
+            stop_deadline_passed: Notify::new(),
+            plain_latency: Cell::default(),
             stream_pace: Cell::default(),
             in_flight: Cell::default(),
+            connections: Connections::default(),
             incarnation,
             started: now,
             log,
--- a/mimosafront/tests/cluster/mod.rs
+++ b/mimosafront/tests/cluster/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)] // Each test binary uses only some of the items.
 
+pub mod blind;
 pub mod client;
 pub mod endpoints;
 pub mod engine;
--- a/mimosafront/tests/cluster/router.rs
+++ b/mimosafront/tests/cluster/router.rs
@@ -163,6 +163,11 @@
     /// Signals the process and waits for it to exit.
     pub fn stop(&mut self, signal: Signal) -> Option<i32> {
         self.signal(signal);
+        self.wait()
+    }
+
+    /// Waits for the process to exit.
+    pub fn wait(&mut self) -> Option<i32> {
         let mut child = self.child.take()?;
         let deadline = Instant::now() + WAIT_TIMEOUT;
         loop {
--- a/mimosashift/src/drain.rs
+++ b/mimosashift/src/drain.rs
@@ -1,4 +1,4 @@
-//! Which streams a router that is stopping still begins.
+//! Which requests a router that is stopping still begins.
 //!
 //! A balancer needs seconds to notice that a router stops, and clients keep connections,
 //! so requests go on arriving. One that would outlast the grace period is refused as not
@@ -13,6 +13,9 @@
 /// low.
 const OUTPUT_MARGIN: f64 = 1.5;
 
+/// Number of average deviations within which nearly all response times lie.
+const LATENCY_DEVIATIONS: f64 = 4.0;
+
 /// Time per token of recent streams, from their arrival to their end.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Pace {
@@ -37,3 +40,31 @@
         self.seconds_per_token.is_none_or(|seconds| seconds * tokens <= left.as_secs_f64())
     }
 }
+
+/// Response time of recent requests without a stream: its average, and the average deviation
+/// from that.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Latency {
+    seconds: Option<(f64, f64)>,
+}
+
+impl Latency {
+    /// Records a request that has been answered.
+    pub fn record(&mut self, time: Duration) {
+        let seconds = time.as_secs_f64();
+        let (average, deviation) = self.seconds.unwrap_or((seconds, seconds / 2.0));
+        let distance = (seconds - average).abs();
+        self.seconds = Some((
+            average + (seconds - average) * AVERAGING_SHARE,
+            deviation + (distance - deviation) * AVERAGING_SHARE,
+        ));
+    }
+
+    /// Whether a request is likely to be answered within `left`. True as long as none has
+    /// been.
+    pub fn fits(&self, left: Duration) -> bool {
+        self.seconds.is_none_or(|(average, deviation)| {
+            average + deviation * LATENCY_DEVIATIONS <= left.as_secs_f64()
+        })
+    }
+}
--- a/mimosashift/src/event/table.rs
+++ b/mimosashift/src/event/table.rs
@@ -49,11 +49,12 @@
     FrontReady "MS0112" Info "router ready", "The router reports ready: it has a configuration in which API keys may be used.";
     FrontNotReady "MS0113" Warning "router not ready", "The router reports not ready, for the given reason.";
     FrontStopping "MS0114" Info "router stopping", "SIGTERM arrived; requests in flight are finished.";
-    FrontStopped "MS0115" Info "router stopped", "The router stopped; `cut_off` counts requests that it could not finish.";
+    FrontStopped "MS0115" Info "router stopped", "The router stopped; `cut_off` counts requests that it could not finish, `open` connections that were not closed.";
     SettingsReloaded "MS0116" Info "settings reloaded", "The settings file changed and the new settings are in force.";
     SettingsInvalid "MS0117" Error "settings invalid", "The settings file changed and cannot be used; the earlier settings stay in force.";
     MetricsUnavailable "MS0118" Error "metrics unavailable", "The router cannot listen on the metrics address.";
     RouterDelayed "MS0119" Warning "router delayed", "A timer of the event loop ran late: this process did not get the processor, and all of its requests waited.";
+    FrontClosing "MS0121" Info "router closing", "A stopping router closes its idle connections and accepts no more; `open` and `idle` count connections.";
 
     HttpListening "MS0201" Info "listening", "A caller or operator address is open.";
     HttpMalformed "MS0202" Debug "malformed request", "A request did not follow HTTP or the API and was refused.";
--- a/mimosashift/tests/drain.rs
+++ b/mimosashift/tests/drain.rs
@@ -1,8 +1,8 @@
-//! Tests of the streams that a router begins while it is stopping.
+//! Tests of the requests that a router begins while it is stopping.
 
 use std::time::Duration;
 
-use mimosashift::drain::Pace;
+use mimosashift::drain::{Latency, Pace};
 use test_case::test_case;
 
 /// Streams of 100 tokens that took 2 s each.
@@ -34,3 +34,22 @@
     assert!(!pace.fits(100.0, 100.0, Duration::from_millis(3_900)));
     assert!(pace.fits(100.0, 100.0, Duration::from_millis(4_000)));
 }
+
+/// Requests that took 80 ms to 120 ms.
+fn latency() -> Latency {
+    let mut latency = Latency::default();
+    (0..200).for_each(|n| latency.record(Duration::from_millis(if n % 2 == 0 { 80 } else { 120 })));
+    latency
+}
+
+#[test_case(200 => true; "with a margin")]
+#[test_case(110 => false; "only if it is quick")]
+#[test_case(0 => false; "at the end")]
+fn request_fits_into_the_time_left(left_ms: u64) -> bool {
+    latency().fits(Duration::from_millis(left_ms))
+}
+
+#[test]
+fn every_request_fits_before_one_has_been_answered() {
+    assert!(Latency::default().fits(Duration::ZERO));
+}
