Believe no answer without the id of the request

An endpoint that sent an earlier refusal once more on a kept connection, without a request id, made the router report "not run, try again" for requests that ran, and send postings to a second endpoint.

Cause: `RequestContext::is_answered_by` took every unsuccessful answer without an id as one to the request in progress, and `Not-Executed` or 421 in it as proof. Refusals of other routers were read before the check. Limits, rests and leaving were read from such answers as well.

Fix: `RouterState::accept_answer` compares the id before anything is read from an answer of an endpoint or router. A request without an id (report, health check, order) takes no answer that has one. Any other answer is dropped with its connection, on which the own one may still follow, and logged (MS0623 with endpoint, status, id and claim; MS0606 was DEBUG and had no endpoint). The outcome is "may have run": 502 for what may run once only, another try for the rest, 502 and not 503 after the last one. Only this connection is closed, no longer all idle ones of the endpoint. A model request avoids the endpoint from then on.

Cost: an endpoint that rejects before it has read the id gets a 502 for a posting that it did not run. Routers' own refusals carry the id already. The endpoints of the test cluster now return it with 421, as real ones do.

Second variant, a copy with the id of the same request: it needs a second send over the connection of the first refusal. Plain endpoints are tried once; the connection on which a chain was refused is closed.

--- a/mimosafront/src/call.rs
+++ b/mimosafront/src/call.rs
@@ -1,5 +1,7 @@
 //! Sends requests to endpoints, and records what their answers say of the endpoints.
 
+use std::fmt;
+
 use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::{Request, StatusCode};
@@ -13,6 +15,31 @@
 use crate::clock;
 use crate::state::{RouterState, millis};
 
+/// Why a call has no answer.
+#[derive(Debug)]
+pub enum CallError {
+    /// No answer arrived.
+    Failed(Failure),
+    /// The answer that arrived is not known to be to this request, which may run or have
+    /// run.
+    Stray,
+}
+
+impl From<Failure> for CallError {
+    fn from(failure: Failure) -> Self {
+        Self::Failed(failure)
+    }
+}
+
+impl fmt::Display for CallError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Failed(failure) => failure.fmt(f),
+            Self::Stray => f.write_str("answer to another request"),
+        }
+    }
+}
+
 impl RouterState {
     /// Sends a request to an endpoint and waits for the head of its answer; see
     /// [`Pool::send`](mimosashift::connection_pool::Pool::send). A client's request, which
@@ -22,7 +49,7 @@
         hop: &Hop,
         request: Request<Full<Bytes>>,
         new_connection: bool,
-    ) -> Result<Exchange, Failure> {
+    ) -> Result<Exchange, CallError> {
         let sent = clock::now();
         let id = request.headers().get(header::REQUEST_ID).cloned();
         let endpoint = (name_key(&hop.id), hop.incarnation);
@@ -32,16 +59,39 @@
         }
         let exchange = self.pool.send(hop.address, request, new_connection).await?;
         self.record_endpoint_answer(&hop.id);
+        let request = id.as_ref().and_then(|id| id.to_str().ok());
+        let exchange = self.accept_answer(exchange, request, &hop.id)?;
         // Status 421 is the answer of another endpoint at the same address.
         if exchange.head.status() != StatusCode::MISDIRECTED_REQUEST {
-            let echoed = exchange.head.headers().get(header::REQUEST_ID);
-            self.record_limit(hop, &exchange, sent, echoed.is_some() && echoed == id.as_ref());
+            self.record_limit(hop, &exchange, sent, id.is_some());
             self.record_rest(hop, &exchange);
             self.record_leaving(hop, &exchange);
         }
         Ok(exchange)
     }
 
+    /// Passes on the answer of an endpoint or router if it is to the request with that id,
+    /// or to one without an id. Any other is dropped with its connection, on which the own
+    /// answer may still follow.
+    pub fn accept_answer(
+        &self,
+        exchange: Exchange,
+        request: Option<&str>,
+        by: &str,
+    ) -> Result<Exchange, CallError> {
+        let info = header::response(exchange.head.headers());
+        if info.answers(request) {
+            return Ok(exchange);
+        }
+        let status = exchange.head.status().as_u16();
+        emit!(
+            self.log, Event::StrayAnswer,
+            "request" => request, "by" => by, "address" => exchange.address().to_string(),
+            "status" => status, "answers" => info.id, "not_run" => info.not_run,
+        );
+        Err(CallError::Stray)
+    }
+
     /// Records the limit that an answer names. Only an answer to a request of a client
     /// shows that there is none: reports and answers to orders may not name it.
     fn record_limit(&self, hop: &Hop, exchange: &Exchange, sent: Instant, is_answer: bool) {
--- a/mimosafront/src/probe.rs
+++ b/mimosafront/src/probe.rs
@@ -15,6 +15,7 @@
 use tokio::sync::OnceCell;
 use tokio::time::{sleep, timeout};
 
+use crate::call::CallError;
 use crate::clock;
 use crate::state::RouterState;
 
@@ -72,6 +73,15 @@
     }
 }
 
+impl From<CallError> for NoReport {
+    fn from(error: CallError) -> Self {
+        match error {
+            CallError::Failed(failure) => failure.into(),
+            CallError::Stray => error.to_string().into(),
+        }
+    }
+}
+
 impl From<String> for NoReport {
     fn from(reason: String) -> Self {
         Self { reason, closed: false }
--- a/mimosafront/src/relay/mod.rs
+++ b/mimosafront/src/relay/mod.rs
@@ -16,7 +16,7 @@
 use mimosashift::deployment::{Denied, Deployment, Route, Service};
 use mimosashift::emit;
 use mimosashift::event::Event;
-use mimosashift::exchange::{Forward, ResponseInfo as AnswerInfo, Tokens};
+use mimosashift::exchange::{Forward, Tokens};
 use mimosashift::fleet::Hop;
 use mimosashift::meter::{Outcome, RefusalReason};
 use mimosashift::quarantine::{Content, Contents, Fingerprint};
@@ -59,6 +59,9 @@
 /// Reason for refusing a request if the endpoints want none from this router now.
 const RESTING_REASON: &str = "endpoints rest";
 
+/// Reason for failing a request after an answer that may be another one's.
+const STRAY_REASON: &str = "answer to another request";
+
 /// Largest stream that is buffered for a client of HTTP/1.0.
 const MAX_BUFFERED_STREAM_BYTES: usize = 8 * 1024 * 1024;
 
@@ -136,15 +139,6 @@
         request
     }
 
-    /// Whether a response may belong to this request: it has the request's id, or
-    /// has no id and is not successful.
-    fn is_answered_by(&self, info: &AnswerInfo, status: StatusCode) -> bool {
-        match &info.id {
-            Some(id) => **id == *self.id,
-            None => !status.is_success(),
-        }
-    }
-
     fn log_sent(&self, attempt: u32, to: &str, inputs: &str) {
         let state = &self.state;
         emit!(
--- a/mimosafront/src/relay/model/mod.rs
+++ b/mimosafront/src/relay/model/mod.rs
@@ -21,8 +21,9 @@
 use self::stall::{FIRST_HOP_DEAD, FaultyHops, StallCheck};
 use self::stall_timer::{StallTimer, wait_for_fault_or_tick};
 use super::peer::{Path, Relay, UNREACHABLE_REASON};
-use super::{RequestContext, RequestError, forward_response, relayed_outcome, stop};
+use super::{RequestContext, RequestError, STRAY_REASON, forward_response, relayed_outcome, stop};
 use crate::body::ResponseBody;
+use crate::call::CallError;
 use crate::clock;
 use crate::probe;
 use crate::state::{RouterState, millis};
@@ -295,13 +296,18 @@
         let sending = state.call(&first, request, false);
         match self.wait_for_head(sending).await {
             Ok(exchange) => self.check_response(&first, exchange),
-            Err(Some(Failure::NotSent { reason, .. })) => {
+            Err(Some(CallError::Stray)) => {
+                self.excluded_hops.push(first);
+                self.possible_executions += 1;
+                Err(STRAY_REASON)
+            }
+            Err(Some(CallError::Failed(Failure::NotSent { reason, .. }))) => {
                 self.state().mark_suspect(&first.id, &reason);
                 self.excluded_hops.push(first);
                 self.rejected_sends += 1;
                 Err("not sent")
             }
-            Err(Some(Failure::Lost { reason })) => {
+            Err(Some(CallError::Failed(Failure::Lost { reason }))) => {
                 self.state().mark_suspect(&first.id, &reason);
                 self.state().pool.close_idle(first.address);
                 self.check_crash().await;
@@ -320,8 +326,8 @@
     /// if the chain is lost or the deadline has passed.
     async fn wait_for_head(
         &mut self,
-        sending: impl Future<Output = Result<Exchange, Failure>>,
-    ) -> Result<Exchange, Option<Failure>> {
+        sending: impl Future<Output = Result<Exchange, CallError>>,
+    ) -> Result<Exchange, Option<CallError>> {
         let mut sending = std::pin::pin!(sending);
         let sent = clock::now();
         let mut stall_timer = StallTimer::new(sent + FIRST_EVENT_TIMEOUT);
@@ -378,12 +384,9 @@
     ) -> Result<Exchange, &'static str> {
         let status = exchange.head.status();
         let info = header::response(exchange.head.headers());
-        if !self.ctx.is_answered_by(&info, status) {
-            self.state().pool.close_idle(first.address);
-            self.possible_executions += 1;
-            return Err("answer to another request");
-        }
         if info.not_run || status == StatusCode::MISDIRECTED_REQUEST {
+            // Dropping the exchange closes its connection, so that a copy of the refusal
+            // answers no second send of this request to the same endpoint.
             self.rejected_sends += 1;
             self.exclude_at_fault(first, info.at_fault, status);
             return Err("rejected by an endpoint");
--- a/mimosafront/src/relay/model/through.rs
+++ b/mimosafront/src/relay/model/through.rs
@@ -5,6 +5,8 @@
 use tokio::time::timeout;
 
 use super::ModelRequest;
+use crate::call::CallError;
+use crate::relay::STRAY_REASON;
 use crate::relay::peer::Relay;
 
 impl ModelRequest {
@@ -19,7 +21,7 @@
         let (executions, last_event) = (self.possible_executions, self.events.last());
         let sending = self.ctx.send_to_router(&relay, attempt, executions, last_event);
         let result = timeout(self.ctx.remaining(), sending).await;
-        let lost = |_| Err(Failure::Lost { reason: "no answer in time".to_owned() });
+        let lost = |_| Err(Failure::Lost { reason: "no answer in time".to_owned() }.into());
         match result.unwrap_or_else(lost) {
             Ok(exchange) => {
                 let (status, info) =
@@ -34,20 +36,21 @@
                     return Ok(exchange);
                 }
                 self.possible_executions += 1;
-                if !self.ctx.is_answered_by(&info, status) {
-                    return Err("answer to another request");
-                }
                 if status.is_success() && !info.signed {
                     return Err("answer without a signature");
                 }
                 self.relay = Some(relay);
                 Ok(exchange)
             }
-            Err(Failure::NotSent { .. }) => {
+            Err(CallError::Stray) => {
+                self.possible_executions += 1;
+                Err(STRAY_REASON)
+            }
+            Err(CallError::Failed(Failure::NotSent { .. })) => {
                 self.rejected_sends += 1;
                 Err("router not reached")
             }
-            Err(Failure::Lost { .. }) => {
+            Err(CallError::Failed(Failure::Lost { .. })) => {
                 self.possible_executions += 1;
                 Err("router did not answer")
             }
--- a/mimosafront/src/relay/peer.rs
+++ b/mimosafront/src/relay/peer.rs
@@ -21,6 +21,7 @@
 use tokio::time::sleep;
 
 use super::RequestContext;
+use crate::call::CallError;
 use crate::clock;
 use crate::state::RouterState;
 
@@ -186,7 +187,7 @@
         attempt: u32,
         executions: u32,
         last_event: Option<u64>,
-    ) -> Result<Exchange, Failure> {
+    ) -> Result<Exchange, CallError> {
         let state = &self.state;
         state.meter.relayed(1);
         emit!(
@@ -200,11 +201,13 @@
         let mut sending = std::pin::pin!(sending);
         loop {
             tokio::select! {
-                result = sending.as_mut() => return result,
+                result = sending.as_mut() => {
+                    return state.accept_answer(result?, Some(&self.id), &relay.name);
+                }
                 () = sleep(LIVENESS_INTERVAL) => {}
             }
             if !relay.is_alive() {
-                return Err(Failure::Lost { reason: "router is gone".to_owned() });
+                return Err(Failure::Lost { reason: "router is gone".to_owned() }.into());
             }
         }
     }
--- a/mimosafront/src/relay/plain.rs
+++ b/mimosafront/src/relay/plain.rs
@@ -20,10 +20,11 @@
 
 use super::peer::{Path, Relay, UNREACHABLE_REASON};
 use super::{
-    LIMITED_REASON, RESTING_REASON, RequestContext, RequestError, forward_response,
+    LIMITED_REASON, RESTING_REASON, RequestContext, RequestError, STRAY_REASON, forward_response,
     relayed_outcome, stop,
 };
 use crate::body::ResponseBody;
+use crate::call::CallError;
 use crate::state::RouterState;
 use crate::{clock, probe, reach};
 
@@ -172,11 +173,12 @@
     let result = timeout(send_timeout, send_and_collect(ctx, hop)).await;
     let outcome = match result {
         Ok(Ok((exchange, body))) => check_response(ctx, exchange, body, can_retry),
-        Ok(Err(Failure::NotSent { reason, .. })) => {
+        Ok(Err(CallError::Stray)) => SendOutcome::Lost(STRAY_REASON),
+        Ok(Err(CallError::Failed(Failure::NotSent { reason, .. }))) => {
             state.mark_suspect(&hop.id, &reason);
             return SendOutcome::NotRun("not sent");
         }
-        Ok(Err(Failure::Lost { reason })) => {
+        Ok(Err(CallError::Failed(Failure::Lost { reason }))) => {
             state.mark_suspect(&hop.id, &reason);
             state.pool.close_idle(hop.address);
             let failed = clock::now();
@@ -223,7 +225,7 @@
     let response = async {
         let mut exchange = ctx.send_to_router(relay, attempt, executions, ctx.last_event).await?;
         let body = exchange.collect(MAX_RESPONSE_BYTES).await?;
-        Ok::<_, Failure>((exchange, body))
+        Ok::<_, CallError>((exchange, body))
     };
     match timeout(ctx.remaining(), response).await {
         Ok(Ok((exchange, body))) => {
@@ -240,20 +242,25 @@
             }
             outcome
         }
-        Ok(Err(Failure::NotSent { .. })) => SendOutcome::NotRun("router not reached"),
-        Ok(Err(Failure::Lost { .. })) | Err(_) => SendOutcome::Lost("router did not answer"),
+        Ok(Err(CallError::Stray)) => SendOutcome::Lost(STRAY_REASON),
+        Ok(Err(CallError::Failed(Failure::NotSent { .. }))) => {
+            SendOutcome::NotRun("router not reached")
+        }
+        Ok(Err(CallError::Failed(Failure::Lost { .. }))) | Err(_) => {
+            SendOutcome::Lost("router did not answer")
+        }
     }
 }
 
-async fn send_and_collect(ctx: &RequestContext, hop: &Hop) -> Result<(Exchange, Bytes), Failure> {
+async fn send_and_collect(ctx: &RequestContext, hop: &Hop) -> Result<(Exchange, Bytes), CallError> {
     let request = ctx.request(hop, &[], ctx.last_event);
     let mut exchange = ctx.state.call(hop, request, false).await?;
     let body = exchange.collect(MAX_RESPONSE_BYTES).await?;
     Ok((exchange, body))
 }
 
-/// Checks that a response belongs to the request and is acceptable: a
-/// successful one is signed, not encoded, and no stream that breaks off.
+/// Checks that a response is acceptable: a successful one is signed, not encoded, and no
+/// stream that breaks off.
 fn check_response(
     ctx: &RequestContext,
     exchange: Exchange,
@@ -262,11 +269,6 @@
 ) -> SendOutcome {
     let status = exchange.head.status();
     let info: AnswerInfo = header::response(exchange.head.headers());
-    if !ctx.is_answered_by(&info, status) {
-        ctx.state.pool.close_idle(exchange.address());
-        emit!(ctx.state.log, Event::ReplyDropped, "request" => &*ctx.id, "answers" => info.id.unwrap_or_default());
-        return SendOutcome::Lost("answer to another request");
-    }
     if info.not_run || status == StatusCode::MISDIRECTED_REQUEST {
         return SendOutcome::NotRun("rejected by the endpoint");
     }
--- a/mimosafront/tests/cluster/endpoints.rs
+++ b/mimosafront/tests/cluster/endpoints.rs
@@ -99,6 +99,12 @@
     pub rest: Option<&'static str>,
     /// Whether its answers say that it is leaving.
     pub leaving: bool,
+    /// It refuses one of this many requests as full; engines name the last of the chain.
+    pub refusal_interval: Option<u64>,
+    /// Requests counted for that.
+    pub offered: u64,
+    /// Time from the begin of a stream until an engine sends its head.
+    pub head_delay: Duration,
 }
 
 pub struct Endpoints {
@@ -148,6 +154,13 @@
         state.rest.is_some() || state.leaving
     }
 
+    /// Whether it refuses the next request, as one of `refusal_interval`.
+    pub fn refuses_in_turn(&self) -> bool {
+        let mut state = self.state();
+        state.offered += 1;
+        state.refusal_interval.is_some_and(|interval| state.offered.is_multiple_of(interval))
+    }
+
     /// The rejection of a request, if it rejects all.
     pub fn reject(&self, id: &str) -> Option<Reply> {
         let rest = self.state().rest?;
@@ -229,6 +242,9 @@
                 request_limit: None,
                 rest: None,
                 leaving: false,
+                refusal_interval: None,
+                offered: 0,
+                head_delay: Duration::ZERO,
             };
             let (state, rejections) = (Mutex::new(state), Mutex::default());
             started.push(Arc::new(Member { id, service, zone, proxy, state, rejections }));
--- a/mimosafront/tests/cluster/engine.rs
+++ b/mimosafront/tests/cluster/engine.rs
@@ -178,13 +178,15 @@
         self.endpoints.record_arrival(&self.member);
         let id = header_text(headers, "request-id").unwrap_or_default().to_owned();
         if header_text(headers, "target-instance") != Some(&self.member.id) {
-            return reply(421, &[("not-executed", "1")], "{}");
+            return reply(421, &[("not-executed", "1"), ("request-id", &id)], "{}");
         }
         if let Some(rejection) = self.member.reject(&id) {
             return rejection;
         }
         let hops = parse_chain(header_text(headers, "hop-count").unwrap_or_default());
-        if let Some((address, ..)) = hops.iter().find(|hop| !self.holds(hop)) {
+        let is_full = self.member.refuses_in_turn();
+        let missing = hops.iter().find(|hop| !self.holds(hop));
+        if let Some((address, ..)) = missing.or(hops.last().filter(|_| is_full)) {
             let at = address.to_string();
             return reply(
                 503,
@@ -223,6 +225,8 @@
         let health = self.member.state().health;
         let stream = self.clone().stream(id.clone(), after, output / 4, health, sender);
         tokio::spawn(stream);
+        let head_delay = self.member.state().head_delay;
+        tokio::time::sleep(head_delay).await;
         stream_response(&id, health, chunks)
     }
 
--- a/mimosafront/tests/cluster/plain.rs
+++ b/mimosafront/tests/cluster/plain.rs
@@ -66,11 +66,15 @@
         let body = body.collect().await.map(|body| body.to_bytes()).unwrap_or_default();
         let id = header_text(&head.headers, "request-id").unwrap_or_default().to_owned();
         if header_text(&head.headers, "target-instance") != Some(&self.member.id) {
-            return Ok(reply(421, &[("not-executed", "1")], "{}"));
+            let headers = [("not-executed", "1"), ("request-id", &*id)];
+            return Ok(reply(421, &headers, "{}"));
         }
         if let Some(rejection) = self.member.reject(&id) {
             return Ok(rejection);
         }
+        if self.member.refuses_in_turn() {
+            return Ok(reply(503, &[("not-executed", "1"), ("request-id", &id)], "{}"));
+        }
         self.endpoints.update_trace(&id, |trace| {
             trace.runs += 1;
             trace.last_activity = Some(Instant::now());
--- a/mimosafront/tests/cluster/proxy.rs
+++ b/mimosafront/tests/cluster/proxy.rs
@@ -31,8 +31,21 @@
     Unreachable,
     /// Sends what the server sends a second time, after this time.
     Repeats(Duration),
+    /// Sends the last refusal once more for one of `REPEAT_INTERVAL` later requests, this
+    /// time after the server has got it: with its id on the connection on which it was sent,
+    /// or without one on all connections.
+    RepeatsRefusals {
+        delay: Duration,
+        with_id: bool,
+    },
 }
 
+/// The last refusal that was sent.
+type LastRefusal = Arc<Mutex<Option<Vec<u8>>>>;
+
+/// The half of a connection to which several tasks may write.
+type WriteHalf = Arc<tokio::sync::Mutex<OwnedWriteHalf>>;
+
 /// Connections that the system establishes before the proxy has accepted them.
 const BACKLOG: i32 = 1_024;
 
@@ -48,12 +61,20 @@
     replacement: Mutex<Option<Replacement>>,
     /// Number of connections on which such an answer is being sent.
     replacing: AtomicUsize,
+    last_refusal: LastRefusal,
+    /// Number of requests for which a refusal might have been sent once more.
+    repeat_chances: AtomicUsize,
+    /// Number of refusals that were sent once more.
+    repeated_refusals: Arc<AtomicUsize>,
 }
 
 /// Returns the first bytes of an answer to the request with the given id, and
 /// those that follow until the client closes the connection.
 type Replacement = Arc<dyn Fn(&str) -> (String, &'static str) + Send + Sync>;
 
+/// One of this many requests is answered with a copy of a refusal.
+const REPEAT_INTERVAL: usize = 4;
+
 /// Size of the pieces in which endless bytes are sent.
 const ENDLESS_PIECE_BYTES: usize = 64 * 1024;
 
@@ -66,6 +87,9 @@
             generation: watch::channel(0).0,
             replacement: Mutex::default(),
             replacing: AtomicUsize::default(),
+            last_refusal: LastRefusal::default(),
+            repeat_chances: AtomicUsize::default(),
+            repeated_refusals: Arc::default(),
         });
         let serving = proxy.clone();
         tokio::spawn(async move {
@@ -134,6 +158,10 @@
         self.replacing.load(Ordering::Relaxed)
     }
 
+    pub fn repeated_refusals(&self) -> usize {
+        self.repeated_refusals.load(Ordering::Relaxed)
+    }
+
     async fn answer(&self, mut stream: TcpStream, answer: Replacement) {
         self.replacing.fetch_add(1, Ordering::Relaxed);
         let (mut request, mut buffer) = (Vec::new(), [0; 4096]);
@@ -166,8 +194,13 @@
         let (from_client, to_client) = stream.into_split();
         let (from_server, to_server) = server.into_split();
         let mut link = self.state.subscribe();
-        let upstream = self.copy(from_client, to_server, LinkState::BlockedToServer);
-        let downstream = self.copy(from_server, to_client, LinkState::BlockedToClient);
+        let (to_client, to_server) =
+            (WriteHalf::new(to_client.into()), WriteHalf::new(to_server.into()));
+        let refusal = LastRefusal::default();
+        let repeat = || self.repeat_refusal(&refusal, &to_client);
+        let upstream = self.copy(from_client, &to_server, LinkState::BlockedToServer, |_| repeat());
+        let keep = |answer: &[u8]| self.keep_refusal(&refusal, answer);
+        let downstream = self.copy(from_server, &to_client, LinkState::BlockedToClient, keep);
         tokio::select! {
             () = upstream => {}
             () = downstream => {}
@@ -175,7 +208,45 @@
         }
     }
 
-    async fn copy(&self, mut from: OwnedReadHalf, mut to: OwnedWriteHalf, blocking: LinkState) {
+    fn keep_refusal(&self, refusal: &LastRefusal, answer: &[u8]) {
+        let LinkState::RepeatsRefusals { with_id, .. } = *self.state.borrow() else { return };
+        let text = String::from_utf8_lossy(answer);
+        let is_refusal = ["HTTP/1.1 503", "HTTP/1.1 421"].iter().any(|s| text.starts_with(s));
+        if is_refusal && text.contains("not-executed") {
+            let lines = text.split_inclusive('\n');
+            let copy: String =
+                lines.filter(|line| with_id || !line.starts_with("request-id")).collect();
+            let refusal = if with_id { refusal } else { &self.last_refusal };
+            *refusal.lock().unwrap() = Some(copy.into_bytes());
+        }
+    }
+
+    fn repeat_refusal(&self, refusal: &LastRefusal, to: &WriteHalf) {
+        let LinkState::RepeatsRefusals { delay, with_id } = *self.state.borrow() else { return };
+        let refusal = if with_id { refusal } else { &self.last_refusal };
+        let Some(copy) = refusal.lock().unwrap().clone() else { return };
+        let chances = self.repeat_chances.fetch_add(1, Ordering::Relaxed);
+        if !chances.is_multiple_of(REPEAT_INTERVAL) {
+            return;
+        }
+        let (to, repeated) = (to.clone(), self.repeated_refusals.clone());
+        tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
+            // Otherwise the client has closed the connection.
+            if to.lock().await.write_all(&copy).await.is_ok() {
+                repeated.fetch_add(1, Ordering::Relaxed);
+            }
+        });
+    }
+
+    /// Copies bytes from one side to the other; `passed` is given those that were.
+    async fn copy(
+        &self,
+        mut from: OwnedReadHalf,
+        to: &WriteHalf,
+        blocking: LinkState,
+        passed: impl Fn(&[u8]),
+    ) {
         let mut buffer = vec![0; 16 * 1024];
         let mut link = self.state.subscribe();
         let opened_in = *self.generation.borrow();
@@ -196,12 +267,13 @@
             if let LinkState::Delayed(time) = state {
                 tokio::time::sleep(time).await;
             }
-            if to.write_all(&buffer[..length]).await.is_err() {
+            if to.lock().await.write_all(&buffer[..length]).await.is_err() {
                 return;
             }
+            passed(&buffer[..length]);
             if let (LinkState::Repeats(delay), LinkState::BlockedToClient) = (state, blocking) {
                 tokio::time::sleep(delay).await;
-                if to.write_all(&buffer[..length]).await.is_err() {
+                if to.lock().await.write_all(&buffer[..length]).await.is_err() {
                     return;
                 }
             }
--- a/mimosashift/src/event/table.rs
+++ b/mimosashift/src/event/table.rs
@@ -123,6 +123,7 @@
     ContentTried "MS0620" Info "content tried", "A request with a blocked content is sent to see whether it still crashes endpoints.";
     ContentRefused "MS0621" Info "content refused", "A request is not sent because of a blocked content.";
     RequestRelayed "MS0622" Info "request relayed", "A request is sent to another router, since this one reaches no endpoint of the service.";
+    StrayAnswer "MS0623" Warning "stray answer", "An endpoint or router sent an answer that is not known to be to the request in progress on its connection; neither is used further.";
 
     PostingClaimed "MS0701" Debug "posting claimed", "The idempotency key of a posting was claimed.";
     PostingRecorded "MS0702" Debug "posting recorded", "The outcome of a posting was recorded.";
--- a/mimosashift/src/exchange/mod.rs
+++ b/mimosashift/src/exchange/mod.rs
@@ -175,6 +175,12 @@
 }
 
 impl ResponseInfo {
+    /// Whether this answers the request with that id, or one without an id. Servers return
+    /// the id; an answer without it may be a copy of an earlier one, whatever it says.
+    pub fn answers(&self, request: Option<&str>) -> bool {
+        self.id.as_deref() == request
+    }
+
     /// Whether another router, which answered with this status, refused the request, so
     /// that it was not run there. An answer of an endpoint is signed.
     pub fn is_refusal(&self, status: u16) -> bool {
