--- a/mimosafront/src/relay/mod.rs
+++ b/mimosafront/src/relay/mod.rs
@@ -187,9 +187,9 @@
         response = buffer_stream(response).await?;
     }
     if is_chunked || state.stopping.get() {
-        // Clients leave a router that is stopping with the response. A message with both `Content-Length` and `Transfer-Encoding` may
-        // smuggle in a second request; a connection that has carried a chunked
-        // request is not reused.
+        // Clients leave a router that is stopping with the response. A message with both
+        // `Content-Length` and `Transfer-Encoding` may smuggle in a second request; a
+        // connection that has carried a chunked request is not reused.
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(response)
