Begin no stream on an open connection that a stop could cut off

Cause: whether a stream fits was decided by one and a half times the client's estimate of its output.

Once the load balancer has turned away from a stopping router, the client of a refused stream reaches another one, so nothing speaks for beginning a stream that may not end in time: it is refused, as not run, unless its maximum output fits at one and a half times the usual time per token. Before that, a client may be led back to this router, and the estimate decides as it did.

--- a/mimosafront/src/relay/model/mod.rs
+++ b/mimosafront/src/relay/model/mod.rs
@@ -189,15 +189,20 @@
         }
     }
 
-    /// Whether this router is stopping and would probably cut the stream off, while another
-    /// one can serve it.
+    /// Whether this router is stopping and might cut the stream off, while another one can
+    /// serve it. As long as the load balancer may lead a client that is refused back to this
+    /// router, a stream is begun if it is likely to fit.
     fn outlasts_router(&self) -> bool {
         let state = self.state();
         let Some(deadline) = state.stop_deadline.get() else { return false };
         let now = clock::now();
         let max_output = self.ctx.tokens.map_or(f64::INFINITY, |t| f64::from(t.max_output));
         let pace = state.stream_pace.get();
-        let fits = pace.fits(self.demand.output, max_output, deadline.since(now));
+        let left = deadline.since(now);
+        let fits = match state.is_balanced_away.get() {
+            true => pace.surely_fits(max_output, left),
+            false => pace.fits(self.demand.output, max_output, left),
+        };
         !fits && state.peers.borrow().alive(now).next().is_some()
     }
 
--- a/mimosafront/src/shutdown.rs
+++ b/mimosafront/src/shutdown.rs
@@ -80,6 +80,7 @@
     emit!(state.log, Event::FrontStopping, "in_flight" => in_flight, "grace_ms" => crate::state::millis(grace));
     let deadline = tokio::time::Instant::now() + grace.saturating_sub(EXIT_MARGIN);
     tokio::time::sleep(MIN_STOP_PERIOD.min(grace / 2)).await;
+    state.is_balanced_away.set(true);
     let connections = &state.connections;
     // Each response closes its connection, so clients leave as they use theirs. Other routers
     // have learned from digests that this one is leaving.
--- a/mimosafront/src/state.rs
+++ b/mimosafront/src/state.rs
@@ -103,6 +103,8 @@
     pub holds_placement_lease: Cell<bool>,
     /// Whether SIGTERM has arrived.
     pub stopping: Cell<bool>,
+    /// Whether this router is stopping and the load balancer has turned away from it.
+    pub is_balanced_away: Cell<bool>,
     /// When requests that have not ended are cut off, once SIGTERM has arrived.
     pub stop_deadline: Cell<Option<Instant>>,
     /// Wakes the requests that have not ended by then.
@@ -193,6 +195,7 @@
             observed: RefCell::default(),
             holds_placement_lease: Cell::default(),
             stopping: Cell::default(),
+            is_balanced_away: Cell::default(),
             stop_deadline: Cell::default(),
             stop_deadline_passed: Notify::new(),
             plain_latency: Cell::default(),
--- a/mimosafront/tests/planned_stops.rs
+++ b/mimosafront/tests/planned_stops.rs
@@ -292,6 +292,36 @@
     assert_eq!(cluster.routers[0].wait(), Some(0));
 }
 
+/// The estimates are far too low; the streams arrive after the load balancer has turned away.
+#[test]
+fn stopping_router_cuts_off_no_stream_that_writes_more_than_estimated() {
+    let mut cluster = TestCluster::start(ClusterOptions {
+        event_interval: Duration::from_millis(100),
+        ..ClusterOptions::default()
+    });
+    let open = || BlindConnection::connect(cluster.routers[0].clients).await_on(&cluster).unwrap();
+    let mut connections: Vec<_> = (0..10).map(|_| open()).collect();
+    for connection in &mut connections {
+        assert_eq!(connection.send(&TestRequest::note(6)).await_on(&cluster), Ending::Kept);
+    }
+    cluster.routers[0].signal(Signal::SIGTERM);
+    std::thread::sleep(Duration::from_millis(3_200));
+    let sending = connections.into_iter().map(|mut connection| {
+        let mut request = TestRequest::note(60);
+        request.timeout = 2 * GRACE_PERIOD;
+        // Tokens, four an event.
+        request.headers.push(("length-hint", "24".to_owned()));
+        cluster.runtime.spawn(async move { (connection.send(&request).await, request.id) })
+    });
+    let sending: Vec<_> = sending.collect();
+    let ended: Vec<_> = sending.into_iter().map(|s| s.await_on(&cluster).unwrap()).collect();
+    let cut_off = ended.iter().filter(|(ending, _)| *ending != Ending::Closed).count();
+    assert_eq!(cut_off, 0, "of {ended:?}");
+    let runs: usize = ended.iter().map(|(_, id)| cluster.endpoints.trace(id).runs).sum();
+    assert_eq!(runs, 0);
+    assert_eq!(cluster.routers[0].wait(), Some(0));
+}
+
 /// Nothing is open when the load balancer has turned away.
 #[test]
 fn router_without_open_connections_exits_before_its_grace_period_ends() {
--- a/mimosashift/src/drain.rs
+++ b/mimosashift/src/drain.rs
@@ -13,6 +13,9 @@
 /// low.
 const OUTPUT_MARGIN: f64 = 1.5;
 
+/// Factor on the average time per token within which nearly all streams lie.
+const PACE_MARGIN: f64 = 1.5;
+
 /// Number of average deviations within which nearly all response times lie.
 const LATENCY_DEVIATIONS: f64 = 4.0;
 
@@ -39,6 +42,13 @@
         let tokens = (output * OUTPUT_MARGIN).min(max_output);
         self.seconds_per_token.is_none_or(|seconds| seconds * tokens <= left.as_secs_f64())
     }
+
+    /// Whether a stream of at most `max_output` tokens ends within `left` even if it writes
+    /// all of them at a slow pace. False as long as no stream has ended.
+    pub fn surely_fits(&self, max_output: f64, left: Duration) -> bool {
+        self.seconds_per_token
+            .is_some_and(|seconds| seconds * PACE_MARGIN * max_output <= left.as_secs_f64())
+    }
 }
 
 /// Response time of recent requests without a stream: its average, and the average deviation
--- a/mimosashift/tests/drain.rs
+++ b/mimosashift/tests/drain.rs
@@ -20,6 +20,19 @@
     pace().fits(output, max_output, Duration::from_millis(left_ms))
 }
 
+#[test_case(100.0, 3_100 => true; "with a margin")]
+#[test_case(100.0, 2_900 => false; "only at the average pace")]
+#[test_case(400.0, 5_000 => false; "unless it writes less than its maximum")]
+#[test_case(f64::INFINITY, 60_000 => false; "without a maximum")]
+fn stream_surely_fits_into_the_time_left(max_output: f64, left_ms: u64) -> bool {
+    pace().surely_fits(max_output, Duration::from_millis(left_ms))
+}
+
+#[test]
+fn no_stream_surely_fits_before_one_has_ended() {
+    assert!(!Pace::default().surely_fits(1.0, Duration::from_secs(60)));
+}
+
 #[test]
 fn every_stream_fits_before_one_has_ended() {
     let mut pace = Pace::default();
