Do not apply the size limits twice to relayed requests

A router that reaches no endpoint relays requests to another one, which compared them with the limits in its own configuration again. The relaying router adds headers, so a client whose head was just within the limit was denied with 431; a peer that had not read a raised limit yet would also deny bodies that the configuration in force allows.

Sizes are now compared only with the requests of clients. What other routers send is bounded by the buffer of the connection, and a body by 64 MiB.

unreachable_endpoints.rs, request_at_the_limits_is_not_denied_by_the_router_that_it_is_relayed_to, on the commit before: 10 of 10 requests with a head and body of exactly the limits were answered 431. Now 10 of 10 are served.

--- a/mimosafront/src/connection/mod.rs
+++ b/mimosafront/src/connection/mod.rs
@@ -87,7 +87,7 @@
 ) {
     // Streams consist of small events, which Nagle's algorithm would delay.
     drop(stream.set_nodelay(true));
-    let socket = Socket::new(stream, state.clone());
+    let socket = Socket::new(stream, listener, state.clone());
     let service =
         service_fn(|request| respond(state.clone(), listener, socket.begin_exchange(), request));
     let head_bytes = state.limits.borrow().current().head_bytes;
--- a/mimosafront/src/connection/socket.rs
+++ b/mimosafront/src/connection/socket.rs
@@ -13,6 +13,7 @@
 use tokio::net::TcpStream;
 
 use crate::clock;
+use crate::server::Listener;
 use crate::state::RouterState;
 
 /// Largest number of bytes read at once, which keeps read buffers small although heads may
@@ -42,6 +43,7 @@
 pub struct Socket {
     stream: TcpStream,
     state: Rc<RouterState>,
+    listener: Listener,
     phase: Cell<Phase>,
     requests: Cell<u64>,
     has_unsent: Cell<bool>,
@@ -55,10 +57,11 @@
 
 impl Socket {
     /// The socket of a connection that has just been accepted.
-    pub fn new(stream: TcpStream, state: Rc<RouterState>) -> Rc<Self> {
+    pub fn new(stream: TcpStream, listener: Listener, state: Rc<RouterState>) -> Rc<Self> {
         Rc::new(Self {
             stream,
             state,
+            listener,
             phase: Cell::new(Phase::Idle { since: clock::now() }),
             requests: Cell::default(),
             has_unsent: Cell::default(),
@@ -87,10 +90,11 @@
         Exchange(self.clone())
     }
 
-    /// Whether a head that is being read exceeds the limit in force.
+    /// Whether a client's head that is being read exceeds the limit in force.
     pub fn is_head_too_large(&self) -> bool {
         let Phase::Head { since, bytes } = self.phase.get() else { return false };
-        bytes > self.state.limits.borrow().largest_since(since).head_bytes
+        self.listener == Listener::Clients
+            && bytes > self.state.limits.borrow().largest_since(since).head_bytes
     }
 
     /// Whether bytes have arrived that have not been read, also such of which the event
--- a/mimosafront/src/relay/mod.rs
+++ b/mimosafront/src/relay/mod.rs
@@ -65,6 +65,9 @@
 /// Largest stream that is buffered for a client of HTTP/1.0.
 const MAX_BUFFERED_STREAM_BYTES: usize = 8 * 1024 * 1024;
 
+/// Largest body that is read from another router, which keeps to the limit in force.
+const MAX_RELAYED_BODY_BYTES: usize = 64 * 1024 * 1024;
+
 /// An accepted request and what is needed to send it to an endpoint.
 pub struct RequestContext {
     state: Rc<RouterState>,
@@ -241,7 +244,12 @@
     let host = host(&head.uri, headers)
         .ok_or(RequestError::Denied(StatusCode::BAD_REQUEST, "host is missing"))?
         .to_owned();
-    let limit = state.limits.borrow().largest_since(arrived);
+    let mut limit = state.limits.borrow().largest_since(arrived);
+    if origin != Origin::Client {
+        // The router that has accepted the request may know a newer configuration.
+        limit.head_bytes = usize::MAX;
+        limit.body_bytes = MAX_RELAYED_BODY_BYTES;
+    }
     if head_size(&head) > limit.head_bytes {
         return Err(RequestError::Denied(
             StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
--- a/mimosafront/tests/unreachable_endpoints.rs
+++ b/mimosafront/tests/unreachable_endpoints.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use cluster::client::TestRequest;
+use cluster::kept::{KeptConnection, encode};
 use cluster::load::{Results, Sent, send_requests_to, served_share_between};
 use cluster::proxy::LinkState;
 use cluster::{ClusterOptions, TestCluster};
@@ -214,3 +215,28 @@
     cluster.wait_until("layers are placed", |cluster| cluster.endpoints.is_placed(2));
     assert!(acquired(1 - holder), "the other router places layers");
 }
+
+#[test]
+fn request_at_the_limits_is_not_denied_by_the_router_that_it_is_relayed_to() {
+    let cluster = TestCluster::start(options(2));
+    cluster.set_links(&[0], LinkState::Unreachable);
+    cluster.wait_until("requests are relayed", |cluster| {
+        cluster.runtime.block_on(TestRequest::read().send(cluster.routers[0].clients));
+        !cluster.routers[0].log_lines("MS0622").is_empty()
+    });
+    let (mut denied, limits) = (Vec::new(), cluster.limits);
+    for _ in 0..10 {
+        let request = TestRequest { body: vec![b'a'; limits.body_bytes], ..TestRequest::post() };
+        // Without a deadline, which routers add.
+        let encode = |lines: &str| {
+            let text = String::from_utf8(encode(&request, lines)).unwrap();
+            text.replace("request-deadline: 6000\r\n", "")
+        };
+        let rest = encode("x-large: \r\n").len() - limits.body_bytes;
+        let line = format!("x-large: {}\r\n", "a".repeat(limits.head_bytes - rest));
+        let mut connection = KeptConnection::open(cluster.routers[0].clients);
+        let received = connection.send_bytes(encode(&line).as_bytes());
+        denied.extend((received.status() != Some(200)).then_some(received));
+    }
+    assert_eq!(denied, [], "of 10");
+}
