Give connections between routers limits of their own

Routers reuse connections to each other for 4 s, whatever idle limit the configuration sets for clients. Below that, the receiving router closed idle connections that the sender was about to use: a posting relayed at that moment may have been read, so its caller was told 502, and the relaying router cannot know the limit of its peer while a change spreads.

The listener for routers now has fixed limits on idle time, heads and bodies; those in the configuration apply to clients.

--- a/mimosafront/src/connection/mod.rs
+++ b/mimosafront/src/connection/mod.rs
@@ -13,6 +13,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use mimosashift::deployment::Limits;
 use mimosashift::emit;
 use mimosashift::event::Event;
 use mimosashift::meter::{Outcome, RefusalReason};
@@ -40,6 +41,15 @@
 /// raised later applies to the connection as well.
 const HEAD_BUFFER_BYTES: usize = 256 * 1024;
 
+/// Limits on what other routers send and on their connections, which they reuse whatever
+/// limits on clients they know. A router sends what it has accepted from a client.
+const ROUTER_LIMITS: Limits = Limits {
+    head_bytes: usize::MAX,
+    body_bytes: 64 * 1024 * 1024,
+    read_timeout: Duration::from_secs(15),
+    idle_timeout: Duration::from_secs(15),
+};
+
 /// Time for which a connection whose limit has run out is kept at most until the
 /// configuration is confirmed.
 const MAX_HOLD: Duration = Duration::from_secs(10);
@@ -78,6 +88,14 @@
     is_stopping: bool,
 }
 
+/// The largest limits that were in force for a listener since `since`.
+pub fn limits_since(state: &RouterState, listener: Listener, since: Instant) -> Limits {
+    match listener {
+        Listener::Clients => state.limits.borrow().largest_since(since),
+        Listener::Routers => ROUTER_LIMITS,
+    }
+}
+
 /// Serves a connection until it is closed.
 pub async fn serve(
     state: Rc<RouterState>,
@@ -194,11 +212,10 @@
 
     /// The limit on the time for which the connection waits since `since`.
     fn limit(&self, since: Instant) -> Duration {
-        let history = self.state.limits.borrow();
         match self.socket.phase() {
-            Phase::Head { .. } => history.largest_since(since).read_timeout,
+            Phase::Head { .. } => self.socket.limits_since(since).read_timeout,
             Phase::Idle { .. } | Phase::Exchange => {
-                history.largest_since(since - CLIENT_LAG).idle_timeout
+                self.socket.limits_since(since - CLIENT_LAG).idle_timeout
             }
         }
     }
--- a/mimosafront/src/connection/socket.rs
+++ b/mimosafront/src/connection/socket.rs
@@ -7,12 +7,14 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 
+use mimosashift::deployment::Limits;
 use mimosashift::time::Instant;
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
 use crate::clock;
+use crate::connection::limits_since;
 use crate::server::Listener;
 use crate::state::RouterState;
 
@@ -90,11 +92,15 @@
         Exchange(self.clone())
     }
 
-    /// Whether a client's head that is being read exceeds the limit in force.
+    /// Whether a head that is being read exceeds the limit in force.
     pub fn is_head_too_large(&self) -> bool {
         let Phase::Head { since, bytes } = self.phase.get() else { return false };
-        self.listener == Listener::Clients
-            && bytes > self.state.limits.borrow().largest_since(since).head_bytes
+        bytes > self.limits_since(since).head_bytes
+    }
+
+    /// The largest limits that were in force for the connection since `since`.
+    pub fn limits_since(&self, since: Instant) -> Limits {
+        limits_since(&self.state, self.listener, since)
     }
 
     /// Whether bytes have arrived that have not been read, also such of which the event
--- a/mimosafront/src/relay/mod.rs
+++ b/mimosafront/src/relay/mod.rs
@@ -24,6 +24,7 @@
 
 use crate::body::{ResponseBody, TruncatedBody};
 use crate::clock;
+use crate::connection::limits_since;
 use crate::server::Listener;
 use crate::state::{RouterState, millis};
 
@@ -65,9 +66,6 @@
 /// Largest stream that is buffered for a client of HTTP/1.0.
 const MAX_BUFFERED_STREAM_BYTES: usize = 8 * 1024 * 1024;
 
-/// Largest body that is read from another router, which keeps to the limit in force.
-const MAX_RELAYED_BODY_BYTES: usize = 64 * 1024 * 1024;
-
 /// An accepted request and what is needed to send it to an endpoint.
 pub struct RequestContext {
     state: Rc<RouterState>,
@@ -180,7 +178,7 @@
     let result = tokio::select! {
         biased;
         () = stop::deadline(&state) => Err(stop::error(&state, is_sent.get())),
-        result = relay(&state, request, origin, arrived, is_sent.clone()) => result,
+        result = relay(&state, request, listener, origin, arrived, is_sent.clone()) => result,
     };
     let mut response = match result {
         Ok(response) => response,
@@ -201,11 +199,12 @@
 async fn relay(
     state: &Rc<RouterState>,
     request: Request<Incoming>,
+    listener: Listener,
     origin: Origin,
     arrived: Instant,
     is_sent: Rc<Cell<bool>>,
 ) -> Result<Response<ResponseBody>, RequestError> {
-    let ctx = accept(state, request, origin, arrived, is_sent).await?;
+    let ctx = accept(state, request, listener, origin, arrived, is_sent).await?;
     match ctx.service.engine {
         Some(_) => model::relay(ctx).await,
         None => plain::relay(ctx).await,
@@ -229,6 +228,7 @@
 async fn accept(
     state: &Rc<RouterState>,
     request: Request<Incoming>,
+    listener: Listener,
     origin: Origin,
     arrived: Instant,
     is_sent: Rc<Cell<bool>>,
@@ -244,12 +244,7 @@
     let host = host(&head.uri, headers)
         .ok_or(RequestError::Denied(StatusCode::BAD_REQUEST, "host is missing"))?
         .to_owned();
-    let mut limit = state.limits.borrow().largest_since(arrived);
-    if origin != Origin::Client {
-        // The router that has accepted the request may know a newer configuration.
-        limit.head_bytes = usize::MAX;
-        limit.body_bytes = MAX_RELAYED_BODY_BYTES;
-    }
+    let limit = limits_since(state, listener, arrived);
     if head_size(&head) > limit.head_bytes {
         return Err(RequestError::Denied(
             StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
--- a/mimosafront/tests/cluster/router.rs
+++ b/mimosafront/tests/cluster/router.rs
@@ -45,6 +45,8 @@
     /// Program of the next start.
     pub build: Build,
     pub clients: SocketAddr,
+    /// Where it accepts requests that other routers relay.
+    pub relays: SocketAddr,
     ready: SocketAddr,
     metrics: SocketAddr,
     folder: PathBuf,
@@ -95,6 +97,7 @@
             name: format!("front-{zone}-{number}"),
             build: Build::Own,
             clients: (address, clients).into(),
+            relays: (address, last_peer).into(),
             ready: (address, ready).into(),
             metrics: (address, metrics).into(),
             folder,
--- a/mimosafront/tests/kept_connections.rs
+++ b/mimosafront/tests/kept_connections.rs
@@ -23,6 +23,9 @@
 /// Time for which a replaced limit may still be followed.
 const CLIENT_LAG: Duration = Duration::from_secs(2);
 
+/// Time for which routers reuse idle connections to each other.
+const POOL_IDLE_TIME: Duration = Duration::from_secs(4);
+
 /// Time within which an idle connection is closed after its limit.
 const CLOSE_BOUND: Duration = Duration::from_secs(3);
 
@@ -109,6 +112,16 @@
     assert_eq!(count_unanswered(&mut connections), 0, "of {CONNECTIONS} after {IDLE_TIME:?}");
 }
 
+#[test]
+fn connection_of_a_router_is_not_closed_by_an_idle_limit_for_clients() {
+    let cluster = cluster(idle_limit(SHORT));
+    let relays = cluster.routers[0].relays;
+    let mut connections: Vec<_> = (0..CONNECTIONS).map(|_| KeptConnection::open(relays)).collect();
+    assert_eq!(count_unanswered(&mut connections), 0);
+    sleep(POOL_IDLE_TIME);
+    assert_eq!(count_unanswered(&mut connections), 0, "of {CONNECTIONS} after {POOL_IDLE_TIME:?}");
+}
+
 #[test]
 fn head_within_a_grown_limit_is_not_denied_on_a_kept_connection() {
     let small = TestLimits { head_bytes: 8_192, ..TestLimits::default() };
--- a/mimosashift/src/event/table.rs
+++ b/mimosashift/src/event/table.rs
@@ -61,7 +61,7 @@
     HttpTooLarge "MS0203" Warning "request too large", "A request exceeded a size limit and was refused.";
     HttpUnauthorized "MS0204" Warning "unauthorized", "A request carried no valid bearer token.";
     HttpConnectionLimit "MS0205" Warning "connection limit reached", "New connections wait because the limit is reached.";
-    ConnectionsClosed "MS0206" Info "connections closed", "The router closed connections of clients in the last second, for the given reason.";
+    ConnectionsClosed "MS0206" Info "connections closed", "The router closed connections in the last second, for the given reason.";
 
     ConfigInstalled "MS0301" Info "configuration installed", "A higher configuration revision is in force on this router.";
     ConfigOlder "MS0302" Critical "older configuration revision seen", "The table answered with a revision lower than the one in force; it was ignored.";
