Follow the store address and the seeds in reloaded settings

A router that reloaded its settings went on calling the store at the address with which it had started, and never contacted routers that only the new seeds name: the client of the store and the table of peers copied these settings at the start. If the store had moved, no later configuration came into force. Reloaded settings are now put in force in one place, which passes both on; seeds are added to the known addresses.

--- a/mimosafront/src/shutdown.rs
+++ b/mimosafront/src/shutdown.rs
@@ -114,7 +114,7 @@
         None => {}
         Some(Ok(node)) => {
             emit!(state.log, Event::SettingsReloaded, "node" => &*node.name, "zone" => &*node.zone);
-            *state.node.borrow_mut() = Rc::new(node);
+            state.apply_settings(node);
         }
         Some(Err(error)) => {
             emit!(state.log, Event::SettingsInvalid, "error" => error.to_string());
--- a/mimosafront/src/state.rs
+++ b/mimosafront/src/state.rs
@@ -163,9 +163,7 @@
         let store = Store::new(pool.clone(), node.store.address, STORE_TIMEOUT);
         let now = clock::now();
         let own_address = node.peer_address();
-        let seeds = node.seeds.iter();
-        let seeds: Vec<_> =
-            seeds.map(|seed| SocketAddr::new(seed.ip(), own_address.port())).collect();
+        let seeds = seed_addresses(&node);
         let incarnation = clock::unix_micros();
         Rc::new(Self {
             peers: RefCell::new(Peers::new(own_address, node.zone.clone(), &seeds, now)),
@@ -217,6 +215,13 @@
         self.node.borrow().clone()
     }
 
+    /// Puts changed settings in force.
+    pub fn apply_settings(&self, node: Node) {
+        self.store.set_address(node.store.address);
+        self.peers.borrow_mut().add_addresses(&seed_addresses(&node), clock::now());
+        *self.node.borrow_mut() = Rc::new(node);
+    }
+
     /// The configuration in force.
     pub fn deployment(&self) -> Option<Rc<Deployment>> {
         self.active_config.borrow().as_ref().map(|active| active.deployment.clone())
@@ -431,6 +436,12 @@
     }
 }
 
+/// Addresses at which the routers named in the settings listen for others.
+fn seed_addresses(node: &Node) -> Vec<SocketAddr> {
+    let port = node.peer_address().port();
+    node.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port)).collect()
+}
+
 /// Spreads clients that return after `wait` over a time in which endpoints take more
 /// requests.
 fn spread_returns(wait: Duration, random: f64) -> Duration {
--- a/mimosafront/tests/cluster/router.rs
+++ b/mimosafront/tests/cluster/router.rs
@@ -139,6 +139,13 @@
         &self.folder
     }
 
+    /// Changes the settings file.
+    pub fn edit_settings(&self, edit: impl FnOnce(&str) -> String) {
+        let path = self.folder.join("settings.conf");
+        let text = std::fs::read_to_string(&path).unwrap();
+        std::fs::write(path, edit(&text)).unwrap();
+    }
+
     /// Log since the last start.
     pub fn log(&self) -> String {
         let mut text = String::new();
--- a/mimosafront/tests/store_calls.rs
+++ b/mimosafront/tests/store_calls.rs
@@ -2,11 +2,14 @@
 
 mod cluster;
 
+use std::collections::HashMap;
+use std::net::IpAddr;
 use std::time::{Duration, Instant};
 
 use nix::sys::signal::Signal;
 
 use cluster::client::TestRequest;
+use cluster::proxy::LinkState;
 use cluster::store::StoreMode;
 use cluster::{ClusterOptions, TestCluster};
 
@@ -112,3 +115,46 @@
     assert_eq!(refused, Vec::<&str>::new());
     assert!(statuses.contains(&200), "{statuses:?}");
 }
+
+#[test]
+fn store_is_read_at_the_address_in_reloaded_settings() {
+    let mut cluster =
+        TestCluster::start(ClusterOptions { routers: 1, ..ClusterOptions::default() });
+    let IpAddr::V4(host) = cluster.store.address().ip() else { unreachable!("IPv4 only") };
+    let address = cluster.runtime.block_on(cluster.store.listen(host, HashMap::new()));
+    let earlier = cluster.store_proxies[0].address();
+    cluster.routers[0].edit_settings(|text| {
+        text.replace(&format!("platform.address={earlier}"), &format!("platform.address={address}"))
+    });
+    cluster.routers[0].signal(Signal::SIGHUP);
+    cluster.wait_until("the settings are reloaded", |cluster| {
+        cluster.routers[0].log().contains("settings reloaded")
+    });
+    cluster.store_proxies[0].set(LinkState::Unreachable);
+    cluster.configure_limits(cluster.limits);
+}
+
+#[test]
+fn router_meets_the_peers_in_reloaded_settings() {
+    let mut cluster = TestCluster::start(ClusterOptions { zones: 1, ..ClusterOptions::default() });
+    let seeds = |text: &str| {
+        let line = text.lines().find(|line| line.starts_with("seeds=")).unwrap();
+        line.to_owned()
+    };
+    let original = std::fs::read_to_string(cluster.routers[0].folder().join("settings.conf"));
+    let original = seeds(&original.unwrap());
+    for router in &mut cluster.routers {
+        router.stop(Signal::SIGKILL);
+    }
+    for router in &mut cluster.routers {
+        router.edit_settings(|text| text.replace(&original, "seeds=127.0.0.1:9"));
+        router.spawn();
+    }
+    std::thread::sleep(SETTLE_TIME);
+    assert!(!cluster.routers[0].log().contains("MS0401"), "no seed names the other router");
+    cluster.routers[0].edit_settings(|text| text.replace("seeds=127.0.0.1:9", &original));
+    cluster.routers[0].signal(Signal::SIGHUP);
+    cluster.wait_until("the routers know each other", |cluster| {
+        cluster.routers.iter().all(|router| router.log().contains("MS0401"))
+    });
+}
