Test requests to a paused router, and the log of idle closes

A request that arrives while the process is paused must be served even if the idle limit has run out when it goes on; the close of an idle connection must show in MS0206.

--- a/mimosafront/tests/kept_connections.rs
+++ b/mimosafront/tests/kept_connections.rs
@@ -5,6 +5,8 @@
 use std::thread::sleep;
 use std::time::Duration;
 
+use nix::sys::signal::Signal;
+
 use cluster::client::TestRequest;
 use cluster::kept::{KeptConnection, Received, encode};
 use cluster::store::StoreMode;
@@ -96,6 +98,10 @@
     assert_eq!(connection.send(&TestRequest::post()).status(), Some(200));
     let idle = connection.wait_until_closed();
     assert!(idle >= SHORT && idle < SHORT + CLOSE_BOUND, "closed after {idle:?}");
+    cluster.wait_until("the close is logged", |cluster| {
+        let lines = cluster.routers[0].log_lines("MS0206");
+        lines.iter().any(|line| line.contains("\"reason\":\"idle\""))
+    });
 }
 
 #[test]
@@ -112,6 +118,22 @@
     assert_eq!(count_unanswered(&mut connections), 0, "of {CONNECTIONS} after {IDLE_TIME:?}");
 }
 
+#[test]
+fn request_sent_while_the_router_is_paused_is_answered_after_the_idle_limit() {
+    let cluster = cluster(idle_limit(SHORT));
+    let mut connections = open(&cluster);
+    assert_eq!(count_unanswered(&mut connections), 0);
+    cluster.routers[0].signal(Signal::SIGSTOP);
+    for connection in &mut connections {
+        connection.write(&encode(&TestRequest::post(), ""));
+    }
+    sleep(SHORT * 2);
+    cluster.routers[0].signal(Signal::SIGCONT);
+    let received = connections.iter_mut().map(KeptConnection::receive);
+    let unanswered = received.filter(|received| received.status() != Some(200)).count();
+    assert_eq!(unanswered, 0, "of {CONNECTIONS}");
+}
+
 #[test]
 fn connection_of_a_router_is_not_closed_by_an_idle_limit_for_clients() {
     let cluster = cluster(idle_limit(SHORT));
