Read request bodies under the limits in force

A client that was still sending its body when the time limit was raised was refused with 503 at the end of the earlier limit, which had been read when the body began. The limit is now looked up again whenever it has run out, as for heads and idle connections.

--- a/mimosafront/src/relay/mod.rs
+++ b/mimosafront/src/relay/mod.rs
@@ -1,6 +1,7 @@
 //! Relays a client's request to an endpoint and returns the response.
 
 use std::cell::Cell;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -254,7 +255,7 @@
     if body.size_hint().lower() > limit.body_bytes as u64 {
         return Err(RequestError::Denied(StatusCode::PAYLOAD_TOO_LARGE, "body too large"));
     }
-    let body = read_body(body, limit.body_bytes, limit.read_timeout).await?;
+    let body = read_body(state, body, listener, arrived).await?;
     let path = head.uri.path();
     let (deployment, route, team) =
         resolve_route(state, &host, path, info.api_key.as_deref()).await?;
@@ -313,20 +314,30 @@
     path.map_or_else(Uri::default, Uri::from)
 }
 
+/// Reads the body of a request, under the limits in force meanwhile.
 async fn read_body(
+    state: &RouterState,
     body: Incoming,
-    limit: usize,
-    time_limit: Duration,
+    listener: Listener,
+    arrived: Instant,
 ) -> Result<Bytes, RequestError> {
-    let collected = Limited::new(body, limit).collect();
-    match tokio::time::timeout(time_limit, collected).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(RequestError::Denied(StatusCode::PAYLOAD_TOO_LARGE, "body too large"))
-        }
-        Ok(Err(_)) => Err(RequestError::Denied(StatusCode::BAD_REQUEST, "body broke off")),
-        Err(_) => {
-            Err(RequestError::Refused(RefusalReason::Invalid, "body too slow", DEFAULT_RETRY_AFTER))
+    let limits = || limits_since(state, listener, arrived);
+    let mut collected = pin!(Limited::new(body, limits().body_bytes).collect());
+    loop {
+        let remaining = (arrived + limits().read_timeout).since(clock::now());
+        match tokio::time::timeout(remaining, collected.as_mut()).await {
+            Ok(Ok(body)) => return Ok(body.to_bytes()),
+            Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+                return Err(RequestError::Denied(StatusCode::PAYLOAD_TOO_LARGE, "body too large"));
+            }
+            Ok(Err(_)) => {
+                return Err(RequestError::Denied(StatusCode::BAD_REQUEST, "body broke off"));
+            }
+            Err(_) if clock::now() < arrived + limits().read_timeout => {}
+            Err(_) => {
+                let invalid = RefusalReason::Invalid;
+                return Err(RequestError::Refused(invalid, "body too slow", DEFAULT_RETRY_AFTER));
+            }
         }
     }
 }
--- a/mimosafront/tests/kept_connections.rs
+++ b/mimosafront/tests/kept_connections.rs
@@ -185,6 +185,24 @@
     assert!(started.elapsed() < LONG / 2, "{:?}", started.elapsed());
 }
 
+#[test]
+fn body_begun_under_a_shorter_time_limit_is_read_under_the_limit_in_force() {
+    let limits = |seconds| TestLimits {
+        head_timeout: Duration::from_secs(seconds),
+        ..TestLimits::default()
+    };
+    let mut cluster = cluster(limits(2));
+    let mut connections = open(&cluster);
+    let request = encode(&TestRequest::post(), "");
+    let (begin, end) = request.split_at(request.len() - 1);
+    connections.iter_mut().for_each(|connection| connection.write(begin));
+    cluster.configure_limits(limits(10));
+    sleep(Duration::from_secs(3));
+    let received = connections.iter_mut().map(|connection| connection.send_bytes(end));
+    let unanswered = received.filter(|received| received.status() != Some(200)).count();
+    assert_eq!(unanswered, 0, "of {CONNECTIONS}");
+}
+
 #[test]
 fn client_that_sends_a_too_large_body_gets_the_answer_and_no_reset() {
     let cluster = cluster(TestLimits::default());
