Forward only fields as the events of a stream

An engine that sent an earlier refusal once more while it wrote a stream without a length put the refusal's head into the body.

Cause: `EventSplitter` took whatever an empty line ends for an event, and the head of a response ends with one. With chunks or a length the library notices; without, the bytes belong to the body. Plain services' streams are collected and were forwarded as they came.

Fix: each line of an event must be empty, a comment or a field whose name has only letters, digits, `-` and `_`. Whole events before other bytes are forwarded, then the stream counts as broken and is resumed elsewhere or cut off. Responses of engines on routes without streams pass unchecked.

Not noticed: a copy inside a line of an event without a length, whose lines read as further fields, and copies in bodies without a length that are no streams.

--- a/mimosafront/src/relay/model/forward.rs
+++ b/mimosafront/src/relay/model/forward.rs
@@ -9,6 +9,7 @@
 use mimosashift::deployment::RouteKind;
 use mimosashift::emit;
 use mimosashift::event::Event;
+use mimosashift::event_stream::InvalidStream;
 use mimosashift::meter::{Outcome, Recovery};
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
@@ -305,7 +306,7 @@
     /// Processes bytes of the stream; returns the events that are complete.
     fn process_bytes(&mut self, data: &Bytes) -> Result<Option<Bytes>, &'static str> {
         let previous = self.events.last();
-        let complete = self.events.push(data).map_err(|_| "invalid event stream")?;
+        let complete = self.events.push(data).map_err(InvalidStream::label)?;
         if complete.count == 0 {
             return Ok(None);
         }
--- a/mimosafront/src/relay/model/mod.rs
+++ b/mimosafront/src/relay/model/mod.rs
@@ -8,7 +8,7 @@
 use hyper::{Response, StatusCode};
 use mimosaplatform::header;
 use mimosashift::connection_pool::{Exchange, Failure};
-use mimosashift::deployment::Engine;
+use mimosashift::deployment::{Engine, RouteKind};
 use mimosashift::emit;
 use mimosashift::event::Event;
 use mimosashift::event_stream::EventSplitter;
@@ -155,6 +155,10 @@
             }
         };
         let events = EventSplitter::after(ctx.last_event);
+        let events = match ctx.route.kind {
+            RouteKind::Stream { .. } => events,
+            _ => events.without_checks(),
+        };
         let possible_executions = ctx.origin.executions();
         Self {
             ctx,
--- a/mimosafront/src/relay/plain.rs
+++ b/mimosafront/src/relay/plain.rs
@@ -11,7 +11,7 @@
 use mimosashift::deployment::RouteKind;
 use mimosashift::emit;
 use mimosashift::event::Event;
-use mimosashift::event_stream;
+use mimosashift::event_stream::{self, InvalidStream};
 use mimosashift::exchange::ResponseInfo as AnswerInfo;
 use mimosashift::fleet::Hop;
 use mimosashift::meter::{Outcome, RefusalReason};
@@ -282,6 +282,9 @@
         if event_stream::ends_inside_event(&body) {
             return SendOutcome::Lost("stream ended inside an event");
         }
+        if event_stream::has_other_bytes(&body) {
+            return SendOutcome::Lost(InvalidStream::NoField.label());
+        }
         if exchange.framing == Framing::UntilClose && body.is_empty() {
             return SendOutcome::Lost("stream closed before its first event");
         }
--- a/mimosafront/tests/repeated_refusals.rs
+++ b/mimosafront/tests/repeated_refusals.rs
@@ -7,6 +7,7 @@
 use test_case::test_case;
 
 use cluster::client::{TestRequest, TestResponse};
+use cluster::endpoints::Health;
 use cluster::proxy::LinkState;
 use cluster::{ClusterOptions, TestCluster};
 
@@ -34,6 +35,9 @@
 const EARLY: Copies = Copies { delay_ms: 1, with_id: false };
 const EARLY_WITH_ID: Copies = Copies { with_id: true, ..EARLY };
 
+/// Within the events of a stream.
+const LATE: Copies = Copies { delay_ms: 70, with_id: false };
+
 /// What became of the requests.
 #[derive(Debug, Default, PartialEq)]
 struct Counts {
@@ -72,13 +76,14 @@
 }
 
 /// Sends requests to two routers before endpoints that repeat refusals.
-fn counts(copies: Copies, request: fn() -> TestRequest) -> Counts {
+fn counts(copies: Copies, health: Health, request: fn() -> TestRequest) -> Counts {
     let options =
         ClusterOptions { engines_per_zone: 8, registers_per_zone: 2, ..ClusterOptions::default() };
     let cluster = TestCluster::start(options);
     let delay = Duration::from_millis(copies.delay_ms);
     for member in &cluster.endpoints.members {
         member.state().refusal_interval = Some(REFUSAL_INTERVAL);
+        member.state().health = health;
         member.state().head_delay = HEAD_DELAY;
         member.proxy.set(LinkState::RepeatsRefusals { delay, with_id: copies.with_id });
     }
@@ -130,7 +135,7 @@
 #[test_case(EARLY_WITH_ID, TestRequest::post; "posting with an id")]
 #[test_case(EARLY, note; "stream without an id")]
 fn repeated_refusal_is_not_taken_for_an_answer(copies: Copies, request: fn() -> TestRequest) {
-    let counts = counts(copies, request);
+    let counts = counts(copies, Health::Healthy, request);
     assert!(counts.copies > 0 && counts.served >= MIN_SERVED, "{counts:?}");
     assert_eq!((counts.refused_but_ran, counts.ran_again, counts.wrong), (0, 0, 0), "{counts:?}");
 }
@@ -139,14 +144,27 @@
 #[test_case(EARLY_WITH_ID, read; "read with an id")]
 #[test_case(EARLY, draft; "stream without an id")]
 fn repeated_refusal_is_not_passed_on_for_what_ran(copies: Copies, request: fn() -> TestRequest) {
-    let counts = counts(copies, request);
+    let counts = counts(copies, Health::Healthy, request);
     assert!(counts.copies > 0 && counts.served >= MIN_SERVED, "{counts:?}");
     assert_eq!((counts.refused_but_ran, counts.wrong), (0, 0), "{counts:?}");
 }
 
+#[test_case(LATE, Health::Healthy, draft; "resumable stream")]
+#[test_case(LATE, Health::Unframed, draft; "resumable stream without a length")]
+#[test_case(LATE, Health::Unframed, note; "stream without a length")]
+fn repeated_refusal_is_not_found_in_a_stream(
+    copies: Copies,
+    health: Health,
+    request: fn() -> TestRequest,
+) {
+    let counts = counts(copies, health, request);
+    assert!(counts.copies > 0 && counts.served >= REQUESTS / 3, "{counts:?}");
+    assert_eq!((counts.refused_but_ran, counts.wrong), (0, 0), "{counts:?}");
+}
+
 #[test_case(draft; "resumable stream")]
 #[test_case(note; "stream")]
 fn stream_is_not_sent_again_on_the_connection_of_its_refusal(request: fn() -> TestRequest) {
-    let counts = counts(EARLY_WITH_ID, request);
+    let counts = counts(EARLY_WITH_ID, Health::Healthy, request);
     assert!(counts.copies == 0 && counts.served >= MIN_SERVED, "{counts:?}");
 }
--- a/mimosashift/src/event_stream.rs
+++ b/mimosashift/src/event_stream.rs
@@ -19,6 +19,8 @@
     /// Length of the part of `partial` that holds no event end.
     searched: usize,
     last: Option<u64>,
+    /// Whether each line must be a field.
+    checks_fields: bool,
 }
 
 /// Complete events to forward.
@@ -30,14 +32,36 @@
     pub count: usize,
 }
 
-/// An incomplete event exceeds [`MAX_EVENT_BYTES`].
+/// Why bytes are no event stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct EventTooLong;
+pub enum InvalidStream {
+    /// An incomplete event exceeds [`MAX_EVENT_BYTES`].
+    EventTooLong,
+    /// A line is not a field, as in the head of another response that was sent within a
+    /// body without a length.
+    NoField,
+}
+
+impl InvalidStream {
+    /// Reason in logs.
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::EventTooLong => "event too long",
+            Self::NoField => "other bytes among the events",
+        }
+    }
+}
 
 impl EventSplitter {
     /// Resumes a stream of which the client has the events up to id `last`.
     pub const fn after(last: Option<u64>) -> Self {
-        Self { partial: Vec::new(), searched: 0, last }
+        Self { partial: Vec::new(), searched: 0, last, checks_fields: true }
+    }
+
+    /// Passes on bytes of any kind, for a response that is no event stream.
+    pub const fn without_checks(mut self) -> Self {
+        self.checks_fields = false;
+        self
     }
 
     /// Id of the last event forwarded.
@@ -64,14 +88,21 @@
     }
 
     /// Appends bytes and returns the events that they complete, without those
-    /// already forwarded.
-    pub fn push(&mut self, bytes: &[u8]) -> Result<CompleteEvents, EventTooLong> {
+    /// already forwarded. An invalid one fails the call after those before it were returned.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<CompleteEvents, InvalidStream> {
         self.partial.extend_from_slice(bytes);
         let mut complete = CompleteEvents::default();
         let mut from = 0;
         while let Some(length) = event_length(&self.partial[from..], self.searched) {
             self.searched = 0;
             let event = &self.partial[from..from + length];
+            if self.checks_fields && !is_event(event) {
+                if complete.count == 0 {
+                    return Err(InvalidStream::NoField);
+                }
+                self.partial.drain(..from);
+                return Ok(complete);
+            }
             let id = event_id(event);
             let duplicate = id.is_some() && id <= self.last;
             if !duplicate {
@@ -84,7 +115,7 @@
         self.partial.drain(..from);
         self.searched = self.partial.len();
         if self.partial.len() > MAX_EVENT_BYTES {
-            return Err(EventTooLong);
+            return Err(InvalidStream::EventTooLong);
         }
         Ok(complete)
     }
@@ -106,6 +137,21 @@
     starts_event(&stream[last.unwrap_or_default()..])
 }
 
+/// Whether a stream has a line that is not a field.
+pub fn has_other_bytes(stream: &[u8]) -> bool {
+    !is_event(stream)
+}
+
+/// Whether each line is empty, a comment or a field.
+fn is_event(bytes: &[u8]) -> bool {
+    bytes.split(|byte| *byte == b'\n').all(|line| {
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        let name = line.split(|byte| *byte == b':').next().unwrap_or_default();
+        let is_name = |byte: &u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_');
+        line.is_empty() || line[0] == b':' || name.iter().all(is_name)
+    })
+}
+
 /// Whether bytes without a complete event hold a field or part of a line. Empty
 /// lines and comments do not belong to an event.
 fn starts_event(bytes: &[u8]) -> bool {
--- a/mimosashift/tests/front.rs
+++ b/mimosashift/tests/front.rs
@@ -5,7 +5,7 @@
 
 use mimosashift::admit::pressure::{MAX_WAIT, MemoryPressure};
 use mimosashift::deployment::{Denied, Deployment, Limits, Route, RouteKind, Service, Team};
-use mimosashift::event_stream::{EventSplitter, ends_inside_event};
+use mimosashift::event_stream::{EventSplitter, InvalidStream, ends_inside_event, has_other_bytes};
 use mimosashift::freshness::{Freshness, PeerConfirmation};
 use mimosashift::pipeline::retry::{Window, WindowLimits};
 use mimosashift::time::Instant;
@@ -158,6 +158,38 @@
     event_cut_in_its_empty_line_is_inside: b"data: a\r\n\r" => true;
 }
 
+macro_rules! other_bytes_tests {
+    ($($name:ident: $bytes:literal => $is_other:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            let error = EventSplitter::after(None).push($bytes).err();
+            let expected = $is_other.then_some(InvalidStream::NoField);
+            assert_eq!((error, has_other_bytes($bytes)), (expected, $is_other));
+            assert!(EventSplitter::after(None).without_checks().push($bytes).is_ok());
+        }
+    )*};
+}
+
+other_bytes_tests! {
+    head_of_a_response_is_no_event: b"HTTP/1.1 503 Service Unavailable\r\nnot-executed: 1\r\n\r\n" => true;
+    body_of_a_response_is_no_event: b"{}id: 5\ndata: a\n\n" => true;
+    bytes_that_are_no_text_are_no_event: b"\xff\xfe: 1\n\n" => true;
+    fields_of_any_name_are_an_event: b"weight-versions: 3\nid: 5\ndata\n\n" => false;
+    comment_is_no_other_bytes: b": HTTP/1.1 503\n\n" => false;
+    any_value_is_an_event: b"data: HTTP/1.1 503 \xff\r\n\r\n" => false;
+}
+
+#[test]
+fn events_before_other_bytes_are_forwarded() {
+    let mut events = EventSplitter::after(None);
+    let stream = event(1) + "HTTP/1.1 503 Service Unavailable\r\n\r\n{}" + &event(2);
+    let complete = events.push(stream.as_bytes()).unwrap();
+    assert_eq!((complete.bytes, events.last()), (event(1).into_bytes(), Some(1)));
+    assert!(events.is_inside_event());
+    assert_eq!(events.push(event(3).as_bytes()), Err(InvalidStream::NoField));
+    assert_eq!(events.last(), Some(1));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 64, failure_persistence: None, ..ProptestConfig::default() })]
 
