Refuse late streams at a stop whether or not another router is alive

A stream that would be cut off serves nobody: once the load balancer has turned away, it is refused as not run in any case, with a Retry-After in which a router that is started again serves.

--- a/mimosafront/src/relay/model/mod.rs
+++ b/mimosafront/src/relay/model/mod.rs
@@ -193,21 +193,19 @@
         }
     }
 
-    /// Whether this router is stopping and might cut the stream off, while another one can
-    /// serve it. As long as the load balancer may lead a client that is refused back to this
-    /// router, a stream is begun if it is likely to fit.
+    /// Whether this router is stopping and might cut the stream off. As long as the load
+    /// balancer may lead a client that is refused back to this router, a stream is begun if
+    /// it is likely to fit, or if no other router can serve it.
     fn outlasts_router(&self) -> bool {
         let state = self.state();
         let Some(deadline) = state.stop_deadline.get() else { return false };
-        let now = clock::now();
+        let left = deadline.since(clock::now());
         let max_output = self.ctx.tokens.map_or(f64::INFINITY, |t| f64::from(t.max_output));
         let pace = state.stream_pace.get();
-        let left = deadline.since(now);
-        let fits = match state.is_balanced_away.get() {
-            true => pace.surely_fits(max_output, left),
-            false => pace.fits(self.demand.output, max_output, left),
-        };
-        !fits && state.peers.borrow().alive(now).next().is_some()
+        if state.is_balanced_away.get() {
+            return !pace.surely_fits(max_output, left);
+        }
+        !pace.fits(self.demand.output, max_output, left) && stop::has_other_router(state)
     }
 
     /// Tries one chain after another until one opens a stream.
--- a/mimosafront/src/relay/stop.rs
+++ b/mimosafront/src/relay/stop.rs
@@ -16,6 +16,10 @@
 /// another one.
 const RETRY_AFTER: Duration = Duration::from_millis(50);
 
+/// Retry-After, up to twice as long, if this router is stopping and no other one is known:
+/// one that starts serves within a second.
+const RESTART_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Waits until the grace period of a router that is stopping has ended.
 pub(super) async fn deadline(state: &RouterState) {
     let mut passed = std::pin::pin!(state.stop_deadline_passed.notified());
@@ -30,7 +34,8 @@
     if may_have_run {
         return RequestError::Failed(StatusCode::BAD_GATEWAY, REASON);
     }
-    let retry_after = RETRY_AFTER.mul_f64(1.0 + state.random_fraction());
+    let retry_after = if has_other_router(state) { RETRY_AFTER } else { RESTART_RETRY_AFTER };
+    let retry_after = retry_after.mul_f64(1.0 + state.random_fraction());
     RequestError::Refused(RefusalReason::NotReady, REASON, retry_after)
 }
 
@@ -40,5 +45,10 @@
     let Some(deadline) = state.stop_deadline.get() else { return false };
     let now = clock::now();
     let fits = state.plain_latency.get().fits(deadline.since(now));
-    !fits && state.peers.borrow().alive(now).next().is_some()
+    !fits && has_other_router(state)
+}
+
+/// Whether another router is alive.
+pub(super) fn has_other_router(state: &RouterState) -> bool {
+    state.peers.borrow().alive(clock::now()).next().is_some()
 }
--- a/mimosafront/tests/planned_stops.rs
+++ b/mimosafront/tests/planned_stops.rs
@@ -8,6 +8,7 @@
 use nix::sys::signal::Signal;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use test_case::test_case;
 use tokio::time::sleep;
 
 use cluster::blind::{BlindConnection, Ending};
@@ -293,9 +294,11 @@
 }
 
 /// The estimates are far too low; the streams arrive after the load balancer has turned away.
-#[test]
-fn stopping_router_cuts_off_no_stream_that_writes_more_than_estimated() {
+#[test_case(2; "another router serves them")]
+#[test_case(1; "no other router is alive")]
+fn stopping_router_cuts_off_no_stream_that_writes_more_than_estimated(routers: usize) {
     let mut cluster = TestCluster::start(ClusterOptions {
+        routers,
         event_interval: Duration::from_millis(100),
         ..ClusterOptions::default()
     });
