Relay: the silence of a chain ends no answer

Callers saw streams cut off in mid-answer, and requests that waited for their first event answered with 502, while an endpoint paused for a second or two and then went on.

Cause: a probe marks an endpoint dead after 120 to 250 ms without a report. A stream whose first endpoint had been marked for 1 s and that had no replacement was failed, and its client's connection closed. Before the first event, a resumable request was given up at the first such check, and any request whose later endpoint was silent, whether or not it could be sent elsewhere ("chain lost").

Now only a connection that is closed or reset, the deadline, or the client ends an answer. A silent chain is left before its first event only if the request may be sent again and an attempt, a retry and a chain are left for it. The rest of a resumable stream is opened beside the silent chain, which is read on meanwhile; whichever goes on first is used, and the events continue from the last one forwarded. A send that was cut short counts as run. The client's leaving is noticed meanwhile. An endpoint that is gone without a trace acknowledges nothing, and TCP ends its connections after 3 s.

--- a/mimosafront/src/state.rs
+++ b/mimosafront/src/state.rs
@@ -296,6 +296,12 @@
         taken
     }
 
+    /// Whether a retry is left in the budget of a service.
+    pub fn has_retry(&self, service: &Arc<str>) -> bool {
+        let bound = self.retry_bound();
+        self.with_retry_window(service, |window, now| window.allows(&bound, now))
+    }
+
     fn with_retry_window<T>(
         &self,
         service: &Arc<str>,
--- a/mimosashift/src/connection_pool/mod.rs
+++ b/mimosashift/src/connection_pool/mod.rs
@@ -134,6 +134,8 @@
     idle_timeout: Option<Duration>,
     pool: Rc<Pool>,
     address: SocketAddr,
+    /// What [`Exchange::next`] returns next, if it has been received.
+    received: Option<Option<Result<Bytes, Failure>>>,
 }
 
 impl Default for Settings {
@@ -335,6 +337,7 @@
             idle_timeout,
             pool,
             address,
+            received: None,
         })
     }
 
@@ -376,6 +379,22 @@
     /// Returns the next bytes of the body; `None` at its end, where the
     /// connection returns to the pool.
     pub async fn next(&mut self) -> Option<Result<Bytes, Failure>> {
+        match self.received.take() {
+            Some(received) => received,
+            None => self.receive().await,
+        }
+    }
+
+    /// Waits until [`Exchange::next`] returns at once; whether the response went on or
+    /// ended, instead of breaking off. Nothing is lost if this is dropped before it returns.
+    pub async fn went_on(&mut self) -> bool {
+        if self.received.is_none() {
+            self.received = Some(self.receive().await);
+        }
+        !matches!(self.received, Some(Some(Err(_))))
+    }
+
+    async fn receive(&mut self) -> Option<Result<Bytes, Failure>> {
         loop {
             match self.body.frame().await {
                 Some(Ok(frame)) => match frame.into_data() {
--- a/mimosashift/src/fleet/liveness.rs
+++ b/mimosashift/src/fleet/liveness.rs
@@ -197,11 +197,6 @@
         self.members.get(id).is_some_and(|member| member.dead_since.is_some())
     }
 
-    /// Time since a dead endpoint was first marked dead.
-    pub fn dead_for(&self, id: &str, now: Instant) -> Option<Duration> {
-        self.members.get(id)?.dead_since.map(|since| now.since(since))
-    }
-
     /// Whether an endpoint has been dead for so long that its layers are to be
     /// assigned to others. If a large part of a zone is dead at once, the network is
     /// probably partitioned and the endpoints are probably healthy.
--- a/mimosashift/src/pipeline/retry.rs
+++ b/mimosashift/src/pipeline/retry.rs
@@ -173,10 +173,19 @@
     /// Takes one retry, if the window allows one. One third of the extra retries is
     /// available in the first window after the start, and two thirds later.
     pub fn take(&mut self, limits: &WindowLimits, now: Instant) -> bool {
-        let WindowLimits { length, per_request, extra } = *limits;
-        self.requests.evict(length, now);
+        self.requests.evict(limits.length, now);
         // Keeps every slot that is counted below.
-        self.retries.evict(length + 2 * COUNT_MARGIN, now);
+        self.retries.evict(limits.length + 2 * COUNT_MARGIN, now);
+        let is_allowed = self.allows(limits, now);
+        if is_allowed {
+            self.retries.add(now);
+        }
+        is_allowed
+    }
+
+    /// Whether the window allows a retry now.
+    pub fn allows(&self, limits: &WindowLimits, now: Instant) -> bool {
+        let WindowLimits { length, per_request, extra } = *limits;
         let is_new = now.since(self.started) < length + COUNT_MARGIN;
         let extra = extra * if is_new { FIRST_WINDOW_SHARE } else { LATER_WINDOW_SHARE };
         // A retry reaches the endpoint later than it is counted here. Counting
@@ -184,11 +193,7 @@
         // ratio at the endpoint within the limit.
         let requests = self.requests.within(length.saturating_sub(COUNT_MARGIN), now);
         let allowed = per_request * requests + extra;
-        let is_allowed = self.retries.within(length + COUNT_MARGIN, now) + 1.0 <= allowed;
-        if is_allowed {
-            self.retries.add(now);
-        }
-        is_allowed
+        self.retries.within(length + COUNT_MARGIN, now) + 1.0 <= allowed
     }
 }
 
