Plain relay: a late answer is waited for if nothing else can give one

Callers of a service with one usable endpoint got 502 for a read after twice the route's target latency, while the endpoint paused and answered a second later, well within their deadline.

Cause: `send` cut a request that may be repeated off after that time, whether or not another endpoint, a retry or a path was left to send it to.

Now the endpoint is suspect after that time, as before, but the request is left only if it may be sent elsewhere then; otherwise this is looked at again in each such interval until the deadline.

--- a/mimosafront/src/relay/plain.rs
+++ b/mimosafront/src/relay/plain.rs
@@ -1,5 +1,6 @@
 //! Relays requests to services without an engine.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -47,6 +48,9 @@
 /// requests have been served by then.
 const NOT_EXECUTED_RETRY_AFTER: Duration = Duration::from_millis(150);
 
+/// Reason why an endpoint is suspect that has not answered within the time limit.
+const NO_ANSWER_REASON: &str = "no answer in time";
+
 /// Outcome of one send.
 enum SendOutcome {
     /// A response, and whether it is forwarded instead of a retry.
@@ -111,7 +115,7 @@
                 tried.push(hop.id.clone());
                 let can_retry =
                     ctx.route.is_idempotent() && possible_executions + 1 < ctx.route.attempts;
-                send(&ctx, &hop, attempt, can_retry).await
+                send(&ctx, &hop, attempt, can_retry, &tried).await
             }
         };
         match outcome {
@@ -159,18 +163,42 @@
     RequestError::Refused(RefusalReason::Late, "deadline passed", NOT_EXECUTED_RETRY_AFTER)
 }
 
+/// Whether the request may be sent elsewhere than to the endpoints and routers in `tried`.
+fn has_alternative(ctx: &RequestContext, tried: &[Arc<str>]) -> bool {
+    let is_known = match ctx.path(tried) {
+        Path::Direct => choose_endpoint(ctx, tried).is_some(),
+        Path::Relayed(_) => true,
+        Path::Lost => false,
+    };
+    is_known && ctx.state.has_retry(&ctx.service.name)
+}
+
 /// Sends the request to one endpoint; `can_retry` tells whether it may be
 /// sent elsewhere without an acceptable response.
-async fn send(ctx: &RequestContext, hop: &Hop, attempt: u32, can_retry: bool) -> SendOutcome {
+async fn send(
+    ctx: &RequestContext,
+    hop: &Hop,
+    attempt: u32,
+    can_retry: bool,
+    tried: &[Arc<str>],
+) -> SendOutcome {
     let state = &ctx.state;
     state.fleet.borrow_mut().add_request(hop);
     let _load_guard = LoadGuard(state, hop.clone());
     let retryable_timeout =
         (ctx.route.objective * TIMEOUT_OBJECTIVE_FACTOR).max(MIN_RETRYABLE_TIMEOUT);
-    let send_timeout =
-        if can_retry { ctx.remaining().min(retryable_timeout) } else { ctx.remaining() };
+    let send_timeout = if can_retry { retryable_timeout } else { ctx.remaining() };
     ctx.log_sent(attempt, &hop.id, "");
-    let result = timeout(send_timeout, send_and_collect(ctx, hop)).await;
+    let mut sending = pin!(send_and_collect(ctx, hop));
+    let mut result = timeout(send_timeout.min(ctx.remaining()), sending.as_mut()).await;
+    if result.is_err() {
+        state.mark_suspect(&hop.id, NO_ANSWER_REASON);
+        state.pool.close_idle(hop.address);
+    }
+    // With no other endpoint to send it to, the late answer is the only one.
+    while result.is_err() && !ctx.remaining().is_zero() && !has_alternative(ctx, tried) {
+        result = timeout(send_timeout.min(ctx.remaining()), sending.as_mut()).await;
+    }
     let outcome = match result {
         Ok(Ok((exchange, body))) => check_response(ctx, exchange, body, can_retry),
         Ok(Err(CallError::Stray)) => SendOutcome::Lost(STRAY_REASON),
@@ -189,11 +217,7 @@
             }
             return SendOutcome::Lost("answer lost");
         }
-        Err(_) => {
-            state.mark_suspect(&hop.id, "no answer in time");
-            state.pool.close_idle(hop.address);
-            return SendOutcome::Lost("no answer in time");
-        }
+        Err(_) => return SendOutcome::Lost(NO_ANSWER_REASON),
     };
     // A server error counts against the endpoint even if its response is
     // forwarded.
--- a/mimosafront/tests/silent_endpoints.rs
+++ b/mimosafront/tests/silent_endpoints.rs
@@ -147,6 +147,15 @@
     assert_part_of_chain_may_be_silent(|(_, _, to)| *to == LAYERS);
 }
 
+#[test]
+fn postings_and_reads_outlast_silence_of_the_only_endpoint() {
+    let request = |number| match number % 2 {
+        0 => TestRequest::post(),
+        _ => TestRequest::read(),
+    };
+    assert_silence_loses_none(one_chain(), SILENCE, request, |id| !is_engine(id));
+}
+
 #[test]
 fn postings_and_reads_outlast_silence_of_all_endpoints() {
     let request = |number| match number % 2 {
