Relay: a router that is silent for a while keeps what was relayed to it

Callers of a router that reaches no endpoint saw their streams cut off and their postings answered with 502, while the router that served them paused for two seconds and then went on.

Cause: a peer without a digest for 1.5 s counts as dead, and both the wait for its answer ("router is gone") and its streams were given up then, also where the request could be sent nowhere else.

Now the answer of a silent router is given up only if the request may be sent once more and there is another path for it; the rest of a resumable stream is opened elsewhere beside the silent router. Its connections are closed if its process ends.

--- a/mimosafront/src/relay/model/forward.rs
+++ b/mimosafront/src/relay/model/forward.rs
@@ -270,9 +270,6 @@
                         match self.check_stall().await {
                             StallCheck::Progressing => stall_timer.schedule_recheck(now),
                             StallCheck::Healthy | StallCheck::Rerouted => stall_timer.on_check(clock::now()),
-                            StallCheck::Silent(reason) if self.relay.is_some() => {
-                                return ForwardOutcome::Broken(reason);
-                            }
                             StallCheck::Silent(reason) | StallCheck::Ended(reason) => return ForwardOutcome::Stalled(reason),
                         }
                     }
--- a/mimosafront/src/relay/model/stall.rs
+++ b/mimosafront/src/relay/model/stall.rs
@@ -105,7 +105,11 @@
     fn check_relay(&self) -> StallCheck {
         match &self.relay {
             Some(relay) if relay.is_alive() => StallCheck::Progressing,
-            Some(_) => StallCheck::Silent("router is gone"),
+            Some(relay) => {
+                let silent_ms = millis(self.silence());
+                emit!(self.state().log, Event::RequestStalled, "request" => &*self.ctx.id, "silent_ms" => silent_ms, "router" => &*relay.name, "after_event" => self.events.last());
+                StallCheck::Silent("router is silent")
+            }
             None => StallCheck::Ended("no chain assigned"),
         }
     }
--- a/mimosafront/src/relay/model/through.rs
+++ b/mimosafront/src/relay/model/through.rs
@@ -19,7 +19,8 @@
     ) -> Result<Exchange, &'static str> {
         self.tried_relays.push(relay.name.clone());
         let (executions, last_event) = (self.possible_executions, self.events.last());
-        let sending = self.ctx.send_to_router(&relay, attempt, executions, last_event);
+        let sending =
+            self.ctx.send_to_router(&relay, attempt, executions, last_event, &self.tried_relays);
         let result = timeout(self.ctx.remaining(), sending).await;
         let lost = |_| Err(Failure::Lost { reason: "no answer in time".to_owned() }.into());
         match result.unwrap_or_else(lost) {
--- a/mimosafront/src/relay/peer.rs
+++ b/mimosafront/src/relay/peer.rs
@@ -180,13 +180,24 @@
         UNREACHABLE_RETRY_AFTER.mul_f64(1.0 + self.state.random_fraction())
     }
 
-    /// Sends the request to another router and waits for the head of the response.
+    /// Whether the request, which may have been executed so often, may be sent once more,
+    /// through none of the routers in `tried`.
+    fn may_be_sent_elsewhere(&self, executions: u32, tried: &[Arc<str>]) -> bool {
+        self.route.is_idempotent()
+            && executions < self.route.attempts
+            && self.state.has_retry(&self.service.name)
+            && !matches!(self.path(tried), Path::Lost)
+    }
+
+    /// Sends the request to another router, the last in `tried`, and waits for the head of
+    /// the response.
     pub(super) async fn send_to_router(
         &self,
         relay: &Relay,
         attempt: u32,
         executions: u32,
         last_event: Option<u64>,
+        tried: &[Arc<str>],
     ) -> Result<Exchange, CallError> {
         let state = &self.state;
         state.meter.relayed(1);
@@ -206,8 +217,9 @@
                 }
                 () = sleep(LIVENESS_INTERVAL) => {}
             }
-            if !relay.is_alive() {
-                return Err(Failure::Lost { reason: "router is gone".to_owned() }.into());
+            // A silent router may still go on; its connections are closed if its process ends.
+            if !relay.is_alive() && self.may_be_sent_elsewhere(executions + 1, tried) {
+                return Err(Failure::Lost { reason: "router is silent".to_owned() }.into());
             }
         }
     }
--- a/mimosafront/src/relay/plain.rs
+++ b/mimosafront/src/relay/plain.rs
@@ -95,7 +95,7 @@
         let outcome = match ctx.path(&tried) {
             Path::Relayed(relay) => {
                 tried.push(relay.name.clone());
-                send_through(&ctx, &relay, attempt, possible_executions).await
+                send_through(&ctx, &relay, attempt, possible_executions, &tried).await
             }
             Path::Lost => {
                 (cause, retry_after) = (UNREACHABLE_REASON, ctx.unreachable_retry_after());
@@ -245,9 +245,11 @@
     relay: &Relay,
     attempt: u32,
     executions: u32,
+    tried: &[Arc<str>],
 ) -> SendOutcome {
     let response = async {
-        let mut exchange = ctx.send_to_router(relay, attempt, executions, ctx.last_event).await?;
+        let sending = ctx.send_to_router(relay, attempt, executions, ctx.last_event, tried);
+        let mut exchange = sending.await?;
         let body = exchange.collect(MAX_RESPONSE_BYTES).await?;
         Ok::<_, CallError>((exchange, body))
     };
--- a/mimosafront/tests/silent_endpoints.rs
+++ b/mimosafront/tests/silent_endpoints.rs
@@ -1,13 +1,15 @@
-//! Tests of endpoints whose processes stop for a while and go on where they were. Their
-//! connections stay open all the while.
+//! Tests of endpoints, and of routers that relay to them, whose processes stop for a while
+//! and go on where they were. Their connections stay open all the while.
 
 mod cluster;
 
 use std::time::Duration;
 
+use nix::sys::signal::Signal;
+
 use cluster::client::{TestRequest, TestResponse};
 use cluster::engine::Hop;
-use cluster::load::{Results, send_requests};
+use cluster::load::{Results, send_requests, send_requests_to};
 use cluster::proxy::LinkState;
 use cluster::{ClusterOptions, KEY, LAYERS, OTHER_KEY, TEAM, TestCluster};
 
@@ -20,6 +22,9 @@
 const SILENCE: Duration = Duration::from_millis(1_700);
 const LONG_SILENCE: Duration = Duration::from_millis(2_300);
 
+/// Time within which a router that is cut off relays its requests.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+
 /// Time by which all requests have ended.
 const END_TIME: Duration = Duration::from_secs(9);
 
@@ -198,3 +203,27 @@
     std::thread::sleep(duration.max(END_TIME));
     assert_none_lost(&cluster, &results);
 }
+
+#[test]
+fn relayed_requests_outlast_silence_of_the_router_that_serves_them() {
+    let cluster =
+        TestCluster::start(ClusterOptions { separate_links: true, ..ClusterOptions::default() });
+    cluster.set_links(&[0], LinkState::Unreachable);
+    let probes = send_requests_to(&cluster, &[0], INTERVAL, SETTLE_TIME, TestRequest::mixed);
+    std::thread::sleep(SETTLE_TIME);
+    drop(probes);
+    let request = |number| match number % 4 {
+        0 => TestRequest::note(EVENTS),
+        1 => TestRequest::post(),
+        2 => TestRequest::draft(EVENTS),
+        _ => TestRequest::read(),
+    };
+    let results = send_requests_to(&cluster, &[0], INTERVAL, LEAD_TIME + SILENCE, request);
+    std::thread::sleep(LEAD_TIME);
+    cluster.routers[1].signal(Signal::SIGSTOP);
+    std::thread::sleep(LONG_SILENCE);
+    cluster.routers[1].signal(Signal::SIGCONT);
+    std::thread::sleep(END_TIME);
+    assert!(!cluster.routers[0].log_lines("MS0622").is_empty(), "no request was relayed");
+    assert_none_lost(&cluster, &results);
+}
