--- a/mimosafront/src/call.rs
+++ b/mimosafront/src/call.rs
@@ -64,7 +64,10 @@
         // Status 421 is the answer of another endpoint at the same address.
         if exchange.head.status() != StatusCode::MISDIRECTED_REQUEST {
             self.record_limit(hop, &exchange, sent, id.is_some());
-            self.record_rest(hop, &exchange);
+            // Without an id, an earlier rejection may be repeated on a kept connection.
+            if id.is_some() || new_connection {
+                self.record_rest(hop, &exchange);
+            }
             self.record_leaving(hop, &exchange);
         }
         Ok(exchange)
--- a/mimosafront/src/probe.rs
+++ b/mimosafront/src/probe.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hyper::StatusCode;
 use mimosaplatform::{engine, header};
 use mimosashift::connection_pool::Failure;
 use mimosashift::emit;
@@ -188,6 +189,11 @@
     let call = engine::report_request(hop.address);
     let exchange = async {
         let mut exchange = state.call(hop, call, new_connection).await?;
+        let status = exchange.head.status();
+        if status != StatusCode::OK {
+            // All fields of a report are optional, so that any JSON object decodes as one.
+            return Err(format!("report has status {}", status.as_u16()).into());
+        }
         let body = exchange.collect(MAX_REPORT_BYTES).await?;
         Ok::<_, NoReport>(engine::decode_report(&body).map_err(|e| e.to_string())?)
     };
--- a/mimosafront/tests/cluster/proxy.rs
+++ b/mimosafront/tests/cluster/proxy.rs
@@ -1,7 +1,7 @@
 //! A loopback proxy that injects network faults.
 
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -41,8 +41,14 @@
         delay: Duration,
         with_id: bool,
     },
+    /// Answers requests for reports with a refusal, except for the first on a connection.
+    RefusesReports,
 }
 
+/// A refusal that does not name its request.
+const REFUSAL: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nnot-executed: 1\r\ncontent-length: 2\r\n\r\n{}";
+
 /// The last refusal that was sent.
 type LastRefusal = Arc<Mutex<Option<Vec<u8>>>>;
 
@@ -204,8 +210,16 @@
         let (to_client, to_server) =
             (WriteHalf::new(to_client.into()), WriteHalf::new(to_server.into()));
         let refusal = LastRefusal::default();
-        let repeat = || self.repeat_refusal(&refusal, &to_client);
-        let upstream = self.copy(from_client, &to_server, LinkState::BlockedToServer, |_| repeat());
+        let is_kept = AtomicBool::new(false);
+        let on_request = |request: &[u8]| {
+            let is_kept = is_kept.swap(true, Ordering::Relaxed);
+            let is_report = request.starts_with(b"GET /api/report");
+            if is_kept && is_report && *self.state.borrow() == LinkState::RefusesReports {
+                self.send_copy(REFUSAL.to_vec(), Duration::ZERO, &to_client);
+            }
+            self.repeat_refusal(&refusal, &to_client);
+        };
+        let upstream = self.copy(from_client, &to_server, LinkState::BlockedToServer, on_request);
         let keep = |answer: &[u8]| self.keep_refusal(&refusal, answer);
         let downstream = self.copy(from_server, &to_client, LinkState::BlockedToClient, keep);
         tokio::select! {
@@ -236,6 +250,10 @@
         if !chances.is_multiple_of(REPEAT_INTERVAL) {
             return;
         }
+        self.send_copy(copy, delay, to);
+    }
+
+    fn send_copy(&self, copy: Vec<u8>, delay: Duration, to: &WriteHalf) {
         let (to, repeated) = (to.clone(), self.repeated_refusals.clone());
         tokio::spawn(async move {
             tokio::time::sleep(delay).await;
--- a/mimosafront/tests/repeated_refusals.rs
+++ b/mimosafront/tests/repeated_refusals.rs
@@ -18,6 +18,9 @@
 /// Share of its requests that an endpoint refuses: one of this many.
 const REFUSAL_INTERVAL: u64 = 4;
 
+/// Streams that are sent one after the other.
+const STREAMS: usize = 60;
+
 /// Time until engines send the head of a stream.
 const HEAD_DELAY: Duration = Duration::from_millis(15);
 
@@ -168,3 +171,29 @@
     let counts = counts(EARLY_WITH_ID, Health::Healthy, request);
     assert!(counts.copies == 0 && counts.served >= MIN_SERVED, "{counts:?}");
 }
+
+#[test]
+fn refusal_instead_of_a_report_is_no_restart() {
+    let options = ClusterOptions { routers: 1, engines_per_zone: 4, ..ClusterOptions::default() };
+    let cluster = TestCluster::start(options);
+    for member in &cluster.endpoints.members {
+        member.state().health = Health::Unframed;
+        member.proxy.set(LinkState::RefusesReports);
+    }
+    let (mut complete, mut cut_off) = (0, 0);
+    for _ in 0..STREAMS {
+        let request = note();
+        let response = cluster.runtime.block_on(request.send(cluster.routers[0].clients));
+        let response = response.expect("the router answers");
+        assert_eq!(response.protocol_error(&request), None);
+        // A copy that comes after the report fails the next request on its connection.
+        let begun = response.status == 200;
+        complete += usize::from(begun && response.complete);
+        cut_off += usize::from(begun && !response.complete);
+    }
+    let copies = cluster.endpoints.members.iter().map(|member| member.proxy.repeated_refusals());
+    let copies: usize = copies.sum();
+    println!("{complete} of {STREAMS} streams complete, {cut_off} cut off, {copies} copies");
+    assert!(copies > 0 && complete >= STREAMS / 2);
+    assert_eq!(cut_off, 0);
+}
--- a/mimosashift/src/exchange/mod.rs
+++ b/mimosashift/src/exchange/mod.rs
@@ -246,6 +246,6 @@
         /// The faulty endpoint of a chain.
         at_fault: Option<SocketAddr>,
     },
-    /// No response: the order may be executed now, later or never.
+    /// No response to the order: it may be executed now, later or never.
     Unknown,
 }
