--- a/mimosafront/tests/cluster/store.rs
+++ b/mimosafront/tests/cluster/store.rs
@@ -128,12 +128,16 @@
     }
 
     pub fn put(&self, table: &str, key: &str, value: &Value) {
+        self.put_bytes(table, key, value.to_string().into_bytes());
+    }
+
+    pub fn put_bytes(&self, table: &str, key: &str, value: Vec<u8>) {
         let mut rows = self.rows.lock().unwrap();
         rows.version += 1;
         let version = rows.version;
         let key = (table.to_owned(), key.to_owned());
         rows.deleted.remove(&key);
-        rows.rows.insert(key, (version, value.to_string().into_bytes()));
+        rows.rows.insert(key, (version, value));
     }
 
     pub fn remove(&self, table: &str, key: &str) {
