Test answers to a resume that are no stream

Guards what was only seen by hand: a stream breaks off and all other engines answer its continuation with an error or a refusal. The caller gets whole events in order, nothing else, and no complete end.

--- a/mimosafront/tests/broken_answers.rs
+++ b/mimosafront/tests/broken_answers.rs
@@ -8,7 +8,7 @@
 use test_case::test_case;
 
 use cluster::client::TestRequest;
-use cluster::endpoints::Health;
+use cluster::endpoints::{Health, State};
 use cluster::engine::Hop;
 use cluster::{ClusterOptions, TestCluster};
 
@@ -227,3 +227,37 @@
         last.restart();
     });
 }
+
+/// Checks that a stream breaks off when other engines answer its continuation like this.
+fn assert_answer_to_resume_is_not_in_the_stream(change: fn(&mut State)) {
+    let cluster = cluster_of(Health::Healthy);
+    let request = TestRequest::draft(31);
+    let (sent, to) = (request.clone(), cluster.routers[0].clients);
+    let sending = cluster.runtime.spawn(async move { sent.send(to).await });
+    cluster
+        .wait_until("the stream runs", |cluster| cluster.endpoints.trace(&request.id).events > 3);
+    let (first, ..) = cluster.endpoints.chains.lock().unwrap()[&request.id][0];
+    for engine in cluster.endpoints.engines() {
+        match engine.address() == first {
+            true => engine.state().health = Health::DropsResponses,
+            false => change(&mut engine.state()),
+        }
+    }
+    let response = cluster.runtime.block_on(sending).unwrap().unwrap();
+    let events = response.events();
+    assert!(response.status == 200 && !response.complete && events.len() < 31, "{response:?}");
+    assert_eq!(events, (1..=events.len() as u64).collect::<Vec<_>>());
+    let is_own =
+        |line: &str| line.is_empty() || ["id: ", "data: "].iter().any(|f| line.starts_with(f));
+    assert!(response.body.lines().all(is_own), "{response:?}");
+}
+
+#[test]
+fn error_instead_of_the_rest_of_a_stream_is_not_in_it() {
+    assert_answer_to_resume_is_not_in_the_stream(|engine| engine.health = Health::Failing);
+}
+
+#[test]
+fn refusal_instead_of_the_rest_of_a_stream_is_not_in_it() {
+    assert_answer_to_resume_is_not_in_the_stream(|engine| engine.rest = Some("0.1"));
+}
