--- a/mimosafront/tests/planned_soak.rs
+++ b/mimosafront/tests/planned_soak.rs
@@ -57,6 +57,8 @@
     /// When the connection was last used, or opened.
     used: Instant,
     sent: Instant,
+    /// Whether the end of the connection had not arrived when the request was written.
+    crossed: bool,
     text: String,
 }
 
@@ -129,11 +131,13 @@
     let (allowed, violations): (Vec<_>, Vec<_>) =
         losses.iter().partition(|loss| is_closed_at_end_of_grace(loss, &stops));
     println!(
-        "seed {seed}: {} stops, {} requests, {} violations, {} sent after the end of a grace period",
+        "seed {seed}: {} stops, {} requests, {} violations, {} sent after the end of a grace period, \
+         {} of these crossed the close",
         stops.len(),
         shared.requests.lock().unwrap(),
         violations.len(),
-        allowed.len()
+        allowed.len(),
+        allowed.iter().filter(|loss| loss.crossed).count()
     );
     let describe = |loss: &Loss| {
         let earlier = stops.iter().filter(|(router, at)| *router == loss.router && *at < loss.sent);
@@ -204,6 +208,7 @@
             continue;
         };
         let (request, sent) = (TestRequest::mixed(number), Instant::now());
+        let crossed = !connection.is_closed_by_peer();
         let ending = connection.send(&request).await;
         *shared.requests.lock().unwrap() += 1;
         match ending {
@@ -212,7 +217,7 @@
             Ending::NotWritten | Ending::Reset | Ending::EndOfStream | Ending::Truncated => {
                 let idle = sent - used;
                 let text = format!("{} at router {router}: {ending:?}, idle {idle:?}", request.id);
-                shared.losses.lock().unwrap().push(Loss { router, used, sent, text });
+                shared.losses.lock().unwrap().push(Loss { router, used, sent, crossed, text });
             }
         }
         let limit = || shared.idle_limit.lock().unwrap().mul_f64(MAX_IDLE_SHARE);
--- a/mimosafront/tests/planned_stops.rs
+++ b/mimosafront/tests/planned_stops.rs
@@ -2,6 +2,7 @@
 
 mod cluster;
 
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -14,7 +15,7 @@
 use cluster::blind::{BlindConnection, Ending};
 use cluster::client::TestRequest;
 use cluster::proxy::LinkState;
-use cluster::router::GRACE_PERIOD;
+use cluster::router::{GRACE_PERIOD, Router};
 use cluster::{ClusterOptions, KEY, OTHER_KEY, TEAM, TestCluster};
 
 /// Clients on kept connections.
@@ -63,7 +64,7 @@
 
 /// Sends requests until `end`, each after a pause of up to `max_pause`.
 async fn keep_sending(
-    routers: Vec<std::net::SocketAddr>,
+    routers: Vec<SocketAddr>,
     seed: u64,
     max_pause: Duration,
     end: Arc<Mutex<bool>>,
@@ -238,10 +239,13 @@
 
 /// Requests on new and on kept connections, while the router is suspended until after the end of
 /// its grace period.
-#[test]
-fn requests_that_wait_at_the_end_of_a_planned_stop_are_answered() {
+#[test_case(|router| router.clients; "of clients")]
+#[test_case(|router| router.relays; "of routers")]
+fn requests_that_wait_at_the_end_of_a_planned_stop_are_answered(
+    listener: fn(&Router) -> SocketAddr,
+) {
     let mut cluster = TestCluster::start(ClusterOptions::default());
-    let to = cluster.routers[0].clients;
+    let to = listener(&cluster.routers[0]);
     let open = || cluster.runtime.block_on(BlindConnection::connect(to)).unwrap();
     let mut kept: Vec<_> = (0..20).map(|_| open()).collect();
     for (number, connection) in kept.iter_mut().enumerate().skip(10) {
