Close connections whose clients do not read their responses

Found by the review of: a connection whose client sends requests and reads no response was never closed, and its task woke itself without end once the idle limit was over.

Before it closes a connection, the router looks whether bytes have arrived that the event loop has not noticed. hyper reads nothing while a response cannot be written, so that these bytes stay where they are. The look is left out then.

Test kept_connections::connection_whose_client_reads_no_response_is_closed, 20 connections: not closed within 20 s before, closed now.

--- a/mimosafront/src/connection/mod.rs
+++ b/mimosafront/src/connection/mod.rs
@@ -199,7 +199,8 @@
                 Phase::Head { .. } | Phase::Exchange => Reason::SlowHead,
             }
         };
-        if self.socket.has_unread() {
+        // Nothing is read as long as the client does not read its response.
+        if !self.socket.has_unsent() && self.socket.has_unread() {
             // The runtime has not noticed the bytes yet.
             cx.waker().wake_by_ref();
             return Poll::Pending;
--- a/mimosafront/tests/kept_connections.rs
+++ b/mimosafront/tests/kept_connections.rs
@@ -2,10 +2,14 @@
 
 mod cluster;
 
+use std::io::Write;
+use std::net::TcpStream;
 use std::thread::sleep;
 use std::time::Duration;
 
+use hyper::Method;
 use nix::sys::signal::Signal;
+use socket2::{Domain, Socket, Type};
 
 use cluster::client::TestRequest;
 use cluster::kept::{KeptConnection, Received, encode};
@@ -203,6 +207,33 @@
     assert_eq!(unanswered, 0, "of {CONNECTIONS}");
 }
 
+#[test]
+fn connection_whose_client_reads_no_response_is_closed() {
+    let mut cluster = cluster(idle_limit(SHORT));
+    let limits = TestLimits { head_bytes: 250_000, ..idle_limit(SHORT) };
+    cluster.configure_limits(limits);
+    let request = TestRequest { id: "x".repeat(200_000), ..TestRequest::new(Method::GET, "/no/x") };
+    let requests = encode(&request, "").repeat(50);
+    for _ in 0..CONNECTIONS {
+        let (to, requests) = (cluster.routers[0].clients, requests.clone());
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.set_recv_buffer_size(4_096).unwrap();
+        socket.connect(&to.into()).unwrap();
+        let mut stream = TcpStream::from(socket);
+        // Ends when the router closes the connection.
+        std::thread::spawn(move || while stream.write_all(&requests).is_ok() {});
+    }
+    cluster.wait_until("the connections are closed", |cluster| {
+        let lines = cluster.routers[0].log_lines("MS0206");
+        let unread = lines.iter().filter(|line| line.contains("response not read"));
+        let closed = unread.map(|line| {
+            let count = line.split("\"connections\":").nth(1).unwrap().split(',').next().unwrap();
+            count.parse::<usize>().unwrap()
+        });
+        closed.sum::<usize>() == CONNECTIONS
+    });
+}
+
 #[test]
 fn client_that_sends_a_too_large_body_gets_the_answer_and_no_reset() {
     let cluster = cluster(TestLimits::default());
