Count connections as they are accepted, and accept all that wait at a close

Found by reading, in the review: a connection was counted when its task first ran, so that a router that was held up at its close could exit before the tasks of the connections that it had just taken from the queue. The queue was given up at the first error, for example for lack of file descriptors, with all that still waited in it; now only an empty queue ends it. The listener for readiness checks retried a failed accept without a pause.

--- a/mimosafront/src/connection/mod.rs
+++ b/mimosafront/src/connection/mod.rs
@@ -112,7 +112,6 @@
     let mut builder = http1::Builder::new();
     builder.max_buf_size(head_bytes.max(HEAD_BUFFER_BYTES));
     let mut http = pin!(builder.serve_connection(TokioIo::new(socket.stream()), service));
-    let _open = state.connections.count(listener);
     let mut closing = pin!(async {
         // The sender lives as long as the router, so this cannot fail.
         let _ = closing.wait_for(|closing| *closing).await;
--- a/mimosafront/src/readiness.rs
+++ b/mimosafront/src/readiness.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::time::Duration;
 
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -15,6 +16,9 @@
 use crate::body::ResponseBody;
 use crate::state::RouterState;
 
+/// Delay after a failed accept, for example when the process has run out of file descriptors.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+
 /// Reason why the router is not ready; `None` if it is.
 pub fn unready_reason(state: &RouterState) -> Option<&'static str> {
     if state.stopping.get() {
@@ -36,7 +40,10 @@
 pub async fn serve(state: Rc<RouterState>, listener: TcpListener) {
     let last_logged = Rc::new(Cell::new(None));
     loop {
-        let Ok((stream, _)) = listener.accept().await else { continue };
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            continue;
+        };
         let (state, last_logged) = (state.clone(), last_logged.clone());
         let service = service_fn(move |_| {
             let (state, last_logged) = (state.clone(), last_logged.clone());
--- a/mimosafront/src/server.rs
+++ b/mimosafront/src/server.rs
@@ -1,6 +1,7 @@
 //! Accepts connections of clients, and of routers that relay requests.
 
 use std::cell::Cell;
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -26,23 +27,23 @@
 /// Counts of open connections.
 #[derive(Debug, Default)]
 pub struct Connections {
-    clients: Cell<usize>,
-    routers: Cell<usize>,
+    clients: Rc<Cell<usize>>,
+    routers: Rc<Cell<usize>>,
     /// Those with a request whose response has not begun.
-    busy: Cell<usize>,
+    busy: Rc<Cell<usize>>,
 }
 
 /// Counts a connection, or one with a request, until dropped.
-pub struct CountGuard<'a>(&'a Cell<usize>);
+pub struct CountGuard(Rc<Cell<usize>>);
 
-impl<'a> CountGuard<'a> {
-    fn new(count: &'a Cell<usize>) -> Self {
+impl CountGuard {
+    fn new(count: &Rc<Cell<usize>>) -> Self {
         count.set(count.get() + 1);
-        Self(count)
+        Self(count.clone())
     }
 }
 
-impl Drop for CountGuard<'_> {
+impl Drop for CountGuard {
     fn drop(&mut self) {
         self.0.set(self.0.get() - 1);
     }
@@ -50,7 +51,7 @@
 
 impl Connections {
     /// Counts a connection.
-    pub fn count(&self, listener: Listener) -> CountGuard<'_> {
+    pub fn count(&self, listener: Listener) -> CountGuard {
         CountGuard::new(match listener {
             Listener::Clients => &self.clients,
             Listener::Routers => &self.routers,
@@ -58,7 +59,7 @@
     }
 
     /// Counts a connection with a request whose response has not begun.
-    pub fn count_busy(&self) -> CountGuard<'_> {
+    pub fn count_busy(&self) -> CountGuard {
         CountGuard::new(&self.busy)
     }
 
@@ -87,8 +88,13 @@
 ) {
     let mut closed = closing.clone();
     let spawn = |stream| {
+        // Counted here, since the router may exit before the task has run.
+        let open = state.connections.count(kind);
         let serving = connection::serve(state.clone(), stream, kind, closing.clone());
-        tokio::task::spawn_local(serving);
+        tokio::task::spawn_local(async move {
+            serving.await;
+            drop(open);
+        });
     };
     loop {
         let accepted = tokio::select! {
@@ -103,9 +109,15 @@
     }
     // Connections in the queue would be reset with the requests that they carry.
     let Ok(listener) = listener.into_std() else { return };
-    while let Ok((stream, _)) = listener.accept() {
-        let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
-        // A connection that cannot be registered is closed, as one that failed to be accepted.
-        stream.into_iter().for_each(spawn);
+    loop {
+        let accepted = listener.accept().and_then(|(stream, _)| {
+            stream.set_nonblocking(true)?;
+            TcpStream::from_std(stream)
+        });
+        match accepted {
+            Ok(stream) => spawn(stream),
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return,
+            Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
+        }
     }
 }
