Answer HTTP/1.0 clients of streams that a stop or a failure ends

Such a stream is collected and sent with a length. The collecting is part of relaying now: a stop ends it with 502, and so does a stream that is not completed.

--- a/mimosafront/src/connection/mod.rs
+++ b/mimosafront/src/connection/mod.rs
@@ -157,7 +157,7 @@
     request: Request<Incoming>,
 ) -> Result<Response<ExchangeBody>, TruncatedBody> {
     let busy = state.connections.count_busy();
-    let response = relay::handle(state.clone(), listener, request).await?;
+    let response = relay::handle(state.clone(), listener, request).await;
     drop(busy);
     Ok(response.map(|body| ExchangeBody { body, _exchange: exchange }))
 }
--- a/mimosafront/src/relay/mod.rs
+++ b/mimosafront/src/relay/mod.rs
@@ -23,7 +23,7 @@
 use mimosashift::quarantine::{Content, Contents, Fingerprint};
 use mimosashift::time::Instant;
 
-use crate::body::{ResponseBody, TruncatedBody};
+use crate::body::ResponseBody;
 use crate::clock;
 use crate::connection::limits_since;
 use crate::server::Listener;
@@ -166,7 +166,7 @@
     state: Rc<RouterState>,
     listener: Listener,
     mut request: Request<Incoming>,
-) -> Result<Response<ResponseBody>, TruncatedBody> {
+) -> Response<ResponseBody> {
     let arrived = clock::now();
     let origin = match listener {
         Listener::Clients => Origin::Client,
@@ -174,7 +174,6 @@
     };
     let is_chunked = request.headers().contains_key(TRANSFER_ENCODING);
     let id = request.headers().get(header::REQUEST_ID).cloned();
-    let version = request.version();
     let is_sent = Rc::new(Cell::new(origin.executions() > 0));
     let result = tokio::select! {
         biased;
@@ -185,16 +184,13 @@
         Ok(response) => response,
         Err(error) => error_response(&state, id.as_ref(), &error, arrived),
     };
-    if version < Version::HTTP_11 {
-        response = buffer_stream(response).await?;
-    }
     if is_chunked || state.stopping.get() {
         // Clients leave a router that is stopping with the response. A message with both
         // `Content-Length` and `Transfer-Encoding` may smuggle in a second request; a
         // connection that has carried a chunked request is not reused.
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    Ok(response)
+    response
 }
 
 async fn relay(
@@ -205,11 +201,13 @@
     arrived: Instant,
     is_sent: Rc<Cell<bool>>,
 ) -> Result<Response<ResponseBody>, RequestError> {
+    let version = request.version();
     let ctx = accept(state, request, listener, origin, arrived, is_sent).await?;
-    match ctx.service.engine {
-        Some(_) => model::relay(ctx).await,
-        None => plain::relay(ctx).await,
-    }
+    let response = match ctx.service.engine {
+        Some(_) => model::relay(ctx).await?,
+        None => plain::relay(ctx).await?,
+    };
+    if version < Version::HTTP_11 { buffer_stream(response).await } else { Ok(response) }
 }
 
 /// Replaces a streamed body by a buffered one, which is sent with a length.
@@ -217,11 +215,12 @@
 /// one.
 async fn buffer_stream(
     response: Response<ResponseBody>,
-) -> Result<Response<ResponseBody>, TruncatedBody> {
+) -> Result<Response<ResponseBody>, RequestError> {
     let (head, body) = response.into_parts();
     let ResponseBody::Stream(_) = body else { return Ok(Response::from_parts(head, body)) };
     let body = Limited::new(body, MAX_BUFFERED_STREAM_BYTES).collect().await;
-    let body = body.map_err(|_| TruncatedBody)?;
+    let body = body
+        .map_err(|_| RequestError::Failed(StatusCode::BAD_GATEWAY, "stream was not completed"))?;
     Ok(Response::from_parts(head, ResponseBody::Full(Some(body.to_bytes()))))
 }
 
--- a/mimosafront/tests/planned_stops.rs
+++ b/mimosafront/tests/planned_stops.rs
@@ -2,6 +2,7 @@
 
 mod cluster;
 
+use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -16,7 +17,7 @@
 use cluster::client::TestRequest;
 use cluster::proxy::LinkState;
 use cluster::router::{GRACE_PERIOD, Router};
-use cluster::{ClusterOptions, KEY, OTHER_KEY, TEAM, TestCluster};
+use cluster::{ClusterOptions, HOST, KEY, OTHER_KEY, TEAM, TestCluster};
 
 /// Clients on kept connections.
 const CLIENTS: u64 = 32;
@@ -329,6 +330,26 @@
     assert_eq!(cluster.routers[0].wait(), Some(0));
 }
 
+/// The stream would be sent as a whole after its end, and takes longer than the grace period.
+#[test]
+fn http_1_0_client_of_a_stream_that_outlasts_a_planned_stop_is_answered() {
+    let cluster = TestCluster::start(ClusterOptions {
+        event_interval: Duration::from_millis(200),
+        ..ClusterOptions::default()
+    });
+    let mut stream = std::net::TcpStream::connect(cluster.routers[0].clients).unwrap();
+    let request = format!(
+        "POST /draft/x HTTP/1.0\r\nHost: {HOST}\r\nRequest-Id: 0a1b2c3d\r\nToken-Counts: 100,400\r\n\
+         Request-Deadline: 20000\r\nAuthorization: Bearer {KEY}\r\nContent-Length: 0\r\n\r\n"
+    );
+    stream.write_all(request.as_bytes()).unwrap();
+    std::thread::sleep(Duration::from_millis(600));
+    cluster.routers[0].signal(Signal::SIGTERM);
+    let mut response = String::new();
+    stream.read_to_string(&mut response).unwrap();
+    assert!(response.starts_with("HTTP/1.0 502"), "{response:?}");
+}
+
 /// Nothing is open when the load balancer has turned away.
 #[test]
 fn router_without_open_connections_exits_before_its_grace_period_ends() {
