Replace a row of the placement lease that cannot be decoded

Cause: `Lease::observe` ignored such a row, so that each write was based on a revision that is gone and ended in a conflict.

Such a row now counts as the lease of an unknown holder, logged once per revision and router as `MS0807` (no event fitted). It is waited out for one lease duration from the first sight of its revision, whatever is suspected, and replaced by a write on that revision. The number is the higher of the last one known and the row's revision, plus one.

Why it is sound: each acquisition raises the number by one and the row's revision by at least one, a renewal only the revision, and the first number is 1; so a number never exceeds the revision of its row. All numbers up to the unreadable row, also one that the row itself may stand for, are at most its revision. Older builds keep the bound, since they count on from records and each write has a higher revision; beside an unreadable row all their writes conflict. The bound does not hold for a row written by hand or a store that came back from a copy, where numbers after a readable row can go back as before.

The model check gets another writer that leaves an unreadable row, with the highest number that the bound allows, and a check that no acquisition repeats or lowers a number.

--- a/mimosafront/src/placement.rs
+++ b/mimosafront/src/placement.rs
@@ -72,6 +72,8 @@
     pending: HashMap<Arc<str>, PendingOrder>,
     /// Since when this router knows of no holder of the lease.
     unheld_since: Option<Instant>,
+    /// Revision of the unreadable row of the lease that was logged last.
+    logged_unreadable: Option<u64>,
     /// Number of endpoints of the service that `is_settled` last checked, and when
     /// it last changed; shared by all services.
     endpoint_count: (usize, Instant),
@@ -85,6 +87,7 @@
         lease,
         pending: HashMap::new(),
         unheld_since: None,
+        logged_unreadable: None,
         endpoint_count: (0, Instant::ZERO),
     };
     let mut next_lease_check = Instant::ZERO;
@@ -192,6 +195,7 @@
         }
         let Some(mut lease) = self.lease.take() else { return };
         self.write_lease(&mut lease, held).await;
+        self.log_unreadable(&lease);
         self.lease = Some(lease);
         let may_order = self.may_order();
         self.set_lease_holder(may_order);
@@ -219,6 +223,14 @@
         }
     }
 
+    /// Logs each write of the lease that cannot be decoded once.
+    fn log_unreadable(&mut self, lease: &Lease) {
+        let Some(revision) = lease.unreadable_revision() else { return };
+        if self.logged_unreadable.replace(revision) != Some(revision) {
+            emit!(self.state.log, Event::LeaseUnreadable, "lease" => &*lease.key().key, "revision" => revision);
+        }
+    }
+
     fn set_lease_holder(&mut self, is_holder: bool) {
         if self.state.holds_placement_lease.replace(is_holder) == is_holder {
             return;
--- a/mimosafront/tests/odd_rows.rs
+++ b/mimosafront/tests/odd_rows.rs
@@ -86,4 +86,5 @@
     cluster.wait_until("the lease is written again", |cluster| {
         cluster.store.get("lease", "placement").is_some_and(|row| !row.starts_with('['))
     });
+    assert!(cluster.routers.iter().any(|router| !router.log_lines("MS0807").is_empty()));
 }
--- a/mimosashift/src/event/table.rs
+++ b/mimosashift/src/event/table.rs
@@ -138,6 +138,7 @@
     OrderObserved "MS0804" Info "order observed", "The endpoint reports the ordered state.";
     OrderRefused "MS0805" Warning "order refused", "An endpoint refused an order, for example for an old fencing number.";
     OrderUnknown "MS0806" Warning "order unknown", "The answer to an order was lost; the endpoint's state is read before any repeat.";
+    LeaseUnreadable "MS0807" Warning "lease unreadable", "The row of a lease cannot be decoded; it counts as the lease of an unknown holder and is replaced when that has run out.";
 
     BreakerOpened "MS0901" Error "platform breaker opened", "Calls to the platform fail and are suspended for a while.";
     BreakerClosed "MS0902" Info "platform breaker closed", "The platform answers again.";
--- a/mimosashift/src/order/lease.rs
+++ b/mimosashift/src/order/lease.rs
@@ -3,6 +3,12 @@
 //! The holder counts the lease duration from the start of its write; every other
 //! router counts it from its first observation of that write. Clocks of
 //! different routers are never compared.
+//!
+//! A row that cannot be decoded counts as the lease of an unknown holder. Every
+//! record has a fencing number of at most the revision of its row, since each
+//! acquisition raises both and a renewal only the revision. So the number after
+//! the revision of such a row is higher than any that was given before, also by
+//! that row.
 
 use std::time::Duration;
 
@@ -56,7 +62,10 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Observed {
     revision: u64,
-    record: Record,
+    /// `None` if the row cannot be decoded.
+    holder: Option<Name>,
+    /// No higher fencing number has been given.
+    highest_number: FencingNumber,
     at: Instant,
 }
 
@@ -132,36 +141,52 @@
         (in_time && exclusive).then_some(held.number)
     }
 
-    /// The router that held the lease when its row was last observed.
+    /// The router that held the lease when its row was last observed, if it is
+    /// known.
     pub fn holder(&self) -> Option<&Name> {
-        self.observed.as_ref().map(|observed| &observed.record.holder)
+        self.observed.as_ref()?.holder.as_ref()
+    }
+
+    /// The revision of the row last observed, if that row cannot be decoded.
+    pub fn unreadable_revision(&self) -> Option<u64> {
+        let observed = self.observed.as_ref()?;
+        observed.holder.is_none().then_some(observed.revision)
     }
 
     /// Whether the holder has not renewed the lease in time: it is dead,
-    /// partitioned from the table or no longer needs the lease.
+    /// partitioned from the table or no longer needs the lease. When an unknown
+    /// holder renews is unknown too, so that it is never overdue.
     pub fn is_overdue(&self, now: Instant) -> bool {
         let overdue_after = self.settings.renew_after() + self.settings.margin;
-        self.observed.as_ref().is_some_and(|observed| now >= observed.at + overdue_after)
+        self.observed
+            .as_ref()
+            .is_some_and(|observed| observed.holder.is_some() && now >= observed.at + overdue_after)
     }
 
-    /// Processes the row as read. A missing or undecodable row is ignored, and so
-    /// is one that is not newer than the one observed.
+    /// Processes the row as read. A missing row is ignored, and so is one that is
+    /// not newer than the one observed.
     pub fn observe(&mut self, row: Option<&Row>, now: Instant) {
         let Some(row) = row else {
             return;
         };
-        let newer = self.observed.as_ref().is_none_or(|observed| observed.revision < row.revision);
-        let Ok(record) = serde_json::from_str::<Record>(&row.value) else {
+        if self.observed.as_ref().is_some_and(|observed| observed.revision >= row.revision) {
             return;
-        };
-        if newer {
-            self.observed = Some(Observed { revision: row.revision, record, at: now });
         }
+        let (holder, highest_number) = match serde_json::from_str::<Record>(&row.value) {
+            Ok(record) => (Some(record.holder), record.number),
+            Err(_) => {
+                let known = self.observed.as_ref().map(|observed| observed.highest_number);
+                let possible = FencingNumber(row.revision);
+                (None, known.map_or(possible, |known| known.max(possible)))
+            }
+        };
+        self.observed = Some(Observed { revision: row.revision, holder, highest_number, at: now });
     }
 
     /// The transaction that renews the lease, repeats a write with an unknown
     /// outcome, or takes the lease over if it has expired or its holder is
-    /// `suspected` to be dead. Returns `None` if no write is due.
+    /// `suspected` to be dead. An unknown holder cannot be suspected. Returns `None`
+    /// if no write is due.
     pub fn next_transaction(&mut self, suspected: bool, now: Instant) -> Option<Transaction> {
         if self.pending.is_none() {
             self.pending = Some(self.next_write(suspected, now)?);
@@ -211,9 +236,10 @@
             });
         };
         let expires_at = observed.at + self.settings.expire_after();
+        let suspected = suspected && observed.holder.is_some();
         (suspected || now >= expires_at).then_some(Pending {
             base_revision: Some(observed.revision),
-            number: FencingNumber(observed.record.number.0 + 1),
+            number: FencingNumber(observed.highest_number.0 + 1),
             started_at: now,
             exclusive_from: expires_at,
             outcome_unknown: false,
@@ -238,8 +264,8 @@
 
     fn acquire(&mut self, pending: Pending, revision: u64) {
         let Pending { number, started_at, exclusive_from, .. } = pending;
-        let record = self.record(number);
-        self.observed = Some(Observed { revision, record, at: started_at });
+        let holder = Some(self.holder.clone());
+        self.observed = Some(Observed { revision, holder, highest_number: number, at: started_at });
         self.held = Some(Held { revision, number, started_at, exclusive_from });
     }
 
--- a/mimosashift/tests/common/lease_world.rs
+++ b/mimosashift/tests/common/lease_world.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use mimosashift::order::FencingNumber;
-use mimosashift::order::lease::{Lease, Settings};
+use mimosashift::order::lease::{Lease, Record, Settings};
 use mimosashift::platform::{Check, Outcome, Refusal, Row, Transaction, Write};
 use mimosashift::resource::Name;
 use mimosashift::time::Instant;
@@ -18,6 +18,9 @@
     NoWaitForUncheckedEndpoint,
     NoMargin,
     EndpointForgetsNumber,
+    /// The unknown holder of an unreadable row has a number above the row's
+    /// revision.
+    NumberAboveRevision,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -36,6 +39,14 @@
     now: Instant,
     faults_left: u8,
     writes_left: u8,
+    /// Number of rows that another writer may still write and no router can read.
+    unreadable_left: u8,
+    /// Fencing number of the writer of an unreadable row, and the latest time at
+    /// which an order of it can arrive.
+    unknown_order: Option<(FencingNumber, Instant)>,
+    /// The highest fencing number written, and whether an acquisition did not raise it.
+    highest_number: u64,
+    number_reused: bool,
     routers: [Router; 2],
     rows: Vec<(u64, String)>,
     delayed: Vec<(Option<u64>, String)>,
@@ -45,6 +56,8 @@
     number_owners: Vec<(FencingNumber, usize)>,
 }
 
+const UNREADABLE: &str = "[";
+const LEASE_DURATION: Duration = Duration::from_millis(3);
 const TICK: Duration = Duration::from_millis(1);
 /// Total number of writes that the routers may start.
 const MAX_WRITES: u8 = 4;
@@ -53,9 +66,14 @@
 const MAX_SEND_DELAY: Duration = TICK;
 
 impl World {
-    pub fn new(mutation: Mutation, endpoint_checks: bool, faults_left: u8) -> Self {
+    pub fn new(
+        mutation: Mutation,
+        endpoint_checks: bool,
+        faults_left: u8,
+        unreadable_left: u8,
+    ) -> Self {
         let margin = if mutation == Mutation::NoMargin { Duration::ZERO } else { MAX_SEND_DELAY };
-        let settings = Settings { duration: Duration::from_millis(3), margin, drift_ppm: 0 };
+        let settings = Settings { duration: LEASE_DURATION, margin, drift_ppm: 0 };
         let group = Name::try_from("group").unwrap();
         let router = |name: &str| {
             let lease = Lease::new(settings, &group, Name::try_from(name).unwrap(), 1);
@@ -66,6 +84,10 @@
             now: Instant::ZERO,
             faults_left,
             writes_left: MAX_WRITES,
+            unreadable_left,
+            unknown_order: None,
+            highest_number: 0,
+            number_reused: false,
             routers: [router("a"), router("b")],
             rows: Vec::new(),
             delayed: Vec::new(),
@@ -86,12 +108,38 @@
         if newest != base_revision {
             return Outcome::NotDone(Refusal::Conflict(self.row(0)));
         }
-        let revision = newest.unwrap_or(0) + 1;
+        self.check_number(value);
+        Outcome::Done(self.push(value))
+    }
+
+    /// Writes the row and returns its revision.
+    fn push(&mut self, value: &str) -> u64 {
+        let revision = self.rows.last().map_or(0, |(revision, _)| *revision) + 1;
         self.rows.push((revision, value.to_owned()));
         if self.rows.len() > 2 {
             self.rows.remove(0);
         }
-        Outcome::Done(revision)
+        revision
+    }
+
+    /// Only the renewal of the newest row may repeat a number.
+    fn check_number(&mut self, value: &str) {
+        let number = number(value);
+        let is_renewal = self.rows.last().is_some_and(|(_, newest)| newest == value);
+        self.number_reused |= number <= self.highest_number && !is_renewal;
+        self.highest_number = self.highest_number.max(number);
+    }
+
+    /// Another writer acquires the lease with a row that routers cannot read, and
+    /// sends orders. Its number is the highest that its revision allows.
+    fn write_unreadable(&mut self) {
+        let revision = self.push(UNREADABLE);
+        let excess = u64::from(self.mutation == Mutation::NumberAboveRevision);
+        let number = revision + excess;
+        self.highest_number = self.highest_number.max(number);
+        self.unreadable_left -= 1;
+        // It sends for the last time one tick before its margin.
+        self.unknown_order = Some((FencingNumber(number), self.now + (LEASE_DURATION - TICK)));
     }
 
     fn write_successors(&self, index: usize, out: &mut Vec<Self>) {
@@ -157,6 +205,7 @@
             }
             router.order = router.order.filter(|(_, latest)| *latest >= self.now);
         }
+        self.unknown_order = self.unknown_order.filter(|(_, latest)| *latest >= self.now);
         self
     }
 }
@@ -173,6 +222,11 @@
             next.apply(base_revision, &value);
             out.push(next);
         }
+        if self.unreadable_left > 0 {
+            let mut next = self.clone();
+            next.write_unreadable();
+            out.push(next);
+        }
         if self.now < HORIZON {
             let mut next = self.clone();
             next.now = next.now + TICK;
@@ -182,6 +236,9 @@
     }
 
     fn violation(&self) -> Option<String> {
+        if self.number_reused {
+            return Some("a fencing number was given twice or went back".to_owned());
+        }
         let valid = |r: &Router| r.lease.authorize(false, self.now).is_some();
         if self.routers.iter().all(valid) {
             return Some("two holders at once".to_owned());
@@ -194,10 +251,20 @@
         }
         let refuses = self.endpoint_checks && self.mutation != Mutation::EndpointForgetsNumber;
         let both = self.routers.iter().all(|router| router.order.is_some());
-        (both && !refuses).then(|| "an old order may arrive after a new one".to_owned())
+        // Whether the unknown writer waited for earlier holders is its own affair.
+        let with_unknown = self.unknown_order.is_some_and(|(unknown, _)| {
+            let mut orders = self.routers.iter().filter_map(|router| router.order);
+            orders.any(|(number, _)| number > unknown)
+        });
+        ((both || with_unknown) && !refuses)
+            .then(|| "an old order may arrive after a new one".to_owned())
     }
 }
 
+fn number(value: &str) -> u64 {
+    serde_json::from_str::<Record>(value).expect("routers write records").number.0
+}
+
 fn base_and_value(transaction: &Transaction) -> (Option<u64>, String) {
     let base_revision = match &transaction.checks[..] {
         [Check::Absent(_)] => None,
--- a/mimosashift/tests/model_check.rs
+++ b/mimosashift/tests/model_check.rs
@@ -19,9 +19,18 @@
     report
 }
 
-fn lease(mistake: lease_world::Mutation, checks: bool, faults: u8) -> explore::Report {
-    let report = explore(lease_world::World::new(mistake, checks, faults), MAX_STATES);
-    eprintln!("lease {mistake:?}, endpoint checks {checks}, {faults} faults: {report:?}");
+fn lease(
+    mistake: lease_world::Mutation,
+    checks: bool,
+    faults: u8,
+    unreadable: u8,
+) -> explore::Report {
+    let world = lease_world::World::new(mistake, checks, faults, unreadable);
+    let report = explore(world, MAX_STATES);
+    eprintln!(
+        "lease {mistake:?}, endpoint checks {checks}, {faults} faults, \
+         {unreadable} unreadable rows: {report:?}"
+    );
     report
 }
 
@@ -63,12 +72,12 @@
 }
 
 /// Lists each mistake injected into the lease protocol, whether the endpoint
-/// checks the number, and the expected violation.
+/// checks the number, the number of unreadable rows, and the expected violation.
 macro_rules! lease_caught {
-    ($($case:ident: $mistake:ident, $checks:literal => $violation:literal;)*) => {$(
+    ($($case:ident: $mistake:ident, $checks:literal, $unreadable:literal => $violation:literal;)*) => {$(
         #[test]
         fn $case() {
-            let report = lease(lease_world::Mutation::$mistake, $checks, 0);
+            let report = lease(lease_world::Mutation::$mistake, $checks, 0, $unreadable);
             let violation = report.violation.unwrap();
             assert!(violation.contains($violation), "{violation}");
         }
@@ -76,17 +85,18 @@
 }
 
 lease_caught! {
-    lease_without_wait: NoWaitForUncheckedEndpoint, false => "old order may arrive after";
-    lease_without_margin: NoMargin, false => "old order may arrive after";
-    lease_forgetful_endpoint: EndpointForgetsNumber, true => "old order may arrive after";
+    lease_without_wait: NoWaitForUncheckedEndpoint, false, 0 => "old order may arrive after";
+    lease_without_margin: NoMargin, false, 0 => "old order may arrive after";
+    lease_forgetful_endpoint: EndpointForgetsNumber, true, 0 => "old order may arrive after";
+    lease_number_above_revision: NumberAboveRevision, true, 1 => "given twice or went back";
 }
 
 /// Lists the cases in which the lease protocol must hold.
 macro_rules! lease_holds {
-    ($($case:ident: $checks:literal, $faults:literal;)*) => {$(
+    ($($case:ident: $checks:literal, $faults:literal, $unreadable:literal;)*) => {$(
         #[test]
         fn $case() {
-            let report = lease(lease_world::Mutation::None, $checks, $faults);
+            let report = lease(lease_world::Mutation::None, $checks, $faults, $unreadable);
             assert_eq!(report.violation, None);
             assert!(report.complete);
         }
@@ -94,6 +104,8 @@
 }
 
 lease_holds! {
-    lease_holds_at_unchecked_endpoint: false, 1;
-    lease_holds_at_checking_endpoint: true, 1;
+    lease_holds_at_unchecked_endpoint: false, 1, 0;
+    lease_holds_at_checking_endpoint: true, 1, 0;
+    lease_holds_after_unreadable_row_at_unchecked_endpoint: false, 0, 1;
+    lease_holds_after_unreadable_row_at_checking_endpoint: true, 0, 1;
 }
--- a/mimosashift/tests/order.rs
+++ b/mimosashift/tests/order.rs
@@ -119,6 +119,68 @@
     assert_eq!(a.authorize(true, at_seconds(4)), None);
 }
 
+fn unreadable_row(revision: u64) -> Row {
+    Row { key: lease("a").key().clone(), revision, value: "[".repeat(30_000) }
+}
+
+/// The holder of such a row is unknown, so that no peer can report its loss.
+#[test]
+fn unreadable_row_is_replaced_after_one_lease_duration() {
+    let mut b = lease("b");
+    b.observe(Some(&unreadable_row(7)), at_seconds(4));
+    assert_eq!(b.holder(), None);
+    b.observe(Some(&unreadable_row(7)), at_seconds(14));
+    assert!(!b.is_overdue(at_seconds(14)));
+    for suspected in [false, true] {
+        assert_eq!(b.next_transaction(suspected, at_seconds(14)), None);
+    }
+    let write = b.next_transaction(false, at_seconds(15)).unwrap();
+    assert_eq!(write.checks, [Check::Revision(b.key().clone(), 7)]);
+    b.on_write_result(&Outcome::Done(8), at_seconds(15));
+    assert_eq!(b.authorize(false, at_seconds(15)), Some(FencingNumber(8)));
+    // Routers of the build 1d5f05c read and continue this row.
+    assert_eq!(written_row(&write, 8).value, r#"{"holder":"b","incarnation":1,"number":8}"#);
+}
+
+/// A build that writes the lease in another format may renew it.
+#[test]
+fn each_write_of_an_unreadable_row_is_waited_out() {
+    let mut b = lease("b");
+    b.observe(Some(&unreadable_row(7)), at_seconds(0));
+    b.observe(Some(&unreadable_row(9)), at_seconds(10));
+    b.observe(Some(&unreadable_row(7)), at_seconds(11));
+    assert_eq!(b.next_transaction(false, at_seconds(20)), None);
+    let write = b.next_transaction(false, at_seconds(21)).unwrap();
+    assert_eq!(write.checks, [Check::Revision(b.key().clone(), 9)]);
+}
+
+#[test]
+fn holder_whose_row_becomes_unreadable_stops_and_acquires_the_lease_again() {
+    let (mut a, _) = held_lease();
+    a.next_transaction(false, at_seconds(4)).unwrap();
+    let conflict = Outcome::NotDone(Refusal::Conflict(Some(unreadable_row(5))));
+    a.on_write_result(&conflict, at_seconds(4));
+    assert_eq!(a.unreadable_revision(), Some(5));
+    assert_eq!(a.authorize(true, at_seconds(4)), None);
+    assert_eq!(a.next_transaction(true, at_seconds(14)), None);
+    a.next_transaction(false, at_seconds(15)).unwrap();
+    a.on_write_result(&Outcome::Done(6), at_seconds(15));
+    assert_eq!(a.unreadable_revision(), None);
+    assert_eq!(a.authorize(false, at_seconds(15)), Some(FencingNumber(6)));
+}
+
+/// A store that came back from a copy may give out lower revisions.
+#[test]
+fn number_after_an_unreadable_row_exceeds_the_last_one_known() {
+    let value = r#"{"holder":"a","incarnation":1,"number":90}"#.to_owned();
+    let mut b = lease("b");
+    b.observe(Some(&Row { value, ..unreadable_row(5) }), at_seconds(0));
+    b.observe(Some(&unreadable_row(7)), at_seconds(1));
+    b.next_transaction(false, at_seconds(12)).unwrap();
+    b.on_write_result(&Outcome::Done(8), at_seconds(12));
+    assert_eq!(b.authorize(true, at_seconds(12)), Some(FencingNumber(91)));
+}
+
 #[test]
 fn order_is_resent_only_after_min_resend_delay() {
     let (a, _) = held_lease();
