Relay: a silent engine is no move if there is no chain to move to

Callers that waited for the head of a stream got 502 ("chain lost") after about a second, while a later engine of the only chain paused and went on.

Cause: `check_stall` counted a move at each check that found a dead later engine, also if there was no chain to move to and no order was sent. The third check ended the request: "engines crash under the request".

--- a/mimosafront/src/relay/model/stall.rs
+++ b/mimosafront/src/relay/model/stall.rs
@@ -94,7 +94,9 @@
         if self.may_have_crashed_engines() || self.has_moved_too_often() {
             return StallCheck::Ended("engines crash under the request");
         }
-        self.moves_before_writing += u32::from(!self.has_written_for_long());
+        // Without a chain to move to, no order is sent that could crash one.
+        let can_move = self.chain_from_first(&first, &[]).is_ok();
+        self.moves_before_writing += u32::from(can_move && !self.has_written_for_long());
         match self.reroute(&first, &slow).await {
             StallCheck::Silent(_) if !slow.is_empty() => self.reroute(&first, &[]).await,
             check => check,
--- a/mimosafront/tests/silent_endpoints.rs
+++ b/mimosafront/tests/silent_endpoints.rs
@@ -125,8 +125,9 @@
 
 /// Sends streams of both kinds while one engine of the only chain is stopped: the one that
 /// holds the first layers, or the one that holds the last.
-fn assert_part_of_chain_may_be_silent(selects: impl Fn(&Hop) -> bool) {
+fn assert_part_of_chain_may_be_silent(head_delay: Duration, selects: impl Fn(&Hop) -> bool) {
     let cluster = TestCluster::start(one_chain());
+    cluster.endpoints.engines().for_each(|engine| engine.state().head_delay = head_delay);
     let request = |number| match number % 2 {
         0 => TestRequest::note(EVENTS),
         _ => TestRequest::draft(EVENTS),
@@ -144,12 +145,18 @@
 
 #[test]
 fn streams_outlast_silence_of_the_first_engine_of_their_chain() {
-    assert_part_of_chain_may_be_silent(|(_, from, _)| *from == 0);
+    assert_part_of_chain_may_be_silent(Duration::ZERO, |(_, from, _)| *from == 0);
 }
 
 #[test]
 fn streams_outlast_silence_of_the_last_engine_of_their_chain() {
-    assert_part_of_chain_may_be_silent(|(_, _, to)| *to == LAYERS);
+    assert_part_of_chain_may_be_silent(Duration::ZERO, |(_, _, to)| *to == LAYERS);
+}
+
+/// No stream has had its head when the engine goes silent.
+#[test]
+fn streams_without_a_head_outlast_silence_of_the_last_engine_of_their_chain() {
+    assert_part_of_chain_may_be_silent(LONG_SILENCE, |(_, _, to)| *to == LAYERS);
 }
 
 #[test]
