Log which fields of an endpoint's entry have changed

The log showed changes of layers and of readiness only, so that it could not be told which routers knew of another address, card, zone or number of slots.

--- a/mimosafront/src/directory.rs
+++ b/mimosafront/src/directory.rs
@@ -301,6 +301,10 @@
         let layers = fleet.get(id).and_then(|member| member.endpoint.layers);
         emit!(state.log, Event::EndpointLayersChanged, "endpoint" => &**id, "source" => "store", "layers" => layers.map(|layers| layers.to_string()));
     }
+    for id in &change.changed {
+        let Some(e) = fleet.get(id).map(|member| &member.endpoint) else { continue };
+        emit!(state.log, Event::EndpointChanged, "endpoint" => &**id, "service" => &*e.service, "zone" => &*e.zone, "address" => e.address.to_string(), "slots" => e.slots, "card" => e.card.as_deref());
+    }
     for id in &change.leaving {
         emit!(state.log, Event::EndpointLeaving, "endpoint" => &**id, "source" => "store");
     }
--- a/mimosashift/src/fleet/mod.rs
+++ b/mimosashift/src/fleet/mod.rs
@@ -117,6 +117,8 @@
     pub gone: Vec<Arc<str>>,
     /// Endpoints whose layers changed.
     pub layers_changed: Vec<Arc<str>>,
+    /// Endpoints of which anything else changed but the status and the heartbeat.
+    pub changed: Vec<Arc<str>>,
 }
 
 /// The state of an endpoint as given by one of its reports, for peers.
@@ -318,10 +320,14 @@
         if member.heartbeat_at_report == Some(entry.heartbeat) {
             entry.layers = member.endpoint.layers;
         }
-        if entry.layers != member.endpoint.layers {
-            change.layers_changed.push(id);
+        let Endpoint { heartbeat, status, layers, .. } = entry;
+        let known = std::mem::replace(&mut member.endpoint, entry);
+        if layers != known.layers {
+            change.layers_changed.push(id.clone());
+        }
+        if member.endpoint != (Endpoint { heartbeat, status, layers, ..known }) {
+            change.changed.push(id);
         }
-        member.endpoint = entry;
     }
 
     /// Hash of the endpoints, their incarnations and whether they are ready.
