Compare whole directories before calling one fresh

Cause: a router that follows the reader of its zone compared a hash of ids, incarnations and readiness. An equal hash was taken for an equal directory, and the time of the reader's read for the age of its own rows. A change of anything else (layers, address, zone, slots, card) stayed unknown until the hash differed for another reason, or until the direct read, which comes every 48 s in a zone of 24.

The hash now covers the decoded entries as a whole, so that a field that is added later is part of it; only the heartbeat is left out, which changes all the time. It is kept with the rows that it belongs to, and the age that is logged and told to peers is that of these rows. Since the heartbeat is left out, a router whose reports contradict equal entries cannot tell which are older; it fetches the entries every 2 s until they agree. Equal entries are applied again at each read of the reader, so that endpoints kept without an entry still end in time.

--- a/mimosafront/src/directory.rs
+++ b/mimosafront/src/directory.rs
@@ -6,8 +6,10 @@
 
 use mimosaplatform::store::{Changes, Position, Rows};
 use mimosaplatform::{config, endpoint};
+use mimosashift::deployment::Endpoint;
 use mimosashift::emit;
 use mimosashift::event::Event;
+use mimosashift::fleet;
 use mimosashift::meter::{CallOutcome, PlatformCall};
 use mimosashift::peer::{Format, MAX_DIRECTORY_AGE};
 use mimosashift::platform::{Outcome, Refusal, Row};
@@ -35,6 +37,10 @@
 /// Minimum time between two fetches of the directory from peers.
 const FETCH_INTERVAL: Duration = Duration::from_millis(500);
 
+/// That time if a peer's entries are the same but reports say something else: usually these
+/// are newer, and the entries follow with the next heartbeat.
+const CONTRADICTED_FETCH_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Minimum time between two reads that requests trigger.
 const MIN_REFRESH_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -172,8 +178,8 @@
     last_direct_read: Instant,
     /// Earliest time of the next read from the store.
     next_read: Instant,
-    /// Earliest time of the next fetch from a peer.
-    next_fetch: Instant,
+    /// When the directory was last fetched from a peer.
+    last_fetch: Instant,
     unavailable_since: Option<Instant>,
     reregistration_until: Instant,
     /// Revisions of invalid entries that have been logged.
@@ -193,8 +199,7 @@
                 DIRECTORY_INTERVAL
             }
             Outcome::NotDone(_) | Outcome::Unknown => {
-                self.unavailable_since
-                    .get_or_insert(state.last_directory_read.get().unwrap_or(started));
+                self.unavailable_since.get_or_insert(state.directory_read_at().unwrap_or(started));
                 store_retry_interval(state)
             }
         };
@@ -219,24 +224,25 @@
         if now.since(read_at) >= MAX_DIRECTORY_AGE {
             return false;
         }
-        if directory.fingerprint == state.fleet.borrow().fingerprint() {
-            state.last_directory_read.set(state.last_directory_read.get().max(Some(read_at)));
+        let is_same = confirm(state, directory.fingerprint, read_at);
+        if is_same && !is_contradicted(state) {
             return true;
         }
         if format != Format::Parts {
             return false;
         }
-        if now < self.next_fetch {
+        let interval = if is_same { CONTRADICTED_FETCH_INTERVAL } else { FETCH_INTERVAL };
+        if now < self.last_fetch + interval {
             return true;
         }
-        self.next_fetch = now + FETCH_INTERVAL;
+        self.last_fetch = now;
         let Some(fetched) = gossip::fetch_directory(state, address).await else { return false };
         let (era, revision) = fetched.position;
         let position = Position { era, revision };
         // Only the store can tell more than what this router has read itself, and more than
         // a peer that has taken its rows from another one.
-        let is_older = position < state.directory.borrow().position;
-        if is_older || fetched.age >= MAX_DIRECTORY_AGE {
+        let known = state.directory.borrow().as_ref().map(|known| known.position);
+        if known.is_some_and(|known| position < known) || fetched.age >= MAX_DIRECTORY_AGE {
             return false;
         }
         let read_at = now - fetched.age;
@@ -260,36 +266,60 @@
             self.reregistration_until = now + REREGISTRATION_PERIOD;
         }
         let keep_missing_until = self.reregistration_until.max(now + keep_missing);
-        apply_endpoints(state, &rows, keep_missing_until, &mut self.logged_invalid);
-        *state.directory.borrow_mut() =
-            DirectoryRead { position, read_at, rows, keep_missing_until };
-        state.last_directory_read.set(state.last_directory_read.get().max(Some(read_at)));
+        let entries = self.decode(state, &rows);
+        apply_entries(state, &entries, keep_missing_until);
+        let fingerprint = fleet::fingerprint(&entries);
+        let read =
+            DirectoryRead { position, read_at, rows, entries, fingerprint, keep_missing_until };
+        *state.directory.borrow_mut() = Some(read);
         state.directory_read.notify_waiters();
     }
-}
 
-fn apply_endpoints(
-    state: &RouterState,
-    rows: &[Row],
-    reregistration_until: Instant,
-    logged_invalid: &mut HashMap<String, u64>,
-) {
-    let mut entries = Vec::with_capacity(rows.len());
-    for row in rows {
-        match endpoint::decode(&row.key.key, &row.value) {
-            Ok(entry) => entries.push(entry),
-            // Each version of an invalid entry is logged once.
-            Err(error) => {
-                if logged_invalid.insert(row.key.key.clone(), row.revision) != Some(row.revision) {
-                    let (id, error) = (&row.key.key, error.to_string());
-                    emit!(state.log, Event::EndpointUnreadable, "endpoint" => id, "revision" => row.revision, "error" => error);
+    /// The endpoints that rows list; each version of a row that lists none is logged once.
+    fn decode(&mut self, state: &RouterState, rows: &[Row]) -> Rc<[Endpoint]> {
+        let mut entries = Vec::with_capacity(rows.len());
+        let logged = &mut self.logged_invalid;
+        for row in rows {
+            match endpoint::decode(&row.key.key, &row.value) {
+                Ok(entry) => entries.push(entry),
+                Err(error) => {
+                    if logged.insert(row.key.key.clone(), row.revision) != Some(row.revision) {
+                        let (id, error) = (&row.key.key, error.to_string());
+                        emit!(state.log, Event::EndpointUnreadable, "endpoint" => id, "revision" => row.revision, "error" => error);
+                    }
                 }
             }
         }
+        logged.retain(|id, _| rows.iter().any(|row| row.key.key == *id));
+        entries.into()
+    }
+}
+
+/// Applies the known directory as that of `read_at`, if its entries had this hash then; returns
+/// whether they had.
+fn confirm(state: &RouterState, fingerprint: u64, read_at: Instant) -> bool {
+    let mut directory = state.directory.borrow_mut();
+    let Some(known) = directory.as_mut().filter(|known| known.fingerprint == fingerprint) else {
+        return false;
+    };
+    if read_at > known.read_at {
+        known.read_at = read_at;
+        apply_entries(state, &known.entries, known.keep_missing_until);
     }
-    logged_invalid.retain(|id, _| rows.iter().any(|row| row.key.key == *id));
-    let change =
-        state.fleet.borrow_mut().apply_directory(entries, reregistration_until, clock::now());
+    true
+}
+
+/// Whether reports contradict the known directory.
+fn is_contradicted(state: &RouterState) -> bool {
+    let directory = state.directory.borrow();
+    directory.as_ref().is_some_and(|known| state.fleet.borrow().contradicts(&known.entries))
+}
+
+/// Applies the entries of the directory; endpoints without one are kept until
+/// `keep_missing_until`.
+fn apply_entries(state: &RouterState, entries: &[Endpoint], keep_missing_until: Instant) {
+    let (entries, now) = (entries.to_vec(), clock::now());
+    let change = state.fleet.borrow_mut().apply_directory(entries, keep_missing_until, now);
     let fleet = state.fleet.borrow();
     for id in &change.joined {
         let endpoint = fleet.get(id).map(|member| &member.endpoint);
--- a/mimosafront/src/gossip.rs
+++ b/mimosafront/src/gossip.rs
@@ -103,9 +103,9 @@
         config,
         store_age: state.last_store_answer.get().map(|at| now.since(at)),
         store_lost: state.store_lost.get(),
-        directory: state.last_directory_read.get().map(|read| Directory {
-            fingerprint: state.fleet.borrow().fingerprint(),
-            age: now.since(read),
+        directory: state.directory.borrow().as_ref().map(|directory| Directory {
+            fingerprint: directory.fingerprint,
+            age: now.since(directory.read_at),
         }),
         usage: state.fleet.borrow().digest(),
         observed: state
@@ -307,8 +307,8 @@
 /// The directory as last read; `None` before the first read.
 fn encoded_directory(state: &RouterState) -> Option<Vec<u8>> {
     let now = clock::now();
-    state.last_directory_read.get()?;
     let directory = state.directory.borrow();
+    let directory = directory.as_ref()?;
     let Position { era, revision } = directory.position;
     Some(Vec::from(&wire::Directory {
         position: (era, revision),
--- a/mimosafront/src/readiness.rs
+++ b/mimosafront/src/readiness.rs
@@ -30,7 +30,7 @@
     if !state.keys_are_current() {
         return Some("configuration not confirmed");
     }
-    if state.last_directory_read.get().is_none() {
+    if state.directory_read_at().is_none() {
         return Some("endpoints not known");
     }
     None
--- a/mimosafront/src/relay/mod.rs
+++ b/mimosafront/src/relay/mod.rs
@@ -344,11 +344,11 @@
 /// Waits until a router that has just started has read the endpoint directory: until then
 /// it does not know whether a request can be served.
 async fn wait_for_directory(state: &RouterState) -> Result<(), RequestError> {
-    if state.last_directory_read.get().is_none() {
+    if state.directory_read_at().is_none() {
         // The outcome shows below.
         drop(tokio::time::timeout(DIRECTORY_TIMEOUT, state.directory_read.notified()).await);
     }
-    match state.last_directory_read.get() {
+    match state.directory_read_at() {
         Some(_) => Ok(()),
         None => Err(RequestError::Refused(
             RefusalReason::NotReady,
--- a/mimosafront/src/state.rs
+++ b/mimosafront/src/state.rs
@@ -10,7 +10,7 @@
 use mimosaplatform::store::{Position, Store};
 use mimosashift::admit::pressure::MemoryPressure;
 use mimosashift::connection_pool::{self, Pool};
-use mimosashift::deployment::{Deployment, Node};
+use mimosashift::deployment::{Deployment, Endpoint, Node};
 use mimosashift::drain;
 use mimosashift::emit;
 use mimosashift::event::{Event, Logger};
@@ -91,10 +91,8 @@
     /// Whether the last call to the store neither succeeded nor ended in a
     /// conflict.
     pub store_lost: Cell<bool>,
-    /// When the endpoint directory was last read.
-    pub last_directory_read: Cell<Option<Instant>>,
-    /// The directory as last read, for peers.
-    pub directory: RefCell<DirectoryRead>,
+    /// The directory as last read; `None` before the first read.
+    pub directory: RefCell<Option<DirectoryRead>>,
     /// Wakes requests that arrived before the directory was first read.
     pub directory_read: Notify,
     /// Recent changes found in reports, to be included in digests.
@@ -143,15 +141,17 @@
 }
 
 /// The endpoint directory as last read from the store or taken from a peer.
-#[derive(Default)]
 pub struct DirectoryRead {
-    /// State of the store that it reflects.
+    /// State of the store that it reflects, or an earlier one with equal entries.
     pub position: Position,
-    /// When these rows were read. The directory may have been confirmed since by a peer that
-    /// knows the same endpoints, but not that they hold the same layers.
+    /// When it was read, by this router or by a peer whose entries are equal.
     pub read_at: Instant,
-    /// Its rows.
+    /// Its rows, for peers.
     pub rows: Rc<[Row]>,
+    /// The endpoints that its readable rows list.
+    pub entries: Rc<[Endpoint]>,
+    /// Hash of the entries.
+    pub fingerprint: u64,
     /// Time up to which endpoints without a row are kept.
     pub keep_missing_until: Instant,
 }
@@ -187,7 +187,6 @@
             config_confirmed: Notify::new(),
             last_store_answer: Cell::default(),
             store_lost: Cell::default(),
-            last_directory_read: Cell::default(),
             directory: RefCell::default(),
             directory_read: Notify::new(),
             observed: RefCell::default(),
@@ -268,7 +267,12 @@
 
     /// Age of the directory, in milliseconds, for logs.
     pub fn directory_age_ms(&self) -> Option<u64> {
-        self.last_directory_read.get().map(|read_at| millis(clock::now().since(read_at)))
+        self.directory_read_at().map(|read_at| millis(clock::now().since(read_at)))
+    }
+
+    /// When the directory was last read, by this router or for it.
+    pub fn directory_read_at(&self) -> Option<Instant> {
+        self.directory.borrow().as_ref().map(|directory| directory.read_at)
     }
 
     /// Whether the configuration is recent enough to accept client keys, which
--- a/mimosafront/tests/cluster/endpoints.rs
+++ b/mimosafront/tests/cluster/endpoints.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use serde_json::json;
+use serde_json::{Value, json};
 
 use super::engine::{self, Engine, Reply};
 use super::plain::{self, Plain};
@@ -105,6 +105,8 @@
     pub offered: u64,
     /// Time from the begin of a stream until an engine sends its head.
     pub head_delay: Duration,
+    /// A field of its directory entry, and what the entry says there instead of the truth.
+    pub listed: Option<(&'static str, Value)>,
 }
 
 pub struct Endpoints {
@@ -245,6 +247,7 @@
                 refusal_interval: None,
                 offered: 0,
                 head_delay: Duration::ZERO,
+                listed: None,
             };
             let (state, rejections) = (Mutex::new(state), Mutex::default());
             started.push(Arc::new(Member { id, service, zone, proxy, state, rejections }));
@@ -360,12 +363,15 @@
             state.heartbeats += 1;
             let layers =
                 state.layers.map(|(from, to)| json!({"from": from, "to": to, "version": 1}));
-            let entry = json!({
+            let mut entry = json!({
                 "service": member.service, "address": member.address(), "zone": member.zone,
                 "version": "v1", "slots": 64, "cold_remaining_ms": 0,
                 "state": if state.draining { "draining" } else { "ready" },
                 "sequence": state.heartbeats, "born": state.incarnation, "kind": "card", "layers": layers,
             });
+            if let Some((field, value)) = &state.listed {
+                entry[*field] = value.clone();
+            }
             drop(state);
             store.put("servers", &member.id, &entry);
         }
--- a/mimosashift/src/deployment/mod.rs
+++ b/mimosashift/src/deployment/mod.rs
@@ -108,7 +108,7 @@
 }
 
 /// Whether an endpoint accepts new work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum EndpointStatus {
     /// Accepts new work.
     Ready,
@@ -117,7 +117,7 @@
 }
 
 /// An endpoint as it registered itself.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Endpoint {
     /// Its id, unique among live endpoints.
     pub id: Arc<str>,
--- a/mimosashift/src/fleet/mod.rs
+++ b/mimosashift/src/fleet/mod.rs
@@ -148,6 +148,16 @@
     limits: Limits,
 }
 
+/// Hash of a directory, the same on every router that relies on equal entries. Heartbeats,
+/// which change all the time, are left out.
+pub fn fingerprint(entries: &[Endpoint]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    for entry in entries {
+        Endpoint { heartbeat: 0, ..entry.clone() }.hash(&mut hasher);
+    }
+    hasher.finish()
+}
+
 /// Hash of a name, such as an endpoint's id, which stands for it in digests.
 pub fn name_key(name: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
@@ -330,14 +340,15 @@
         }
     }
 
-    /// Hash of the endpoints, their incarnations and whether they are ready.
-    pub fn fingerprint(&self) -> u64 {
-        let mut hasher = DefaultHasher::new();
-        for member in self.members.values() {
-            let Endpoint { id, incarnation, status, .. } = &member.endpoint;
-            (id, incarnation, *status == EndpointStatus::Ready).hash(&mut hasher);
-        }
-        hasher.finish()
+    /// Whether reports have said something else than these entries. Which of the two is older
+    /// shows from the heartbeat of a newer entry.
+    pub fn contradicts(&self, entries: &[Endpoint]) -> bool {
+        entries.iter().any(|entry| {
+            let member = self.members.get(&entry.id).map(|member| &member.endpoint);
+            member.is_some_and(|known| {
+                known.incarnation == entry.incarnation && known.layers != entry.layers
+            })
+        })
     }
 
     /// An endpoint by id.
--- a/mimosashift/src/peer/mod.rs
+++ b/mimosashift/src/peer/mod.rs
@@ -164,7 +164,7 @@
 /// Endpoint directory known to a router.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Directory {
-    /// Hash of the endpoints, their incarnations and whether they are ready.
+    /// Hash of its entries, see [`fingerprint`](crate::fleet::fingerprint).
     pub fingerprint: u64,
     /// Time since the directory was read from the store.
     pub age: Duration,
--- a/mimosashift/tests/fleet.rs
+++ b/mimosashift/tests/fleet.rs
@@ -3,9 +3,9 @@
 
 use std::time::Duration;
 
-use mimosashift::deployment::EndpointStatus;
+use mimosashift::deployment::{Endpoint, EndpointStatus};
 use mimosashift::exchange::Report;
-use mimosashift::fleet::{Chain, Fleet, Observation, Query, Shortage, name_key};
+use mimosashift::fleet::{Chain, Fleet, Observation, Query, Shortage, fingerprint, name_key};
 use mimosashift::time::Instant;
 
 use test_case::test_case;
@@ -162,6 +162,33 @@
     assert_eq!(fleet.get("e1").unwrap().endpoint.layers, Some(layers(0, 40)));
 }
 
+#[test_case(|e| e.service = "other".into() => true; "service")]
+#[test_case(|e| e.address.set_port(9) => true; "address")]
+#[test_case(|e| e.zone = "z".into() => true; "zone")]
+#[test_case(|e| e.status = EndpointStatus::Draining => true; "status")]
+#[test_case(|e| e.slots += 1 => true; "slots")]
+#[test_case(|e| e.incarnation += 1 => true; "incarnation")]
+#[test_case(|e| e.layers = None => true; "layers")]
+#[test_case(|e| e.card = None => true; "card")]
+#[test_case(|e| e.heartbeat += 1 => false; "heartbeat")]
+fn directories_that_differ_do_not_have_the_same_fingerprint(change: fn(&mut Endpoint)) -> bool {
+    let mut entries = two_zones();
+    change(&mut entries[2]);
+    fingerprint(&entries) != fingerprint(&two_zones())
+}
+
+#[test]
+fn entry_is_contradicted_by_reports_of_other_layers_of_the_same_incarnation() {
+    let mut fleet = fleet(two_zones());
+    assert!(!fleet.contradicts(&two_zones()));
+    let report = Report { incarnation: 1, layers: Some(layers(0, 50)), ..Report::default() };
+    fleet.apply_report("e1", &report, at(5));
+    assert!(fleet.contradicts(&two_zones()));
+    let mut restarted = two_zones();
+    restarted[0].incarnation += 1;
+    assert!(!fleet.contradicts(&restarted));
+}
+
 #[test]
 fn plain_request_goes_to_the_least_loaded_endpoint_that_does_not_fail() {
     let mut fleet = fleet(vec![plain(1, "a"), plain(2, "b"), plain(3, "b")]);
