Close connections as soon as SIGTERM has arrived

Callers that used a kept connection just after SIGTERM, and again after the router had exited, got no answer.

Signals are polled every 50 ms, and `stopping` was set by that poll, so a response given in between did not tell its client to leave. The state now holds the flag that the signal handler sets, which is read when the response is given; no poll lies between.

--- a/mimosafront/src/gossip.rs
+++ b/mimosafront/src/gossip.rs
@@ -98,7 +98,7 @@
         sequence: 0,
         sent_at: now,
         echo: None,
-        leaving: state.stopping.get(),
+        leaving: state.stopping.is_set(),
         holds_placement_lease: state.holds_placement_lease.get(),
         config,
         store_age: state.last_store_answer.get().map(|at| now.since(at)),
--- a/mimosafront/src/placement.rs
+++ b/mimosafront/src/placement.rs
@@ -126,7 +126,7 @@
     /// harm.
     fn may_order(&self) -> bool {
         let authority = self.lease.as_ref().and_then(|l| l.authorize(true, clock::now()));
-        authority.is_some() && !self.state.stopping.get() && !self.defers_to_peer()
+        authority.is_some() && !self.state.stopping.is_set() && !self.defers_to_peer()
     }
 
     /// Whether another router should hold the lease because this one has lost the
@@ -178,9 +178,9 @@
         let held = self.lease.as_ref().is_some_and(|lease| lease.authorize(true, now).is_some());
         let peer_is_holder =
             state.peers.borrow().alive(now).any(|peer| peer.digest.holds_placement_lease);
-        if state.stopping.get() || (!held && peer_is_holder) {
+        if state.stopping.is_set() || (!held && peer_is_holder) {
             self.unheld_since = None;
-            self.set_lease_holder(held && !state.stopping.get());
+            self.set_lease_holder(held && !state.stopping.is_set());
             return;
         }
         let unheld_since = *self.unheld_since.get_or_insert(now);
@@ -240,7 +240,7 @@
             let token = self.lease.as_ref().and_then(|l| l.authorize(true, clock::now()));
             emit!(self.state.log, Event::LeaseAcquired, "fencing_token" => token.map(|n| n.0));
         } else {
-            emit!(self.state.log, Event::LeaseLost, "stopping" => self.state.stopping.get());
+            emit!(self.state.log, Event::LeaseLost, "stopping" => self.state.stopping.is_set());
             self.state.meter.lost_leases(1);
             self.pending.clear();
         }
--- a/mimosafront/src/readiness.rs
+++ b/mimosafront/src/readiness.rs
@@ -21,7 +21,7 @@
 
 /// Reason why the router is not ready; `None` if it is.
 pub fn unready_reason(state: &RouterState) -> Option<&'static str> {
-    if state.stopping.get() {
+    if state.stopping.is_set() {
         return Some("stopping");
     }
     if state.active_config.borrow().is_none() {
--- a/mimosafront/src/relay/mod.rs
+++ b/mimosafront/src/relay/mod.rs
@@ -184,7 +184,7 @@
         Ok(response) => response,
         Err(error) => error_response(&state, id.as_ref(), &error, arrived),
     };
-    if is_chunked || state.stopping.get() {
+    if is_chunked || state.stopping.is_set() {
         // Clients leave a router that is stopping with the response. A message with both
         // `Content-Length` and `Transfer-Encoding` may smuggle in a second request; a
         // connection that has carried a chunked request is not reused.
--- a/mimosafront/src/run.rs
+++ b/mimosafront/src/run.rs
@@ -47,7 +47,7 @@
     let peer_listener = TcpListener::bind(node.peer_address()).await?;
     let peer_socket = UdpSocket::bind(node.peer_address()).await?;
     let relays = TcpListener::bind(node.relay_address()).await?;
-    let state = RouterState::new(node, log, meter);
+    let state = RouterState::new(node, signals.stop(), log, meter);
     let node = state.node();
     emit!(
         state.log, Event::FrontStarted,
--- a/mimosafront/src/shutdown.rs
+++ b/mimosafront/src/shutdown.rs
@@ -43,6 +43,10 @@
     reload: Arc<AtomicBool>,
 }
 
+/// Set by the signal handler.
+#[derive(Clone)]
+pub struct StopFlag(Arc<AtomicBool>);
+
 impl Signals {
     /// Installs the handlers; signals received from here on are recorded.
     pub fn register() -> io::Result<Self> {
@@ -53,6 +57,19 @@
         signal_hook::flag::register(SIGHUP, signals.reload.clone())?;
         Ok(signals)
     }
+
+    /// Whether the router is to stop, as seen by everything that must not wait for the next
+    /// poll.
+    pub fn stop(&self) -> StopFlag {
+        StopFlag(self.stop.clone())
+    }
+}
+
+impl StopFlag {
+    /// Whether SIGTERM or SIGINT has arrived.
+    pub fn is_set(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
 }
 
 /// Handles signals and settings changes until the router may exit; returns the
@@ -64,7 +81,7 @@
     closing: watch::Sender<bool>,
 ) -> usize {
     let mut polls = 0;
-    while !signals.stop.load(Ordering::Relaxed) {
+    while !state.stopping.is_set() {
         tokio::time::sleep(SIGNAL_POLL_INTERVAL).await;
         polls += 1;
         if signals.reload.swap(false, Ordering::Relaxed) || polls % POLLS_PER_RELOAD == 0 {
@@ -73,7 +90,6 @@
             state.pool.close_expired();
         }
     }
-    state.stopping.set(true);
     let grace = state.node().bounds.shutdown_grace;
     state.stop_deadline.set(Some(clock::now() + grace.saturating_sub(EXIT_MARGIN)));
     let in_flight = state.in_flight.get();
--- a/mimosafront/src/state.rs
+++ b/mimosafront/src/state.rs
@@ -34,6 +34,7 @@
 use crate::probe::ProbeResults;
 use crate::reach::SharedCheck;
 use crate::server::Connections;
+use crate::shutdown::StopFlag;
 
 /// Time limit for a call to the store: many times its usual latency.
 const STORE_TIMEOUT: Duration = Duration::from_millis(900);
@@ -100,7 +101,7 @@
     /// Whether this router holds the placement lease.
     pub holds_placement_lease: Cell<bool>,
     /// Whether SIGTERM has arrived.
-    pub stopping: Cell<bool>,
+    pub stopping: StopFlag,
     /// Whether this router is stopping and the load balancer has turned away from it.
     pub is_balanced_away: Cell<bool>,
     /// When requests that have not ended are cut off, once SIGTERM has arrived.
@@ -158,7 +159,7 @@
 
 impl RouterState {
     /// Creates the initial state.
-    pub fn new(node: Node, log: Logger, meter: Meter) -> Rc<Self> {
+    pub fn new(node: Node, stopping: StopFlag, log: Logger, meter: Meter) -> Rc<Self> {
         let pool = Pool::new(connection_pool::Settings::default());
         let store = Store::new(pool.clone(), node.store.address, STORE_TIMEOUT);
         let now = clock::now();
@@ -191,7 +192,7 @@
             directory_read: Notify::new(),
             observed: RefCell::default(),
             holds_placement_lease: Cell::default(),
-            stopping: Cell::default(),
+            stopping,
             is_balanced_away: Cell::default(),
             stop_deadline: Cell::default(),
             stop_deadline_passed: Notify::new(),
--- a/mimosafront/tests/planned_stops.rs
+++ b/mimosafront/tests/planned_stops.rs
@@ -281,6 +281,30 @@
     assert_eq!(cluster.routers[0].wait(), Some(0));
 }
 
+/// The requests arrive in the first milliseconds after the signal.
+#[test]
+fn response_given_just_after_sigterm_tells_its_client_to_leave() {
+    let mut cluster = TestCluster::start(ClusterOptions::default());
+    let to = cluster.routers[0].clients;
+    let open = || BlindConnection::connect(to).await_on(&cluster).unwrap();
+    let mut connections: Vec<_> = (0..30).map(|_| open()).collect();
+    for (number, connection) in connections.iter_mut().enumerate() {
+        assert_eq!(connection.send(&TestRequest::mixed(number)).await_on(&cluster), Ending::Kept);
+    }
+    cluster.routers[0].signal(Signal::SIGTERM);
+    let sending = connections.into_iter().enumerate().map(|(number, mut connection)| {
+        cluster.runtime.spawn(async move {
+            sleep(Duration::from_millis(number as u64)).await;
+            connection.send(&TestRequest::mixed(number)).await
+        })
+    });
+    let sending: Vec<_> = sending.collect();
+    let ended: Vec<_> = sending.into_iter().map(|s| s.await_on(&cluster).unwrap()).collect();
+    let kept = ended.iter().filter(|ending| **ending != Ending::Closed).count();
+    assert_eq!(kept, 0, "of {ended:?}");
+    assert_eq!(cluster.routers[0].wait(), Some(0));
+}
+
 /// An endpoint does not answer a posting before the router must exit.
 #[test]
 fn request_that_outlasts_a_planned_stop_is_answered_before_the_exit() {
