Refuse requests that must not be repeated and may not end before the exit

Callers of a stopping router whose posting took longer than the rest of the grace period got 502 for work that an endpoint had begun, and could not send it again.

Whether a plain request fits was judged by the average of all plain requests and four average deviations, so that slow requests among quick ones seemed to fit, and without another router every request was sent on. Response times are now kept by route, with the longest recent one. A request that may not be repeated is sent on only if that, with a margin, or its own time limit fits into the time left; else it is refused as not run. One that may be repeated is refused as before, by its route's average.

--- a/mimosafront/src/relay/plain.rs
+++ b/mimosafront/src/relay/plain.rs
@@ -76,7 +76,7 @@
     let (mut possible_executions, mut rejected_sends) = (ctx.origin.executions(), 0);
     let mut last_response = None;
     let mut cause = "no endpoint left";
-    if stop::outlasts_router(&ctx.state) {
+    if stop::outlasts_router(&ctx) {
         return Err(stop::error(&ctx.state, possible_executions > 0));
     }
     let (mut reason, mut retry_after) = (RefusalReason::NoEndpoint, NOT_EXECUTED_RETRY_AFTER);
@@ -228,9 +228,10 @@
         ctx.record_success();
     }
     if let SendOutcome::Answered(response, true) = &outcome {
-        let mut latency = state.plain_latency.get();
+        let mut latencies = state.plain_latency.borrow_mut();
+        let latency = latencies.entry(ctx.route.name.clone()).or_default();
         latency.record(clock::now().since(ctx.arrived));
-        state.plain_latency.set(latency);
+        drop(latencies);
         let status = response.status();
         let label = if status.is_success() { Outcome::Completed } else { Outcome::Failed };
         state.meter.requests(1, label);
--- a/mimosafront/src/relay/stop.rs
+++ b/mimosafront/src/relay/stop.rs
@@ -5,7 +5,7 @@
 use hyper::StatusCode;
 use mimosashift::meter::RefusalReason;
 
-use super::RequestError;
+use super::{RequestContext, RequestError};
 use crate::clock;
 use crate::state::RouterState;
 
@@ -39,13 +39,25 @@
     RequestError::Refused(RefusalReason::NotReady, REASON, retry_after)
 }
 
-/// Whether this router is stopping and would probably not answer a plain request in time,
-/// while another one can.
-pub(super) fn outlasts_router(state: &RouterState) -> bool {
+/// Whether this router is stopping and might not answer a plain request in time. One that may
+/// be repeated is refused only if another router can serve it; any other one, which nobody may
+/// send again once it has been cut off, is refused in any case.
+pub(super) fn outlasts_router(ctx: &RequestContext) -> bool {
+    let state = &ctx.state;
     let Some(deadline) = state.stop_deadline.get() else { return false };
-    let now = clock::now();
-    let fits = state.plain_latency.get().fits(deadline.since(now));
-    !fits && has_other_router(state)
+    let left = deadline.since(clock::now());
+    if ctx.remaining() <= left {
+        return false;
+    }
+    let latencies = state.plain_latency.borrow();
+    match latencies.get(&ctx.route.name) {
+        Some(latency) if ctx.route.is_idempotent() => {
+            !latency.fits(left) && has_other_router(state)
+        }
+        Some(latency) => !latency.surely_fits(left),
+        None if ctx.route.is_idempotent() => false,
+        None => state.is_balanced_away.get() && has_other_router(state),
+    }
 }
 
 /// Whether another router is alive.
--- a/mimosafront/src/state.rs
+++ b/mimosafront/src/state.rs
@@ -108,8 +108,8 @@
     pub stop_deadline: Cell<Option<Instant>>,
     /// Wakes the requests that have not ended by then.
     pub stop_deadline_passed: Notify,
-    /// Response time of recent plain requests.
-    pub plain_latency: Cell<drain::Latency>,
+    /// Response time of recent plain requests, by route.
+    pub plain_latency: RefCell<HashMap<Arc<str>, drain::Latency>>,
     /// Time per token of recent streams.
     pub stream_pace: Cell<drain::Pace>,
     /// Requests in flight.
@@ -196,7 +196,7 @@
             is_balanced_away: Cell::default(),
             stop_deadline: Cell::default(),
             stop_deadline_passed: Notify::new(),
-            plain_latency: Cell::default(),
+            plain_latency: RefCell::default(),
             stream_pace: Cell::default(),
             in_flight: Cell::default(),
             connections: Connections::default(),
--- a/mimosafront/tests/cluster/plain.rs
+++ b/mimosafront/tests/cluster/plain.rs
@@ -87,7 +87,7 @@
             self.endpoints.crash(&self.member);
             std::future::pending::<()>().await;
         }
-        tokio::time::sleep(SERVICE_TIME).await;
+        tokio::time::sleep(service_time(head.uri.query())).await;
         if head.uri.path().starts_with("/feed/") {
             return Ok(feed(&id, health));
         }
@@ -111,6 +111,12 @@
     }
 }
 
+/// The time that a request asks for in its query, as `ms=N`.
+fn service_time(query: Option<&str>) -> Duration {
+    let ms = query.and_then(|query| query.strip_prefix("ms="));
+    ms.map_or(SERVICE_TIME, |ms| Duration::from_millis(ms.parse().unwrap()))
+}
+
 /// A stream of events, which is cut inside the last one if the endpoint closes
 /// its connections there.
 fn feed(id: &str, health: Health) -> Reply {
--- a/mimosafront/tests/planned_stops.rs
+++ b/mimosafront/tests/planned_stops.rs
@@ -354,6 +354,40 @@
     assert_eq!(cluster.routers[0].wait(), Some(0));
 }
 
+/// Most postings are quick and a few are slow; the slow ones arrive with less time left than they
+/// take.
+#[test_case(2; "another router serves them")]
+#[test_case(1; "no other router is alive")]
+fn posting_that_cannot_end_before_the_exit_is_refused_and_not_run(routers: usize) {
+    let mut cluster = TestCluster::start(ClusterOptions { routers, ..ClusterOptions::default() });
+    let to = cluster.routers[0].clients;
+    let send_slow = || {
+        let sending = (0..5).map(|_| {
+            let mut request = TestRequest::post();
+            request.path += "?ms=3000";
+            request.timeout = 2 * GRACE_PERIOD;
+            cluster.runtime.spawn(async move { (request.send(to).await, request.id) })
+        });
+        let sending: Vec<_> = sending.collect();
+        let ended = sending.into_iter().map(|sending| sending.await_on(&cluster).unwrap());
+        ended.map(|(response, id)| (response.map(|r| r.status), id)).collect::<Vec<_>>()
+    };
+    assert!(send_slow().iter().all(|(status, _)| *status == Some(200)));
+    // A router without connections would exit before.
+    let _idle = BlindConnection::connect(to).await_on(&cluster).unwrap();
+    for _ in 0..100 {
+        let response = TestRequest::post().send(to).await_on(&cluster);
+        assert_eq!(response.map(|response| response.status), Some(200));
+    }
+    cluster.routers[0].signal(Signal::SIGTERM);
+    std::thread::sleep(Duration::from_millis(3_200));
+    let ended = send_slow();
+    let runs: usize = ended.iter().map(|(_, id)| cluster.endpoints.trace(id).runs).sum();
+    assert!(ended.iter().all(|(status, _)| *status == Some(503)), "{runs} run of {ended:?}");
+    assert_eq!(runs, 0);
+    assert_eq!(cluster.routers[0].wait(), Some(0));
+}
+
 /// The stream would be sent as a whole after its end, and takes longer than the grace period.
 #[test]
 fn http_1_0_client_of_a_stream_that_outlasts_a_planned_stop_is_answered() {
--- a/mimosashift/src/drain.rs
+++ b/mimosashift/src/drain.rs
@@ -51,11 +51,18 @@
     }
 }
 
-/// Response time of recent requests without a stream: its average, and the average deviation
-/// from that.
+/// Part of the longest response time that is forgotten with each request.
+const FORGOTTEN_SHARE: f64 = 1.0 / 256.0;
+
+/// Factor on the longest response time within which a request ends that must not be cut off.
+const LONGEST_MARGIN: f64 = 1.25;
+
+/// Response time of recent requests without a stream: its average, the average deviation from
+/// that, and the longest.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Latency {
     seconds: Option<(f64, f64)>,
+    longest: f64,
 }
 
 impl Latency {
@@ -68,6 +75,7 @@
             average + (seconds - average) * AVERAGING_SHARE,
             deviation + (distance - deviation) * AVERAGING_SHARE,
         ));
+        self.longest = seconds.max(self.longest * (1.0 - FORGOTTEN_SHARE));
     }
 
     /// Whether a request is likely to be answered within `left`. True as long as none has
@@ -77,4 +85,9 @@
             average + deviation * LATENCY_DEVIATIONS <= left.as_secs_f64()
         })
     }
+    /// Whether a request is answered within `left` even if it is as slow as the slowest recent
+    /// one. False as long as none has been answered.
+    pub fn surely_fits(&self, left: Duration) -> bool {
+        self.seconds.is_some() && self.longest * LONGEST_MARGIN <= left.as_secs_f64()
+    }
 }
--- a/mimosashift/tests/drain.rs
+++ b/mimosashift/tests/drain.rs
@@ -66,3 +66,25 @@
 fn every_request_fits_before_one_has_been_answered() {
     assert!(Latency::default().fits(Duration::ZERO));
 }
+
+#[test_case(150 => true; "with a margin")]
+#[test_case(130 => false; "without a margin")]
+fn request_surely_fits_into_the_time_left(left_ms: u64) -> bool {
+    latency().surely_fits(Duration::from_millis(left_ms))
+}
+
+#[test]
+fn slow_request_among_quick_ones_is_remembered() {
+    let mut latency = latency();
+    latency.record(Duration::from_secs(3));
+    (0..100).for_each(|_| latency.record(Duration::from_millis(100)));
+    assert!(latency.fits(Duration::from_secs(1)));
+    assert!(!latency.surely_fits(Duration::from_secs(2)));
+    (0..500).for_each(|_| latency.record(Duration::from_millis(100)));
+    assert!(latency.surely_fits(Duration::from_secs(1)));
+}
+
+#[test]
+fn no_request_surely_fits_before_one_has_been_answered() {
+    assert!(!Latency::default().surely_fits(Duration::from_secs(60)));
+}
