Let the usage of peers expire without further digests

What callers saw: nothing is known of; found while looking for state that is called fresh after it has expired. A router that receives no digests any more while clients and endpoints still reach it would refuse requests for lack of memory that has long been free.

Cause: digests of usage expire after 3 s, but only when another digest is merged. The sums were used without a look at the age, while the log named the peers that had not expired (peers=0).

Evidence, before: 3.4 s after its digest the usage of a silent peer still counts (2e9 and 1e9 tokens x layers instead of 1e9 and 0). After: it ends at 3 s, with or without further digests.

The sums now carry the time at which the first of their digests expires; from then on only valid digests are added up until the next one arrives.

--- a/mimosashift/src/fleet/plain.rs
+++ b/mimosashift/src/fleet/plain.rs
@@ -33,12 +33,14 @@
             &*m.endpoint.service == service
                 && m.takes_work()
                 && !avoid.contains(&m.endpoint.id)
-                && f64::from(self.known_usage(m).requests) < MAX_LOAD * f64::from(m.endpoint.slots)
+                && f64::from(self.known_usage(m, now).requests)
+                    < MAX_LOAD * f64::from(m.endpoint.slots)
                 && self.has_credit(m, now)
                 && !m.is_resting(now)
         };
         let cost = |m: &Member| {
-            let load = f64::from(self.known_usage(m).requests) / f64::from(m.endpoint.slots.max(1));
+            let load =
+                f64::from(self.known_usage(m, now).requests) / f64::from(m.endpoint.slots.max(1));
             let remote = if &*m.endpoint.zone == zone { 0.0 } else { REMOTE_ZONE_COST };
             // An endpoint that failed recently is better than none.
             let unusable = if m.is_usable(now) { 0.0 } else { UNUSABLE_COST };
--- a/mimosashift/src/fleet/usage.rs
+++ b/mimosashift/src/fleet/usage.rs
@@ -40,6 +40,8 @@
     /// since summing up all digests for each one received takes too long with hundreds
     /// of peers.
     totals: HashMap<u64, Total>,
+    /// When the first of the digests expires.
+    next_expiry: Instant,
 }
 
 /// Usage in the latest digest of a peer.
@@ -96,6 +98,8 @@
         for (_, digest) in expired {
             self.subtract(&digest);
         }
+        let oldest = self.digests.values().map(|digest| digest.received_at).min();
+        self.next_expiry = oldest.unwrap_or(now) + PEER_DIGEST_TTL;
     }
 
     fn subtract(&mut self, digest: &PeerDigest) {
@@ -109,8 +113,16 @@
         }
     }
 
-    fn of(&self, endpoint: u64) -> Usage {
-        self.totals.get(&endpoint).map_or_else(Usage::default, Usage::from)
+    fn of(&self, endpoint: u64, now: Instant) -> Usage {
+        if now < self.next_expiry {
+            return self.totals.get(&endpoint).map_or_else(Usage::default, Usage::from);
+        }
+        // The sums still contain expired digests, since none has arrived lately.
+        let valid = |digest: &&PeerDigest| now.since(digest.received_at) < PEER_DIGEST_TTL;
+        let usage = self.digests.values().filter(valid).flat_map(|digest| &digest.usage);
+        let mut total = Total::default();
+        usage.filter(|(key, _)| *key == endpoint).for_each(|(_, usage)| total.add(usage));
+        Usage::from(&total)
     }
 
     /// Number of peers whose usage is included, and the age of the oldest digest.
@@ -154,15 +166,15 @@
 
 impl Fleet {
     /// Usage by this router and its peers.
-    pub(super) fn known_usage(&self, member: &Member) -> Usage {
+    pub(super) fn known_usage(&self, member: &Member, now: Instant) -> Usage {
         let mut usage = member.own_usage;
-        usage.add(&self.peer_usage.of(name_key(&member.endpoint.id)));
+        usage.add(&self.peer_usage.of(name_key(&member.endpoint.id), now));
         usage
     }
 
     /// Known usage and untracked KV cache.
     pub(super) fn usage(&self, member: &Member, now: Instant) -> Usage {
-        let mut usage = self.known_usage(member);
+        let mut usage = self.known_usage(member, now);
         usage.cache += member.untracked_cache.at(now);
         usage
     }
@@ -185,7 +197,7 @@
         if member.endpoint.incarnation != report.incarnation {
             return None;
         }
-        let known = f64::from(self.known_usage(member).cache);
+        let known = f64::from(self.known_usage(member, now).cache);
         let untracked = report.kv_used - known;
         let is_untracked = untracked > report.kv_total * MIN_UNTRACKED_SHARE;
         let initial = if is_untracked { untracked as f32 } else { 0.0 };
--- a/mimosashift/tests/usage.rs
+++ b/mimosashift/tests/usage.rs
@@ -54,6 +54,20 @@
     assert!(choose(&fleet, &DEMAND).is_ok());
 }
 
+#[test]
+fn usage_of_peers_expires_although_no_further_digest_arrives() {
+    let mut fleet = fleet(two_zones());
+    let full = Usage { cache: 1e9, requests: 1_000, ..Usage::default() };
+    let usage: Vec<_> = ["e1", "e2", "e3", "e4"].iter().map(|id| (name_key(id), full)).collect();
+    fleet.merge_digest(&"lost".into(), &usage, at(100));
+    fleet.merge_digest(&"peer".into(), &[(name_key("e1"), full)], at(1_000));
+    let fills = |ms| ["e1", "e2"].map(|id| fleet.cache(fleet.get(id).unwrap(), at(ms)));
+    assert_eq!(fills(3_000), [2e9, 1e9]);
+    assert_eq!(fills(3_500), [1e9, 0.0]);
+    assert_eq!(fills(4_000), [0.0, 0.0]);
+    assert!(fleet.chain(&query(&huge(), &DEMAND), at(4_000)).is_ok());
+}
+
 #[test]
 fn endpoint_that_reports_a_full_cache_gets_no_work_although_no_peer_is_known() {
     let mut fleet = fleet(two_zones());
