Take no confirmation that echoes the clock before a reboot

What callers saw: nothing is known of; found while looking for ages that are not those of what is known. After a reboot a revoked key would be accepted for as long as the machine had run before, with the store out of reach.

Cause: the age of a peer's confirmation counts from the timestamp that the peer returns, by the clock since boot. Until a peer has a digest of the new process, it returns timestamps of the one before the reboot. These lie in the future; the age is then taken for zero until the clock has passed them.

Evidence, before: 4 s after the store was cut off (revocation bound 3 s) a posting with a key is served (200), if a peer echoes such a timestamp. After: it is refused (503).

A timestamp counts only if this process may have sent it: not before its start and not after now. One of an earlier boot that falls between the two, seconds after the start, is still taken.

--- a/mimosafront/src/gossip.rs
+++ b/mimosafront/src/gossip.rs
@@ -197,7 +197,8 @@
     now: Instant,
     last_fetch: &mut Instant,
 ) {
-    if let Some(relayed) = digest.confirmation() {
+    let confirmation = digest.confirmation();
+    if let Some(relayed) = confirmation.filter(|c| state.may_have_sent(c.request_sent, now)) {
         let mut freshness = state.config_freshness.get();
         if freshness.confirm_from_peer(&relayed, state.revision()) {
             state.config_freshness.set(freshness);
--- a/mimosafront/src/state.rs
+++ b/mimosafront/src/state.rs
@@ -261,6 +261,12 @@
         self.config_confirmed.notify_waiters();
     }
 
+    /// Whether a peer may echo this time as that of a digest of this process. The clock of an
+    /// earlier boot showed other times, which say nothing of the age of what a peer tells.
+    pub fn may_have_sent(&self, at: Instant, now: Instant) -> bool {
+        (self.started..=now).contains(&at)
+    }
+
     /// Age of the last confirmation, in milliseconds, for logs.
     pub fn config_age_ms(&self) -> Option<u64> {
         self.config_freshness.get().age(clock::now()).map(millis)
