Confirm no configuration while a newer one cannot be decoded

What callers saw: nothing is known of; the store of the platform takes only valid configurations, so that builds which read a new field differently are the likely case. A key that the newer configuration revokes stayed accepted.

Cause: a read that finds no newer row than the last one confirms what is installed as the newest. After a row that cannot be decoded, that is an older one. Routers that follow a reader compared revisions only, and followed one that confirms nothing (also one whose reads of this table fail while others succeed) until their direct read.

Evidence, before: 4 s after such a row, both routers serve a posting with a key ([200, 200]; revocation bound 3 s). After: both refuse it ([503, 503]) until a configuration follows that can be decoded.

The router remembers that the newest row could not be decoded and confirms nothing until one can. A reader is followed only while its own confirmation is at most 1.5 s old, as with the directory; that part has no test of its own.

--- a/mimosafront/src/directory.rs
+++ b/mimosafront/src/directory.rs
@@ -30,6 +30,10 @@
 /// this router has the same state.
 const READER_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Age of that peer's confirmation of its configuration up to which it is relied on; longer
+/// than the interval of its reads.
+const MAX_READER_CONFIG_AGE: Duration = Duration::from_millis(1_500);
+
 /// Number of such checks for which a newer configuration of that peer is waited for before
 /// it is read from the store.
 const MAX_FETCH_WAITS: usize = 3;
@@ -54,6 +58,8 @@
 pub async fn watch_config(state: Rc<RouterState>) {
     let mut position = None;
     let mut last_direct_read = Instant::ZERO;
+    // Whether the newest row can be decoded. If not, what is installed is not the newest.
+    let mut is_readable = true;
     loop {
         let started = clock::now();
         let next_direct_read =
@@ -80,7 +86,10 @@
         match read {
             Outcome::Done(Some(rows)) => {
                 position = Some(rows.position);
-                apply_config(&state, &rows, started);
+                is_readable = apply_config(&state, &rows).unwrap_or(is_readable);
+                if is_readable && state.active_config.borrow().is_some() {
+                    state.confirm(started);
+                }
             }
             Outcome::Done(None) => {
                 // The store has truncated its change history, or come back from a
@@ -125,11 +134,14 @@
     false
 }
 
-/// Configuration of the peer that reads the store on behalf of this router.
+/// Configuration of the peer that reads the store on behalf of this router, if that peer has
+/// lately found it to be the newest.
 fn reader_revision(state: &RouterState) -> Option<u64> {
     let peers = state.peers.borrow();
-    let reader = peers.store_reader(&state.node().name, clock::now())?;
-    reader.digest.config.map(|config| config.revision)
+    let now = clock::now();
+    let reader = peers.store_reader(&state.node().name, now)?;
+    let is_confirmed = reader.config_age(now).is_some_and(|age| age < MAX_READER_CONFIG_AGE);
+    reader.digest.config.filter(|_| is_confirmed).map(|config| config.revision)
 }
 
 fn store_retry_interval(state: &RouterState) -> Duration {
@@ -137,20 +149,20 @@
     state.peers.borrow().store_retry_interval(random, clock::now())
 }
 
-fn apply_config(state: &RouterState, rows: &Rows, started: Instant) {
-    let row = rows.rows.iter().rev().find(|row| row.key.key == config::KEY);
-    if let Some(row) = row {
-        match config::decode(&row.value) {
-            Ok(deployment) => state.install(deployment, &row.value, "store"),
-            Err(error) => {
-                let error = error.to_string();
-                emit!(state.log, Event::ConfigUnreadable, "revision" => row.revision, "error" => error);
-                return;
-            }
+/// Installs the configuration in changed rows; returns whether it can be decoded, or `None`
+/// if they hold none.
+fn apply_config(state: &RouterState, rows: &Rows) -> Option<bool> {
+    let row = rows.rows.iter().rev().find(|row| row.key.key == config::KEY)?;
+    match config::decode(&row.value) {
+        Ok(deployment) => {
+            state.install(deployment, &row.value, "store");
+            Some(true)
+        }
+        Err(error) => {
+            let error = error.to_string();
+            emit!(state.log, Event::ConfigUnreadable, "revision" => row.revision, "error" => error);
+            Some(false)
         }
-    }
-    if state.active_config.borrow().is_some() {
-        state.confirm(started);
     }
 }
 
--- a/mimosafront/tests/odd_rows.rs
+++ b/mimosafront/tests/odd_rows.rs
@@ -2,9 +2,12 @@
 
 mod cluster;
 
+use std::time::Duration;
+
 use nix::sys::signal::Signal;
 
 use cluster::client::TestRequest;
+use cluster::router::REVOCATION_BOUND;
 use cluster::{ClusterOptions, TestCluster};
 
 /// Requests that show which endpoints are used.
@@ -88,3 +91,24 @@
     });
     assert!(cluster.routers.iter().any(|router| !router.log_lines("MS0807").is_empty()));
 }
+
+/// The newer configuration may have revoked the key.
+#[test]
+fn key_is_not_accepted_after_a_configuration_that_cannot_be_read() {
+    let mut cluster = TestCluster::start(ClusterOptions { zones: 1, ..ClusterOptions::default() });
+    let unreadable = |cluster: &TestCluster| {
+        cluster.routers.iter().any(|router| !router.log_lines("MS0913").is_empty())
+    };
+    cluster.store.put_bytes("op", "config", b"{\"version\":1000".to_vec());
+    cluster.wait_until("a router has met the configuration", unreadable);
+    std::thread::sleep(REVOCATION_BOUND + Duration::from_secs(1));
+    let statuses = |cluster: &TestCluster| {
+        let send = |to| cluster.runtime.block_on(TestRequest::post().send(to)).unwrap().status;
+        cluster.routers.iter().map(|router| send(router.clients)).collect::<Vec<_>>()
+    };
+    assert_eq!(statuses(&cluster), [503, 503]);
+    cluster.configure(&[(cluster::TEAM, &[cluster::KEY])]);
+    cluster.wait_until("a configuration that can be read takes effect", |cluster| {
+        statuses(cluster) == [200, 200]
+    });
+}
