Read the directory before a request is refused for lack of an endpoint

What callers saw: refusals for "layers without an endpoint" while the store listed endpoints with these layers, for up to the interval of the reads.

Cause: a refusal denies what the store may say, but was given by a directory of any age.

All other refusals are given at once.

--- a/mimosafront/src/directory.rs
+++ b/mimosafront/src/directory.rs
@@ -179,7 +179,10 @@
         let now = clock::now();
         let until_read = watch.next_read.since(now);
         let pause = if until_read.is_zero() { READER_CHECK_INTERVAL } else { until_read };
-        tokio::time::sleep(pause.min(READER_CHECK_INTERVAL)).await;
+        tokio::select! {
+            () = tokio::time::sleep(pause.min(READER_CHECK_INTERVAL)) => {}
+            () = state.directory_refresh.notified() => watch.read(&state).await,
+        }
     }
 }
 
--- a/mimosafront/src/relay/model/admission.rs
+++ b/mimosafront/src/relay/model/admission.rs
@@ -11,7 +11,7 @@
 use mimosashift::time::Instant;
 use tokio::time::timeout;
 
-use super::ModelRequest;
+use super::{ModelRequest, recheck};
 use crate::clock;
 use crate::relay::{LIMITED_REASON, RESTING_REASON, RequestError};
 use crate::state::RouterState;
@@ -48,6 +48,14 @@
                 Err(found) => shortage = Some(found),
             }
         }
+        if let Some(Shortage::Uncovered(_)) = shortage
+            && recheck::directory(state).await
+        {
+            match self.select_chain() {
+                Ok(chain) => return Ok(self.record_admission(chain)),
+                Err(found) => shortage = Some(found),
+            }
+        }
         // If the queue is full, the layer is unknown and logged as 0.
         Err(self.shortage_error(&shortage.unwrap_or(Shortage::Full(0))))
     }
--- a/mimosafront/src/relay/model/mod.rs
+++ b/mimosafront/src/relay/model/mod.rs
@@ -31,6 +31,7 @@
 mod admission;
 mod crash;
 mod forward;
+mod recheck;
 mod stall;
 mod stall_timer;
 mod through;
--- a/mimosafront/src/state.rs
+++ b/mimosafront/src/state.rs
@@ -94,8 +94,12 @@
     pub store_lost: Cell<bool>,
     /// The directory as last read; `None` before the first read.
     pub directory: RefCell<Option<DirectoryRead>>,
-    /// Wakes requests that arrived before the directory was first read.
+    /// Wakes requests that wait for a read of the directory.
     pub directory_read: Notify,
+    /// Triggers an early read of the directory.
+    pub directory_refresh: Notify,
+    /// When a request last triggered one.
+    pub last_directory_recheck: Cell<Option<Instant>>,
     /// Recent changes found in reports, to be included in digests.
     pub observed: RefCell<Vec<(Instant, Observation)>>,
     /// Whether this router holds the placement lease.
@@ -190,6 +194,8 @@
             store_lost: Cell::default(),
             directory: RefCell::default(),
             directory_read: Notify::new(),
+            directory_refresh: Notify::new(),
+            last_directory_recheck: Cell::default(),
             observed: RefCell::default(),
             holds_placement_lease: Cell::default(),
             stopping,
