End an outage of the store when a peer confirms the directory

An endpoint whose entry is removed stays in use for another 2.2 s at a router whose own read of the directory had failed some time before, which is beyond the time in which an endpoint that leaves must get no new work.

Cause: the router notes when its read failed, and the end of the outage was seen only when changed entries were applied. A peer that confirms equal entries shows that the outage is over, too; instead, the next change, up to 48 s later, was taken for its end, after which missing endpoints are kept since they may register again.

Evidence: of three routers the one whose read had failed does not know 2 s after the removal that the endpoint is gone ([true, false, true]); now all do.

The tests of changed entries now count from when the store has the entry, and ask all routers at once, as the review proposed.

--- a/mimosafront/src/directory.rs
+++ b/mimosafront/src/directory.rs
@@ -240,6 +240,9 @@
             return false;
         }
         let is_same = confirm(state, directory.fingerprint, read_at);
+        if is_same {
+            self.end_outage(now);
+        }
         if is_same && !is_contradicted(state) {
             return true;
         }
@@ -276,10 +279,7 @@
         read_at: Instant,
     ) {
         let now = clock::now();
-        let outage = self.unavailable_since.take();
-        if outage.is_some_and(|since| now.since(since) >= STORE_OUTAGE_AFTER) {
-            self.reregistration_until = now + REREGISTRATION_PERIOD;
-        }
+        self.end_outage(now);
         let keep_missing_until = self.reregistration_until.max(now + keep_missing);
         let entries = self.decode(state, &rows);
         apply_entries(state, &entries, keep_missing_until);
@@ -290,6 +290,14 @@
         state.directory_read.notify_waiters();
     }
 
+    /// Ends an outage of the store, if there is one: after a long one endpoints register again.
+    fn end_outage(&mut self, now: Instant) {
+        let outage = self.unavailable_since.take();
+        if outage.is_some_and(|since| now.since(since) >= STORE_OUTAGE_AFTER) {
+            self.reregistration_until = now + REREGISTRATION_PERIOD;
+        }
+    }
+
     /// The endpoints that rows list; each version of a row that lists none is logged once.
     fn decode(&mut self, state: &RouterState, rows: &[Row]) -> Rc<[Endpoint]> {
         let mut entries = Vec::with_capacity(rows.len());
--- a/mimosafront/tests/directory_changes.rs
+++ b/mimosafront/tests/directory_changes.rs
@@ -7,6 +7,7 @@
 use serde_json::{Value, json};
 
 use cluster::client::TestRequest;
+use cluster::proxy::LinkState;
 use cluster::router::Router;
 use cluster::{ClusterOptions, HEARTBEAT_INTERVAL, TestCluster};
 
@@ -19,6 +20,9 @@
 /// Time within which every router must know a changed entry: that for an endpoint that leaves.
 const MAX_DELAY: Duration = Duration::from_secs(2);
 
+/// Time in which each of three routers of a zone reads the store itself at least once.
+const DIRECT_READ_INTERVAL: Duration = Duration::from_millis(6_500);
+
 /// Time between two looks at the logs.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -46,8 +50,11 @@
     value: Value,
     logged: &str,
 ) -> (usize, Duration) {
-    cluster.endpoints.get(endpoint).state().listed = Some((field, value));
-    std::thread::sleep(HEARTBEAT_INTERVAL);
+    cluster.endpoints.get(endpoint).state().listed = Some((field, value.clone()));
+    cluster.wait_until("the entry is written", |cluster| {
+        let entry = cluster.store.get("servers", endpoint).unwrap();
+        serde_json::from_str::<Value>(&entry).unwrap()[field] == value
+    });
     let learned = || {
         let is_learned = |line: &String| line.contains(endpoint) && line.contains(logged);
         let knows = |router: &&Router| {
@@ -78,11 +85,13 @@
 fn no_router_of_a_zone_refuses_requests_for_layers_that_have_been_placed() {
     let cluster = zone();
     std::thread::sleep(HEARTBEAT_INTERVAL + MAX_DELAY);
-    let serves = |router: &&Router| {
-        let response = cluster.runtime.block_on(TestRequest::draft(2).send(router.clients));
-        response.is_some_and(|response| response.status == 200)
-    };
-    let serving = cluster.routers.iter().filter(serves).count();
+    let sending = cluster.routers.iter().map(|router| {
+        let to = router.clients;
+        cluster.runtime.spawn(async move { TestRequest::draft(2).send(to).await })
+    });
+    let sending: Vec<_> = sending.collect();
+    let responses = sending.into_iter().map(|s| cluster.runtime.block_on(s).unwrap());
+    let serving = responses.flatten().filter(|response| response.status == 200).count();
     assert_eq!(serving, ROUTERS, "routers that serve a request");
 }
 
@@ -98,7 +107,24 @@
         "engine-0-3" "zone": "zone-z" => "\"zone\":\"zone-z\"",
         "engine-0-4" "address": "127.0.0.1:9" => "\"address\":\"127.0.0.1:9\"",
     );
-    println!("{learned:?}");
     let missed: Vec<_> = learned.iter().filter(|(_, (count, _))| *count < ROUTERS).collect();
     assert!(missed.is_empty(), "routers that know each field in time, of {ROUTERS}: {missed:?}");
 }
+
+/// One read of a router fails, after which it follows a peer again.
+#[test]
+fn removed_endpoint_is_not_kept_by_a_router_whose_read_failed_earlier() {
+    let cluster =
+        TestCluster::start(ClusterOptions { routers: 3, zones: 1, ..ClusterOptions::default() });
+    cluster.store_proxies[1].set(LinkState::Reset);
+    std::thread::sleep(DIRECT_READ_INTERVAL);
+    cluster.store_proxies[1].set(LinkState::Up);
+    std::thread::sleep(Duration::from_secs(1));
+    let id = "engine-0-1";
+    cluster.endpoints.get(id).state().removed = true;
+    cluster.wait_until("the entry is removed", |c| c.store.get("servers", id).is_none());
+    std::thread::sleep(MAX_DELAY);
+    let knows = |router: &Router| router.log_lines("MS0512").iter().any(|line| line.contains(id));
+    let known: Vec<_> = cluster.routers.iter().map(knows).collect();
+    assert_eq!(known, [true; 3], "routers that know that the endpoint is gone");
+}
--- a/mimosashift/tests/fleet.rs
+++ b/mimosashift/tests/fleet.rs
@@ -170,13 +170,25 @@
 #[test_case(|e| e.incarnation += 1 => true; "incarnation")]
 #[test_case(|e| e.layers = None => true; "layers")]
 #[test_case(|e| e.card = None => true; "card")]
-#[test_case(|e| e.heartbeat += 1 => false; "heartbeat")]
+#[test_case(|e| e.id = "e9".into() => true; "id")]
 fn directories_that_differ_do_not_have_the_same_fingerprint(change: fn(&mut Endpoint)) -> bool {
     let mut entries = two_zones();
     change(&mut entries[2]);
     fingerprint(&entries) != fingerprint(&two_zones())
 }
 
+#[test]
+fn directories_with_an_entry_less_do_not_have_the_same_fingerprint() {
+    assert_ne!(fingerprint(&two_zones()[1..]), fingerprint(&two_zones()));
+}
+
+#[test]
+fn heartbeats_do_not_change_the_fingerprint() {
+    let mut entries = two_zones();
+    entries[2].heartbeat += 1;
+    assert_eq!(fingerprint(&entries), fingerprint(&two_zones()));
+}
+
 #[test]
 fn entry_is_contradicted_by_reports_of_other_layers_of_the_same_incarnation() {
     let mut fleet = fleet(two_zones());
