Test that truncated answers are not passed on as whole

Another operator saw endpoints that stop in the head of an answer and close, and clients that got a 200 with an empty or short body, framed as whole. No test guarded that.

A proxy of the test cluster writes them, and the client reads the framing by itself.

--- a/mimosafront/tests/cluster/mod.rs
+++ b/mimosafront/tests/cluster/mod.rs
@@ -10,6 +10,7 @@
 pub mod load;
 pub mod plain;
 pub mod proxy;
+pub mod raw;
 pub mod router;
 pub mod store;
 
@@ -23,7 +24,7 @@
 
 use client::TestRequest;
 use endpoints::Endpoints;
-use proxy::{LinkState, Proxy};
+use proxy::{Breaker, LinkState, Proxy};
 use router::Router;
 use store::Store;
 
@@ -197,6 +198,13 @@
         self.links[router][endpoint].set(state);
     }
 
+    /// Gives broken answers in place of all endpoints, on all links.
+    pub fn break_answers(&self, breaker: &Breaker) {
+        let members = self.endpoints.members.iter().map(|member| &member.proxy);
+        let links = self.links.iter().flatten();
+        members.chain(links).for_each(|proxy| proxy.break_answers(breaker.clone()));
+    }
+
     /// Writes the next configuration, with these teams and their keys.
     pub fn configure(&mut self, teams: &[(&str, &[&str])]) -> u64 {
         // Revisions may skip numbers.
--- a/mimosafront/tests/cluster/proxy.rs
+++ b/mimosafront/tests/cluster/proxy.rs
@@ -55,6 +55,24 @@
 /// The half of a connection to which several tasks may write.
 type WriteHalf = Arc<tokio::sync::Mutex<OwnedWriteHalf>>;
 
+/// An answer that the proxy gives instead of the server, and how it ends the connection then.
+pub struct BrokenAnswer {
+    pub bytes: Vec<u8>,
+    pub ending: Ending,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    Close,
+    Reset,
+}
+
+/// Returns the answer to a request, given as text, if the server is not to answer it.
+pub type Breaker = Arc<dyn Fn(&str) -> Option<BrokenAnswer> + Send + Sync>;
+
+/// Time from such an answer until the end of the connection.
+const ENDING_DELAY: Duration = Duration::from_millis(2);
+
 /// Connections that the system establishes before the proxy has accepted them.
 const BACKLOG: i32 = 1_024;
 
@@ -66,9 +84,10 @@
     state: watch::Sender<LinkState>,
     /// Incremented to stall all connections opened before, permanently.
     generation: watch::Sender<u64>,
-    /// Answers sent instead of those of the server.
+    /// Endless answers sent instead of those of the server.
     replacement: Mutex<Option<Replacement>>,
-    /// Number of connections on which such an answer is being sent.
+    breaker: Mutex<Option<Breaker>>,
+    /// Number of connections on which an endless answer is being sent.
     replacing: AtomicUsize,
     last_refusal: LastRefusal,
     /// Number of requests for which a refusal might have been sent once more.
@@ -95,6 +114,7 @@
             state: watch::channel(LinkState::Up).0,
             generation: watch::channel(0).0,
             replacement: Mutex::default(),
+            breaker: Mutex::default(),
             replacing: AtomicUsize::default(),
             last_refusal: LastRefusal::default(),
             repeat_chances: AtomicUsize::default(),
@@ -167,6 +187,11 @@
         *self.replacement.lock().unwrap() = None;
     }
 
+    /// Gives broken answers from now on, also on open connections.
+    pub fn break_answers(&self, breaker: Breaker) {
+        *self.breaker.lock().unwrap() = Some(breaker);
+    }
+
     pub fn replaced_answers(&self) -> usize {
         self.replacing.load(Ordering::Relaxed)
     }
@@ -204,8 +229,8 @@
         }
         let Ok(server) = TcpStream::connect(to).await else { return };
         drop((stream.set_nodelay(true), server.set_nodelay(true)));
-        let (from_client, to_client) = stream.into_split();
-        let (from_server, to_server) = server.into_split();
+        let (mut from_client, to_client) = stream.into_split();
+        let (mut from_server, to_server) = server.into_split();
         let mut link = self.state.subscribe();
         let (to_client, to_server) =
             (WriteHalf::new(to_client.into()), WriteHalf::new(to_server.into()));
@@ -219,13 +244,23 @@
             }
             self.repeat_refusal(&refusal, &to_client);
         };
-        let upstream = self.copy(from_client, &to_server, LinkState::BlockedToServer, on_request);
+        let blocking = LinkState::BlockedToServer;
+        let breaker = |request: &[u8]| {
+            let breaker = self.breaker.lock().unwrap().clone()?;
+            breaker(&String::from_utf8_lossy(request))
+        };
+        let upstream = self.copy(&mut from_client, &to_server, blocking, breaker, on_request);
         let keep = |answer: &[u8]| self.keep_refusal(&refusal, answer);
-        let downstream = self.copy(from_server, &to_client, LinkState::BlockedToClient, keep);
-        tokio::select! {
-            () = upstream => {}
-            () = downstream => {}
-            _ = link.wait_for(|link| *link == LinkState::Reset) => {}
+        let blocking = LinkState::BlockedToClient;
+        let downstream = self.copy(&mut from_server, &to_client, blocking, |_| None, keep);
+        let broken = tokio::select! {
+            broken = upstream => broken,
+            _ = downstream => None,
+            _ = link.wait_for(|link| *link == LinkState::Reset) => None,
+        };
+        if let Some(answer) = broken {
+            let to_client = Arc::into_inner(to_client).expect("no refusal is sent once more");
+            answer.send(from_client, to_client.into_inner()).await;
         }
     }
 
@@ -264,21 +299,23 @@
         });
     }
 
-    /// Copies bytes from one side to the other; `passed` is given those that were.
+    /// Copies bytes from one side to the other; `passed` is given those that were. Ends with
+    /// the broken answer to them if `breaker` has one.
     async fn copy(
         &self,
-        mut from: OwnedReadHalf,
+        from: &mut OwnedReadHalf,
         to: &WriteHalf,
         blocking: LinkState,
+        breaker: impl Fn(&[u8]) -> Option<BrokenAnswer>,
         passed: impl Fn(&[u8]),
-    ) {
+    ) -> Option<BrokenAnswer> {
         let mut buffer = vec![0; 16 * 1024];
         let mut link = self.state.subscribe();
         let opened_in = *self.generation.borrow();
         loop {
             let length = match from.read(&mut buffer).await {
                 Ok(length) if length > 0 => length,
-                _ => return,
+                _ => return None,
             };
             let may_pass = |link: &LinkState| {
                 let silent = [LinkState::Silent, LinkState::Stopped, LinkState::Unreachable];
@@ -293,16 +330,34 @@
             if let LinkState::Delayed(time) = state {
                 tokio::time::sleep(time).await;
             }
+            if let Some(answer) = breaker(&buffer[..length]) {
+                return Some(answer);
+            }
             if to.lock().await.write_all(&buffer[..length]).await.is_err() {
-                return;
+                return None;
             }
             passed(&buffer[..length]);
             if let (LinkState::Repeats(delay), LinkState::BlockedToClient) = (state, blocking) {
                 tokio::time::sleep(delay).await;
                 if to.lock().await.write_all(&buffer[..length]).await.is_err() {
-                    return;
+                    return None;
                 }
             }
         }
     }
 }
+
+impl BrokenAnswer {
+    async fn send(self, mut from: OwnedReadHalf, mut to: OwnedWriteHalf) {
+        // The other side may have closed the connection.
+        drop(to.write_all(&self.bytes).await);
+        tokio::time::sleep(ENDING_DELAY).await;
+        if self.ending == Ending::Reset {
+            SockRef::from(to.as_ref()).set_linger(Some(Duration::ZERO)).unwrap();
+            return to.forget();
+        }
+        drop(to.shutdown().await);
+        // Bytes that are left unread would turn the close into a reset.
+        while let Ok(1..) = from.read(&mut [0; 4_096]).await {}
+    }
+}
