Do not take a reset connection for the end of a response

Callers of services behind mimosashiftd could get a 200 with a short or empty body, framed as whole: a response without a length ends with its connection, and ureq takes a reset within such a body for that end. The body read so far was then forwarded with a length of its own. Responses of engines and the routers' own client were not affected: the one needs a length, the other tells resets from ends.

A transport below ureq now reports errors of the connection with a kind that ureq does not interpret, so that they fail the call at any time.

Heads and bodies with a length or chunks that are cut off at any byte, by a close or a reset, on a kept connection, were errors before as well; tests guard that now.

--- a/mimosashift/src/http/client.rs
+++ b/mimosashift/src/http/client.rs
@@ -17,7 +17,9 @@
 use ureq::config::Config;
 use ureq::http::Uri;
 use ureq::unversioned::resolver::{ResolvedSocketAddrs, Resolver};
-use ureq::unversioned::transport::{DefaultConnector, NextTimeout};
+use ureq::unversioned::transport::{
+    Buffers, ConnectionDetails, Connector, DefaultConnector, NextTimeout, Transport,
+};
 
 /// Size of a connection's input and output buffer each; the head of a message
 /// must fit into one.
@@ -190,7 +192,8 @@
         .max_idle_connections_per_host(max_idle)
         .user_agent("mimosashift")
         .build();
-    Agent::with_parts(config, DefaultConnector::default(), LiteralResolver)
+    let connector = DefaultConnector::default().chain(ResetConnector);
+    Agent::with_parts(config, connector, LiteralResolver)
 }
 
 /// Parses the host as an IP address and port; the default resolver would start
@@ -213,6 +216,51 @@
     }
 }
 
+/// Reports resets of connections as errors that fail a call at any time; ureq takes the kind
+/// of error that the system gives for the end of a body without a length.
+#[derive(Debug)]
+struct ResetConnector;
+
+#[derive(Debug)]
+struct ResetTransport<T>(T);
+
+impl<T: Transport> Connector<T> for ResetConnector {
+    type Out = ResetTransport<T>;
+
+    fn connect(
+        &self,
+        _: &ConnectionDetails<'_>,
+        chained: Option<T>,
+    ) -> Result<Option<Self::Out>, ureq::Error> {
+        Ok(chained.map(ResetTransport))
+    }
+}
+
+impl<T: Transport> Transport for ResetTransport<T> {
+    fn buffers(&mut self) -> &mut dyn Buffers {
+        self.0.buffers()
+    }
+
+    fn transmit_output(&mut self, amount: usize, timeout: NextTimeout) -> Result<(), ureq::Error> {
+        self.0.transmit_output(amount, timeout)
+    }
+
+    fn await_input(&mut self, timeout: NextTimeout) -> Result<bool, ureq::Error> {
+        self.0.await_input(timeout).map_err(|error| match error {
+            ureq::Error::Io(error) => ureq::Error::Io(io::Error::other(error)),
+            other => other,
+        })
+    }
+
+    fn is_open(&mut self) -> bool {
+        self.0.is_open()
+    }
+
+    fn is_tls(&self) -> bool {
+        self.0.is_tls()
+    }
+}
+
 fn failure(address: SocketAddr, waited: Duration, error: &ureq::Error) -> Failure {
     let reason = error.to_string();
     if is_not_sent(error) {
--- a/mimosashift/tests/http.rs
+++ b/mimosashift/tests/http.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hyper::StatusCode;
+use hyper::{Method, StatusCode};
 use mimosashift::engine::http as steps;
 use mimosashift::engine::{Failure, Input, Label, Output, Reply, RequestId, Step};
 use mimosashift::http::client::{self, Client};
@@ -14,6 +14,8 @@
 use mimosashift::resource::{Kind, Layers, Name, Spec};
 use proptest::prelude::*;
 use proptest::test_runner::{RngSeed, TestRunner};
+use socket2::SockRef;
+use test_case::test_case;
 
 const SEED: u64 = 11;
 const CASES: u32 = 2_000;
@@ -219,3 +221,55 @@
     assert!(response.contains("half"), "{response}");
     assert!(!response.ends_with("0\r\n\r\n"), "{response}");
 }
+
+/// Makes two calls on a connection; the server answers the first one in full and ends the
+/// connection within the second answer.
+fn call_cut_off(answer: &'static str, cut: usize, reset: bool) -> Result<Vec<u8>, client::Failure> {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    let serving = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut request = [0; 4096];
+        let _ = stream.read(&mut request).unwrap();
+        stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nfirst").unwrap();
+        let _ = stream.read(&mut request).unwrap();
+        stream.write_all(&answer.as_bytes()[..cut]).unwrap();
+        if reset {
+            // The end would otherwise overtake the bytes before it.
+            std::thread::sleep(Duration::from_millis(2));
+            SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+        }
+    });
+    let client = Client::new(client::Settings::default());
+    let timeout = Duration::from_secs(2);
+    let (method, path) = (Method::GET, "/");
+    let call =
+        client::Call { address, method, path, headers: &[], body: &[], timeout, fresh: false };
+    assert_eq!(client.call(&call).unwrap().body, b"first");
+    let response = client.call(&call);
+    serving.join().unwrap();
+    response.map(|response| response.body)
+}
+
+#[test_case("HTTP/1.1 200 OK\r\nrequest-id: a\r\ncontent-length: 6\r\n\r\nanswer"; "by a length")]
+#[test_case("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n6\r\nanswer\r\n0\r\n\r\n"; "chunked")]
+#[test_case("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nanswer"; "after an informational response")]
+#[test_case("HTTP/1.1 302 Found\r\nlocation: /\r\ncontent-length: 6\r\n\r\nanswer"; "redirect")]
+#[test_case("HTTP/1.0 200 OK\r\ncontent-length: 6\r\n\r\nanswer"; "in HTTP 1.0")]
+fn truncated_response_is_not_taken_for_a_whole_one(answer: &'static str) {
+    let cuts = (0..answer.len()).flat_map(|cut| [(cut, false), (cut, true)]);
+    let accepted: Vec<_> = cuts
+        .filter_map(|(cut, reset)| Some((cut, reset, call_cut_off(answer, cut, reset).ok()?)))
+        .filter(|(.., body)| body != b"answer")
+        .collect();
+    assert_eq!(accepted, []);
+}
+
+#[test]
+fn reset_within_a_response_without_a_length_is_not_its_end() {
+    let answer = "HTTP/1.1 200 OK\r\nrequest-id: a\r\n\r\nanswer";
+    let accepted: Vec<_> =
+        (0..answer.len()).filter_map(|cut| call_cut_off(answer, cut, true).ok()).collect();
+    assert_eq!(accepted, Vec::<Vec<u8>>::new());
+    assert_eq!(call_cut_off(answer, answer.len(), false).unwrap(), b"answer");
+}
