Follow the reader's directory rather than that of another follower

What callers saw: nothing is known of; found by the review. If the first router of a zone by name has lost the store, it follows the one that reads it, and all others took the directory from that first router, since its copy is fresh enough: a change arrives one hop later, and its rows may have older heartbeats.

The reader comes first now; another router is asked only if the reader has read no directory lately, or if there is no reader and this router has lost the store. A failed fetch for entries that reports contradict no longer makes a router read the store: the entries are those of the reader's last read.

Evidence: with a follower r2 before a reader r3 the new test names r3; the earlier choice was the first by name with a fresh directory, r2 (by reading, the method had no reader to name).

--- a/mimosafront/src/directory.rs
+++ b/mimosafront/src/directory.rs
@@ -1,6 +1,7 @@
 //! Reads the configuration and the endpoint directory from the store.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -226,11 +227,7 @@
     async fn follow(&mut self, state: &Rc<RouterState>, now: Instant) -> bool {
         let source = {
             let (peers, node) = (state.peers.borrow(), state.node());
-            let reader = peers.store_reader(&node.name, now);
-            // Without a reader, others may still reach the store that this router has lost.
-            let may_follow = reader.is_some() || state.store_lost.get();
-            let source = peers.directory_source(now).filter(|_| may_follow);
-            source.or(reader).and_then(|peer| {
+            peers.directory_source(&node.name, state.store_lost.get(), now).and_then(|peer| {
                 let read_at = now - peer.directory_age(now)?;
                 Some((peer.address, peer.digest.format, peer.digest.directory?, read_at))
             })
@@ -242,17 +239,21 @@
         let is_same = confirm(state, directory.fingerprint, read_at);
         if is_same {
             self.end_outage(now);
-        }
-        if is_same && !is_contradicted(state) {
+            let is_due = now >= self.last_fetch + CONTRADICTED_FETCH_INTERVAL;
+            if format == Format::Parts && is_due && is_contradicted(state) {
+                // Without an answer the entries are still those of the last read.
+                self.fetch(state, address, now).await;
+            }
             return true;
         }
         if format != Format::Parts {
             return false;
         }
-        let interval = if is_same { CONTRADICTED_FETCH_INTERVAL } else { FETCH_INTERVAL };
-        if now < self.last_fetch + interval {
-            return true;
-        }
+        now < self.last_fetch + FETCH_INTERVAL || self.fetch(state, address, now).await
+    }
+
+    /// Takes the directory from a peer; returns false if it has none that this router can use.
+    async fn fetch(&mut self, state: &Rc<RouterState>, address: SocketAddr, now: Instant) -> bool {
         self.last_fetch = now;
         let Some(fetched) = gossip::fetch_directory(state, address).await else { return false };
         let (era, revision) = fetched.position;
--- a/mimosashift/src/peer/reader.rs
+++ b/mimosashift/src/peer/reader.rs
@@ -68,15 +68,19 @@
         (FRESH_CONFIG_AGE_PER_ROUTER * self.zone_size(now)).min(MAX_FRESH_CONFIG_AGE)
     }
 
-    /// The peer from which a router takes the directory if that differs from its own: the
-    /// first of the zone by name that has read it lately and answers requests for it.
-    pub fn directory_source(&self, now: Instant) -> Option<&Peer> {
+    /// The peer whose directory `node` follows: the reader, since others may have theirs from
+    /// it. If the reader has read none lately, or there is none while `node` has lost the
+    /// store, the first of the zone by name that has.
+    pub fn directory_source(&self, node: &str, store_lost: bool, now: Instant) -> Option<&Peer> {
         let is_source = |peer: &&Peer| {
             peer.digest.zone == self.zone
                 && peer.digest.format == Format::Parts
                 && peer.directory_age(now).is_some_and(|age| age < MAX_DIRECTORY_AGE)
         };
-        self.alive(now).find(is_source)
+        let reader = self.store_reader(node, now);
+        let may_follow = reader.is_some() || store_lost;
+        let other = || self.alive(now).find(is_source).filter(|_| may_follow);
+        reader.filter(is_source).or_else(other).or(reader)
     }
 
     /// Time for which a router leaves a lease without a holder to those before it by name
--- a/mimosashift/tests/peer.rs
+++ b/mimosashift/tests/peer.rs
@@ -418,5 +418,22 @@
     let directory = age_ms.map(|ms| Directory { fingerprint: 1, age: Duration::from_millis(ms) });
     let known = Digest { zone: zone.into(), directory, format, ..digest("r2", 1, 1) };
     peers.on_digest(address(2), known, at(0));
-    peers.directory_source(at(10)).is_some()
+    peers.directory_source("r1", true, at(10)).is_some()
+}
+
+#[test]
+fn directory_comes_from_the_reader_and_not_from_a_router_that_follows_it() {
+    let mut peers = peers();
+    let directory = Some(Directory { fingerprint: 1, age: Duration::from_millis(100) });
+    let follower = Digest { directory, store_age: None, store_lost: true, ..digest("r2", 1, 1) };
+    let reader = Digest { directory, store_age: Some(Duration::ZERO), ..digest("r3", 1, 1) };
+    peers.on_digest(address(2), follower, at(0));
+    peers.on_digest(address(3), reader, at(0));
+    let source = |node, store_lost| {
+        let source = peers.directory_source(node, store_lost, at(10));
+        source.map(|peer| peer.digest.node.to_string())
+    };
+    assert_eq!(source("r9", false), Some("r3".into()));
+    assert_eq!(source("r1", false), None, "it reads the store itself");
+    assert_eq!(source("r1", true), Some("r2".into()));
 }
