--- a/mimosafront/src/directory.rs
+++ b/mimosafront/src/directory.rs
@@ -236,8 +236,7 @@
         if now.since(read_at) >= MAX_DIRECTORY_AGE {
             return false;
         }
-        let is_same = confirm(state, directory.fingerprint, read_at);
-        if is_same {
+        if take_over_age(state, directory.fingerprint, read_at) {
             self.end_outage(now);
             let is_due = now >= self.last_fetch + CONTRADICTED_FETCH_INTERVAL;
             if format == Format::Parts && is_due && is_contradicted(state) {
@@ -319,9 +318,9 @@
     }
 }
 
-/// Applies the known directory as that of `read_at`, if its entries had this hash then; returns
-/// whether they had.
-fn confirm(state: &RouterState, fingerprint: u64, read_at: Instant) -> bool {
+/// Takes over the age of a peer's directory that was read at `read_at`, if its entries have the
+/// hash of the known ones; returns whether they have.
+fn take_over_age(state: &RouterState, fingerprint: u64, read_at: Instant) -> bool {
     let mut directory = state.directory.borrow_mut();
     let Some(known) = directory.as_mut().filter(|known| known.fingerprint == fingerprint) else {
         return false;
--- a/mimosafront/src/shutdown.rs
+++ b/mimosafront/src/shutdown.rs
@@ -58,8 +58,7 @@
         Ok(signals)
     }
 
-    /// Whether the router is to stop, as seen by everything that must not wait for the next
-    /// poll.
+    /// The flag of SIGTERM and SIGINT, for what must not wait for the next poll.
     pub fn stop(&self) -> StopFlag {
         StopFlag(self.stop.clone())
     }
--- a/mimosashift/src/drain.rs
+++ b/mimosashift/src/drain.rs
@@ -19,6 +19,12 @@
 /// Number of average deviations within which nearly all response times lie.
 const LATENCY_DEVIATIONS: f64 = 4.0;
 
+/// Part of the longest response time that is forgotten with each request.
+const FORGOTTEN_SHARE: f64 = 1.0 / 256.0;
+
+/// Factor on the longest response time within which a request ends that must not be cut off.
+const LONGEST_MARGIN: f64 = 1.25;
+
 /// Time per token of recent streams, from their arrival to their end.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Pace {
@@ -51,12 +57,6 @@
     }
 }
 
-/// Part of the longest response time that is forgotten with each request.
-const FORGOTTEN_SHARE: f64 = 1.0 / 256.0;
-
-/// Factor on the longest response time within which a request ends that must not be cut off.
-const LONGEST_MARGIN: f64 = 1.25;
-
 /// Response time of recent requests without a stream: its average, the average deviation from
 /// that, and the longest.
 #[derive(Clone, Copy, Debug, Default)]
@@ -85,6 +85,7 @@
             average + deviation * LATENCY_DEVIATIONS <= left.as_secs_f64()
         })
     }
+
     /// Whether a request is answered within `left` even if it is as slow as the slowest recent
     /// one. False as long as none has been answered.
     pub fn surely_fits(&self, left: Duration) -> bool {
--- a/mimosashift/src/peer/reader.rs
+++ b/mimosashift/src/peer/reader.rs
@@ -40,7 +40,7 @@
 
 impl Peers {
     /// Number of live routers of the own zone, this one included.
-    fn zone_size(&self, now: Instant) -> u32 {
+    pub fn zone_size(&self, now: Instant) -> u32 {
         let peers = self.alive(now).filter(|peer| peer.digest.zone == self.zone);
         u32::try_from(peers.count() + 1).unwrap_or(u32::MAX)
     }
