--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -5,4 +5,4 @@
 export REPOSITORY
 stand="$REPOSITORY/target/review/release/stand"
 [ -x "$stand" ] && [ -x "$REPOSITORY/target/release/mimosafront" ] || exit 2
-exec timeout -k 3 112 "$stand" encoding record.txt
+exec timeout -k 3 112 "$stand" hang record.txt
--- a/review/stand/src/cases/mod.rs
+++ b/review/stand/src/cases/mod.rs
@@ -8,7 +8,7 @@
 
 use crate::record::Record;
 use crate::router::{self, Router};
-use crate::server::{Conduct, LAYERS, Server};
+use crate::server::{Conduct, LAYERS, READ_PER_S, Server};
 use crate::store::Store;
 use crate::{Verdict, client, http, ip};
 
@@ -18,6 +18,7 @@
 mod hang;
 mod list;
 mod revoke;
+mod stop;
 mod writer;
 
 pub async fn play(case: &str, record: Arc<Record>, trouble: bool) -> Verdict {
@@ -28,6 +29,7 @@
         "grey" => grey::play(record, trouble).await,
         "list" => list::play(record, trouble).await,
         "crash" => crash::play(record, trouble).await,
+        "stop" => stop::play(record, trouble).await,
         "writer" => writer::play(record, trouble).await,
         _ => Verdict::NotRun(format!("no case {case}")),
     }
@@ -129,11 +131,15 @@
             "resumable": resumable, "gap_target_ms": 250,
         })
     };
+    // Long documents are read for seconds before the answer begins.
+    let mut long = route("long", "streaming", "model", 20_000, false);
+    long["target_latency_ms"] = 4_000.into();
     json!({
         "version": version,
         "routes": [
             route("draft", "streaming", "model", 3_000, true),
             route("note", "streaming", "model", 3_000, false),
+            long,
             route("order", "unsafe", "register", 2_500, false),
             route("read", "safe", "register", 2_500, false),
             route("list", "safe", list, 2_500, false),
@@ -142,7 +148,7 @@
             {"name": "model", "health_path": "/health", "connection_limit": 400, "engine": {
                 "slots": 64, "cache_token_bytes": 8_571, "stride": 4,
                 "models": [{"name": "m", "load_s": 1.0}], "step_ms": 0.1, "per_seq_ms": 0.001,
-                "context_per_k": 0.001, "read_per_s": 100_000.0, "loads_at_once": 4,
+                "context_per_k": 0.001, "read_per_s": READ_PER_S, "loads_at_once": 4,
                 "delays": [], "usual": {"prompt": 100, "answer": 24}, "layers": LAYERS,
                 "layer_mb": 100.0, "activation_bytes": 1_000, "pipe_mbps": 16_000.0,
                 "kinds": [{"name": "card", "size_mb": 8_000, "pace": 1.0, "read_factor": 1.0}],
--- a/review/stand/src/client.rs
+++ b/review/stand/src/client.rs
@@ -93,6 +93,39 @@
     answer
 }
 
+/// Sends a request on a connection that was used before, and records what comes back.
+pub async fn send_on(
+    record: &Arc<Record>,
+    connection: &mut Connection,
+    request: &Request,
+) -> Answer {
+    let mut answer = Answer { sent_at: record.now_ms(), ..Answer::default() };
+    record.line(&format!(
+        "client sends {} {} {} on a kept connection",
+        request.id, request.method, request.path
+    ));
+    let exchange = async {
+        connection.write(&request.bytes()).await.ok()?;
+        receive(connection, &mut answer).await
+    };
+    let ended = timeout(request.budget, exchange).await;
+    answer.ms = record.now_ms() - answer.sent_at;
+    let how = match ended {
+        Ok(Some(())) => "whole",
+        Ok(None) => "broken off",
+        Err(_) => "client left",
+    };
+    answer.is_whole = how == "whole";
+    record.line(&format!(
+        "client got {} status={} {how} after {} ms bytes={}",
+        request.id,
+        answer.status,
+        answer.ms,
+        answer.body.len(),
+    ));
+    answer
+}
+
 async fn receive(connection: &mut Connection, answer: &mut Answer) -> Option<()> {
     let head = connection.head().await.ok()?;
     answer.status = head.status();
--- a/review/stand/src/server.rs
+++ b/review/stand/src/server.rs
@@ -18,6 +18,9 @@
 /// Events of a stream.
 pub const EVENTS: u64 = 6;
 
+/// Prompt tokens that an engine reads in a second; the configuration names the same.
+pub const READ_PER_S: f64 = 2_000.0;
+
 /// Interval of heartbeats; the settings of the routers name the same.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
@@ -246,7 +249,10 @@
                 connection.write(&response(200, &headers, &list(&id))).await
             }
             Conduct::Sound | Conduct::Encoded if self.is_engine => {
-                self.stream(connection, &id, &common, conduct).await
+                let counts = head.get("token-counts").unwrap_or_default();
+                let prompt = counts.split(',').next().and_then(|text| text.parse().ok());
+                let reading = Duration::from_secs_f64(prompt.unwrap_or(0.0) / READ_PER_S);
+                self.stream(connection, &id, &common, conduct, reading).await
             }
             Conduct::Sound => {
                 let headers = [("Request-Id", id.as_str()), ("Response-Signature", &signature)];
@@ -270,6 +276,7 @@
         id: &str,
         common: &str,
         conduct: Conduct,
+        reading: Duration,
     ) -> std::io::Result<()> {
         let encoding = match conduct {
             Conduct::Encoded => "Content-Encoding: x-spoiled\r\n",
@@ -280,6 +287,7 @@
              Transfer-Encoding: chunked\r\n\r\n"
         );
         connection.write(text.as_bytes()).await?;
+        tokio::time::sleep(reading).await;
         for number in 1..=EVENTS {
             let data = match conduct {
                 Conduct::Encoded => format!("c3BvaWxlZA {number}"),
@@ -290,7 +298,9 @@
             connection.write(chunk.as_bytes()).await?;
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
-        connection.write(b"0\r\n\r\n").await
+        connection.write(b"0\r\n\r\n").await?;
+        self.record.line(&format!("server {} has answered {id} to its end", self.id));
+        Ok(())
     }
 
     /// Whether it holds its own part of a path.
