Begin nothing while stopping that another router serves whole

Cause: estimates from other requests decided, one average per output token for all streams, without the prompt, and the longest recent time of a route; they were asked once, before the wait for memory, and not for a second send.

Once the balancer has turned away and another router is alive, the time left of the request and of the process decides, before each send. Until then, and without another router, estimates stay, with the prompt and by service.

--- a/mimosafront/src/relay/model/forward.rs
+++ b/mimosafront/src/relay/model/forward.rs
@@ -170,6 +170,7 @@
         if executions >= self.ctx.route.attempts
             || self.rejected_sends > MAX_REJECTED_SENDS
             || !self.state().has_retry(&self.ctx.service.name)
+            || self.check_stop().is_err()
         {
             return false;
         }
@@ -223,9 +224,11 @@
         self.outcome_recorded = true;
         self.state().meter.requests(1, Outcome::Completed);
         let tokens = self.events_forwarded as f64 * f64::from(self.engine.tokens_per_event);
-        let mut pace = self.state().stream_pace.get();
-        pace.record(tokens, clock::now().since(self.ctx.arrived));
-        self.state().stream_pace.set(pace);
+        let (to_first, whole) = (self.timing.time_to_first, clock::now().since(self.ctx.arrived));
+        let mut paces = self.state().stream_pace.borrow_mut();
+        let pace = paces.entry(self.ctx.service.name.clone()).or_default();
+        pace.record(self.demand.prompt, tokens, to_first, whole);
+        drop(paces);
         let chain = self.claim.as_ref().map(|claim| claim.chain[0].id.clone());
         let by = chain.or_else(|| self.relay.as_ref().map(|relay| relay.name.clone()));
         let by = by.as_deref().unwrap_or_default();
--- a/mimosafront/src/relay/model/mod.rs
+++ b/mimosafront/src/relay/model/mod.rs
@@ -9,6 +9,7 @@
 use mimosaplatform::header;
 use mimosashift::connection_pool::{Exchange, Failure};
 use mimosashift::deployment::{Engine, RouteKind};
+use mimosashift::drain;
 use mimosashift::emit;
 use mimosashift::event::Event;
 use mimosashift::event_stream::EventSplitter;
@@ -70,6 +71,8 @@
     /// Routers that were tried.
     tried_relays: SmallVec<[Arc<str>; 2]>,
     events: EventSplitter,
+    /// Whether the head of the response has been forwarded.
+    has_begun: bool,
     /// Number of events forwarded.
     events_forwarded: usize,
     /// When the first event arrived since the stream was last resumed.
@@ -122,10 +125,6 @@
 pub async fn relay(ctx: RequestContext) -> Result<Response<ResponseBody>, RequestError> {
     let engine = ctx.service.engine.clone().expect("service has an engine");
     let mut session = ModelRequest::new(ctx, engine);
-    if session.outlasts_router() {
-        session.outcome_recorded = true;
-        return Err(stop::error(session.state(), session.possible_executions > 0));
-    }
     let mut exchange = match session.open().await {
         Ok(exchange) => exchange,
         Err(end) => {
@@ -140,6 +139,7 @@
     let (sender, chunks) = mpsc::channel(BUFFERED_CHUNKS);
     let response = forward_response(&exchange.head, ResponseBody::Stream(chunks));
     exchange.head.headers_mut().clear();
+    session.has_begun = true;
     tokio::task::spawn_local(session.forward_stream(exchange, sender));
     Ok(response)
 }
@@ -169,6 +169,7 @@
             relay: None,
             tried_relays: SmallVec::new(),
             events,
+            has_begun: false,
             events_forwarded: 0,
             first_event_in_run: None,
             success_recorded: false,
@@ -194,19 +195,29 @@
         }
     }
 
-    /// Whether this router is stopping and might cut the stream off. As long as the load
-    /// balancer may lead a client that is refused back to this router, a stream is begun if
-    /// it is likely to fit, or if no other router can serve it.
-    fn outlasts_router(&self) -> bool {
+    /// Checks that this router does not cut off the stream if it is sent now. One that has
+    /// begun ends in any case without this send.
+    pub(super) fn check_stop(&self) -> Result<(), RequestError> {
+        if self.has_begun || !stop::outlasts_router(&self.ctx, |left| self.outlasts(left)) {
+            return Ok(());
+        }
+        Err(stop::error(self.state(), self.possible_executions > 0))
+    }
+
+    /// Whether the stream probably takes longer than `left`. As long as the load balancer may
+    /// lead a client that is refused back to this router, a stream is begun if it is likely to
+    /// fit, or if no other router can serve it.
+    fn outlasts(&self, left: Duration) -> bool {
         let state = self.state();
-        let Some(deadline) = state.stop_deadline.get() else { return false };
-        let left = deadline.since(clock::now());
+        let Demand { prompt, output } = self.demand;
         let max_output = self.ctx.tokens.map_or(f64::INFINITY, |t| f64::from(t.max_output));
-        let pace = state.stream_pace.get();
+        let stream = drain::Stream { prompt, output, max_output };
+        let paces = state.stream_pace.borrow();
+        let pace = paces.get(&self.ctx.service.name).copied().unwrap_or_default();
         if state.is_balanced_away.get() {
-            return !pace.surely_fits(max_output, left);
+            return !pace.surely_fits(&stream, left);
         }
-        !pace.fits(self.demand.output, max_output, left) && stop::has_other_router(state)
+        !pace.fits(&stream, left) && stop::has_other_router(state)
     }
 
     /// Tries one chain after another until one opens a stream.
@@ -221,6 +232,7 @@
                     DEADLINE_RETRY_AFTER,
                 ));
             }
+            self.check_stop()?;
             self.ctx.check_contents(self.possible_executions > 0)?;
             let sends =
                 self.possible_executions - self.ctx.origin.executions() + self.rejected_sends;
@@ -245,6 +257,8 @@
             let sent = match self.ctx.path(&self.tried_relays) {
                 Path::Direct => {
                     let chain = self.admit().await?;
+                    // The router may have been stopped while the request waited for memory.
+                    self.check_stop()?;
                     self.send(chain, sends + 1).await
                 }
                 Path::Relayed(relay) => self.send_through(relay, sends + 1).await,
--- a/mimosafront/src/relay/plain.rs
+++ b/mimosafront/src/relay/plain.rs
@@ -76,14 +76,18 @@
     let (mut possible_executions, mut rejected_sends) = (ctx.origin.executions(), 0);
     let mut last_response = None;
     let mut cause = "no endpoint left";
-    if stop::outlasts_router(&ctx) {
-        return Err(stop::error(&ctx.state, possible_executions > 0));
-    }
     let (mut reason, mut retry_after) = (RefusalReason::NoEndpoint, NOT_EXECUTED_RETRY_AFTER);
     loop {
         if ctx.remaining().is_zero() {
             return Err(deadline_error(possible_executions > 0));
         }
+        if stop::outlasts_router(&ctx, |left| stop::plain_request_outlasts(&ctx, left)) {
+            if possible_executions == 0 {
+                return Err(stop::refusal(&ctx.state));
+            }
+            cause = stop::REASON;
+            break;
+        }
         ctx.check_contents(possible_executions > 0)?;
         if !tried.is_empty() && !ctx.state.take_retry(&ctx.service.name) {
             break;
@@ -170,7 +174,8 @@
         Path::Relayed(_) => true,
         Path::Lost => false,
     };
-    is_known && ctx.state.has_retry(&ctx.service.name)
+    let is_stopped = stop::outlasts_router(ctx, |left| stop::plain_request_outlasts(ctx, left));
+    is_known && !is_stopped && ctx.state.has_retry(&ctx.service.name)
 }
 
 /// Sends the request to one endpoint; `can_retry` tells whether it may be
--- a/mimosafront/src/relay/stop.rs
+++ b/mimosafront/src/relay/stop.rs
@@ -10,7 +10,7 @@
 use crate::state::RouterState;
 
 /// Reason for refusing a request that a router that is stopping cannot finish.
-const REASON: &str = "router is stopping";
+pub(super) const REASON: &str = "router is stopping";
 
 /// Retry-After, up to twice as long, if this router is stopping: its client reaches
 /// another one.
@@ -34,29 +34,46 @@
     if may_have_run {
         return RequestError::Failed(StatusCode::BAD_GATEWAY, REASON);
     }
+    refusal(state)
+}
+
+/// Refuses a request that has not run, since a router that is stopping cannot finish it.
+pub(super) fn refusal(state: &RouterState) -> RequestError {
     let retry_after = if has_other_router(state) { RETRY_AFTER } else { RESTART_RETRY_AFTER };
     let retry_after = retry_after.mul_f64(1.0 + state.random_fraction());
     RequestError::Refused(RefusalReason::NotReady, REASON, retry_after)
 }
 
-/// Whether this router is stopping and might not answer a plain request in time. One that may
-/// be repeated is refused only if another router can serve it; any other one, which nobody may
-/// send again once it has been cut off, is refused in any case.
-pub(super) fn outlasts_router(ctx: &RequestContext) -> bool {
+/// Whether this router is stopping and might cut off the answer to a request that is sent now,
+/// first or once more. Where another router serves it, that follows from the time that the
+/// request and this process have left. Until the load balancer has turned away it may lead the
+/// client back to this router, and without another router nobody serves the request: only then
+/// `outlasts` decides, from what recent requests took and the time left.
+pub(super) fn outlasts_router(
+    ctx: &RequestContext,
+    outlasts: impl FnOnce(Duration) -> bool,
+) -> bool {
     let state = &ctx.state;
     let Some(deadline) = state.stop_deadline.get() else { return false };
     let left = deadline.since(clock::now());
     if ctx.remaining() <= left {
         return false;
     }
+    state.is_balanced_away.get() && has_other_router(state) || outlasts(left)
+}
+
+/// Whether a plain request probably takes longer than `left`. One that may be repeated is
+/// refused only if another router can serve it; any other one, which nobody may send again
+/// once it has been cut off, is refused in any case.
+pub(super) fn plain_request_outlasts(ctx: &RequestContext, left: Duration) -> bool {
+    let state = &ctx.state;
     let latencies = state.plain_latency.borrow();
     match latencies.get(&ctx.route.name) {
         Some(latency) if ctx.route.is_idempotent() => {
             !latency.fits(left) && has_other_router(state)
         }
         Some(latency) => !latency.surely_fits(left),
-        None if ctx.route.is_idempotent() => false,
-        None => state.is_balanced_away.get() && has_other_router(state),
+        None => false,
     }
 }
 
--- a/mimosafront/src/state.rs
+++ b/mimosafront/src/state.rs
@@ -114,8 +114,8 @@
     pub stop_deadline_passed: Notify,
     /// Response time of recent plain requests, by route.
     pub plain_latency: RefCell<HashMap<Arc<str>, drain::Latency>>,
-    /// Time per token of recent streams.
-    pub stream_pace: Cell<drain::Pace>,
+    /// Time per token of recent streams, by service.
+    pub stream_pace: RefCell<HashMap<Arc<str>, drain::Pace>>,
     /// Requests in flight.
     pub in_flight: Cell<usize>,
     /// Open connections of clients and of other routers.
@@ -203,7 +203,7 @@
             stop_deadline: Cell::default(),
             stop_deadline_passed: Notify::new(),
             plain_latency: RefCell::default(),
-            stream_pace: Cell::default(),
+            stream_pace: RefCell::default(),
             in_flight: Cell::default(),
             connections: Connections::default(),
             incarnation,
--- a/mimosafront/tests/cluster/client.rs
+++ b/mimosafront/tests/cluster/client.rs
@@ -89,6 +89,16 @@
         Self::new(Method::GET, "/read/x?a=1")
     }
 
+    /// A request of a plain service that takes longer than a router that stops has left.
+    pub fn slow(path: &str) -> Self {
+        Self::new(Method::POST, &format!("{path}?ms=2900"))
+    }
+
+    /// The same request as another attempt.
+    pub fn with_another_id(self) -> Self {
+        Self { id: Self::new(Method::GET, "/").id, ..self }
+    }
+
     /// A short stream, a posting or a read in turn.
     pub fn mixed(number: usize) -> Self {
         match number % 3 {
--- a/mimosafront/tests/cluster/endpoints.rs
+++ b/mimosafront/tests/cluster/endpoints.rs
@@ -97,6 +97,9 @@
     pub request_limit: Option<&'static str>,
     /// Time to rest, as named in its answers; it rejects all requests if there is one.
     pub rest: Option<&'static str>,
+    /// Status with which it fails each request that it has run, without a word on whether it
+    /// has, and whether it signs the answer.
+    pub failure: Option<(u16, bool)>,
     /// Whether its answers say that it is leaving.
     pub leaving: bool,
     /// It refuses one of this many requests as full; engines name the last of the chain.
@@ -171,6 +174,16 @@
         Some(engine::reply(503, &headers, "{}"))
     }
 
+    /// The failure of a request that has run, if it fails all.
+    pub fn fail(&self, id: &str) -> Option<Reply> {
+        let (status, is_signed) = self.state().failure?;
+        let signature = format!("sig-{id}");
+        let headers =
+            [("request-id", id), ("retry-after", "0.05"), ("response-signature", &signature)];
+        let headers = if is_signed { &headers[..] } else { &headers[..2] };
+        Some(engine::reply(status, headers, "failed"))
+    }
+
     /// The answer with what this endpoint says of itself in all answers.
     pub fn with_state(&self, mut reply: Reply) -> Reply {
         let state = self.state();
@@ -243,6 +256,7 @@
                 busy: false,
                 request_limit: None,
                 rest: None,
+                failure: None,
                 leaving: false,
                 refusal_interval: None,
                 offered: 0,
--- a/mimosafront/tests/cluster/engine.rs
+++ b/mimosafront/tests/cluster/engine.rs
@@ -205,6 +205,9 @@
             trace.key_leaked |= headers.contains_key("authorization");
             trace.call = format!("{path} {}", String::from_utf8_lossy(body));
         });
+        if let Some(failure) = self.member.fail(&id) {
+            return failure;
+        }
         if self.member.state().health == Health::Failing {
             return reply(500, &[("request-id", &id), ("response-signature", "s")], "failed");
         }
--- a/mimosafront/tests/cluster/plain.rs
+++ b/mimosafront/tests/cluster/plain.rs
@@ -88,6 +88,9 @@
             std::future::pending::<()>().await;
         }
         tokio::time::sleep(service_time(head.uri.query())).await;
+        if let Some(failure) = self.member.fail(&id) {
+            return Ok(failure);
+        }
         if head.uri.path().starts_with("/feed/") {
             return Ok(feed(&id, health));
         }
--- a/mimosafront/tests/planned_stops.rs
+++ b/mimosafront/tests/planned_stops.rs
@@ -388,6 +388,80 @@
     assert_eq!(cluster.routers[0].wait(), Some(0));
 }
 
+/// Sends ten requests on connections that have been idle since before SIGTERM, later than the
+/// load balancer has turned away; each takes longer than the router has left, while a router
+/// that goes on could serve it whole.
+fn assert_long_requests_are_refused(
+    quick: &[fn() -> TestRequest],
+    request: TestRequest,
+    head_delay: Duration,
+) {
+    let mut cluster = TestCluster::start(ClusterOptions::default());
+    let open = || BlindConnection::connect(cluster.routers[0].clients).await_on(&cluster).unwrap();
+    let mut connections: Vec<_> = (0..10).map(|_| open()).collect();
+    for connection in &mut connections {
+        for quick in quick {
+            assert_eq!(connection.send(&quick()).await_on(&cluster), Ending::Kept);
+        }
+    }
+    cluster.endpoints.engines().for_each(|engine| engine.state().head_delay = head_delay);
+    cluster.routers[0].signal(Signal::SIGTERM);
+    std::thread::sleep(Duration::from_millis(3_200));
+    let sending = connections.into_iter().map(|mut connection| {
+        let request =
+            TestRequest { timeout: 2 * GRACE_PERIOD, ..request.clone() }.with_another_id();
+        cluster.runtime.spawn(async move { (connection.send(&request).await, request.id) })
+    });
+    let sending: Vec<_> = sending.collect();
+    let ended: Vec<_> = sending.into_iter().map(|s| s.await_on(&cluster).unwrap()).collect();
+    let runs: usize = ended.iter().map(|(_, id)| cluster.endpoints.trace(id).runs).sum();
+    let unanswered = ended.iter().filter(|(ending, _)| *ending != Ending::Closed).count();
+    assert_eq!((runs, unanswered), (0, 0), "of {ended:?}");
+    assert_eq!(cluster.routers[0].wait(), Some(0));
+}
+
+/// Defines tests that a stopping router does not begin what it would cut off, after quick
+/// requests.
+macro_rules! long_request_tests {
+    ($($name:ident: [$($quick:expr),*], $request:expr, $head_delay_ms:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let head_delay = Duration::from_millis($head_delay_ms);
+            assert_long_requests_are_refused(&[$($quick),*], $request, head_delay);
+        }
+    )*};
+}
+
+long_request_tests! {
+    // Its prompt takes long, and streams before it had short ones.
+    stopping_router_begins_no_stream_of_a_long_prompt: [|| TestRequest::note(4)], TestRequest::note(6), 2_900;
+    stopping_router_begins_no_read_that_takes_longer_than_any_before: [TestRequest::read], TestRequest::slow("/read/x"), 0;
+    stopping_router_begins_no_posting_that_takes_longer_than_any_before: [TestRequest::post], TestRequest::slow("/post/x"), 0;
+    stopping_router_begins_no_read_of_a_route_without_answers: [TestRequest::post], TestRequest::slow("/read/x"), 0;
+    stopping_router_begins_no_posting_of_a_route_without_answers: [TestRequest::read], TestRequest::slow("/post/x"), 0;
+}
+
+/// An endpoint is slow and fails after the load balancer has turned away; the router could not
+/// end a second send, and does not give up the first one for it.
+#[test]
+fn stopping_router_repeats_no_request_that_it_would_cut_off() {
+    let mut cluster = TestCluster::start(ClusterOptions::default());
+    let to = cluster.routers[0].clients;
+    let mut connection = BlindConnection::connect(to).await_on(&cluster).unwrap();
+    assert_eq!(connection.send(&TestRequest::read()).await_on(&cluster), Ending::Kept);
+    cluster.routers[0].signal(Signal::SIGTERM);
+    std::thread::sleep(Duration::from_millis(2_300));
+    cluster.endpoints.members.iter().for_each(|member| member.state().failure = Some((500, true)));
+    // It ends 4.8 s after SIGTERM; one that begins when it is late would not end in time.
+    let mut request = TestRequest::new(hyper::Method::GET, "/read/x?ms=2500");
+    request.timeout = 2 * GRACE_PERIOD;
+    let sent = Instant::now();
+    assert_eq!(connection.send(&request).await_on(&cluster), Ending::Closed);
+    assert!(sent.elapsed() < Duration::from_millis(2_900), "{:?}", sent.elapsed());
+    assert_eq!(cluster.endpoints.trace(&request.id).runs, 1);
+    assert_eq!(cluster.routers[0].wait(), Some(0));
+}
+
 /// The stream would be sent as a whole after its end, and takes longer than the grace period.
 #[test]
 fn http_1_0_client_of_a_stream_that_outlasts_a_planned_stop_is_answered() {
--- a/mimosashift/src/drain.rs
+++ b/mimosashift/src/drain.rs
@@ -2,7 +2,9 @@
 //!
 //! A balancer needs seconds to notice that a router stops, and clients keep connections,
 //! so requests go on arriving. One that would outlast the grace period is refused as not
-//! run: another router serves it whole, where this one would cut it off.
+//! run: another router serves it whole, where this one would cut it off. The estimates here
+//! count only as long as a refused client may be led back, or if there is no other router; see
+//! `docs/OPERATIONS.md`, "Planned stop".
 
 use std::time::Duration;
 
@@ -25,36 +27,60 @@
 /// Factor on the longest response time within which a request ends that must not be cut off.
 const LONGEST_MARGIN: f64 = 1.25;
 
-/// Time per token of recent streams, from their arrival to their end.
+/// A stream to be written.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Stream {
+    /// Number of tokens of its prompt.
+    pub prompt: f64,
+    /// Number of tokens that it is expected to write.
+    pub output: f64,
+    /// Number of tokens that it writes at most.
+    pub max_output: f64,
+}
+
+/// Average time per token of recent streams of one service: of the prompt until the first
+/// event, and of the output after that.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Pace {
-    seconds_per_token: Option<f64>,
+    prompt: Option<f64>,
+    output: Option<f64>,
 }
 
 impl Pace {
-    /// Records a stream that has ended.
-    pub fn record(&mut self, tokens: f64, time: Duration) {
-        if tokens <= 0.0 {
-            return;
-        }
-        let seconds = time.as_secs_f64() / tokens;
-        let average = self.seconds_per_token.unwrap_or(seconds);
-        self.seconds_per_token = Some(average + (seconds - average) * AVERAGING_SHARE);
+    /// Records a stream that has ended: the tokens of its prompt and of its output, the time
+    /// until its first event, and the whole time.
+    pub fn record(&mut self, prompt: f64, output: f64, to_first: Duration, whole: Duration) {
+        average(&mut self.prompt, prompt, to_first);
+        average(&mut self.output, output, whole.saturating_sub(to_first));
+    }
+
+    /// Whether a stream is likely to end within `left`. True as long as no stream has ended.
+    pub fn fits(&self, stream: &Stream, left: Duration) -> bool {
+        let output = (stream.output * OUTPUT_MARGIN).min(stream.max_output);
+        self.seconds(stream.prompt, output).is_none_or(|seconds| seconds <= left.as_secs_f64())
     }
 
-    /// Whether a stream that is expected to write `output` tokens, and writes at most
-    /// `max_output`, is likely to end within `left`. True as long as no stream has ended.
-    pub fn fits(&self, output: f64, max_output: f64, left: Duration) -> bool {
-        let tokens = (output * OUTPUT_MARGIN).min(max_output);
-        self.seconds_per_token.is_none_or(|seconds| seconds * tokens <= left.as_secs_f64())
+    /// Whether a stream ends within `left` even if it writes all the tokens that it may, at a
+    /// slow pace. False as long as no stream has ended.
+    pub fn surely_fits(&self, stream: &Stream, left: Duration) -> bool {
+        self.seconds(stream.prompt, stream.max_output)
+            .is_some_and(|seconds| seconds * PACE_MARGIN <= left.as_secs_f64())
     }
 
-    /// Whether a stream of at most `max_output` tokens ends within `left` even if it writes
-    /// all of them at a slow pace. False as long as no stream has ended.
-    pub fn surely_fits(&self, max_output: f64, left: Duration) -> bool {
-        self.seconds_per_token
-            .is_some_and(|seconds| seconds * PACE_MARGIN * max_output <= left.as_secs_f64())
+    /// Time that a stream takes at this pace, in seconds.
+    fn seconds(&self, prompt: f64, output: f64) -> Option<f64> {
+        Some(self.prompt.unwrap_or_default() * prompt + self.output? * output)
+    }
+}
+
+/// Adds the time that `tokens` took to the average time per token.
+fn average(per_token: &mut Option<f64>, tokens: f64, time: Duration) {
+    if tokens <= 0.0 {
+        return;
     }
+    let seconds = time.as_secs_f64() / tokens;
+    let before = per_token.unwrap_or(seconds);
+    *per_token = Some(before + (seconds - before) * AVERAGING_SHARE);
 }
 
 /// Response time of recent requests without a stream: its average, the average deviation from
--- a/mimosashift/tests/drain.rs
+++ b/mimosashift/tests/drain.rs
@@ -2,22 +2,34 @@
 
 use std::time::Duration;
 
-use mimosashift::drain::{Latency, Pace};
+use mimosashift::drain::{Latency, Pace, Stream};
 use test_case::test_case;
 
-/// Streams of 100 tokens that took 2 s each.
+/// Records a stream that took `seconds` to write 100 tokens after a prompt of 100 tokens that
+/// took 0.1 s.
+fn record(pace: &mut Pace, seconds: u64) {
+    let to_first = Duration::from_millis(100);
+    pace.record(100.0, 100.0, to_first, to_first + Duration::from_secs(seconds));
+}
+
+/// Ten such streams of 2 s.
 fn pace() -> Pace {
     let mut pace = Pace::default();
-    (0..10).for_each(|_| pace.record(100.0, Duration::from_secs(2)));
+    (0..10).for_each(|_| record(&mut pace, 2));
     pace
 }
 
+/// A stream without a prompt.
+fn stream(output: f64, max_output: f64) -> Stream {
+    Stream { prompt: 0.0, output, max_output }
+}
+
 #[test_case(100.0, 400.0, 3_100 => true; "with half as much again")]
 #[test_case(100.0, 400.0, 2_900 => false; "only if the estimate is exact")]
 #[test_case(300.0, 100.0, 2_100 => true; "as it writes no more than its maximum")]
 #[test_case(300.0, 400.0, 5_000 => false; "too long")]
 fn stream_fits_into_the_time_left(output: f64, max_output: f64, left_ms: u64) -> bool {
-    pace().fits(output, max_output, Duration::from_millis(left_ms))
+    pace().fits(&stream(output, max_output), Duration::from_millis(left_ms))
 }
 
 #[test_case(100.0, 3_100 => true; "with a margin")]
@@ -25,27 +37,37 @@
 #[test_case(400.0, 5_000 => false; "unless it writes less than its maximum")]
 #[test_case(f64::INFINITY, 60_000 => false; "without a maximum")]
 fn stream_surely_fits_into_the_time_left(max_output: f64, left_ms: u64) -> bool {
-    pace().surely_fits(max_output, Duration::from_millis(left_ms))
+    pace().surely_fits(&stream(0.0, max_output), Duration::from_millis(left_ms))
 }
 
 #[test]
 fn no_stream_surely_fits_before_one_has_ended() {
-    assert!(!Pace::default().surely_fits(1.0, Duration::from_secs(60)));
+    assert!(!Pace::default().surely_fits(&stream(1.0, 1.0), Duration::from_secs(60)));
 }
 
 #[test]
 fn every_stream_fits_before_one_has_ended() {
     let mut pace = Pace::default();
-    pace.record(0.0, Duration::from_secs(9));
-    assert!(pace.fits(1e6, 1e6, Duration::from_secs(1)));
+    pace.record(0.0, 0.0, Duration::ZERO, Duration::from_secs(9));
+    assert!(pace.fits(&stream(1e6, 1e6), Duration::from_secs(1)));
+}
+
+/// The prompt takes 4 s at the pace of the short ones.
+#[test_case(5_900 => false; "too short a time")]
+#[test_case(6_100 => true; "with its prompt")]
+fn prompt_counts_besides_the_output(left_ms: u64) -> bool {
+    let stream = Stream { prompt: 4_000.0, output: 100.0, max_output: 100.0 };
+    let left = Duration::from_millis(left_ms);
+    assert!(!pace().surely_fits(&stream, left));
+    pace().fits(&stream, left)
 }
 
 #[test]
 fn pace_follows_slower_streams() {
     let mut pace = pace();
-    (0..64).for_each(|_| pace.record(100.0, Duration::from_secs(4)));
-    assert!(!pace.fits(100.0, 100.0, Duration::from_millis(3_900)));
-    assert!(pace.fits(100.0, 100.0, Duration::from_millis(4_000)));
+    (0..64).for_each(|_| record(&mut pace, 4));
+    assert!(!pace.fits(&stream(100.0, 100.0), Duration::from_millis(3_900)));
+    assert!(pace.fits(&stream(100.0, 100.0), Duration::from_millis(4_000)));
 }
 
 /// Requests that took 80 ms to 120 ms.
