Accept no key when the last one has been taken away

Cause: an empty list of keys was taken for a configuration without teams, at the adapter and in Deployment::has_keys, which skipped the check.

Access now says whether a configuration has a list of teams; team() alone decides.

--- a/mimosafront/src/relay/mod.rs
+++ b/mimosafront/src/relay/mod.rs
@@ -417,9 +417,6 @@
     let Some(route) = deployment.route(host, path).cloned() else {
         return Some(Err(Denied::NoRoute));
     };
-    if !deployment.has_keys() {
-        return Some(Ok((deployment, route, None)));
-    }
     let team = match deployment.team(&route, key) {
         Ok(team) => team.map(|team| team.name.clone()),
         Err(denied) => return Some(Err(denied)),
--- a/mimosafront/tests/cluster/mod.rs
+++ b/mimosafront/tests/cluster/mod.rs
@@ -211,11 +211,21 @@
 
     /// Writes the next configuration, with these teams and their keys.
     pub fn configure(&mut self, teams: &[(&str, &[&str])]) -> u64 {
+        self.configure_with(teams, |_| {})
+    }
+
+    /// Writes the next configuration, with these teams and their keys and a change of its text.
+    pub fn configure_with(
+        &mut self,
+        teams: &[(&str, &[&str])],
+        change: impl FnOnce(&mut Value),
+    ) -> u64 {
         // Revisions may skip numbers.
         self.revision += 3;
         let mut config =
             configuration_json(self.revision, teams, self.endpoints.options.engine_memory_mb);
         config["limits"] = limits_json(&self.limits);
+        change(&mut config);
         self.store.put("op", "config", &config);
         self.revision
     }
--- a/mimosashift/src/deployment/mod.rs
+++ b/mimosashift/src/deployment/mod.rs
@@ -27,12 +27,23 @@
     routes: HashMap<String, HashMap<String, Arc<Route>>>,
     /// Services by name.
     services: HashMap<Arc<str>, Arc<Service>>,
-    /// Teams by API key.
-    teams_by_key: HashMap<String, Arc<Team>>,
+    /// Who may send requests.
+    access: Access,
     /// Limits on client requests and connections.
     pub limits: Limits,
 }
 
+/// Who may send requests to routes that are not public.
+#[derive(Clone, Debug, Default)]
+pub enum Access {
+    /// Everyone: the configuration has no teams.
+    #[default]
+    Open,
+    /// Who presents a key of a team, by key; nobody if there is none. A key that has been taken
+    /// away is not accepted again because it was the last one.
+    Keys(HashMap<String, Arc<Team>>),
+}
+
 /// Where requests are routed and how they may be handled.
 #[derive(Clone, Debug)]
 pub struct Route {
@@ -168,10 +179,10 @@
         revision: u64,
         routes: Vec<Route>,
         services: Vec<Service>,
-        teams: Vec<(Team, Vec<String>)>,
+        access: Access,
         limits: Limits,
     ) -> Self {
-        let mut deployment = Self { revision, limits, ..Self::default() };
+        let mut deployment = Self { revision, access, limits, ..Self::default() };
         for route in routes {
             let host = deployment.routes.entry(route.host.clone()).or_default();
             host.insert(route.prefix.clone(), Arc::new(route));
@@ -179,12 +190,6 @@
         for service in services {
             deployment.services.insert(service.name.clone(), Arc::new(service));
         }
-        for (team, keys) in teams {
-            let team = Arc::new(team);
-            for key in keys {
-                deployment.teams_by_key.insert(key, team.clone());
-            }
-        }
         deployment
     }
 
@@ -196,18 +201,15 @@
         slashes.map(|(at, _)| &path[..=at]).find_map(|prefix| prefixes.get(prefix))
     }
 
-    /// The team to which `key` belongs; `None` for public routes, which need no key.
+    /// The team to which `key` belongs; `None` if a request on the route needs no key.
     pub fn team(&self, route: &Route, key: Option<&str>) -> Result<Option<&Arc<Team>>, Denied> {
-        if route.public {
-            return Ok(None);
+        match &self.access {
+            Access::Keys(teams) if !route.public => {
+                let team = key.and_then(|key| teams.get(key));
+                team.map(Some).ok_or(Denied::InvalidKey)
+            }
+            Access::Keys(_) | Access::Open => Ok(None),
         }
-        let team = key.and_then(|key| self.teams_by_key.get(key)).ok_or(Denied::InvalidKey)?;
-        Ok(Some(team))
-    }
-
-    /// Whether the configuration holds any API keys; without any, requests need none.
-    pub fn has_keys(&self) -> bool {
-        !self.teams_by_key.is_empty()
     }
 
     /// A service by name.
@@ -226,6 +228,18 @@
     }
 }
 
+impl FromIterator<(Team, Vec<String>)> for Access {
+    /// The access of these teams by their keys.
+    fn from_iter<T: IntoIterator<Item = (Team, Vec<String>)>>(teams: T) -> Self {
+        let mut by_key = HashMap::new();
+        for (team, keys) in teams {
+            let team = Arc::new(team);
+            by_key.extend(keys.into_iter().map(|key| (key, team.clone())));
+        }
+        Self::Keys(by_key)
+    }
+}
+
 impl Route {
     /// Picks a service by weight, given a random number from `0.0..1.0`.
     pub fn target(&self, random: f64) -> &Arc<str> {
--- a/mimosashift/tests/front.rs
+++ b/mimosashift/tests/front.rs
@@ -42,7 +42,13 @@
         engine: None,
     };
     let team = Team { name: "officers".into(), priority: None };
-    Deployment::new(7, routes, vec![service], vec![(team, vec!["key".into()])], Limits::default())
+    Deployment::new(
+        7,
+        routes,
+        vec![service],
+        [(team, vec!["key".into()])].into_iter().collect(),
+        Limits::default(),
+    )
 }
 
 macro_rules! route_tests {
