Promise that a request has not run only if that is known

Cause: the status of an endpoint was passed on, also those by which a router promises that nothing has run; and such a status of another router counted as its refusal, though it may have passed it on.

Routers state their refusals to each other in a header.

--- a/mimosafront/src/relay/mod.rs
+++ b/mimosafront/src/relay/mod.rs
@@ -17,7 +17,7 @@
 use mimosashift::deployment::{Denied, Deployment, Route, Service};
 use mimosashift::emit;
 use mimosashift::event::Event;
-use mimosashift::exchange::{Forward, Tokens};
+use mimosashift::exchange::{self, Forward, Tokens};
 use mimosashift::fleet::Hop;
 use mimosashift::meter::{Outcome, RefusalReason};
 use mimosashift::quarantine::{Content, Contents, Fingerprint};
@@ -61,6 +61,10 @@
 /// Reason for refusing a request if the endpoints want none from this router now.
 const RESTING_REASON: &str = "endpoints rest";
 
+/// Reason for failing a request after a status that would promise, without a statement of who
+/// gave it, that the request has not run.
+const WITHHELD_REASON: &str = "endpoint failed and may have run it";
+
 /// Reason for failing a request after an answer that may be another one's.
 const STRAY_REASON: &str = "answer to another request";
 
@@ -152,6 +156,19 @@
         );
     }
 
+    /// Whether a status must not be passed on, as it would promise that the request has not run;
+    /// who gave it, `by`, has not stated that.
+    fn withholds(&self, status: StatusCode, by: &str) -> bool {
+        let is_promise = exchange::is_promise(status.as_u16());
+        if is_promise {
+            emit!(
+                self.state.log, Event::AnswerWithheld,
+                "request" => &*self.id, "status" => status.as_u16(), "by" => by,
+            );
+        }
+        is_promise
+    }
+
     fn log_answered(&self, status: StatusCode, by: &str) {
         let ms = millis(clock::now().since(self.arrived));
         emit!(
@@ -182,7 +199,14 @@
     };
     let mut response = match result {
         Ok(response) => response,
-        Err(error) => error_response(&state, id.as_ref(), &error, arrived),
+        Err(error) => {
+            let mut response = error_response(&state, id.as_ref(), &error, arrived);
+            let is_refusal = matches!(error, RequestError::Refused(..));
+            if is_refusal && listener == Listener::Routers {
+                peer::state_not_run(response.headers_mut());
+            }
+            response
+        }
     };
     if is_chunked || state.stopping.is_set() {
         // Clients leave a router that is stopping with the response. A message with both
@@ -481,5 +505,6 @@
     let mut response = Response::new(body);
     *response.status_mut() = head.status();
     *response.headers_mut() = header::end_to_end(head.headers());
+    peer::remove_outcome(response.headers_mut());
     response
 }
--- a/mimosafront/src/relay/model/mod.rs
+++ b/mimosafront/src/relay/model/mod.rs
@@ -22,7 +22,10 @@
 use self::stall::{FaultyHops, StallCheck};
 use self::stall_timer::{StallTimer, wait_for_fault_or_tick};
 use super::peer::{Path, Relay, UNREACHABLE_REASON};
-use super::{RequestContext, RequestError, STRAY_REASON, forward_response, relayed_outcome, stop};
+use super::{
+    RequestContext, RequestError, STRAY_REASON, WITHHELD_REASON, forward_response, relayed_outcome,
+    stop,
+};
 use crate::body::ResponseBody;
 use crate::call::CallError;
 use crate::clock;
@@ -413,6 +416,10 @@
             return Err("rejected by an endpoint");
         }
         self.possible_executions += 1;
+        if self.ctx.withholds(status, &first.id) {
+            self.excluded_hops.push(first.clone());
+            return Err(WITHHELD_REASON);
+        }
         if status.is_success() && !info.signed {
             return Err("answer without a signature");
         }
--- a/mimosafront/src/relay/model/through.rs
+++ b/mimosafront/src/relay/model/through.rs
@@ -6,8 +6,8 @@
 
 use super::ModelRequest;
 use crate::call::CallError;
-use crate::relay::STRAY_REASON;
-use crate::relay::peer::Relay;
+use crate::relay::peer::{self, Relay};
+use crate::relay::{STRAY_REASON, WITHHELD_REASON};
 
 impl ModelRequest {
     /// Sends the request through another router; returns the reason if there is no
@@ -27,7 +27,7 @@
             Ok(exchange) => {
                 let (status, info) =
                     (exchange.head.status(), header::response(exchange.head.headers()));
-                if info.is_refusal(status.as_u16()) {
+                if peer::is_refusal(&exchange) {
                     if executions > 0 {
                         // It was not run there, but may have been before.
                         self.rejected_sends += 1;
@@ -37,6 +37,9 @@
                     return Ok(exchange);
                 }
                 self.possible_executions += 1;
+                if self.ctx.withholds(status, &relay.name) {
+                    return Err(WITHHELD_REASON);
+                }
                 if status.is_success() && !info.signed {
                     return Err("answer without a signature");
                 }
--- a/mimosafront/src/relay/peer.rs
+++ b/mimosafront/src/relay/peer.rs
@@ -31,6 +31,13 @@
 /// Number of endpoints that may have run the request before it was relayed.
 const EXECUTIONS: HeaderName = HeaderName::from_static("relayed-executions");
 
+/// States in the answer of a router that the request has not run and never will. Builds without
+/// it pass on statuses of endpoints, so that theirs state nothing.
+const OUTCOME: HeaderName = HeaderName::from_static("relayed-outcome");
+
+/// The value of `OUTCOME` for a request that has not run.
+const NOT_RUN: HeaderValue = HeaderValue::from_static("not-run");
+
 /// Cost of a router in another zone, in requests relayed to it that have not ended.
 const REMOTE_ZONE_COST: usize = 4;
 
@@ -134,6 +141,23 @@
     }
 }
 
+/// Adds to the answer of this router that the request has not run.
+pub(super) fn state_not_run(headers: &mut HeaderMap) {
+    headers.insert(OUTCOME, NOT_RUN);
+}
+
+/// Removes what routers state to each other.
+pub(super) fn remove_outcome(headers: &mut HeaderMap) {
+    headers.remove(OUTCOME);
+}
+
+/// Whether another router states in its answer that the request has not run there.
+pub(super) fn is_refusal(answer: &Exchange) -> bool {
+    let headers = answer.head.headers();
+    let states_not_run = headers.get(OUTCOME).is_some_and(|outcome| outcome == NOT_RUN);
+    header::response(headers).is_refusal(states_not_run)
+}
+
 impl RequestContext {
     /// How the request may reach an endpoint, through none of the routers in `tried`.
     pub(super) fn path(&self, tried: &[Arc<str>]) -> Path {
--- a/mimosafront/src/relay/plain.rs
+++ b/mimosafront/src/relay/plain.rs
@@ -21,8 +21,8 @@
 
 use super::peer::{Path, Relay, UNREACHABLE_REASON};
 use super::{
-    LIMITED_REASON, RESTING_REASON, RequestContext, RequestError, STRAY_REASON, forward_response,
-    relayed_outcome, stop,
+    LIMITED_REASON, RESTING_REASON, RequestContext, RequestError, STRAY_REASON, WITHHELD_REASON,
+    forward_response, peer, relayed_outcome, stop,
 };
 use crate::body::ResponseBody;
 use crate::call::CallError;
@@ -205,7 +205,7 @@
         result = timeout(send_timeout.min(ctx.remaining()), sending.as_mut()).await;
     }
     let outcome = match result {
-        Ok(Ok((exchange, body))) => check_response(ctx, exchange, body, can_retry),
+        Ok(Ok((exchange, body))) => check_response(ctx, exchange, body, &hop.id, can_retry),
         Ok(Err(CallError::Stray)) => SendOutcome::Lost(STRAY_REASON),
         Ok(Err(CallError::Failed(Failure::NotSent { reason, .. }))) => {
             state.mark_suspect(&hop.id, &reason);
@@ -261,13 +261,15 @@
     };
     match timeout(ctx.remaining(), response).await {
         Ok(Ok((exchange, body))) => {
-            let status = exchange.head.status();
-            let info = header::response(exchange.head.headers());
-            if executions > 0 && info.is_refusal(status.as_u16()) {
+            let outcome = match peer::is_refusal(&exchange) {
                 // It was not run there, but may have been before.
-                return SendOutcome::NotRun("refused by a router");
-            }
-            let outcome = check_response(ctx, exchange, body, false);
+                true if executions > 0 => return SendOutcome::NotRun("refused by a router"),
+                true => {
+                    let body = ResponseBody::Full(Some(body));
+                    SendOutcome::Answered(forward_response(&exchange.head, body), true)
+                }
+                false => check_response(ctx, exchange, body, &relay.name, false),
+            };
             if let SendOutcome::Answered(response, _) = &outcome {
                 ctx.state.meter.requests(1, relayed_outcome(response.status()));
                 ctx.log_answered(response.status(), &relay.name);
@@ -291,12 +293,13 @@
     Ok((exchange, body))
 }
 
-/// Checks that a response is acceptable: a successful one is signed, not encoded, and no
-/// stream that breaks off.
+/// Checks that a response is acceptable: it promises nothing that it does not state, and a
+/// successful one is signed, not encoded, and no stream that breaks off.
 fn check_response(
     ctx: &RequestContext,
     exchange: Exchange,
     body: Bytes,
+    by: &str,
     can_retry: bool,
 ) -> SendOutcome {
     let status = exchange.head.status();
@@ -304,6 +307,9 @@
     if info.not_run || status == StatusCode::MISDIRECTED_REQUEST {
         return SendOutcome::NotRun("rejected by the endpoint");
     }
+    if ctx.withholds(status, by) {
+        return SendOutcome::Lost(WITHHELD_REASON);
+    }
     let is_encoded = exchange.head.headers().contains_key(CONTENT_ENCODING);
     if status.is_success() && (!info.signed || is_encoded) {
         // Also the reason if a signed response has a content encoding.
--- a/mimosashift/src/exchange/mod.rs
+++ b/mimosashift/src/exchange/mod.rs
@@ -181,13 +181,21 @@
         self.id.as_deref() == request
     }
 
-    /// Whether another router, which answered with this status, refused the request, so
-    /// that it was not run there. An answer of an endpoint is signed.
-    pub fn is_refusal(&self, status: u16) -> bool {
-        !self.signed && matches!(status, 408 | 421 | 429 | 503)
+    /// Whether this is the answer of another router that has refused the request, so that it was
+    /// not run there. The router must state it: a status that it passes on proves nothing. An
+    /// answer of an endpoint is signed.
+    pub const fn is_refusal(&self, states_not_run: bool) -> bool {
+        !self.signed && states_not_run
     }
 }
 
+/// Whether a router promises with this status that a request has not run and never will. What
+/// it promises follows from what it knows of the run, never from the status of an endpoint; see
+/// `docs/design/http.md`, "Promises".
+pub const fn is_promise(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
 /// State that a model engine reports; it lags by several hundred milliseconds.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Report {
