Read errors of engines within the time of their request

Cause: the body of an error was read outside the parts that watch the deadline.

It is read in the loop that sends the request, until its deadline, or for 0.2 s if it may go elsewhere.

--- a/mimosafront/src/relay/model/forward.rs
+++ b/mimosafront/src/relay/model/forward.rs
@@ -15,7 +15,7 @@
 
 use super::stall::StallCheck;
 use super::stall_timer::{StallTimer, wait_for_fault_or_tick};
-use super::{FIRST_EVENT_TIMEOUT, MAX_REJECTED_SENDS, ModelRequest};
+use super::{FIRST_EVENT_TIMEOUT, MAX_REJECTED_SENDS, ModelRequest, Opened};
 use crate::body::Chunk;
 use crate::clock;
 use crate::probe::{self, ProbeResult};
@@ -99,7 +99,7 @@
     }
 
     /// Excludes the first endpoint of the chain.
-    fn exclude_first_hop(&mut self) {
+    pub(super) fn exclude_first_hop(&mut self) {
         if let Some(first) = self.claim.as_ref().map(|claim| claim.chain[0].clone()) {
             self.exclude([first]);
         }
@@ -194,14 +194,14 @@
         emit!(self.state().log, Event::StageMoved, "request" => &*self.ctx.id, "reason" => reason, "after_event" => self.events.last());
         let opened = self.open().await;
         match opened {
-            Ok(exchange) if exchange.head.status().is_success() => {
+            Ok(Opened::Stream(exchange)) => {
                 self.events.discard_partial();
                 self.first_event_in_run = None;
                 self.success_recorded = false;
                 self.state().meter.recoveries(1, Recovery::Restarted);
                 Ok(exchange)
             }
-            Ok(_) => {
+            Ok(Opened::Failure(..)) => {
                 self.demand = old_demand;
                 Err(RequestError::Failed(StatusCode::BAD_GATEWAY, "endpoint failed"))
             }
--- a/mimosafront/src/relay/model/mod.rs
+++ b/mimosafront/src/relay/model/mod.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hyper::body::Bytes;
 use hyper::{Response, StatusCode};
 use mimosaplatform::header;
 use mimosashift::connection_pool::{Exchange, Failure};
@@ -18,6 +19,7 @@
 use mimosashift::time::Instant;
 use smallvec::SmallVec;
 use tokio::sync::mpsc;
+use tokio::time::timeout;
 
 use self::stall::{FaultyHops, StallCheck};
 use self::stall_timer::{StallTimer, wait_for_fault_or_tick};
@@ -63,6 +65,17 @@
 /// layers load in about a second.
 const RETRIES_EXHAUSTED_RETRY_AFTER: Duration = Duration::from_millis(700);
 
+/// Time within which the body of an error must arrive if the request may be sent elsewhere.
+const ERROR_BODY_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// What answers a request.
+enum Opened {
+    /// The head of a stream.
+    Stream(Exchange),
+    /// A whole error.
+    Failure(Response<()>, Bytes),
+}
+
 /// A request to a model engine and its progress.
 struct ModelRequest {
     ctx: RequestContext,
@@ -129,16 +142,16 @@
     let engine = ctx.service.engine.clone().expect("service has an engine");
     let mut session = ModelRequest::new(ctx, engine);
     let mut exchange = match session.open().await {
-        Ok(exchange) => exchange,
+        Ok(Opened::Stream(exchange)) => exchange,
+        Ok(Opened::Failure(head, body)) => {
+            session.outcome_recorded = true;
+            return Ok(session.forward_failure(&head, body));
+        }
         Err(end) => {
             session.outcome_recorded = true;
             return Err(end);
         }
     };
-    if !exchange.head.status().is_success() {
-        session.outcome_recorded = true;
-        return session.forward_failure(exchange).await;
-    }
     let (sender, chunks) = mpsc::channel(BUFFERED_CHUNKS);
     let response = forward_response(&exchange.head, ResponseBody::Stream(chunks));
     exchange.head.headers_mut().clear();
@@ -223,8 +236,8 @@
         !pace.fits(&stream, left) && stop::has_other_router(state)
     }
 
-    /// Tries one chain after another until one opens a stream.
-    async fn open(&mut self) -> Result<Exchange, RequestError> {
+    /// Tries one chain after another until one opens a stream or fails the request.
+    async fn open(&mut self) -> Result<Opened, RequestError> {
         let mut cause = "no chain left";
         loop {
             if self.ctx.remaining().is_zero() {
@@ -274,8 +287,13 @@
                     ));
                 }
             };
-            match sent {
-                Ok(exchange) => return Ok(exchange),
+            let opened = match sent {
+                Ok(exchange) if exchange.head.status().is_success() => Ok(Opened::Stream(exchange)),
+                Ok(exchange) => self.read_failure(exchange).await,
+                Err(reason) => Err(reason),
+            };
+            match opened {
+                Ok(opened) => return Ok(opened),
                 Err(reason) => cause = reason,
             }
             self.release();
@@ -463,15 +481,31 @@
         Demand { prompt: self.demand.prompt + generated, output }
     }
 
-    /// Forwards an error response, which is not a stream.
-    async fn forward_failure(
-        &self,
-        mut exchange: Exchange,
-    ) -> Result<Response<ResponseBody>, RequestError> {
-        let Ok(body) = exchange.collect(MAX_BUFFERED_RESPONSE_BYTES).await else {
-            return Err(RequestError::Failed(StatusCode::BAD_GATEWAY, "answer lost"));
+    /// Reads the rest of an error response, which is not a stream; returns the reason if it does
+    /// not end in time. Only a request that may not be sent elsewhere waits for all the time that
+    /// it has.
+    async fn read_failure(&mut self, mut exchange: Exchange) -> Result<Opened, &'static str> {
+        if self.has_begun {
+            // It is not forwarded within the stream.
+            return Ok(Opened::Failure(exchange.head, Bytes::new()));
+        }
+        let may_resend =
+            self.ctx.route.is_idempotent() && self.possible_executions < self.ctx.route.attempts;
+        let limit = if may_resend { ERROR_BODY_TIMEOUT } else { Duration::MAX };
+        let reading = exchange.collect(MAX_BUFFERED_RESPONSE_BYTES);
+        let body = timeout(limit.min(self.ctx.remaining()), reading).await;
+        let reason = match body {
+            Ok(Ok(body)) => return Ok(Opened::Failure(exchange.head, body)),
+            Ok(Err(_)) => "error broke off",
+            Err(_) => "error did not end in time",
         };
-        let status = exchange.head.status();
+        self.exclude_first_hop();
+        Err(reason)
+    }
+
+    /// Forwards an error response.
+    fn forward_failure(&self, head: &Response<()>, body: Bytes) -> Response<ResponseBody> {
+        let status = head.status();
         match &self.relay {
             Some(relay) => {
                 self.state().meter.requests(1, relayed_outcome(status));
@@ -482,6 +516,6 @@
                 self.ctx.log_answered(status, "first of the chain");
             }
         }
-        Ok(forward_response(&exchange.head, ResponseBody::Full(Some(body))))
+        forward_response(head, ResponseBody::Full(Some(body)))
     }
 }
--- a/mimosafront/tests/cluster/proxy.rs
+++ b/mimosafront/tests/cluster/proxy.rs
@@ -65,6 +65,10 @@
 pub enum Ending {
     Close,
     Reset,
+    /// It does not end: nothing follows until the client closes the connection.
+    Silence,
+    /// It does not end: a byte follows at each `TRICKLE_INTERVAL`.
+    Trickle,
 }
 
 /// Returns the answer to a request, given as text, if the server is not to answer it.
@@ -73,6 +77,9 @@
 /// Time from such an answer until the end of the connection.
 const ENDING_DELAY: Duration = Duration::from_millis(2);
 
+/// Interval of the bytes of an answer that trickles.
+const TRICKLE_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Connections that the system establishes before the proxy has accepted them.
 const BACKLOG: i32 = 1_024;
 
@@ -352,11 +359,19 @@
         // The other side may have closed the connection.
         drop(to.write_all(&self.bytes).await);
         tokio::time::sleep(ENDING_DELAY).await;
-        if self.ending == Ending::Reset {
-            SockRef::from(to.as_ref()).set_linger(Some(Duration::ZERO)).unwrap();
-            return to.forget();
+        match self.ending {
+            Ending::Close => drop(to.shutdown().await),
+            Ending::Reset => {
+                SockRef::from(to.as_ref()).set_linger(Some(Duration::ZERO)).unwrap();
+                return to.forget();
+            }
+            Ending::Silence => {}
+            Ending::Trickle => {
+                while to.write_all(b"x").await.is_ok() {
+                    tokio::time::sleep(TRICKLE_INTERVAL).await;
+                }
+            }
         }
-        drop(to.shutdown().await);
         // Bytes that are left unread would turn the close into a reset.
         while let Ok(1..) = from.read(&mut [0; 4_096]).await {}
     }
