Bound what a router buffers for others by one budget

Other operators report a machine that ran out of memory on bytes without end, and whose other clients lost their requests. It happens here: each answer is bounded, their sum is not.

Answers, errors, incomplete events, bodies of clients and what clients have not read are charged to a budget of a third of the memory in the settings.

--- a/mimosafront/src/metrics.rs
+++ b/mimosafront/src/metrics.rs
@@ -42,6 +42,9 @@
 
 fn respond(state: &RouterState) -> Response<ResponseBody> {
     state.meter.running(state.in_flight.get() as u64);
+    let usage = state.budget.usage();
+    state.meter.buffered_bytes(usage.bytes as u64);
+    state.meter.given_up_buffers(usage.given_up);
     let peers = state.peers.borrow().alive(clock::now()).count();
     state.meter.members(peers as u64, MemberState::Alive);
     match state.meter.render() {
--- a/mimosafront/src/probe.rs
+++ b/mimosafront/src/probe.rs
@@ -69,7 +69,9 @@
 
 impl From<Failure> for NoReport {
     fn from(failure: Failure) -> Self {
-        let closed = !matches!(failure, Failure::NotSent { refused: false, .. });
+        let is_unknown =
+            matches!(failure, Failure::NotSent { refused: false, .. } | Failure::Exhausted);
+        let closed = !is_unknown;
         Self { reason: failure.to_string(), closed }
     }
 }
--- a/mimosafront/src/relay/mod.rs
+++ b/mimosafront/src/relay/mod.rs
@@ -1,7 +1,7 @@
 //! Relays a client's request to an endpoint and returns the response.
 
 use std::cell::Cell;
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -61,6 +61,9 @@
 /// Reason for refusing a request if the endpoints want none from this router now.
 const RESTING_REASON: &str = "endpoints rest";
 
+/// Reason for giving up a request because the memory for buffered data is used up.
+const EXHAUSTED_REASON: &str = "memory for buffered data is used up";
+
 /// Reason for failing a request after a status that would promise, without a statement of who
 /// gave it, that the request has not run.
 const WITHHELD_REASON: &str = "endpoint failed and may have run it";
@@ -169,6 +172,14 @@
         is_promise
     }
 
+    fn log_given_up(&self, by: &str) {
+        let usage = self.state.budget.usage();
+        emit!(
+            self.state.log, Event::AnswerGivenUp,
+            "request" => &*self.id, "by" => by, "buffered" => usage.bytes, "limit" => usage.limit,
+        );
+    }
+
     fn log_answered(&self, status: StatusCode, by: &str) {
         let ms = millis(clock::now().since(self.arrived));
         emit!(
@@ -231,21 +242,57 @@
         Some(_) => model::relay(ctx).await?,
         None => plain::relay(ctx).await?,
     };
-    if version < Version::HTTP_11 { buffer_stream(response).await } else { Ok(response) }
+    if version < Version::HTTP_11 { buffer_stream(state, response).await } else { Ok(response) }
 }
 
 /// Replaces a streamed body by a buffered one, which is sent with a length.
 /// Without chunks, a client could not tell a truncated stream from a complete
 /// one.
 async fn buffer_stream(
+    state: &RouterState,
     response: Response<ResponseBody>,
 ) -> Result<Response<ResponseBody>, RequestError> {
     let (head, body) = response.into_parts();
     let ResponseBody::Stream(_) = body else { return Ok(Response::from_parts(head, body)) };
-    let body = Limited::new(body, MAX_BUFFERED_STREAM_BYTES).collect().await;
-    let body = body
-        .map_err(|_| RequestError::Failed(StatusCode::BAD_GATEWAY, "stream was not completed"))?;
-    Ok(Response::from_parts(head, ResponseBody::Full(Some(body.to_bytes()))))
+    let failed = |reason| RequestError::Failed(StatusCode::BAD_GATEWAY, reason);
+    let body = collect(state, pin!(Limited::new(body, MAX_BUFFERED_STREAM_BYTES))).await;
+    let body = body.map_err(|error| match error {
+        CollectError::Exhausted => failed(EXHAUSTED_REASON),
+        CollectError::Body(_) => failed("stream was not completed"),
+    })?;
+    Ok(Response::from_parts(head, ResponseBody::Full(Some(body))))
+}
+
+/// Why a body was not collected.
+enum CollectError<E> {
+    /// It broke off, or exceeds its limit.
+    Body(E),
+    /// The memory for buffered data is used up.
+    Exhausted,
+}
+
+/// Reads a body to its end, within the memory for buffered data.
+async fn collect<B: Body<Data = Bytes>>(
+    state: &RouterState,
+    mut body: Pin<&mut B>,
+) -> Result<Bytes, CollectError<B::Error>> {
+    let mut buffer = state.budget.buffer();
+    loop {
+        let frame = tokio::select! {
+            biased;
+            frame = body.frame() => frame,
+            () = buffer.revoked() => return Err(CollectError::Exhausted),
+        };
+        match frame {
+            Some(Ok(frame)) => {
+                // Trailers are not used.
+                let Ok(data) = frame.into_data() else { continue };
+                buffer.push(&data).map_err(|_| CollectError::Exhausted)?;
+            }
+            Some(Err(error)) => return Err(CollectError::Body(error)),
+            None => return buffer.finish().map_err(|_| CollectError::Exhausted),
+        }
+    }
 }
 
 /// Validates a request against the configuration and reads its body.
@@ -345,17 +392,24 @@
     arrived: Instant,
 ) -> Result<Bytes, RequestError> {
     let limits = || limits_since(state, listener, arrived);
-    let mut collected = pin!(Limited::new(body, limits().body_bytes).collect());
+    let body = pin!(Limited::new(body, limits().body_bytes));
+    let mut collected = pin!(collect(state, body));
     loop {
         let remaining = (arrived + limits().read_timeout).since(clock::now());
         match tokio::time::timeout(remaining, collected.as_mut()).await {
-            Ok(Ok(body)) => return Ok(body.to_bytes()),
-            Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            Ok(Ok(body)) => return Ok(body),
+            Ok(Err(CollectError::Body(error)))
+                if error.is::<http_body_util::LengthLimitError>() =>
+            {
                 return Err(RequestError::Denied(StatusCode::PAYLOAD_TOO_LARGE, "body too large"));
             }
-            Ok(Err(_)) => {
+            Ok(Err(CollectError::Body(_))) => {
                 return Err(RequestError::Denied(StatusCode::BAD_REQUEST, "body broke off"));
             }
+            Ok(Err(CollectError::Exhausted)) => {
+                let shed = RefusalReason::Shed;
+                return Err(RequestError::Refused(shed, EXHAUSTED_REASON, DEFAULT_RETRY_AFTER));
+            }
             Err(_) if clock::now() < arrived + limits().read_timeout => {}
             Err(_) => {
                 let invalid = RefusalReason::Invalid;
--- a/mimosafront/src/relay/model/forward.rs
+++ b/mimosafront/src/relay/model/forward.rs
@@ -4,7 +4,7 @@
 
 use hyper::StatusCode;
 use hyper::body::Bytes;
-use mimosashift::connection_pool::{Exchange, Framing};
+use mimosashift::connection_pool::{Exchange, Failure, Framing};
 use mimosashift::deployment::RouteKind;
 use mimosashift::emit;
 use mimosashift::event::Event;
@@ -19,8 +19,8 @@
 use crate::body::Chunk;
 use crate::clock;
 use crate::probe::{self, ProbeResult};
-use crate::relay::RequestError;
 use crate::relay::peer::Path;
+use crate::relay::{EXHAUSTED_REASON, RequestError};
 use crate::state::millis;
 
 /// Reason for which `forward_events` returned.
@@ -36,6 +36,8 @@
     Stalled(&'static str),
     /// The stream ended prematurely.
     Broken(&'static str),
+    /// There was no memory to pass on events.
+    Exhausted,
 }
 
 /// Outcome of opening the rest of a stalled stream at another chain.
@@ -64,6 +66,8 @@
                 // cancels the work.
                 ForwardOutcome::ClientGone => return,
                 ForwardOutcome::DeadlineExceeded => "deadline passed",
+                // It cannot be resumed after events that were not passed on.
+                ForwardOutcome::Exhausted => EXHAUSTED_REASON,
                 ForwardOutcome::Stalled(reason) => {
                     match self.replace_chain(reason, &mut exchange, &sender).await {
                         Replacement::Open => {}
@@ -262,6 +266,7 @@
         loop {
             let next = tokio::select! {
                 next = exchange.next() => next,
+                () = self.partial.revoked() => Some(Err(Failure::Exhausted)),
                 () = sender.closed() => return ForwardOutcome::ClientGone,
                 () = &mut tick => {
                     tick.set(wait_for_fault_or_tick(&state));
@@ -281,6 +286,10 @@
             };
             let data = match next {
                 Some(Ok(data)) => data,
+                Some(Err(Failure::Exhausted)) => {
+                    self.give_up_answer();
+                    return ForwardOutcome::Broken(EXHAUSTED_REASON);
+                }
                 Some(Err(_)) => return ForwardOutcome::Broken("stream ended prematurely"),
                 None => return self.check_end(exchange.framing).await,
             };
@@ -288,6 +297,9 @@
                 Err(reason) => return ForwardOutcome::Broken(reason),
                 Ok(None) => {}
                 Ok(Some(complete)) => {
+                    let Ok(complete) = state.budget.hold(complete) else {
+                        return ForwardOutcome::Exhausted;
+                    };
                     self.record_success(false);
                     stall_timer.on_event(clock::now());
                     if sender.send(Chunk::Data(complete)).await.is_err() {
@@ -347,11 +359,16 @@
     }
 
     /// Processes bytes of the stream; returns the events that are complete.
-    fn process_bytes(&mut self, data: &Bytes) -> Result<Option<Bytes>, &'static str> {
+    fn process_bytes(&mut self, data: &Bytes) -> Result<Option<Vec<u8>>, &'static str> {
         let previous = self.events.last();
         let complete = self.events.push(data).map_err(InvalidStream::label)?;
+        let has_memory = self.partial.resize(self.events.capacity()).is_ok();
         if complete.count == 0 {
-            return Ok(None);
+            if has_memory {
+                return Ok(None);
+            }
+            self.give_up_answer();
+            return Err(EXHAUSTED_REASON);
         }
         let now = clock::now();
         let state = self.ctx.state.clone();
@@ -378,6 +395,6 @@
         self.events_forwarded += complete.count;
         self.first_event_in_run.get_or_insert(now);
         state.meter.tokens(complete.count as u64 * u64::from(self.engine.tokens_per_event));
-        Ok(Some(complete.bytes.into()))
+        Ok(Some(complete.bytes))
     }
 }
--- a/mimosafront/src/relay/model/mod.rs
+++ b/mimosafront/src/relay/model/mod.rs
@@ -15,6 +15,7 @@
 use mimosashift::event::Event;
 use mimosashift::event_stream::EventSplitter;
 use mimosashift::fleet::{Chain, Claim, Demand, Hop, Member};
+use mimosashift::memory::Charge;
 use mimosashift::meter::{Outcome, RefusalReason};
 use mimosashift::time::Instant;
 use smallvec::SmallVec;
@@ -25,8 +26,8 @@
 use self::stall_timer::{StallTimer, wait_for_fault_or_tick};
 use super::peer::{Path, Relay, UNREACHABLE_REASON};
 use super::{
-    RequestContext, RequestError, STRAY_REASON, WITHHELD_REASON, forward_response, relayed_outcome,
-    stop,
+    EXHAUSTED_REASON, RequestContext, RequestError, STRAY_REASON, WITHHELD_REASON,
+    forward_response, relayed_outcome, stop,
 };
 use crate::body::ResponseBody;
 use crate::call::CallError;
@@ -87,6 +88,8 @@
     /// Routers that were tried.
     tried_relays: SmallVec<[Arc<str>; 2]>,
     events: EventSplitter,
+    /// The memory of its incomplete event.
+    partial: Charge,
     /// Whether the head of the response has been forwarded.
     has_begun: bool,
     /// Number of events forwarded.
@@ -176,6 +179,7 @@
             RouteKind::Stream { .. } => events,
             _ => events.without_checks(),
         };
+        let partial = ctx.state.budget.charge();
         let possible_executions = ctx.origin.executions();
         Self {
             ctx,
@@ -185,6 +189,7 @@
             relay: None,
             tried_relays: SmallVec::new(),
             events,
+            partial,
             has_begun: false,
             events_forwarded: 0,
             first_event_in_run: None,
@@ -350,6 +355,11 @@
                 self.rejected_sends += 1;
                 Err("not sent")
             }
+            Err(Some(CallError::Failed(Failure::Exhausted))) => {
+                self.give_up_answer();
+                self.possible_executions += 1;
+                Err(EXHAUSTED_REASON)
+            }
             Err(Some(CallError::Failed(Failure::Lost { reason }))) => {
                 self.state().mark_suspect(&first.id, &reason);
                 self.state().pool.close_idle(first.address);
@@ -496,6 +506,10 @@
         let body = timeout(limit.min(self.ctx.remaining()), reading).await;
         let reason = match body {
             Ok(Ok(body)) => return Ok(Opened::Failure(exchange.head, body)),
+            Ok(Err(Failure::Exhausted)) => {
+                self.give_up_answer();
+                return Err(EXHAUSTED_REASON);
+            }
             Ok(Err(_)) => "error broke off",
             Err(_) => "error did not end in time",
         };
@@ -503,6 +517,17 @@
         Err(reason)
     }
 
+    /// Records that the answer is given up, as the memory for buffered data is used up.
+    fn give_up_answer(&mut self) {
+        let first = self.claim.as_ref().map(|claim| claim.chain[0].id.clone());
+        let by = first.or_else(|| self.relay.as_ref().map(|relay| relay.name.clone()));
+        self.ctx.log_given_up(by.as_deref().unwrap_or_default());
+        if let Some(claim) = &self.claim {
+            self.state().mark_suspect(&claim.chain[0].id, EXHAUSTED_REASON);
+        }
+        self.exclude_first_hop();
+    }
+
     /// Forwards an error response.
     fn forward_failure(&self, head: &Response<()>, body: Bytes) -> Response<ResponseBody> {
         let status = head.status();
--- a/mimosafront/src/relay/model/through.rs
+++ b/mimosafront/src/relay/model/through.rs
@@ -7,7 +7,7 @@
 use super::ModelRequest;
 use crate::call::CallError;
 use crate::relay::peer::{self, Relay};
-use crate::relay::{STRAY_REASON, WITHHELD_REASON};
+use crate::relay::{EXHAUSTED_REASON, STRAY_REASON, WITHHELD_REASON};
 
 impl ModelRequest {
     /// Sends the request through another router; returns the reason if there is no
@@ -54,6 +54,11 @@
                 self.rejected_sends += 1;
                 Err("router not reached")
             }
+            Err(CallError::Failed(Failure::Exhausted)) => {
+                self.ctx.log_given_up(&relay.name);
+                self.possible_executions += 1;
+                Err(EXHAUSTED_REASON)
+            }
             Err(CallError::Failed(Failure::Lost { .. })) => {
                 self.possible_executions += 1;
                 Err("router did not answer")
--- a/mimosafront/src/relay/plain.rs
+++ b/mimosafront/src/relay/plain.rs
@@ -21,8 +21,8 @@
 
 use super::peer::{Path, Relay, UNREACHABLE_REASON};
 use super::{
-    LIMITED_REASON, RESTING_REASON, RequestContext, RequestError, STRAY_REASON, WITHHELD_REASON,
-    forward_response, peer, relayed_outcome, stop,
+    EXHAUSTED_REASON, LIMITED_REASON, RESTING_REASON, RequestContext, RequestError, STRAY_REASON,
+    WITHHELD_REASON, forward_response, peer, relayed_outcome, stop,
 };
 use crate::body::ResponseBody;
 use crate::call::CallError;
@@ -222,6 +222,11 @@
             }
             return SendOutcome::Lost("answer lost");
         }
+        Ok(Err(CallError::Failed(Failure::Exhausted))) => {
+            ctx.log_given_up(&hop.id);
+            state.mark_suspect(&hop.id, EXHAUSTED_REASON);
+            return SendOutcome::Lost(EXHAUSTED_REASON);
+        }
         Err(_) => return SendOutcome::Lost(NO_ANSWER_REASON),
     };
     // A server error counts against the endpoint even if its response is
@@ -280,6 +285,10 @@
         Ok(Err(CallError::Failed(Failure::NotSent { .. }))) => {
             SendOutcome::NotRun("router not reached")
         }
+        Ok(Err(CallError::Failed(Failure::Exhausted))) => {
+            ctx.log_given_up(&relay.name);
+            SendOutcome::Lost(EXHAUSTED_REASON)
+        }
         Ok(Err(CallError::Failed(Failure::Lost { .. }))) | Err(_) => {
             SendOutcome::Lost("router did not answer")
         }
--- a/mimosafront/src/state.rs
+++ b/mimosafront/src/state.rs
@@ -17,6 +17,7 @@
 use mimosashift::exchange::Report;
 use mimosashift::fleet::{Fleet, Member, Observation, name_key};
 use mimosashift::freshness::Freshness;
+use mimosashift::memory::Budget;
 use mimosashift::meter::Meter;
 use mimosashift::peer::Peers;
 use mimosashift::pipeline::retry::{Window, WindowLimits};
@@ -79,6 +80,8 @@
     pub faults: Notify,
     /// Wakes one request that waits for engine memory.
     pub memory_released: Notify,
+    /// Memory for what is buffered for others.
+    pub budget: Budget,
     /// Connections to endpoints and the store.
     pub pool: Rc<Pool>,
     /// The store.
@@ -164,7 +167,8 @@
 impl RouterState {
     /// Creates the initial state.
     pub fn new(node: Node, stopping: StopFlag, log: Logger, meter: Meter) -> Rc<Self> {
-        let pool = Pool::new(connection_pool::Settings::default());
+        let budget = Budget::new(node.buffer_bytes());
+        let pool = Pool::new(connection_pool::Settings::default(), budget.clone());
         let store = Store::new(pool.clone(), node.store.address, STORE_TIMEOUT);
         let now = clock::now();
         let own_address = node.peer_address();
@@ -186,6 +190,7 @@
             pressure: RefCell::default(),
             faults: Notify::new(),
             memory_released: Notify::new(),
+            budget,
             pool,
             store,
             config_refresh: Notify::new(),
@@ -224,6 +229,7 @@
     /// Puts changed settings in force.
     pub fn apply_settings(&self, node: Node) {
         self.store.set_address(node.store.address);
+        self.budget.set_limit(node.buffer_bytes());
         self.peers.borrow_mut().add_addresses(&seed_addresses(&node), clock::now());
         *self.node.borrow_mut() = Rc::new(node);
     }
--- a/mimosafront/tests/cluster/proxy.rs
+++ b/mimosafront/tests/cluster/proxy.rs
@@ -91,8 +91,8 @@
     state: watch::Sender<LinkState>,
     /// Incremented to stall all connections opened before, permanently.
     generation: watch::Sender<u64>,
-    /// Endless answers sent instead of those of the server.
-    replacement: Mutex<Option<Replacement>>,
+    /// Endless answers sent instead of those of the server, and the time between their pieces.
+    replacement: Mutex<Option<(Replacement, Duration)>>,
     breaker: Mutex<Option<Breaker>>,
     /// Number of connections on which an endless answer is being sent.
     replacing: AtomicUsize,
@@ -185,7 +185,16 @@
         &self,
         answer: impl Fn(&str) -> (String, &'static str) + Send + Sync + 'static,
     ) {
-        *self.replacement.lock().unwrap() = Some(Arc::new(answer));
+        self.replace_answers_at(Duration::ZERO, answer);
+    }
+
+    /// Does so with a piece of `ENDLESS_PIECE_BYTES` in each interval.
+    pub fn replace_answers_at(
+        &self,
+        interval: Duration,
+        answer: impl Fn(&str) -> (String, &'static str) + Send + Sync + 'static,
+    ) {
+        *self.replacement.lock().unwrap() = Some((Arc::new(answer), interval));
         self.set(LinkState::Reset);
         self.set(LinkState::Up);
     }
@@ -207,7 +216,7 @@
         self.repeated_refusals.load(Ordering::Relaxed)
     }
 
-    async fn answer(&self, mut stream: TcpStream, answer: Replacement) {
+    async fn answer(&self, mut stream: TcpStream, answer: Replacement, interval: Duration) {
         self.replacing.fetch_add(1, Ordering::Relaxed);
         let (mut request, mut buffer) = (Vec::new(), [0; 4096]);
         while let Ok(length @ 1..) = stream.read(&mut buffer).await {
@@ -220,7 +229,9 @@
             let (start, repeated) = answer(id.unwrap_or_default());
             let piece = repeated.repeat(ENDLESS_PIECE_BYTES / repeated.len());
             drop(stream.write_all(start.as_bytes()).await);
-            while stream.write_all(piece.as_bytes()).await.is_ok() {}
+            while stream.write_all(piece.as_bytes()).await.is_ok() {
+                tokio::time::sleep(interval).await;
+            }
             break;
         }
         self.replacing.fetch_sub(1, Ordering::Relaxed);
@@ -231,8 +242,8 @@
             return;
         }
         let answer = self.replacement.lock().unwrap().clone();
-        if let Some(answer) = answer {
-            return self.answer(stream, answer).await;
+        if let Some((answer, interval)) = answer {
+            return self.answer(stream, answer, interval).await;
         }
         let Ok(server) = TcpStream::connect(to).await else { return };
         drop((stream.set_nodelay(true), server.set_nodelay(true)));
--- a/mimosafront/tests/cluster/router.rs
+++ b/mimosafront/tests/cluster/router.rs
@@ -20,6 +20,9 @@
 /// Time limit within which a revoked key stops being accepted.
 pub const REVOCATION_BOUND: Duration = Duration::from_secs(3);
 
+/// Memory that a router may use, in MB.
+pub const MEMORY_MB: u64 = 96;
+
 /// Variable with the path of a router program of another build, for tests of both builds
 /// side by side.
 const OTHER_BUILD: &str = "MIMOSAFRONT_OTHER";
@@ -86,7 +89,7 @@
              bounds.grace_s={}\nbounds.strict_revocation=true\nbounds.revocation_ms={}\n\
              bounds.retry_budget_ratio=0.2\nbounds.budget_window_s=10\n\
              bounds.budget_extra_retries=200\nbounds.drain_ms=1000\nbounds.stall_ms=2500\n\
-             bounds.fencing_required=false\n",
+             bounds.fencing_required=false\nlimits.memory_mb={MEMORY_MB}\n",
             seeds.join(","),
             HEARTBEAT_INTERVAL.as_millis(),
             GRACE_PERIOD.as_secs(),
--- a/mimosashift/src/connection_pool/bounded_stream.rs
+++ b/mimosashift/src/connection_pool/bounded_stream.rs
@@ -9,17 +9,46 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// Fails if too many bytes are read before their reader resets the counter.
+use crate::memory::{Charge, Exhausted};
+
+/// Bytes that have been read and not been delivered, which take memory.
+pub(super) struct Undelivered {
+    count: Cell<usize>,
+    charge: Charge,
+}
+
+/// Fails if too many bytes are read before they are delivered.
 pub(super) struct BoundedStream {
     stream: TcpStream,
-    /// Number of bytes read since the reader last reset it.
-    count: Rc<Cell<usize>>,
+    undelivered: Rc<Undelivered>,
     limit: usize,
 }
 
+impl Undelivered {
+    pub(super) const fn new(charge: Charge) -> Self {
+        Self { count: Cell::new(0), charge }
+    }
+
+    /// Records that all bytes have been delivered.
+    pub(super) fn reset(&self) {
+        self.count.set(0);
+        self.charge.clear();
+    }
+
+    /// Waits until they are to be freed.
+    pub(super) async fn revoked(&self) {
+        self.charge.revoked().await;
+    }
+
+    fn add(&self, bytes: usize) -> Result<(), Exhausted> {
+        self.count.set(self.count.get() + bytes);
+        self.charge.resize(self.count.get())
+    }
+}
+
 impl BoundedStream {
-    pub(super) const fn new(stream: TcpStream, count: Rc<Cell<usize>>, limit: usize) -> Self {
-        Self { stream, count, limit }
+    pub(super) const fn new(stream: TcpStream, undelivered: Rc<Undelivered>, limit: usize) -> Self {
+        Self { stream, undelivered, limit }
     }
 }
 
@@ -29,14 +58,14 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        if self.count.get() > self.limit {
+        if self.undelivered.count.get() > self.limit {
             let reason = format!("more than {} bytes without a response", self.limit);
             return Poll::Ready(Err(io::Error::other(reason)));
         }
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
-        self.count.set(self.count.get() + buffer.filled().len() - before);
-        Poll::Ready(Ok(()))
+        let added = self.undelivered.add(buffer.filled().len() - before);
+        Poll::Ready(added.map_err(io::Error::other))
     }
 }
 
--- a/mimosashift/src/connection_pool/mod.rs
+++ b/mimosashift/src/connection_pool/mod.rs
@@ -5,7 +5,7 @@
 //! whether it may be sent elsewhere. Dropping an exchange closes its
 //! connection, which cancels the request on the server.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
@@ -25,7 +25,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
 
-use self::bounded_stream::BoundedStream;
+use self::bounded_stream::{BoundedStream, Undelivered};
+use crate::memory::{Budget, Exhausted};
 
 mod bounded_stream;
 
@@ -88,12 +89,18 @@
         Lost { reason: String } {
             display("no answer: {}", reason)
         }
+        /// The request may have reached the server; its answer was given up, since the memory
+        /// for buffered data is used up.
+        Exhausted {
+            display("answer given up: {}", Exhausted)
+        }
     }
 }
 
 /// Pool of connections, by address.
 pub struct Pool {
     settings: Settings,
+    budget: Budget,
     idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
     /// Addresses that closed a connection, not yet returned by
     /// [`Pool::closed_addresses`].
@@ -110,7 +117,7 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
-    undelivered: Rc<Cell<usize>>,
+    undelivered: Rc<Undelivered>,
 }
 
 /// How the end of a response body is marked.
@@ -161,11 +168,21 @@
 }
 
 impl Failure {
-    fn lost(error: impl std::error::Error) -> Self {
+    fn lost(error: impl std::error::Error + 'static) -> Self {
+        if is_exhausted(&error) {
+            return Self::Exhausted;
+        }
         Self::Lost { reason: error_chain(&error) }
     }
 }
 
+/// Whether the memory for buffered data is the cause of an error.
+fn is_exhausted(error: &(dyn std::error::Error + 'static)) -> bool {
+    let errors = std::iter::successors(Some(error), |error| error.source());
+    let mut sources = errors.filter_map(|error| error.downcast_ref::<io::Error>()?.get_ref());
+    sources.any(|source| source.is::<Exhausted>())
+}
+
 /// Formats an error with its sources, which the text of hyper errors omits.
 fn error_chain(error: &dyn std::error::Error) -> String {
     let mut text = error.to_string();
@@ -179,10 +196,12 @@
 }
 
 impl Pool {
-    /// Creates an empty pool.
-    pub fn new(settings: Settings) -> Rc<Self> {
+    /// Creates an empty pool. What its connections have read, and responses that are collected,
+    /// are charged to `budget`.
+    pub fn new(settings: Settings, budget: Budget) -> Rc<Self> {
         Rc::new(Self {
             settings,
+            budget,
             idle: RefCell::default(),
             closed: RefCell::default(),
             closing: Notify::new(),
@@ -271,7 +290,7 @@
             Err(_) => return Err(not_sent("connect: timed out".to_owned(), false)),
         };
         self.configure(&stream).map_err(|error| not_sent(format!("socket: {error}"), false))?;
-        let undelivered = Rc::new(Cell::new(0));
+        let undelivered = Rc::new(Undelivered::new(self.budget.charge()));
         let stream = BoundedStream::new(stream, undelivered.clone(), MAX_UNDELIVERED_BYTES);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
@@ -316,14 +335,20 @@
         mut connection: Connection,
         request: Request<Full<Bytes>>,
     ) -> Result<Exchange, (Failure, Option<Request<Full<Bytes>>>)> {
-        let response = match connection.sender.try_send_request(request).await {
+        let undelivered = connection.undelivered.clone();
+        let sent = tokio::select! {
+            biased;
+            sent = connection.sender.try_send_request(request) => sent,
+            () = undelivered.revoked() => return Err((Failure::Exhausted, None)),
+        };
+        let response = match sent {
             Ok(response) => response,
             Err(mut error) => {
                 let unsent = error.take_message();
                 return Err((Failure::lost(error.into_error()), unsent));
             }
         };
-        connection.undelivered.set(0);
+        connection.undelivered.reset();
         let (parts, body) = response.into_parts();
         let idle_timeout = idle_timeout(&parts.headers);
         let framing = framing(&parts.headers, &body);
@@ -375,6 +400,14 @@
     (!limit.is_zero()).then_some(limit)
 }
 
+/// Waits until the bytes that a connection has read are to be freed; forever without one.
+async fn revoked(undelivered: Option<&Undelivered>) {
+    match undelivered {
+        Some(undelivered) => undelivered.revoked().await,
+        None => std::future::pending().await,
+    }
+}
+
 impl Exchange {
     /// Returns the next bytes of the body; `None` at its end, where the
     /// connection returns to the pool.
@@ -396,11 +429,20 @@
 
     async fn receive(&mut self) -> Option<Result<Bytes, Failure>> {
         loop {
-            match self.body.frame().await {
+            let undelivered = self.connection.as_ref().map(|c| c.undelivered.clone());
+            let frame = tokio::select! {
+                biased;
+                frame = self.body.frame() => frame,
+                () = revoked(undelivered.as_deref()) => {
+                    self.connection = None;
+                    return Some(Err(Failure::Exhausted));
+                }
+            };
+            match frame {
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(data) => {
                         if let Some(connection) = &self.connection {
-                            connection.undelivered.set(0);
+                            connection.undelivered.reset();
                         }
                         return Some(Ok(data));
                     }
@@ -421,16 +463,30 @@
 
     /// Reads the rest of the body, of at most `limit` bytes.
     pub async fn collect(&mut self, limit: usize) -> Result<Bytes, Failure> {
-        let mut collected = Vec::new();
-        while let Some(data) = self.next().await {
-            let data = data?;
+        let mut collected = self.pool.budget.buffer();
+        loop {
+            let next = tokio::select! {
+                biased;
+                next = self.next() => next,
+                () = collected.revoked() => Some(Err(Failure::Exhausted)),
+            };
+            let data = match next {
+                Some(Ok(data)) => data,
+                Some(Err(failure)) => {
+                    self.connection = None;
+                    return Err(failure);
+                }
+                None => return collected.finish().map_err(|Exhausted| Failure::Exhausted),
+            };
             if collected.len() + data.len() > limit {
                 self.connection = None;
                 return Err(Failure::Lost { reason: format!("response exceeds {limit} bytes") });
             }
-            collected.extend_from_slice(&data);
+            if collected.push(&data).is_err() {
+                self.connection = None;
+                return Err(Failure::Exhausted);
+            }
         }
-        Ok(collected.into())
     }
 
     /// Address of the server.
--- a/mimosashift/src/deployment/node.rs
+++ b/mimosashift/src/deployment/node.rs
@@ -25,9 +25,20 @@
     pub store: Store,
     /// Limits that it must observe.
     pub bounds: Bounds,
+    /// Memory that the process may use, in bytes.
+    pub memory_bytes: usize,
 }
 
+/// Part of the memory that buffered data may take. The rest is for the directory, digests,
+/// buffers of sockets and parsers, and fragments.
+const BUFFER_SHARE: usize = 3;
+
 impl Node {
+    /// Memory that buffered data may take, in bytes; see `docs/design/memory.md`.
+    pub const fn buffer_bytes(&self) -> usize {
+        self.memory_bytes / BUFFER_SHARE
+    }
+
     /// Address for digests and for fetching the configuration.
     pub fn peer_address(&self) -> SocketAddr {
         SocketAddr::new(self.client_address.ip(), self.peer_ports.0)
--- a/mimosashift/src/event/table.rs
+++ b/mimosashift/src/event/table.rs
@@ -127,6 +127,7 @@
     StrayAnswer "MS0623" Warning "stray answer", "An endpoint or router sent an answer that is not known to be to the request in progress on its connection; neither is used further.";
     RequestContinued "MS0624" Info "request continued", "A chain that had been silent went on, and the chain that was being opened beside it is not used.";
     AnswerWithheld "MS0625" Warning "answer withheld", "An endpoint or router answered with a status by which routers promise that a request has not run, but did not state that it has not; the status is not passed on.";
+    AnswerGivenUp "MS0626" Warning "answer given up", "The memory for buffered data is used up, and the answer to a request was the largest that still grew; `buffered` and `limit` are in bytes.";
 
     PostingClaimed "MS0701" Debug "posting claimed", "The idempotency key of a posting was claimed.";
     PostingRecorded "MS0702" Debug "posting recorded", "The outcome of a posting was recorded.";
--- a/mimosashift/src/event_stream.rs
+++ b/mimosashift/src/event_stream.rs
@@ -87,6 +87,11 @@
         self.partial.len()
     }
 
+    /// Number of bytes that the buffer of incomplete events takes.
+    pub const fn capacity(&self) -> usize {
+        self.partial.capacity()
+    }
+
     /// Appends bytes and returns the events that they complete, without those
     /// already forwarded. An invalid one fails the call after those before it were returned.
     pub fn push(&mut self, bytes: &[u8]) -> Result<CompleteEvents, InvalidStream> {
--- a/mimosashift/src/lib.rs
+++ b/mimosashift/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod http;
 pub mod layout;
 pub mod member;
+pub mod memory;
 pub mod meter;
 pub mod node;
 pub mod order;
--- a/mimosashift/src/meter/table.rs
+++ b/mimosashift/src/meter/table.rs
@@ -110,6 +110,8 @@
     relayed "mimosashift_relayed_requests" Counter [] "Requests sent to another router because no endpoint was reachable.";
     recoveries "mimosashift_recoveries" Counter [kind: Recovery] "Requests that went on after the loss of a stage, by kind.";
     recovery_time "mimosashift_recovery_seconds" Histogram [] "Time from the loss of a stage to the next token.";
+    buffered_bytes "mimosashift_buffered_bytes" Gauge [] "Bytes buffered for callers and endpoints.";
+    given_up_buffers "mimosashift_given_up_buffers" Gauge [] "Answers and bodies given up since the start because the memory for buffered data was used up.";
     loop_delay "mimosashift_loop_delay_seconds" Histogram [] "Time by which a timer of the event loop ran late.";
     dropped_replies "mimosashift_dropped_replies" Counter [reason: DropReason] "Replies that were not used, by reason.";
     endpoints "mimosashift_endpoints" Gauge [state: EndpointState] "Endpoints by state.";
--- a/mimosashift/tests/connection_pool.rs
+++ b/mimosashift/tests/connection_pool.rs
@@ -9,6 +9,7 @@
 use hyper::Request;
 use hyper::body::Bytes;
 use mimosashift::connection_pool::{Framing, Pool, Settings};
+use mimosashift::memory::Budget;
 use socket2::SockRef;
 use test_case::test_case;
 
@@ -59,10 +60,15 @@
     }
 }
 
+/// More memory than any test needs.
+fn budget() -> Budget {
+    Budget::new(64 << 20)
+}
+
 /// Framing of the response and its body; `None` if the body is incomplete.
 fn fetch(address: SocketAddr) -> (Framing, Option<Bytes>) {
     let second = Duration::from_secs(1);
-    let pool = Pool::new(Settings { connect_timeout: second, unacked_timeout: second });
+    let pool = Pool::new(Settings { connect_timeout: second, unacked_timeout: second }, budget());
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     tokio::task::LocalSet::new().block_on(&runtime, async {
         let request = Request::builder().uri("/").header("host", "x").body(Full::default());
@@ -90,7 +96,7 @@
     // More than the system buffers, so that data stays unacknowledged during the pause.
     let body = vec![0; 32 << 20];
     let address = serve_after_pause(Duration::from_millis(1_800), body.len());
-    let pool = Pool::new(Settings::default());
+    let pool = Pool::new(Settings::default(), budget());
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     let status = tokio::task::LocalSet::new().block_on(&runtime, async {
         let request = Request::post("/").header("host", "x").body(Full::from(body));
--- a/mimosashift/tests/meter.rs
+++ b/mimosashift/tests/meter.rs
@@ -52,6 +52,8 @@
     counters.iter().for_each(|add| add(&meter, 1));
     let gauges = [
         Meter::running,
+        Meter::buffered_bytes,
+        Meter::given_up_buffers,
         Meter::queue_requests,
         Meter::queue_bytes,
         Meter::slots,
