--- a/mimosafront/src/relay/mod.rs
+++ b/mimosafront/src/relay/mod.rs
@@ -330,7 +330,8 @@
     let (deployment, route, team) =
         resolve_route(state, &host, path, info.api_key.as_deref()).await?;
     wait_for_directory(state).await?;
-    let service = deployment.service(route.target(state.random_fraction())).cloned();
+    let target = route.target(state.random_fraction());
+    let service = target.and_then(|service| deployment.service(service)).cloned();
     let service = service.ok_or(RequestError::Refused(
         RefusalReason::NoEndpoint,
         "service is not declared",
--- a/mimosashift/src/deployment/mod.rs
+++ b/mimosashift/src/deployment/mod.rs
@@ -65,7 +65,7 @@
     pub priority: u8,
     /// Whether requests need no API key.
     pub public: bool,
-    /// Services and their weights; at least one.
+    /// Services and their weights; without any, no request on it can be served.
     pub targets: SmallVec<[(Arc<str>, u32); 2]>,
 }
 
@@ -241,17 +241,21 @@
 }
 
 impl Route {
-    /// Picks a service by weight, given a random number from `0.0..1.0`.
-    pub fn target(&self, random: f64) -> &Arc<str> {
+    /// Picks a service by weight, given a random number from `0.0..1.0`; `None` if none has a
+    /// weight.
+    pub fn target(&self, random: f64) -> Option<&Arc<str>> {
         let total: u32 = self.targets.iter().map(|(_, weight)| weight).sum();
         let mut remaining = random * f64::from(total);
-        for (service, weight) in &self.targets {
+        let mut chosen = None;
+        for (service, weight) in self.targets.iter().filter(|(_, weight)| *weight > 0) {
+            chosen = Some(service);
             remaining -= f64::from(*weight);
             if remaining < 0.0 {
-                return service;
+                break;
             }
         }
-        &self.targets[0].0
+        // Rounding may leave a remainder after the last one.
+        chosen
     }
 
     /// Whether a request may run more than once.
--- a/mimosashift/tests/front.rs
+++ b/mimosashift/tests/front.rs
@@ -56,7 +56,7 @@
         #[test]
         fn $name() {
             let deployment = deployment();
-            let found = deployment.route($host, $path).map(|route| route.target(0.0).to_string());
+            let found = deployment.route($host, $path).map(|route| route.target(0.0).unwrap().to_string());
             assert_eq!(found.as_deref(), $service);
         }
     )*};
@@ -85,7 +85,8 @@
 fn requests_are_split_by_weight() {
     let mut split = route("/", "x", true);
     split.targets = [("one".into(), 3), ("two".into(), 1)].into_iter().collect();
-    let two = (0..1_000).filter(|n| &**split.target(f64::from(*n) / 1_000.0) == "two").count();
+    let target = |n: &i32| split.target(f64::from(*n) / 1_000.0).unwrap();
+    let two = (0..1_000).filter(|n| &**target(n) == "two").count();
     assert_eq!(two, 250);
 }
 
