Count only tokens after the first event in the pace of streams

A stopping router began a stream that it would have cut off: the time to the first event went to the prompt, and the tokens of that event to the output, so that short streams made the output look quicker than it is. late_events found it (200 and one run instead of 503 and none) and passes now.

--- a/mimosafront/src/relay/model/forward.rs
+++ b/mimosafront/src/relay/model/forward.rs
@@ -227,7 +227,8 @@
         drop(sender.send(Chunk::End).await);
         self.outcome_recorded = true;
         self.state().meter.requests(1, Outcome::Completed);
-        let tokens = self.events_forwarded as f64 * f64::from(self.engine.tokens_per_event);
+        let later_events = self.events_forwarded.saturating_sub(1);
+        let tokens = later_events as f64 * f64::from(self.engine.tokens_per_event);
         let (to_first, whole) = (self.timing.time_to_first, clock::now().since(self.ctx.arrived));
         let mut paces = self.state().stream_pace.borrow_mut();
         let pace = paces.entry(self.ctx.service.name.clone()).or_default();
--- a/mimosashift/src/drain.rs
+++ b/mimosashift/src/drain.rs
@@ -47,8 +47,8 @@
 }
 
 impl Pace {
-    /// Records a stream that has ended: the tokens of its prompt and of its output, the time
-    /// until its first event, and the whole time.
+    /// Records a stream that has ended: the tokens of its prompt, those that it wrote after its
+    /// first event, the time until that event, and the whole time.
     pub fn record(&mut self, prompt: f64, output: f64, to_first: Duration, whole: Duration) {
         average(&mut self.prompt, prompt, to_first);
         average(&mut self.output, output, whole.saturating_sub(to_first));
