Check the head of every answer in one place

What callers saw: streams, and whole answers of routes that lead to engines, with a `Content-Encoding`, as signed successes; such a body is not that of the endpoint. Answers of plain services were withheld.

Cause: the head was checked in three places, one for each kind of service and one for other routers, and only one of them looked at the encoding.

Evidence: answer_kinds, run on: the four cases at engines got status 200, the four at plain services passed. With this change all eight pass.

Why this works: `relay::answer` checks the head of an answer for all of them, before anything of it is passed on.

--- a/mimosafront/src/relay/mod.rs
+++ b/mimosafront/src/relay/mod.rs
@@ -17,7 +17,7 @@
 use mimosashift::deployment::{Denied, Deployment, Route, Service};
 use mimosashift::emit;
 use mimosashift::event::Event;
-use mimosashift::exchange::{self, Forward, Tokens};
+use mimosashift::exchange::{Forward, Tokens};
 use mimosashift::fleet::Hop;
 use mimosashift::meter::{Outcome, RefusalReason};
 use mimosashift::quarantine::{Content, Contents, Fingerprint};
@@ -31,6 +31,7 @@
 
 use self::peer::Origin;
 
+mod answer;
 mod model;
 mod peer;
 mod plain;
@@ -64,10 +65,6 @@
 /// Reason for giving up a request because the memory for buffered data is used up.
 const EXHAUSTED_REASON: &str = "memory for buffered data is used up";
 
-/// Reason for failing a request after a status that would promise, without a statement of who
-/// gave it, that the request has not run.
-const WITHHELD_REASON: &str = "endpoint failed and may have run it";
-
 /// Reason for failing a request after an answer that may be another one's.
 const STRAY_REASON: &str = "answer to another request";
 
@@ -159,19 +156,6 @@
         );
     }
 
-    /// Whether a status must not be passed on, as it would promise that the request has not run;
-    /// who gave it, `by`, has not stated that.
-    fn withholds(&self, status: StatusCode, by: &str) -> bool {
-        let is_promise = exchange::is_promise(status.as_u16());
-        if is_promise {
-            emit!(
-                self.state.log, Event::AnswerWithheld,
-                "request" => &*self.id, "status" => status.as_u16(), "by" => by,
-            );
-        }
-        is_promise
-    }
-
     fn log_given_up(&self, by: &str) {
         let usage = self.state.budget.usage();
         emit!(
--- a/mimosafront/src/relay/model/mod.rs
+++ b/mimosafront/src/relay/model/mod.rs
@@ -24,9 +24,10 @@
 
 use self::stall::{FaultyHops, StallCheck};
 use self::stall_timer::{StallTimer, wait_for_fault_or_tick};
+use super::answer::{Source, Verdict};
 use super::peer::{Path, Relay, UNREACHABLE_REASON};
 use super::{
-    EXHAUSTED_REASON, RequestContext, RequestError, STRAY_REASON, WITHHELD_REASON,
+    EXHAUSTED_REASON, RequestContext, RequestError, STRAY_REASON,
     forward_response, relayed_outcome, stop,
 };
 use crate::body::ResponseBody;
@@ -435,21 +436,21 @@
         exchange: Exchange,
     ) -> Result<Exchange, &'static str> {
         let status = exchange.head.status();
-        let info = header::response(exchange.head.headers());
-        if info.not_run || status == StatusCode::MISDIRECTED_REQUEST {
-            // Dropping the exchange closes its connection, so that a copy of the refusal
-            // answers no second send of this request to the same endpoint.
-            self.rejected_sends += 1;
-            self.exclude_at_fault(first, info.at_fault, status);
-            return Err("rejected by an endpoint");
-        }
-        self.possible_executions += 1;
-        if self.ctx.withholds(status, &first.id) {
-            self.excluded_hops.push(first.clone());
-            return Err(WITHHELD_REASON);
-        }
-        if status.is_success() && !info.signed {
-            return Err("answer without a signature");
+        match self.ctx.check_head(&exchange, Source::Endpoint(&first.id)) {
+            Verdict::Accepted => self.possible_executions += 1,
+            Verdict::NotRun => {
+                // Dropping the exchange closes its connection, so that a copy of the refusal
+                // answers no second send of this request to the same endpoint.
+                self.rejected_sends += 1;
+                let info = header::response(exchange.head.headers());
+                self.exclude_at_fault(first, info.at_fault, status);
+                return Err("rejected by an endpoint");
+            }
+            Verdict::Withheld(reason) => {
+                self.possible_executions += 1;
+                self.excluded_hops.push(first.clone());
+                return Err(reason);
+            }
         }
         let can_retry = self.possible_executions < self.ctx.route.attempts;
         if status.is_server_error() && can_retry && self.ctx.route.is_idempotent() {
--- a/mimosafront/src/relay/model/through.rs
+++ b/mimosafront/src/relay/model/through.rs
@@ -1,13 +1,13 @@
 //! Sends a request through another router instead of to a chain.
 
-use mimosaplatform::header;
 use mimosashift::connection_pool::{Exchange, Failure};
 use tokio::time::timeout;
 
 use super::ModelRequest;
 use crate::call::CallError;
-use crate::relay::peer::{self, Relay};
-use crate::relay::{EXHAUSTED_REASON, STRAY_REASON, WITHHELD_REASON};
+use crate::relay::answer::{Source, Verdict};
+use crate::relay::peer::Relay;
+use crate::relay::{EXHAUSTED_REASON, STRAY_REASON};
 
 impl ModelRequest {
     /// Sends the request through another router; returns the reason if there is no
@@ -25,23 +25,18 @@
         let lost = |_| Err(Failure::Lost { reason: "no answer in time".to_owned() }.into());
         match result.unwrap_or_else(lost) {
             Ok(exchange) => {
-                let (status, info) =
-                    (exchange.head.status(), header::response(exchange.head.headers()));
-                if peer::is_refusal(&exchange) {
-                    if executions > 0 {
-                        // It was not run there, but may have been before.
+                match self.ctx.check_head(&exchange, Source::Router(&relay.name)) {
+                    Verdict::Accepted => self.possible_executions += 1,
+                    // It was not run there, but may have been before.
+                    Verdict::NotRun if executions > 0 => {
                         self.rejected_sends += 1;
                         return Err("refused by a router");
                     }
-                    self.relay = Some(relay);
-                    return Ok(exchange);
-                }
-                self.possible_executions += 1;
-                if self.ctx.withholds(status, &relay.name) {
-                    return Err(WITHHELD_REASON);
-                }
-                if status.is_success() && !info.signed {
-                    return Err("answer without a signature");
+                    Verdict::NotRun => {}
+                    Verdict::Withheld(reason) => {
+                        self.possible_executions += 1;
+                        return Err(reason);
+                    }
                 }
                 self.relay = Some(relay);
                 Ok(exchange)
--- a/mimosafront/src/relay/plain.rs
+++ b/mimosafront/src/relay/plain.rs
@@ -5,24 +5,22 @@
 use std::time::Duration;
 
 use hyper::body::Bytes;
-use hyper::header::CONTENT_ENCODING;
 use hyper::{Response, StatusCode};
-use mimosaplatform::header;
 use mimosashift::connection_pool::{Exchange, Failure, Framing};
 use mimosashift::deployment::RouteKind;
 use mimosashift::emit;
 use mimosashift::event::Event;
 use mimosashift::event_stream::{self, InvalidStream};
-use mimosashift::exchange::ResponseInfo as AnswerInfo;
 use mimosashift::fleet::Hop;
 use mimosashift::meter::{Outcome, RefusalReason};
 use smallvec::SmallVec;
 use tokio::time::timeout;
 
+use super::answer::{Source, Verdict};
 use super::peer::{Path, Relay, UNREACHABLE_REASON};
 use super::{
     EXHAUSTED_REASON, LIMITED_REASON, RESTING_REASON, RequestContext, RequestError, STRAY_REASON,
-    WITHHELD_REASON, forward_response, peer, relayed_outcome, stop,
+    forward_response, peer, relayed_outcome, stop,
 };
 use crate::body::ResponseBody;
 use crate::call::CallError;
@@ -205,7 +203,9 @@
         result = timeout(send_timeout.min(ctx.remaining()), sending.as_mut()).await;
     }
     let outcome = match result {
-        Ok(Ok((exchange, body))) => check_response(ctx, exchange, body, &hop.id, can_retry),
+        Ok(Ok((exchange, body))) => {
+            check_response(ctx, exchange, body, Source::Endpoint(&hop.id), can_retry)
+        }
         Ok(Err(CallError::Stray)) => SendOutcome::Lost(STRAY_REASON),
         Ok(Err(CallError::Failed(Failure::NotSent { reason, .. }))) => {
             state.mark_suspect(&hop.id, &reason);
@@ -273,7 +273,7 @@
                     let body = ResponseBody::Full(Some(body));
                     SendOutcome::Answered(forward_response(&exchange.head, body), true)
                 }
-                false => check_response(ctx, exchange, body, &relay.name, false),
+                false => check_response(ctx, exchange, body, Source::Router(&relay.name), false),
             };
             if let SendOutcome::Answered(response, _) = &outcome {
                 ctx.state.meter.requests(1, relayed_outcome(response.status()));
@@ -302,27 +302,19 @@
     Ok((exchange, body))
 }
 
-/// Checks that a response is acceptable: it promises nothing that it does not state, and a
-/// successful one is signed, not encoded, and no stream that breaks off.
+/// Checks that a response is acceptable.
 fn check_response(
     ctx: &RequestContext,
     exchange: Exchange,
     body: Bytes,
-    by: &str,
+    by: Source<'_>,
     can_retry: bool,
-) -> SendOutcome {
     let status = exchange.head.status();
-    let info: AnswerInfo = header::response(exchange.head.headers());
-    if info.not_run || status == StatusCode::MISDIRECTED_REQUEST {
-        return SendOutcome::NotRun("rejected by the endpoint");
-    }
-    if ctx.withholds(status, by) {
-        return SendOutcome::Lost(WITHHELD_REASON);
-    }
-    let is_encoded = exchange.head.headers().contains_key(CONTENT_ENCODING);
-    if status.is_success() && (!info.signed || is_encoded) {
-        // Also the reason if a signed response has a content encoding.
-        return SendOutcome::Lost("answer without a signature");
+) -> SendOutcome {
+    match ctx.check_head(&exchange, by) {
+        Verdict::Accepted => {}
+        Verdict::NotRun => return SendOutcome::NotRun("rejected by the endpoint"),
+        Verdict::Withheld(reason) => return SendOutcome::Lost(reason),
     }
     let is_stream = matches!(ctx.route.kind, RouteKind::Stream { .. });
     if status.is_success() && is_stream {
