Read an answer by the kind of its route, not by its service

What callers saw: on a route without streams that leads to engines, complete and signed answers without the parts that begin with a line `id:` whose number is not higher than an earlier one; answers above 1 MiB, and those that an engine broke off, begun and cut.

Cause: every success of an engine was passed through the splitter of event streams, whatever the route; `without_checks` turned off one of its rules.

Why this works: a success of a route without streams is collected whole before its head is sent. No byte of it is looked at, and one that breaks off is replaced or refused like a lost answer.

--- a/mimosafront/src/relay/mod.rs
+++ b/mimosafront/src/relay/mod.rs
@@ -68,6 +68,9 @@
 /// Reason for failing a request after an answer that may be another one's.
 const STRAY_REASON: &str = "answer to another request";
 
+/// Largest whole answer that is accepted.
+const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
+
 /// Largest stream that is buffered for a client of HTTP/1.0.
 const MAX_BUFFERED_STREAM_BYTES: usize = 8 * 1024 * 1024;
 
@@ -164,6 +167,13 @@
         );
     }
 
+    /// Records the time that a whole answer took.
+    fn record_latency(&self) {
+        let mut latencies = self.state.route_latency.borrow_mut();
+        let latency = latencies.entry(self.route.name.clone()).or_default();
+        latency.record(clock::now().since(self.arrived));
+    }
+
     fn log_answered(&self, status: StatusCode, by: &str) {
         let ms = millis(clock::now().since(self.arrived));
         emit!(
--- a/mimosafront/src/relay/model/forward.rs
+++ b/mimosafront/src/relay/model/forward.rs
@@ -205,7 +205,7 @@
                 self.state().meter.recoveries(1, Recovery::Restarted);
                 Ok(exchange)
             }
-            Ok(Opened::Failure(..)) => {
+            Ok(Opened::Whole(..)) => {
                 self.demand = old_demand;
                 Err(RequestError::Failed(StatusCode::BAD_GATEWAY, "endpoint failed"))
             }
@@ -234,13 +234,10 @@
         let pace = paces.entry(self.ctx.service.name.clone()).or_default();
         pace.record(self.demand.prompt, tokens, to_first, whole);
         drop(paces);
-        let chain = self.claim.as_ref().map(|claim| claim.chain[0].id.clone());
-        let by = chain.or_else(|| self.relay.as_ref().map(|relay| relay.name.clone()));
-        let by = by.as_deref().unwrap_or_default();
         let ms = millis(clock::now().since(self.ctx.arrived));
         emit!(
             self.state().log, Event::RequestAnswered,
-            "request" => &*self.ctx.id, "status" => StatusCode::OK.as_u16(), "by" => by, "ms" => ms,
+            "request" => &*self.ctx.id, "status" => StatusCode::OK.as_u16(), "by" => &*self.server(), "ms" => ms,
             "events" => self.events_forwarded, "first_ms" => millis(self.timing.time_to_first),
             "pause_ms" => millis(self.timing.longest_gap), "pause_after_event" => self.timing.longest_gap_after,
             "framing" => framing.label(), "partial_bytes" => partial_bytes,
@@ -313,9 +310,6 @@
 
     /// Checks whether the end of an endpoint's response is the end of the stream.
     async fn check_end(&self, framing: Framing) -> ForwardOutcome {
-        if !self.is_event_stream() {
-            return ForwardOutcome::Complete;
-        }
         if self.events.is_inside_event() {
             return ForwardOutcome::Broken("stream ended inside an event");
         }
@@ -355,10 +349,6 @@
         }
     }
 
-    fn is_event_stream(&self) -> bool {
-        matches!(self.ctx.route.kind, RouteKind::Stream { .. })
-    }
-
     /// Processes bytes of the stream; returns the events that are complete.
     fn process_bytes(&mut self, data: &Bytes) -> Result<Option<Vec<u8>>, &'static str> {
         let previous = self.events.last();
--- a/mimosafront/src/relay/model/mod.rs
+++ b/mimosafront/src/relay/model/mod.rs
@@ -9,7 +9,7 @@
 use hyper::{Response, StatusCode};
 use mimosaplatform::header;
 use mimosashift::connection_pool::{Exchange, Failure};
-use mimosashift::deployment::{Engine, RouteKind};
+use mimosashift::deployment::Engine;
 use mimosashift::drain;
 use mimosashift::emit;
 use mimosashift::event::Event;
@@ -27,7 +27,7 @@
 use super::answer::{Source, Verdict};
 use super::peer::{Path, Relay, UNREACHABLE_REASON};
 use super::{
-    EXHAUSTED_REASON, RequestContext, RequestError, STRAY_REASON,
+    EXHAUSTED_REASON, MAX_RESPONSE_BYTES, RequestContext, RequestError, STRAY_REASON,
     forward_response, relayed_outcome, stop,
 };
 use crate::body::ResponseBody;
@@ -55,9 +55,8 @@
 /// which a request is sent at most once more.
 const MAX_REJECTED_SENDS: u32 = 4;
 
-/// Largest response body that is buffered: of an error response or a reroute
-/// order.
-const MAX_BUFFERED_RESPONSE_BYTES: usize = 1024 * 1024;
+/// Largest response body to a reroute order.
+const MAX_ORDER_RESPONSE_BYTES: usize = 1024 * 1024;
 
 /// Retry-After if the deadline passed before the request was executed: in each
 /// such interval a few streams end and free memory.
@@ -72,10 +71,10 @@
 
 /// What answers a request.
 enum Opened {
-    /// The head of a stream.
+    /// The head of a stream, whose events follow.
     Stream(Exchange),
-    /// A whole error.
-    Failure(Response<()>, Bytes),
+    /// A whole answer: an error, or one of a route without streams.
+    Whole(Response<()>, Bytes),
 }
 
 /// A request to a model engine and its progress.
@@ -141,15 +140,16 @@
     }
 }
 
-/// Relays a request to a chain and streams its response back.
+/// Relays a request to a chain. The kind of its route decides whether its answer is forwarded
+/// event by event or once it is whole.
 pub async fn relay(ctx: RequestContext) -> Result<Response<ResponseBody>, RequestError> {
     let engine = ctx.service.engine.clone().expect("service has an engine");
     let mut session = ModelRequest::new(ctx, engine);
     let mut exchange = match session.open().await {
         Ok(Opened::Stream(exchange)) => exchange,
-        Ok(Opened::Failure(head, body)) => {
+        Ok(Opened::Whole(head, body)) => {
             session.outcome_recorded = true;
-            return Ok(session.forward_failure(&head, body));
+            return Ok(session.forward_whole(&head, body));
         }
         Err(end) => {
             session.outcome_recorded = true;
@@ -176,10 +176,6 @@
             }
         };
         let events = EventSplitter::after(ctx.last_event);
-        let events = match ctx.route.kind {
-            RouteKind::Stream { .. } => events,
-            _ => events.without_checks(),
-        };
         let partial = ctx.state.budget.charge();
         let possible_executions = ctx.origin.executions();
         Self {
@@ -226,10 +222,13 @@
         Err(stop::error(self.state(), self.possible_executions > 0))
     }
 
-    /// Whether the stream probably takes longer than `left`. As long as the load balancer may
+    /// Whether the answer probably takes longer than `left`. As long as the load balancer may
     /// lead a client that is refused back to this router, a stream is begun if it is likely to
     /// fit, or if no other router can serve it.
     fn outlasts(&self, left: Duration) -> bool {
+        if !self.ctx.route.kind.is_stream() {
+            return stop::whole_answer_outlasts(&self.ctx, left);
+        }
         let state = self.state();
         let Demand { prompt, output } = self.demand;
         let max_output = self.ctx.tokens.map_or(f64::INFINITY, |t| f64::from(t.max_output));
@@ -294,8 +293,11 @@
                 }
             };
             let opened = match sent {
-                Ok(exchange) if exchange.head.status().is_success() => Ok(Opened::Stream(exchange)),
-                Ok(exchange) => self.read_failure(exchange).await,
+                Ok(exchange) if !exchange.head.status().is_success() => {
+                    self.read_failure(exchange).await
+                }
+                Ok(exchange) if self.ctx.route.kind.is_stream() => Ok(Opened::Stream(exchange)),
+                Ok(exchange) => self.read_whole(exchange).await,
                 Err(reason) => Err(reason),
             };
             match opened {
@@ -343,7 +345,8 @@
         self.claim = Some(claim);
         let state = self.state().clone();
         let sending = state.call(&first, request, false);
-        match self.wait_for_head(sending).await {
+        // This send may run as well.
+        match self.watch_chain(sending, self.possible_executions + 1).await {
             Ok(exchange) => self.check_response(&first, exchange),
             Err(Some(CallError::Stray)) => {
                 self.excluded_hops.push(first);
@@ -362,10 +365,7 @@
                 Err(EXHAUSTED_REASON)
             }
             Err(Some(CallError::Failed(Failure::Lost { reason }))) => {
-                self.state().mark_suspect(&first.id, &reason);
-                self.state().pool.close_idle(first.address);
-                self.check_crash().await;
-                self.excluded_hops.push(first);
+                self.record_loss(&reason).await;
                 self.possible_executions += 1;
                 Err("answer lost")
             }
@@ -376,19 +376,30 @@
         }
     }
 
-    /// Waits for the response head and checks the chain meanwhile; `Err(None)` if another
-    /// chain is to be used instead, engines crash, or the deadline has passed.
-    async fn wait_for_head(
+    /// Records that the first endpoint of the chain, if there is one, broke off its answer.
+    async fn record_loss(&mut self, reason: &str) {
+        let Some(first) = self.claim.as_ref().map(|claim| claim.chain[0].clone()) else { return };
+        self.state().mark_suspect(&first.id, reason);
+        self.state().pool.close_idle(first.address);
+        self.check_crash().await;
+        self.exclude([first]);
+    }
+
+    /// Waits for the head or the body of an answer and checks the chain meanwhile; `Err(None)`
+    /// if another chain is to be used instead, engines crash, or the deadline has passed. The
+    /// request may have been executed `executions` times if it is.
+    async fn watch_chain<T>(
         &mut self,
-        sending: impl Future<Output = Result<Exchange, CallError>>,
-    ) -> Result<Exchange, Option<CallError>> {
-        let mut sending = std::pin::pin!(sending);
+        reading: impl Future<Output = Result<T, CallError>>,
+        executions: u32,
+    ) -> Result<T, Option<CallError>> {
+        let mut reading = std::pin::pin!(reading);
         let sent = clock::now();
         let mut stall_timer = StallTimer::new(sent + FIRST_EVENT_TIMEOUT);
         let state = self.state().clone();
         loop {
             tokio::select! {
-                result = sending.as_mut() => return result.map_err(Some),
+                result = reading.as_mut() => return result.map_err(Some),
                 () = wait_for_fault_or_tick(&state) => {}
             }
             let now = clock::now();
@@ -401,10 +412,8 @@
                     StallCheck::Healthy | StallCheck::Rerouted => {
                         stall_timer.on_check(clock::now())
                     }
-                    // This send may have run as well.
                     StallCheck::Silent(_)
-                        if self.ctx.route.is_idempotent()
-                            && self.may_move(self.possible_executions + 1) =>
+                        if self.ctx.route.is_idempotent() && self.may_move(executions) =>
                     {
                         return Err(None);
                     }
@@ -492,21 +501,49 @@
         Demand { prompt: self.demand.prompt + generated, output }
     }
 
+    /// Reads the rest of a success of a route without streams; returns the reason if it does not
+    /// arrive whole.
+    async fn read_whole(&mut self, mut exchange: Exchange) -> Result<Opened, &'static str> {
+        if let Some(claim) = &mut self.claim {
+            let mut fleet = self.ctx.state.fleet.borrow_mut();
+            fleet.record_progress(&claim.chain, None, clock::now());
+            fleet.finish_prefill(claim);
+        }
+        let reading = async { Ok(exchange.collect(MAX_RESPONSE_BYTES).await?) };
+        let reason = match self.watch_chain(reading, self.possible_executions).await {
+            Ok(body) => {
+                self.record_success(true);
+                return Ok(Opened::Whole(exchange.head, body));
+            }
+            Err(Some(CallError::Failed(Failure::Exhausted))) => {
+                self.give_up_answer();
+                return Err(EXHAUSTED_REASON);
+            }
+            Err(Some(failure)) => {
+                self.record_loss(&failure.to_string()).await;
+                "answer broke off"
+            }
+            Err(None) => "answer did not end",
+        };
+        self.exclude_first_hop();
+        Err(reason)
+    }
+
     /// Reads the rest of an error response, which is not a stream; returns the reason if it does
     /// not end in time. Only a request that may not be sent elsewhere waits for all the time that
     /// it has.
     async fn read_failure(&mut self, mut exchange: Exchange) -> Result<Opened, &'static str> {
         if self.has_begun {
             // It is not forwarded within the stream.
-            return Ok(Opened::Failure(exchange.head, Bytes::new()));
+            return Ok(Opened::Whole(exchange.head, Bytes::new()));
         }
         let may_resend =
             self.ctx.route.is_idempotent() && self.possible_executions < self.ctx.route.attempts;
         let limit = if may_resend { ERROR_BODY_TIMEOUT } else { Duration::MAX };
-        let reading = exchange.collect(MAX_BUFFERED_RESPONSE_BYTES);
+        let reading = exchange.collect(MAX_RESPONSE_BYTES);
         let body = timeout(limit.min(self.ctx.remaining()), reading).await;
         let reason = match body {
-            Ok(Ok(body)) => return Ok(Opened::Failure(exchange.head, body)),
+            Ok(Ok(body)) => return Ok(Opened::Whole(exchange.head, body)),
             Ok(Err(Failure::Exhausted)) => {
                 self.give_up_answer();
                 return Err(EXHAUSTED_REASON);
@@ -520,28 +557,33 @@
 
     /// Records that the answer is given up, as the memory for buffered data is used up.
     fn give_up_answer(&mut self) {
-        let first = self.claim.as_ref().map(|claim| claim.chain[0].id.clone());
-        let by = first.or_else(|| self.relay.as_ref().map(|relay| relay.name.clone()));
-        self.ctx.log_given_up(by.as_deref().unwrap_or_default());
+        self.ctx.log_given_up(&self.server());
         if let Some(claim) = &self.claim {
             self.state().mark_suspect(&claim.chain[0].id, EXHAUSTED_REASON);
         }
         self.exclude_first_hop();
     }
 
-    /// Forwards an error response.
-    fn forward_failure(&self, head: &Response<()>, body: Bytes) -> Response<ResponseBody> {
+    /// Id of the first endpoint of the chain, or name of the router, that serves the request;
+    /// empty without one.
+    fn server(&self) -> Arc<str> {
+        let first = self.claim.as_ref().map(|claim| claim.chain[0].id.clone());
+        first.or_else(|| self.relay.as_ref().map(|relay| relay.name.clone())).unwrap_or_default()
+    }
+
+    /// Forwards a whole answer.
+    fn forward_whole(&self, head: &Response<()>, body: Bytes) -> Response<ResponseBody> {
         let status = head.status();
-        match &self.relay {
-            Some(relay) => {
-                self.state().meter.requests(1, relayed_outcome(status));
-                self.ctx.log_answered(status, &relay.name);
-            }
-            None => {
-                self.state().meter.requests(1, Outcome::Failed);
-                self.ctx.log_answered(status, "first of the chain");
-            }
+        let outcome = match &self.relay {
+            Some(_) => relayed_outcome(status),
+            None if status.is_success() => Outcome::Completed,
+            None => Outcome::Failed,
+        };
+        self.state().meter.requests(1, outcome);
+        if !self.ctx.route.kind.is_stream() {
+            self.ctx.record_latency();
         }
+        self.ctx.log_answered(status, &self.server());
         forward_response(head, ResponseBody::Full(Some(body)))
     }
 }
--- a/mimosafront/src/relay/model/stall.rs
+++ b/mimosafront/src/relay/model/stall.rs
@@ -13,7 +13,7 @@
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
-use super::{MAX_BUFFERED_RESPONSE_BYTES, ModelRequest};
+use super::{MAX_ORDER_RESPONSE_BYTES, ModelRequest};
 use crate::clock;
 use crate::probe::{self, ProbeResult};
 use crate::state::{RouterState, millis};
@@ -172,7 +172,7 @@
         let call = engine_protocol::order_request(first.address, &first.id, &order);
         let response = async {
             let mut exchange = self.state().call(first, call, false).await.ok()?;
-            let body = exchange.collect(MAX_BUFFERED_RESPONSE_BYTES).await.ok()?;
+            let body = exchange.collect(MAX_ORDER_RESPONSE_BYTES).await.ok()?;
             Some(engine_protocol::order_outcome(exchange.head.status(), &body))
         };
         let ordered = timeout(REROUTE_TIMEOUT, response).await.ok().flatten();
--- a/mimosafront/src/relay/plain.rs
+++ b/mimosafront/src/relay/plain.rs
@@ -19,17 +19,14 @@
 use super::answer::{Source, Verdict};
 use super::peer::{Path, Relay, UNREACHABLE_REASON};
 use super::{
-    EXHAUSTED_REASON, LIMITED_REASON, RESTING_REASON, RequestContext, RequestError, STRAY_REASON,
-    forward_response, peer, relayed_outcome, stop,
+    EXHAUSTED_REASON, LIMITED_REASON, MAX_RESPONSE_BYTES, RESTING_REASON, RequestContext,
+    RequestError, STRAY_REASON, forward_response, peer, relayed_outcome, stop,
 };
 use crate::body::ResponseBody;
 use crate::call::CallError;
 use crate::state::RouterState;
 use crate::{clock, probe, reach};
 
-/// Largest response that is accepted.
-const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
-
 /// Number of rejected sends, in addition to the attempts of the route, after
 /// which a request is sent at most once more.
 const MAX_REJECTED_SENDS: u32 = 2;
@@ -79,7 +76,7 @@
         if ctx.remaining().is_zero() {
             return Err(deadline_error(possible_executions > 0));
         }
-        if stop::outlasts_router(&ctx, |left| stop::plain_request_outlasts(&ctx, left)) {
+        if stop::outlasts_router(&ctx, |left| stop::whole_answer_outlasts(&ctx, left)) {
             if possible_executions == 0 {
                 return Err(stop::refusal(&ctx.state));
             }
@@ -172,7 +169,7 @@
         Path::Relayed(_) => true,
         Path::Lost => false,
     };
-    let is_stopped = stop::outlasts_router(ctx, |left| stop::plain_request_outlasts(ctx, left));
+    let is_stopped = stop::outlasts_router(ctx, |left| stop::whole_answer_outlasts(ctx, left));
     is_known && !is_stopped && ctx.state.has_retry(&ctx.service.name)
 }
 
@@ -238,10 +235,7 @@
         ctx.record_success();
     }
     if let SendOutcome::Answered(response, true) = &outcome {
-        let mut latencies = state.plain_latency.borrow_mut();
-        let latency = latencies.entry(ctx.route.name.clone()).or_default();
-        latency.record(clock::now().since(ctx.arrived));
-        drop(latencies);
+        ctx.record_latency();
         let status = response.status();
         let label = if status.is_success() { Outcome::Completed } else { Outcome::Failed };
         state.meter.requests(1, label);
@@ -309,13 +303,13 @@
     body: Bytes,
     by: Source<'_>,
     can_retry: bool,
-    let status = exchange.head.status();
 ) -> SendOutcome {
     match ctx.check_head(&exchange, by) {
         Verdict::Accepted => {}
         Verdict::NotRun => return SendOutcome::NotRun("rejected by the endpoint"),
         Verdict::Withheld(reason) => return SendOutcome::Lost(reason),
     }
+    let status = exchange.head.status();
     let is_stream = matches!(ctx.route.kind, RouteKind::Stream { .. });
     if status.is_success() && is_stream {
         if event_stream::ends_inside_event(&body) {
--- a/mimosafront/src/relay/stop.rs
+++ b/mimosafront/src/relay/stop.rs
@@ -62,12 +62,12 @@
     state.is_balanced_away.get() && has_other_router(state) || outlasts(left)
 }
 
-/// Whether a plain request probably takes longer than `left`. One that may be repeated is
+/// Whether a whole answer probably takes longer than `left`. One that may be repeated is
 /// refused only if another router can serve it; any other one, which nobody may send again
 /// once it has been cut off, is refused in any case.
-pub(super) fn plain_request_outlasts(ctx: &RequestContext, left: Duration) -> bool {
+pub(super) fn whole_answer_outlasts(ctx: &RequestContext, left: Duration) -> bool {
     let state = &ctx.state;
-    let latencies = state.plain_latency.borrow();
+    let latencies = state.route_latency.borrow();
     match latencies.get(&ctx.route.name) {
         Some(latency) if ctx.route.is_idempotent() => {
             !latency.fits(left) && has_other_router(state)
--- a/mimosafront/src/state.rs
+++ b/mimosafront/src/state.rs
@@ -115,8 +115,8 @@
     pub stop_deadline: Cell<Option<Instant>>,
     /// Wakes the requests that have not ended by then.
     pub stop_deadline_passed: Notify,
-    /// Response time of recent plain requests, by route.
-    pub plain_latency: RefCell<HashMap<Arc<str>, drain::Latency>>,
+    /// Response time of recent requests that were answered whole, by route.
+    pub route_latency: RefCell<HashMap<Arc<str>, drain::Latency>>,
     /// Time per token of recent streams, by service.
     pub stream_pace: RefCell<HashMap<Arc<str>, drain::Pace>>,
     /// Requests in flight.
@@ -207,7 +207,7 @@
             is_balanced_away: Cell::default(),
             stop_deadline: Cell::default(),
             stop_deadline_passed: Notify::new(),
-            plain_latency: RefCell::default(),
+            route_latency: RefCell::default(),
             stream_pace: RefCell::default(),
             in_flight: Cell::default(),
             connections: Connections::default(),
--- a/mimosafront/tests/answer_kinds.rs
+++ b/mimosafront/tests/answer_kinds.rs
@@ -2,7 +2,8 @@
 
 mod cluster;
 
-use std::sync::Arc;
+use std::collections::HashSet;
+use std::sync::{Arc, Mutex, OnceLock};
 
 use test_case::test_case;
 
@@ -13,6 +14,9 @@
 /// Requests of a case.
 const REQUESTS: usize = 12;
 
+/// Size of an answer that exceeds the limit on an event.
+const LARGE_ANSWER_BYTES: usize = 3_200_000;
+
 /// Names of the services.
 const ENGINES: &str = "model";
 const PLAIN: &str = "register";
@@ -44,19 +48,148 @@
     (0..REQUESTS).map(send).collect()
 }
 
-/// A signed answer to a request of a client.
+/// A signed answer to a request of a client, after which the connection is closed.
 fn signed(request: &str, fields: &str, body: &str) -> Option<BrokenAnswer> {
     let id = request.lines().find_map(|line| line.strip_prefix("request-id: "))?;
     let head = format!(
-        "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nresponse-signature: sig-{id}\r\n{fields}\r\n"
+        "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nresponse-signature: sig-{id}\r\n\
+         connection: close\r\n{fields}\r\n"
     );
     Some(BrokenAnswer { bytes: (head + body).into_bytes(), ending: Ending::Close })
 }
 
+/// Answers all requests of clients with this body.
+fn answer_all(cluster: &TestCluster, body: &'static str) {
+    let fields = length_field(body);
+    cluster.break_answers(&(Arc::new(move |request: &str| signed(request, &fields, body)) as _));
+}
+
+/// Answers requests with half of this body at the endpoint that is asked first, and whole at all
+/// others. Returns the ids of those whose answer was cut.
+fn cut_answers(
+    cluster: &TestCluster,
+    body: &'static str,
+    framing: Framing,
+) -> Arc<Mutex<HashSet<String>>> {
+    let cut = Arc::new(Mutex::new(HashSet::new()));
+    let faulty = Arc::new(OnceLock::new());
+    for member in &cluster.endpoints.members {
+        let (cut, faulty, endpoint) = (cut.clone(), faulty.clone(), member.address());
+        member.proxy.break_answers(Arc::new(move |request: &str| {
+            let id = request.lines().find_map(|line| line.strip_prefix("request-id: "))?;
+            if *faulty.get_or_init(|| endpoint) != endpoint {
+                return signed(request, &length_field(body), body);
+            }
+            cut.lock().unwrap().insert(id.to_owned());
+            framing.half(request, body)
+        }));
+    }
+    cut
+}
+
+/// How the end of an answer is marked.
+#[derive(Clone, Copy, Debug)]
+enum Framing {
+    Length,
+    Chunks,
+}
+
+impl Framing {
+    /// An answer that breaks off after half of its body.
+    fn half(self, request: &str, body: &str) -> Option<BrokenAnswer> {
+        let half = &body[..body.len() / 2];
+        match self {
+            Self::Length => signed(request, &length_field(body), half),
+            Self::Chunks => {
+                let chunk = format!("{:x}\r\n{half}\r\n", half.len());
+                signed(request, "transfer-encoding: chunked\r\n", &chunk)
+            }
+        }
+    }
+}
+
 fn length_field(body: &str) -> String {
     format!("content-length: {}\r\n", body.len())
 }
 
+/// Items with lines that look like ids of events, some of them repeated or out of order.
+const ITEMS: &str = "id: 7\nname: a\n\nid: 3\nname: b\n\nid: 9\n{}\n\nid: 9\n\nid: 1\n\nid: 12";
+
+/// The same request with the id of an event, which means nothing on a route without streams.
+fn read_after_event() -> TestRequest {
+    let headers = vec![("last-event-id", "100".to_owned())];
+    TestRequest { headers, ..TestRequest::read() }
+}
+
+/// Guards against whole answers that lose what looks like repeated events.
+#[test_case(ENGINES, TestRequest::read; "read from engines")]
+#[test_case(ENGINES, TestRequest::post; "posting to engines")]
+#[test_case(ENGINES, read_after_event; "read from engines after an event")]
+#[test_case(PLAIN, read_after_event; "read from a plain service after an event")]
+fn whole_answer_is_passed_on_as_it_is(service: &str, request: fn() -> TestRequest) {
+    let cluster = start(service);
+    answer_all(&cluster, ITEMS);
+    for response in send(&cluster, request) {
+        assert_eq!((response.status, response.complete, &*response.body), (200, true, ITEMS));
+    }
+}
+
+/// Guards against whole answers that are measured by the limit on the size of an event.
+#[test_case(ENGINES; "from engines")]
+#[test_case(PLAIN; "from a plain service")]
+fn large_whole_answer_is_passed_on(service: &str) {
+    let cluster = start(service);
+    let body: &str = "x".repeat(LARGE_ANSWER_BYTES).leak();
+    answer_all(&cluster, body);
+    for response in send(&cluster, TestRequest::read) {
+        assert_eq!((response.status, response.complete), (200, true));
+        assert!(response.body == body, "{} bytes", response.body.len());
+    }
+}
+
+/// Guards against clients that get a part of an answer that another endpoint could have given
+/// whole, or that nobody may send again.
+#[test_case(ENGINES, TestRequest::read, Framing::Length; "read from engines by a length")]
+#[test_case(ENGINES, TestRequest::read, Framing::Chunks; "read from engines in chunks")]
+#[test_case(ENGINES, TestRequest::post, Framing::Length; "posting to engines by a length")]
+#[test_case(PLAIN, TestRequest::read, Framing::Length; "read from a plain service by a length")]
+#[test_case(PLAIN, TestRequest::post, Framing::Chunks; "posting to a plain service in chunks")]
+fn whole_answer_that_breaks_off_is_not_begun(
+    service: &str,
+    request: fn() -> TestRequest,
+    framing: Framing,
+) {
+    let cluster = start(service);
+    let cut = cut_answers(&cluster, ITEMS, framing);
+    check_cut_answers(&cluster, request, &cut);
+}
+
+/// Checks that requests whose answers were cut are answered whole if they may be repeated, and
+/// with an honest error if not.
+fn check_cut_answers(
+    cluster: &TestCluster,
+    request: fn() -> TestRequest,
+    cut: &Mutex<HashSet<String>>,
+) {
+    let may_repeat = request().path.starts_with("/read/");
+    let mut met = 0;
+    for _ in 0..REQUESTS {
+        let request = request();
+        let sent = request.send(cluster.routers[0].clients);
+        let response = cluster.runtime.block_on(sent).unwrap();
+        let is_cut = cut.lock().unwrap().contains(&request.id);
+        met += usize::from(is_cut);
+        match response.status {
+            200 if may_repeat || !is_cut => {
+                assert_eq!((response.complete, &*response.body), (true, ITEMS));
+            }
+            502 if is_cut && !may_repeat => assert!(response.complete),
+            status => panic!("cut: {is_cut}, status {status}: {response:?}"),
+        }
+    }
+    assert!(met > 0, "no answer was cut");
+}
+
 /// Guards against answers with a content encoding, which are not those of the endpoint.
 #[test_case(ENGINES, TestRequest::read; "read from engines")]
 #[test_case(ENGINES, TestRequest::post; "posting to engines")]
--- a/mimosashift/src/deployment/mod.rs
+++ b/mimosashift/src/deployment/mod.rs
@@ -83,6 +83,13 @@
     },
 }
 
+impl RouteKind {
+    /// Whether answers are streams of events, and not read as a whole.
+    pub const fn is_stream(self) -> bool {
+        matches!(self, Self::Stream { .. })
+    }
+}
+
 /// A service and how its endpoints are reached.
 #[derive(Clone, Debug)]
 pub struct Service {
--- a/mimosashift/src/event_stream.rs
+++ b/mimosashift/src/event_stream.rs
@@ -19,8 +19,6 @@
     /// Length of the part of `partial` that holds no event end.
     searched: usize,
     last: Option<u64>,
-    /// Whether each line must be a field.
-    checks_fields: bool,
 }
 
 /// Complete events to forward.
@@ -55,13 +53,7 @@
 impl EventSplitter {
     /// Resumes a stream of which the client has the events up to id `last`.
     pub const fn after(last: Option<u64>) -> Self {
-        Self { partial: Vec::new(), searched: 0, last, checks_fields: true }
-    }
-
-    /// Passes on bytes of any kind, for a response that is no event stream.
-    pub const fn without_checks(mut self) -> Self {
-        self.checks_fields = false;
-        self
+        Self { partial: Vec::new(), searched: 0, last }
     }
 
     /// Id of the last event forwarded.
@@ -101,7 +93,7 @@
         while let Some(length) = event_length(&self.partial[from..], self.searched) {
             self.searched = 0;
             let event = &self.partial[from..from + length];
-            if self.checks_fields && !is_event(event) {
+            if !is_event(event) {
                 if complete.count == 0 {
                     return Err(InvalidStream::NoField);
                 }
--- a/mimosashift/tests/front.rs
+++ b/mimosashift/tests/front.rs
@@ -172,7 +172,6 @@
             let error = EventSplitter::after(None).push($bytes).err();
             let expected = $is_other.then_some(InvalidStream::NoField);
             assert_eq!((error, has_other_bytes($bytes)), (expected, $is_other));
-            assert!(EventSplitter::after(None).without_checks().push($bytes).is_ok());
         }
     )*};
 }
