Ask whether a crash closed the connection of a whole answer

What callers saw: the half of an answer without a length, whose endpoint crashed while it sent it, as a whole and signed success; from plain services, and from engines on routes without streams.

Cause: the end of the connection was looked into for event streams only.

Why this works: a killed process refuses new connections at once, and one that was replaced says so in its report or health check; what it left is then given up before anything of it is passed on.

--- a/mimosafront/src/relay/model/forward.rs
+++ b/mimosafront/src/relay/model/forward.rs
@@ -20,7 +20,7 @@
 use crate::clock;
 use crate::probe::{self, ProbeResult};
 use crate::relay::peer::Path;
-use crate::relay::{EXHAUSTED_REASON, RequestError};
+use crate::relay::{CRASHED_REASON, EXHAUSTED_REASON, RequestError};
 use crate::state::millis;
 
 /// Reason for which `forward_events` returned.
@@ -323,15 +323,19 @@
         if !self.known_faults().dead.is_empty() {
             return ForwardOutcome::Broken("stream closed while an engine was dead");
         }
-        self.check_engines_at_end().await
+        match self.is_closed_by_crash().await {
+            true => ForwardOutcome::Broken(CRASHED_REASON),
+            false => ForwardOutcome::Complete,
+        }
     }
 
-    /// Checks whether a stream that ended with its connection was closed by a crash: that of
+    /// Checks whether an answer that ended with its connection was closed by a crash: that of
     /// the first engine closes its connections, and a later one that crashes makes the
-    /// first cut off the stream. Either may have restarted since, if this router was
+    /// first cut off the answer. Either may have restarted since, if this router was
     /// delayed.
-    async fn check_engines_at_end(&self) -> ForwardOutcome {
-        let Some(claim) = &self.claim else { return ForwardOutcome::Broken("no chain assigned") };
+    pub(super) async fn is_closed_by_crash(&self) -> bool {
+        // Another router marks the end of its answers.
+        let Some(claim) = &self.claim else { return true };
         let mut probes = JoinSet::new();
         for (position, hop) in claim.chain.clone().into_iter().enumerate() {
             let state = self.state().clone();
@@ -343,10 +347,7 @@
                 }
             });
         }
-        match probes.join_all().await.contains(&true) {
-            true => ForwardOutcome::Broken("stream closed by a crash"),
-            false => ForwardOutcome::Complete,
-        }
+        probes.join_all().await.contains(&true)
     }
 
     /// Processes bytes of the stream; returns the events that are complete.
--- a/mimosafront/src/relay/model/mod.rs
+++ b/mimosafront/src/relay/model/mod.rs
@@ -8,7 +8,7 @@
 use hyper::body::Bytes;
 use hyper::{Response, StatusCode};
 use mimosaplatform::header;
-use mimosashift::connection_pool::{Exchange, Failure};
+use mimosashift::connection_pool::{Exchange, Failure, Framing};
 use mimosashift::deployment::Engine;
 use mimosashift::drain;
 use mimosashift::emit;
@@ -27,8 +27,8 @@
 use super::answer::{Source, Verdict};
 use super::peer::{Path, Relay, UNREACHABLE_REASON};
 use super::{
-    EXHAUSTED_REASON, MAX_RESPONSE_BYTES, RequestContext, RequestError, STRAY_REASON,
-    forward_response, relayed_outcome, stop,
+    CRASHED_REASON, EXHAUSTED_REASON, MAX_RESPONSE_BYTES, RequestContext, RequestError,
+    STRAY_REASON, forward_response, relayed_outcome, stop,
 };
 use crate::body::ResponseBody;
 use crate::call::CallError;
@@ -511,6 +511,10 @@
         }
         let reading = async { Ok(exchange.collect(MAX_RESPONSE_BYTES).await?) };
         let reason = match self.watch_chain(reading, self.possible_executions).await {
+            Ok(_) if exchange.framing == Framing::UntilClose && self.is_closed_by_crash().await => {
+                self.record_loss(CRASHED_REASON).await;
+                CRASHED_REASON
+            }
             Ok(body) => {
                 self.record_success(true);
                 return Ok(Opened::Whole(exchange.head, body));
--- a/mimosafront/src/relay/plain.rs
+++ b/mimosafront/src/relay/plain.rs
@@ -19,8 +19,8 @@
 use super::answer::{Source, Verdict};
 use super::peer::{Path, Relay, UNREACHABLE_REASON};
 use super::{
-    EXHAUSTED_REASON, LIMITED_REASON, MAX_RESPONSE_BYTES, RESTING_REASON, RequestContext,
-    RequestError, STRAY_REASON, forward_response, peer, relayed_outcome, stop,
+    CRASHED_REASON, EXHAUSTED_REASON, LIMITED_REASON, MAX_RESPONSE_BYTES, RESTING_REASON,
+    RequestContext, RequestError, STRAY_REASON, forward_response, peer, relayed_outcome, stop,
 };
 use crate::body::ResponseBody;
 use crate::call::CallError;
@@ -200,6 +200,13 @@
         result = timeout(send_timeout.min(ctx.remaining()), sending.as_mut()).await;
     }
     let outcome = match result {
+        Ok(Ok((exchange, _)))
+            if exchange.framing == Framing::UntilClose
+                && probe::has_crashed(state, hop, &ctx.service.health_path).await =>
+        {
+            record_loss(ctx, hop, CRASHED_REASON).await;
+            return SendOutcome::Lost(CRASHED_REASON);
+        }
         Ok(Ok((exchange, body))) => {
             check_response(ctx, exchange, body, Source::Endpoint(&hop.id), can_retry)
         }
@@ -209,14 +216,7 @@
             return SendOutcome::NotRun("not sent");
         }
         Ok(Err(CallError::Failed(Failure::Lost { reason }))) => {
-            state.mark_suspect(&hop.id, &reason);
-            state.pool.close_idle(hop.address);
-            let failed = clock::now();
-            if probe::has_crashed(state, hop, &ctx.service.health_path).await
-                && reach::is_reached(state, &ctx.service.name, failed).await
-            {
-                ctx.record_crash(hop, 0);
-            }
+            record_loss(ctx, hop, &reason).await;
             return SendOutcome::Lost("answer lost");
         }
         Ok(Err(CallError::Failed(Failure::Exhausted))) => {
@@ -244,6 +244,19 @@
     outcome
 }
 
+/// Records that an endpoint broke off its answer, and whether it crashed under the request.
+async fn record_loss(ctx: &RequestContext, hop: &Hop, reason: &str) {
+    let state = &ctx.state;
+    state.mark_suspect(&hop.id, reason);
+    state.pool.close_idle(hop.address);
+    let failed = clock::now();
+    if probe::has_crashed(state, hop, &ctx.service.health_path).await
+        && reach::is_reached(state, &ctx.service.name, failed).await
+    {
+        ctx.record_crash(hop, 0);
+    }
+}
+
 /// Sends the request through another router, whose response is final.
 async fn send_through(
     ctx: &RequestContext,
--- a/mimosafront/tests/answer_kinds.rs
+++ b/mimosafront/tests/answer_kinds.rs
@@ -8,7 +8,7 @@
 use test_case::test_case;
 
 use cluster::client::{TestRequest, TestResponse};
-use cluster::proxy::{BrokenAnswer, Ending};
+use cluster::proxy::{BrokenAnswer, Ending, LinkState};
 use cluster::{ClusterOptions, KEY, TEAM, TestCluster};
 
 /// Requests of a case.
@@ -74,14 +74,18 @@
     let cut = Arc::new(Mutex::new(HashSet::new()));
     let faulty = Arc::new(OnceLock::new());
     for member in &cluster.endpoints.members {
-        let (cut, faulty, endpoint) = (cut.clone(), faulty.clone(), member.address());
+        let (cut, faulty, endpoint) = (cut.clone(), faulty.clone(), member.clone());
         member.proxy.break_answers(Arc::new(move |request: &str| {
             let id = request.lines().find_map(|line| line.strip_prefix("request-id: "))?;
-            if *faulty.get_or_init(|| endpoint) != endpoint {
+            if *faulty.get_or_init(|| endpoint.address()) != endpoint.address() {
                 return signed(request, &length_field(body), body);
             }
             cut.lock().unwrap().insert(id.to_owned());
-            framing.half(request, body)
+            if matches!(framing, Framing::Crash) {
+                // Its open connections are closed as well, and no new ones are accepted.
+                endpoint.proxy.set(LinkState::Reset);
+            }
+            framing.answer(request, body)
         }));
     }
     cut
@@ -92,14 +96,20 @@
 enum Framing {
     Length,
     Chunks,
+    /// By the close of the connection, which its crash closes early.
+    Crash,
+    /// By the close of the connection, after all of the body.
+    Close,
 }
 
 impl Framing {
-    /// An answer that breaks off after half of its body.
-    fn half(self, request: &str, body: &str) -> Option<BrokenAnswer> {
+    /// An answer that ends in this way.
+    fn answer(self, request: &str, body: &str) -> Option<BrokenAnswer> {
         let half = &body[..body.len() / 2];
         match self {
             Self::Length => signed(request, &length_field(body), half),
+            Self::Crash => signed(request, "", half),
+            Self::Close => signed(request, "", body),
             Self::Chunks => {
                 let chunk = format!("{:x}\r\n{half}\r\n", half.len());
                 signed(request, "transfer-encoding: chunked\r\n", &chunk)
@@ -164,6 +174,32 @@
     check_cut_answers(&cluster, request, &cut);
 }
 
+/// Guards against the part of an answer that a crash cut short, where the end of the
+/// connection is that of the answer.
+#[test_case(ENGINES, TestRequest::read; "read from engines")]
+#[test_case(ENGINES, TestRequest::post; "posting to engines")]
+#[test_case(PLAIN, TestRequest::read; "read from a plain service")]
+#[test_case(PLAIN, TestRequest::post; "posting to a plain service")]
+fn whole_answer_that_a_crash_cuts_short_is_not_passed_on(
+    service: &str,
+    request: fn() -> TestRequest,
+) {
+    let cluster = start(service);
+    let cut = cut_answers(&cluster, ITEMS, Framing::Crash);
+    check_cut_answers(&cluster, request, &cut);
+}
+
+/// Guards against taking the end of each connection for a crash.
+#[test_case(ENGINES; "from engines")]
+#[test_case(PLAIN; "from a plain service")]
+fn whole_answer_may_end_with_its_connection(service: &str) {
+    let cluster = start(service);
+    cluster.break_answers(&(Arc::new(|request: &str| Framing::Close.answer(request, ITEMS)) as _));
+    for response in send(&cluster, TestRequest::post) {
+        assert_eq!((response.status, response.complete, &*response.body), (200, true, ITEMS));
+    }
+}
+
 /// Checks that requests whose answers were cut are answered whole if they may be repeated, and
 /// with an honest error if not.
 fn check_cut_answers(
