Forward streams of plain services event by event

What callers saw: on a streaming route that leads to a plain service, nothing until the whole stream had been sent; streams longer than the gap after which clients leave, or larger than 8 MiB, were lost.

Cause: all answers of plain services were collected to their end. The kind of the route, not that of the service, is to decide how an answer is read.

Why this works: streams of every service run through the same code, with an endpoint of a plain service as a chain of one. So they are forwarded, bounded, resumed and ended by the same rules; only how an endpoint is chosen, and how its process is asked whether it lives, differ.

--- a/mimosafront/src/relay/model/admission.rs
+++ b/mimosafront/src/relay/chain/admission.rs
@@ -4,15 +4,18 @@
 
 use hyper::StatusCode;
 use mimosashift::admit::pressure::MAX_WAIT;
+use mimosashift::deployment::Engine;
 use mimosashift::emit;
 use mimosashift::event::Event;
 use mimosashift::fleet::{Chain, Demand, Hop, Query, Shortage};
 use mimosashift::meter::RefusalReason;
 use mimosashift::time::Instant;
+use smallvec::SmallVec;
 use tokio::time::timeout;
 
-use super::{ModelRequest, recheck};
+use super::{ChainRequest, recheck};
 use crate::clock;
+use crate::relay::endpoint::NOT_EXECUTED_RETRY_AFTER;
 use crate::relay::{LIMITED_REASON, RESTING_REASON, RequestError};
 use crate::state::RouterState;
 
@@ -28,14 +31,44 @@
     }
 }
 
-impl ModelRequest {
-    /// Selects a chain for the request once there is memory for it.
+impl ChainRequest {
+    /// Selects what the request is sent to: a chain of engines once there is memory for it, or
+    /// an endpoint of a plain service.
     pub(super) async fn admit(&self) -> Result<Chain, RequestError> {
+        match &self.engine {
+            Some(engine) => self.admit_to_engines(engine).await,
+            None => self.admit_to_endpoint(),
+        }
+    }
+
+    /// Whether there is a chain for the request now.
+    pub(super) fn has_chain(&self) -> bool {
+        match &self.engine {
+            Some(engine) => self.select_chain(engine).is_ok(),
+            None => self.choose_endpoint().is_some(),
+        }
+    }
+
+    fn choose_endpoint(&self) -> Option<Hop> {
+        let excluded = self.excluded_hops.iter().map(|hop| hop.id.clone());
+        self.ctx.choose_endpoint(&excluded.collect::<SmallVec<[_; 4]>>())
+    }
+
+    fn admit_to_endpoint(&self) -> Result<Chain, RequestError> {
+        if let Some(endpoint) = self.choose_endpoint() {
+            return Ok(Chain::from_iter([endpoint]));
+        }
+        let none = (RefusalReason::NoEndpoint, "no endpoint left", NOT_EXECUTED_RETRY_AFTER);
+        let (kind, reason, retry_after) = self.ctx.find_limit().unwrap_or(none);
+        Err(self.unanswered_error(StatusCode::BAD_GATEWAY, kind, reason, retry_after))
+    }
+
+    async fn admit_to_engines(&self, engine: &Engine) -> Result<Chain, RequestError> {
         let state = self.state();
         let now = clock::now();
         let mut shortage = None;
         if state.pressure.borrow().waiting() == 0 {
-            match self.select_chain() {
+            match self.select_chain(engine) {
                 Ok(chain) => return Ok(self.record_admission(chain)),
                 Err(Shortage::Full(_) | Shortage::Limited) => {}
                 Err(lasting) => shortage = Some(lasting),
@@ -43,7 +76,7 @@
         }
         if shortage.is_none() && state.pressure.borrow_mut().begin_wait(now) {
             let _waiting_guard = WaitingGuard(state);
-            match self.wait_for_memory(now + MAX_WAIT).await {
+            match self.wait_for_memory(engine, now + MAX_WAIT).await {
                 Ok(chain) => return Ok(self.record_admission(chain)),
                 Err(found) => shortage = Some(found),
             }
@@ -51,19 +84,19 @@
         if let Some(Shortage::Uncovered(_)) = shortage
             && recheck::directory(state).await
         {
-            match self.select_chain() {
+            match self.select_chain(engine) {
                 Ok(chain) => return Ok(self.record_admission(chain)),
                 Err(found) => shortage = Some(found),
             }
         }
         // If the queue is full, the layer is unknown and logged as 0.
-        Err(self.shortage_error(&shortage.unwrap_or(Shortage::Full(0))))
+        Err(self.shortage_error(engine, &shortage.unwrap_or(Shortage::Full(0))))
     }
 
-    async fn wait_for_memory(&self, until: Instant) -> Result<Chain, Shortage> {
+    async fn wait_for_memory(&self, engine: &Engine, until: Instant) -> Result<Chain, Shortage> {
         loop {
             let released = self.state().memory_released.notified();
-            let shortage = match self.select_chain() {
+            let shortage = match self.select_chain(engine) {
                 Ok(chain) => return Ok(chain),
                 Err(shortage) => shortage,
             };
@@ -87,43 +120,45 @@
         chain
     }
 
-    pub(super) fn select_chain(&self) -> Result<Chain, Shortage> {
-        self.find_chain(&self.demand, None, &self.excluded_hops)
+    fn select_chain(&self, engine: &Engine) -> Result<Chain, Shortage> {
+        self.find_chain(engine, &self.demand, None, &self.excluded_hops)
     }
 
     pub(super) fn find_chain(
         &self,
+        engine: &Engine,
         demand: &Demand,
         first: Option<&Hop>,
         avoid: &[Hop],
     ) -> Result<Chain, Shortage> {
         let zone = self.state().node().zone.clone();
-        let query = self.query(&zone, demand, first, avoid);
+        let query = self.query(engine, &zone, demand, first, avoid);
         self.state().fleet.borrow().chain(&query, clock::now())
     }
 
     fn query<'a>(
         &'a self,
+        engine: &'a Engine,
         zone: &'a str,
         demand: &'a Demand,
         first: Option<&'a Hop>,
         avoid: &'a [Hop],
     ) -> Query<'a> {
         let service = &self.ctx.service.name;
-        Query { service, engine: &self.engine, zone, demand, first, avoid }
+        Query { service, engine, zone, demand, first, avoid }
     }
 
-    fn log_shortage(&self, shortage: &Shortage) {
+    fn log_shortage(&self, engine: &Engine, shortage: &Shortage) {
         let zone = self.state().node().zone.clone();
-        let query = self.query(&zone, &self.demand, None, &self.excluded_hops);
+        let query = self.query(engine, &zone, &self.demand, None, &self.excluded_hops);
         let layer = shortage.layer();
         let holders = self.state().fleet.borrow().describe_holders(&query, layer, clock::now());
         let waiting = self.state().pressure.borrow().waiting();
         emit!(self.state().log, Event::LayerShortage, "request" => &*self.ctx.id, "layer" => layer, "holders" => holders, "waiting" => waiting);
     }
 
-    fn shortage_error(&self, shortage: &Shortage) -> RequestError {
-        self.log_shortage(shortage);
+    fn shortage_error(&self, engine: &Engine, shortage: &Shortage) -> RequestError {
+        self.log_shortage(engine, shortage);
         let mut pressure = self.state().pressure.borrow_mut();
         pressure.record_refused(clock::now());
         let retry_after = pressure.retry_after(self.state().random_fraction());
--- a/mimosafront/src/relay/model/crash.rs
+++ b/mimosafront/src/relay/chain/crash.rs
@@ -5,7 +5,7 @@
 use mimosashift::fleet::Hop;
 use mimosashift::time::Instant;
 
-use super::ModelRequest;
+use super::ChainRequest;
 use crate::probe::{self, ProbeResult};
 use crate::{clock, reach};
 
@@ -13,14 +13,14 @@
 /// harmless: many steps of an engine.
 const PROOF_TIME: Duration = Duration::from_millis(500);
 
-impl ModelRequest {
+impl ChainRequest {
     /// Whether the events of the current run span `PROOF_TIME`.
     pub(super) fn has_written_for_long(&self) -> bool {
         let first = self.first_event_in_run;
         first.is_some_and(|first| self.timing.last_event_at.since(first) >= PROOF_TIME)
     }
 
-    /// Checks whether the first engine, which has closed the connection, crashed
+    /// Checks whether the first endpoint, which has closed the connection, crashed
     /// when it began to run the request.
     pub(super) async fn check_crash(&mut self) {
         let Some(first) = self.claim.as_ref().map(|claim| claim.chain[0].clone()) else { return };
@@ -28,9 +28,12 @@
             return;
         }
         let failed = clock::now();
-        let crashed = match probe::check_still_alive(self.state(), &first).await {
-            ProbeResult::Dead(_) => true,
-            ProbeResult::Alive(report) => report.incarnation != first.incarnation,
+        let crashed = match self.engine {
+            None => probe::has_crashed(self.state(), &first, &self.ctx.service.health_path).await,
+            Some(_) => match probe::check_still_alive(self.state(), &first).await {
+                ProbeResult::Dead(_) => true,
+                ProbeResult::Alive(report) => report.incarnation != first.incarnation,
+            },
         };
         if crashed && self.reaches_engines(failed).await {
             self.record_crash(&first);
--- a/mimosafront/src/relay/model/forward.rs
+++ b/mimosafront/src/relay/chain/forward.rs
@@ -15,7 +15,7 @@
 
 use super::stall::StallCheck;
 use super::stall_timer::{StallTimer, wait_for_fault_or_tick};
-use super::{FIRST_EVENT_TIMEOUT, MAX_REJECTED_SENDS, ModelRequest, Opened};
+use super::{ChainRequest, MAX_REJECTED_SENDS, Opened};
 use crate::body::Chunk;
 use crate::clock;
 use crate::probe::{self, ProbeResult};
@@ -51,11 +51,11 @@
     ClientGone,
 }
 
-impl ModelRequest {
+impl ChainRequest {
     /// Forwards events until the stream ends, and resumes it after a failure.
     pub(super) async fn forward_stream(mut self, exchange: Exchange, sender: mpsc::Sender<Chunk>) {
         let mut exchange = exchange;
-        let mut stall_timer = StallTimer::new(clock::now() + FIRST_EVENT_TIMEOUT);
+        let mut stall_timer = StallTimer::new(self.stall_timeouts(), clock::now());
         loop {
             let reason = match self.forward_events(&mut exchange, &sender, &mut stall_timer).await {
                 ForwardOutcome::Complete => {
@@ -179,7 +179,7 @@
             return false;
         }
         match self.ctx.path(&self.tried_relays) {
-            Path::Direct => self.select_chain().is_ok(),
+            Path::Direct => self.has_chain(),
             Path::Relayed(_) => true,
             Path::Lost => false,
         }
@@ -227,13 +227,7 @@
         drop(sender.send(Chunk::End).await);
         self.outcome_recorded = true;
         self.state().meter.requests(1, Outcome::Completed);
-        let later_events = self.events_forwarded.saturating_sub(1);
-        let tokens = later_events as f64 * f64::from(self.engine.tokens_per_event);
-        let (to_first, whole) = (self.timing.time_to_first, clock::now().since(self.ctx.arrived));
-        let mut paces = self.state().stream_pace.borrow_mut();
-        let pace = paces.entry(self.ctx.service.name.clone()).or_default();
-        pace.record(self.demand.prompt, tokens, to_first, whole);
-        drop(paces);
+        self.record_pace();
         let ms = millis(clock::now().since(self.ctx.arrived));
         emit!(
             self.state().log, Event::RequestAnswered,
@@ -244,6 +238,19 @@
         );
     }
 
+    /// Records the time that the stream took, by the tokens of engines' streams.
+    fn record_pace(&self) {
+        if self.engine.is_none() {
+            return self.ctx.record_latency();
+        }
+        let later_events = self.events_forwarded.saturating_sub(1);
+        let tokens = later_events as f64 * f64::from(self.tokens_per_event());
+        let (to_first, whole) = (self.timing.time_to_first, clock::now().since(self.ctx.arrived));
+        let mut paces = self.state().stream_pace.borrow_mut();
+        let pace = paces.entry(self.ctx.service.name.clone()).or_default();
+        pace.record(self.demand.prompt, tokens, to_first, whole);
+    }
+
     fn fail_stream(&mut self, reason: &'static str, framing: Framing) {
         self.outcome_recorded = true;
         self.state().meter.requests(1, Outcome::Failed);
@@ -336,6 +343,10 @@
     pub(super) async fn is_closed_by_crash(&self) -> bool {
         // Another router marks the end of its answers.
         let Some(claim) = &self.claim else { return true };
+        if self.engine.is_none() {
+            let path = &self.ctx.service.health_path;
+            return probe::has_crashed(self.state(), &claim.chain[0], path).await;
+        }
         let mut probes = JoinSet::new();
         for (position, hop) in claim.chain.clone().into_iter().enumerate() {
             let state = self.state().clone();
@@ -365,11 +376,13 @@
         let now = clock::now();
         let state = self.ctx.state.clone();
         let mut fleet = state.fleet.borrow_mut();
-        let generated =
-            (self.events_forwarded + complete.count) as f32 * self.engine.tokens_per_event as f32;
+        let tokens_per_event = self.tokens_per_event();
+        let generated = (self.events_forwarded + complete.count) as f32 * tokens_per_event as f32;
         let gap = (self.events_forwarded > 0).then(|| now.since(self.timing.last_event_at));
         if let Some(claim) = &mut self.claim {
-            fleet.record_progress(&claim.chain, gap, now);
+            // The interval of engines' events tells when they have stalled.
+            let engine_gap = gap.filter(|_| self.engine.is_some());
+            fleet.record_progress(&claim.chain, engine_gap, now);
             fleet.finish_prefill(claim);
             fleet.grow(claim, generated);
         }
@@ -378,15 +391,19 @@
                 self.timing.longest_gap = gap;
                 self.timing.longest_gap_after = previous;
             }
-            state.meter.inter_token(gap.as_secs_f64());
+            if self.engine.is_some() {
+                state.meter.inter_token(gap.as_secs_f64());
+            }
         } else {
             self.timing.time_to_first = now.since(self.ctx.arrived);
-            state.meter.first_token(self.timing.time_to_first.as_secs_f64());
+            if self.engine.is_some() {
+                state.meter.first_token(self.timing.time_to_first.as_secs_f64());
+            }
         }
         self.timing.last_event_at = now;
         self.events_forwarded += complete.count;
         self.first_event_in_run.get_or_insert(now);
-        state.meter.tokens(complete.count as u64 * u64::from(self.engine.tokens_per_event));
+        state.meter.tokens(complete.count as u64 * u64::from(tokens_per_event));
         Ok(Some(complete.bytes))
     }
 }
--- a/mimosafront/src/relay/model/stall.rs
+++ b/mimosafront/src/relay/chain/stall.rs
@@ -13,9 +13,10 @@
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
-use super::{MAX_ORDER_RESPONSE_BYTES, ModelRequest};
+use super::{ChainRequest, MAX_ORDER_RESPONSE_BYTES};
 use crate::clock;
 use crate::probe::{self, ProbeResult};
+use crate::relay::endpoint::NO_ANSWER_REASON;
 use crate::state::{RouterState, millis};
 
 /// Time limit for an order that reroutes a request.
@@ -47,7 +48,7 @@
     Ended(&'static str),
 }
 
-impl ModelRequest {
+impl ChainRequest {
     /// Time since the last event, or since the request arrived.
     pub(super) fn silence(&self) -> Duration {
         let last = self.timing.last_event_at.max(self.ctx.arrived);
@@ -68,6 +69,9 @@
     pub(super) async fn check_stall(&mut self) -> StallCheck {
         let Some(claim) = &self.claim else { return self.check_relay() };
         let chain = claim.chain.clone();
+        if self.engine.is_none() {
+            return self.check_plain(&chain[0]);
+        }
         let silent = self.state().fleet.borrow().silent(&chain, clock::now());
         let known = self.known_faults();
         if silent.is_empty() && known.is_empty() {
@@ -103,6 +107,16 @@
         }
     }
 
+    /// Checks a plain endpoint, which gives no reports: one that may still go on is silent.
+    fn check_plain(&self, endpoint: &Hop) -> StallCheck {
+        if self.ctx.route.is_idempotent() {
+            self.state().mark_suspect(&endpoint.id, NO_ANSWER_REASON);
+        }
+        let silent_ms = millis(self.silence());
+        emit!(self.state().log, Event::RequestStalled, "request" => &*self.ctx.id, "silent_ms" => silent_ms, "silent" => &*endpoint.id, "after_event" => self.events.last());
+        StallCheck::Silent(NO_ANSWER_REASON)
+    }
+
     /// Checks the router that serves the request, which itself reroutes it.
     fn check_relay(&self) -> StallCheck {
         match &self.relay {
@@ -136,7 +150,8 @@
     /// `exclude`.
     fn chain_from_first(&self, first: &Hop, exclude: &[Hop]) -> Result<Chain, Shortage> {
         let avoid: Vec<Hop> = self.excluded_hops.iter().chain(exclude).cloned().collect();
-        self.find_chain(&self.remaining_demand(), Some(first), &avoid)
+        let Some(engine) = &self.engine else { return Err(Shortage::Uncovered(0)) };
+        self.find_chain(engine, &self.remaining_demand(), Some(first), &avoid)
     }
 
     /// Reroutes the request to another chain with the same first hop, which
--- a/mimosafront/src/relay/model/through.rs
+++ b/mimosafront/src/relay/chain/through.rs
@@ -3,13 +3,13 @@
 use mimosashift::connection_pool::{Exchange, Failure};
 use tokio::time::timeout;
 
-use super::ModelRequest;
+use super::ChainRequest;
 use crate::call::CallError;
 use crate::relay::answer::{Source, Verdict};
 use crate::relay::peer::Relay;
 use crate::relay::{EXHAUSTED_REASON, STRAY_REASON};
 
-impl ModelRequest {
+impl ChainRequest {
     /// Sends the request through another router; returns the reason if there is no
     /// response.
     pub(super) async fn send_through(
--- a/mimosafront/src/relay/mod.rs
+++ b/mimosafront/src/relay/mod.rs
@@ -14,7 +14,7 @@
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode, Uri, Version};
 use mimosaplatform::header;
-use mimosashift::deployment::{Denied, Deployment, Route, Service};
+use mimosashift::deployment::{Denied, Deployment, Route, RouteKind, Service};
 use mimosashift::emit;
 use mimosashift::event::Event;
 use mimosashift::exchange::{Forward, Tokens};
@@ -32,7 +32,8 @@
 use self::peer::Origin;
 
 mod answer;
-mod model;
+mod chain;
+mod endpoint;
 mod peer;
 mod plain;
 mod quarantine;
@@ -170,7 +171,7 @@
         );
     }
 
-    /// Records the time that a whole answer took.
+    /// Records the time that the answer took, for its route.
     fn record_latency(&self) {
         let mut latencies = self.state.route_latency.borrow_mut();
         let latency = latencies.entry(self.route.name.clone()).or_default();
@@ -235,9 +236,9 @@
 ) -> Result<Response<ResponseBody>, RequestError> {
     let version = request.version();
     let ctx = accept(state, request, listener, origin, arrived, is_sent).await?;
-    let response = match ctx.service.engine {
-        Some(_) => model::relay(ctx).await?,
-        None => plain::relay(ctx).await?,
+    let response = match (ctx.route.kind, &ctx.service.engine) {
+        (RouteKind::Stream { .. }, _) | (_, Some(_)) => chain::relay(ctx).await?,
+        (RouteKind::Safe | RouteKind::Unsafe, None) => plain::relay(ctx).await?,
     };
     if version < Version::HTTP_11 { buffer_stream(state, response).await } else { Ok(response) }
 }
--- a/mimosafront/src/relay/plain.rs
+++ b/mimosafront/src/relay/plain.rs
@@ -1,26 +1,24 @@
-//! Relays requests to services without an engine.
+//! Relays requests for whole answers to plain services.
 
 use std::pin::pin;
 use std::sync::Arc;
-use std::time::Duration;
 
 use hyper::body::Bytes;
 use hyper::{Response, StatusCode};
 use mimosashift::connection_pool::{Exchange, Failure, Framing};
-use mimosashift::deployment::RouteKind;
 use mimosashift::emit;
 use mimosashift::event::Event;
-use mimosashift::event_stream::{self, InvalidStream};
 use mimosashift::fleet::Hop;
 use mimosashift::meter::{Outcome, RefusalReason};
 use smallvec::SmallVec;
 use tokio::time::timeout;
 
 use super::answer::{Source, Verdict};
+use super::endpoint::{NO_ANSWER_REASON, NOT_EXECUTED_RETRY_AFTER};
 use super::peer::{Path, Relay, UNREACHABLE_REASON};
 use super::{
-    CRASHED_REASON, EXHAUSTED_REASON, LIMITED_REASON, MAX_RESPONSE_BYTES, RESTING_REASON,
-    RequestContext, RequestError, STRAY_REASON, forward_response, peer, relayed_outcome, stop,
+    CRASHED_REASON, EXHAUSTED_REASON, MAX_RESPONSE_BYTES, RequestContext, RequestError,
+    STRAY_REASON, forward_response, relayed_outcome, stop,
 };
 use crate::body::ResponseBody;
 use crate::call::CallError;
@@ -31,21 +29,6 @@
 /// which a request is sent at most once more.
 const MAX_REJECTED_SENDS: u32 = 2;
 
-/// Multiple of the route's target latency after which a request that may be
-/// sent elsewhere times out.
-const TIMEOUT_OBJECTIVE_FACTOR: u32 = 2;
-
-/// Minimum time after which such a request times out: service times vary by a
-/// few hundred milliseconds.
-const MIN_RETRYABLE_TIMEOUT: Duration = Duration::from_millis(200);
-
-/// Retry-After if no endpoint executed the request: if they were full, some
-/// requests have been served by then.
-const NOT_EXECUTED_RETRY_AFTER: Duration = Duration::from_millis(150);
-
-/// Reason why an endpoint is suspect that has not answered within the time limit.
-const NO_ANSWER_REASON: &str = "no answer in time";
-
 /// Outcome of one send.
 enum SendOutcome {
     /// A response, and whether it is forwarded instead of a retry.
@@ -76,7 +59,7 @@
         if ctx.remaining().is_zero() {
             return Err(deadline_error(possible_executions > 0));
         }
-        if stop::outlasts_router(&ctx, |left| stop::whole_answer_outlasts(&ctx, left)) {
+        if stop::outlasts_router(&ctx, |left| stop::probably_outlasts(&ctx, left)) {
             if possible_executions == 0 {
                 return Err(stop::refusal(&ctx.state));
             }
@@ -101,13 +84,9 @@
                 break;
             }
             Path::Direct => {
-                let Some(hop) = choose_endpoint(&ctx, &tried) else {
-                    if let Some(wait) = ctx.state.record_limited(&ctx.service.name) {
-                        (cause, reason) = (LIMITED_REASON, RefusalReason::OverLimit);
-                        retry_after = wait;
-                    } else if let Some(wait) = ctx.state.time_to_end_of_rest(&ctx.service.name) {
-                        (cause, reason) = (RESTING_REASON, RefusalReason::OverLimit);
-                        retry_after = wait;
+                let Some(hop) = ctx.choose_endpoint(&tried) else {
+                    if let Some(limit) = ctx.find_limit() {
+                        (reason, cause, retry_after) = limit;
                     }
                     break;
                 };
@@ -150,11 +129,6 @@
     }
 }
 
-fn choose_endpoint(ctx: &RequestContext, tried: &[Arc<str>]) -> Option<Hop> {
-    let (zone, now) = (ctx.state.node().zone.clone(), clock::now());
-    ctx.state.fleet.borrow().choose_endpoint(&ctx.service.name, &zone, tried, now)
-}
-
 fn deadline_error(may_have_run: bool) -> RequestError {
     if may_have_run {
         return RequestError::Failed(StatusCode::GATEWAY_TIMEOUT, "deadline passed");
@@ -165,11 +139,11 @@
 /// Whether the request may be sent elsewhere than to the endpoints and routers in `tried`.
 fn has_alternative(ctx: &RequestContext, tried: &[Arc<str>]) -> bool {
     let is_known = match ctx.path(tried) {
-        Path::Direct => choose_endpoint(ctx, tried).is_some(),
+        Path::Direct => ctx.choose_endpoint(tried).is_some(),
         Path::Relayed(_) => true,
         Path::Lost => false,
     };
-    let is_stopped = stop::outlasts_router(ctx, |left| stop::whole_answer_outlasts(ctx, left));
+    let is_stopped = stop::outlasts_router(ctx, |left| stop::probably_outlasts(ctx, left));
     is_known && !is_stopped && ctx.state.has_retry(&ctx.service.name)
 }
 
@@ -185,9 +159,7 @@
     let state = &ctx.state;
     state.fleet.borrow_mut().add_request(hop);
     let _load_guard = LoadGuard(state, hop.clone());
-    let retryable_timeout =
-        (ctx.route.objective * TIMEOUT_OBJECTIVE_FACTOR).max(MIN_RETRYABLE_TIMEOUT);
-    let send_timeout = if can_retry { retryable_timeout } else { ctx.remaining() };
+    let send_timeout = if can_retry { ctx.retryable_timeout() } else { ctx.remaining() };
     ctx.log_sent(attempt, &hop.id, "");
     let mut sending = pin!(send_and_collect(ctx, hop));
     let mut result = timeout(send_timeout.min(ctx.remaining()), sending.as_mut()).await;
@@ -207,9 +179,7 @@
             record_loss(ctx, hop, CRASHED_REASON).await;
             return SendOutcome::Lost(CRASHED_REASON);
         }
-        Ok(Ok((exchange, body))) => {
-            check_response(ctx, exchange, body, Source::Endpoint(&hop.id), can_retry)
-        }
+        Ok(Ok((exchange, body))) => check_answer(ctx, hop, exchange, body, can_retry),
         Ok(Err(CallError::Stray)) => SendOutcome::Lost(STRAY_REASON),
         Ok(Err(CallError::Failed(Failure::NotSent { reason, .. }))) => {
             state.mark_suspect(&hop.id, &reason);
@@ -273,20 +243,19 @@
     };
     match timeout(ctx.remaining(), response).await {
         Ok(Ok((exchange, body))) => {
-            let outcome = match peer::is_refusal(&exchange) {
+            match ctx.check_head(&exchange, Source::Router(&relay.name)) {
                 // It was not run there, but may have been before.
-                true if executions > 0 => return SendOutcome::NotRun("refused by a router"),
-                true => {
-                    let body = ResponseBody::Full(Some(body));
-                    SendOutcome::Answered(forward_response(&exchange.head, body), true)
+                Verdict::NotRun if executions > 0 => {
+                    return SendOutcome::NotRun("refused by a router");
                 }
-                false => check_response(ctx, exchange, body, Source::Router(&relay.name), false),
-            };
-            if let SendOutcome::Answered(response, _) = &outcome {
-                ctx.state.meter.requests(1, relayed_outcome(response.status()));
-                ctx.log_answered(response.status(), &relay.name);
+                Verdict::Withheld(reason) => return SendOutcome::Lost(reason),
+                Verdict::NotRun | Verdict::Accepted => {}
             }
-            outcome
+            let status = exchange.head.status();
+            ctx.state.meter.requests(1, relayed_outcome(status));
+            ctx.log_answered(status, &relay.name);
+            let body = ResponseBody::Full(Some(body));
+            SendOutcome::Answered(forward_response(&exchange.head, body), true)
         }
         Ok(Err(CallError::Stray)) => SendOutcome::Lost(STRAY_REASON),
         Ok(Err(CallError::Failed(Failure::NotSent { .. }))) => {
@@ -309,33 +278,20 @@
     Ok((exchange, body))
 }
 
-/// Checks that a response is acceptable.
-fn check_response(
+/// Checks that an endpoint's answer is acceptable.
+fn check_answer(
     ctx: &RequestContext,
+    hop: &Hop,
     exchange: Exchange,
     body: Bytes,
-    by: Source<'_>,
     can_retry: bool,
 ) -> SendOutcome {
-    match ctx.check_head(&exchange, by) {
+    match ctx.check_head(&exchange, Source::Endpoint(&hop.id)) {
         Verdict::Accepted => {}
         Verdict::NotRun => return SendOutcome::NotRun("rejected by the endpoint"),
         Verdict::Withheld(reason) => return SendOutcome::Lost(reason),
     }
-    let status = exchange.head.status();
-    let is_stream = matches!(ctx.route.kind, RouteKind::Stream { .. });
-    if status.is_success() && is_stream {
-        if event_stream::ends_inside_event(&body) {
-            return SendOutcome::Lost("stream ended inside an event");
-        }
-        if event_stream::has_other_bytes(&body) {
-            return SendOutcome::Lost(InvalidStream::NoField.label());
-        }
-        if exchange.framing == Framing::UntilClose && body.is_empty() {
-            return SendOutcome::Lost("stream closed before its first event");
-        }
-    }
-    let forward = !(status.is_server_error() && can_retry);
+    let forward = !(exchange.head.status().is_server_error() && can_retry);
     let body = ResponseBody::Full(Some(body));
     SendOutcome::Answered(forward_response(&exchange.head, body), forward)
 }
--- a/mimosafront/src/relay/stop.rs
+++ b/mimosafront/src/relay/stop.rs
@@ -62,10 +62,10 @@
     state.is_balanced_away.get() && has_other_router(state) || outlasts(left)
 }
 
-/// Whether a whole answer probably takes longer than `left`. One that may be repeated is
-/// refused only if another router can serve it; any other one, which nobody may send again
-/// once it has been cut off, is refused in any case.
-pub(super) fn whole_answer_outlasts(ctx: &RequestContext, left: Duration) -> bool {
+/// Whether an answer probably takes longer than `left`, by the times of others of its route. A
+/// request that may be repeated is refused only if another router can serve it; any other one,
+/// which nobody may send again once it has been cut off, is refused in any case.
+pub(super) fn probably_outlasts(ctx: &RequestContext, left: Duration) -> bool {
     let state = &ctx.state;
     let latencies = state.route_latency.borrow();
     match latencies.get(&ctx.route.name) {
--- a/mimosafront/tests/cluster/client.rs
+++ b/mimosafront/tests/cluster/client.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use http_body_util::{BodyExt, Full};
-use hyper::body::Bytes;
+use hyper::body::{Bytes, Incoming};
 use hyper::client::conn::http1;
-use hyper::{HeaderMap, Method, Request};
+use hyper::{HeaderMap, Method, Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
@@ -141,6 +141,13 @@
         Some(Self(sender))
     }
 
+    /// Sends a request and returns its response as soon as the head has arrived.
+    pub async fn open(&mut self, request: &TestRequest) -> Option<Response<Incoming>> {
+        self.0.ready().await.ok()?;
+        let sending = self.0.send_request(request.to_http());
+        tokio::time::timeout(request.timeout, sending).await.ok()?.ok()
+    }
+
     pub async fn send(&mut self, request: &TestRequest) -> Option<TestResponse> {
         self.0.ready().await.ok()?;
         let exchange = async {
--- a/mimosafront/tests/cluster/endpoints.rs
+++ b/mimosafront/tests/cluster/endpoints.rs
@@ -46,6 +46,15 @@
     pub call: String,
     /// Number of events generated.
     pub events: usize,
+    /// When the first one was.
+    pub first_event: Option<Instant>,
+}
+
+impl RequestTrace {
+    pub fn record_event(&mut self) {
+        self.events += 1;
+        self.first_event.get_or_insert_with(Instant::now);
+    }
 }
 
 /// Behavior of an endpoint.
--- a/mimosafront/tests/cluster/plain.rs
+++ b/mimosafront/tests/cluster/plain.rs
@@ -1,17 +1,20 @@
 //! A service without an engine.
 
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use http_body_util::BodyExt;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, body::Incoming};
+use hyper::{HeaderMap, Request, body::Incoming};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
+use tokio::sync::mpsc;
 
-use super::endpoints::{CRASHING_BODY, Endpoints, Health, Member};
-use super::engine::{Reply, header_text, reply, stream_reply};
+use super::endpoints::{CRASHING_BODY, Endpoints, Health, Member, RequestTrace};
+use super::engine::{Chunk, Reply, break_off, header_text, reply, stream_reply, stream_response};
+use super::proxy::LinkState;
 
 /// Service time of a request.
 const SERVICE_TIME: Duration = Duration::from_millis(10);
@@ -94,6 +97,9 @@
         if head.uri.path().starts_with("/feed/") {
             return Ok(feed(&id, health));
         }
+        if ["/draft/", "/note/"].iter().any(|path| head.uri.path().starts_with(path)) {
+            return Ok(self.stream(&id, &head.headers));
+        }
         match health {
             Health::DropsResponses => Err(DroppedConnection),
             Health::Failing => {
@@ -114,6 +120,52 @@
     }
 }
 
+impl Plain {
+    /// A stream of the events after the one that the request names, in the usual interval.
+    fn stream(&self, id: &str, headers: &HeaderMap) -> Reply {
+        let number = |text: &str| text.trim().parse::<u64>().unwrap();
+        let after = header_text(headers, "last-event-id").map_or(0, number);
+        let counts = header_text(headers, "token-counts").unwrap_or("0,40");
+        let total = number(counts.split(',').nth(1).unwrap()) / 4;
+        let (sender, chunks) = mpsc::channel(1);
+        let health = self.member.state().health;
+        tokio::spawn(self.clone().write_events(id.to_owned(), after + 1..=total, health, sender));
+        stream_response(id, health, chunks)
+    }
+
+    async fn write_events(
+        self,
+        id: String,
+        events: RangeInclusive<u64>,
+        health: Health,
+        to: mpsc::Sender<Chunk>,
+    ) {
+        let (first, total) = (*events.start(), *events.end());
+        for event in events {
+            tokio::time::sleep(self.endpoints.options.event_interval).await;
+            let data = format!("id: {event}\ndata: {id} {event}/{total}\n\n");
+            match health {
+                Health::DropsResponses if event > first + 1 => return,
+                Health::Stuck if event > first + 1 => std::future::pending().await,
+                Health::ClosesInsideEvent if event > first + 1 => {
+                    drop(to.send(Some(data[..data.len() / 2].to_owned().into())).await);
+                    return break_off(true, &to).await;
+                }
+                Health::CrashesAfterEvent if event > first + 1 => {
+                    self.member.proxy.set(LinkState::Reset);
+                    return;
+                }
+                _ => {}
+            }
+            if to.send(Some(data.into())).await.is_err() {
+                return;
+            }
+            self.endpoints.update_trace(&id, RequestTrace::record_event);
+        }
+        drop(to.send(None).await);
+    }
+}
+
 /// The time that a request asks for in its query, as `ms=N`.
 fn service_time(query: Option<&str>) -> Duration {
     let ms = query.and_then(|query| query.strip_prefix("ms="));
--- a/mimosashift/src/event_stream.rs
+++ b/mimosashift/src/event_stream.rs
@@ -124,21 +124,6 @@
     }
 }
 
-/// Whether a stream breaks off inside an event.
-pub fn ends_inside_event(stream: &[u8]) -> bool {
-    let end = |terminator: &[u8]| {
-        let mut windows = stream.windows(terminator.len());
-        windows.rposition(|window| window == terminator).map(|at| at + terminator.len())
-    };
-    let last = EVENT_TERMINATORS.into_iter().filter_map(end).max();
-    starts_event(&stream[last.unwrap_or_default()..])
-}
-
-/// Whether a stream has a line that is not a field.
-pub fn has_other_bytes(stream: &[u8]) -> bool {
-    !is_event(stream)
-}
-
 /// Whether each line is empty, a comment or a field.
 fn is_event(bytes: &[u8]) -> bool {
     bytes.split(|byte| *byte == b'\n').all(|line| {
