Drop repeated events only after a stream was resumed

What callers saw: complete and signed streams of engines without the events whose id is not higher than an earlier one of the same stream, or than the `Last-Event-Id` of the request.

Cause: the rule that leaves out what an endpoint repeats of a resumed stream applied from the first byte of every stream.

Evidence: answer_kinds::ids_of_a_stream_may_repeat on: both cases of engines failed, twelve of twelve streams each; all four pass now.

Why this works: up to the first resume nothing can have been forwarded before, so that nothing is a repetition; after it the part up to the last forwarded id is, and no more.

--- a/mimosafront/src/relay/chain/forward.rs
+++ b/mimosafront/src/relay/chain/forward.rs
@@ -199,7 +199,7 @@
         let opened = self.open().await;
         match opened {
             Ok(Opened::Stream(exchange)) => {
-                self.events.discard_partial();
+                self.events.resume();
                 self.first_event_in_run = None;
                 self.success_recorded = false;
                 self.state().meter.recoveries(1, Recovery::Restarted);
--- a/mimosafront/tests/answer_kinds.rs
+++ b/mimosafront/tests/answer_kinds.rs
@@ -141,6 +141,10 @@
 /// Items with lines that look like ids of events, some of them repeated or out of order.
 const ITEMS: &str = "id: 7\nname: a\n\nid: 3\nname: b\n\nid: 9\n{}\n\nid: 9\n\nid: 1\n\nid: 12";
 
+/// A stream whose ids repeat and fall.
+const EVENTS_WITH_REPEATED_IDS: &str =
+    "id: 7\ndata: a\n\nid: 3\ndata: b\n\nid: 9\ndata: c\n\nid: 9\ndata: d\n\n";
+
 /// The same request with the id of an event, which means nothing on a route without streams.
 fn read_after_event() -> TestRequest {
     let headers = vec![("last-event-id", "100".to_owned())];
@@ -285,6 +289,20 @@
     assert!(cut > 0, "no stream broke off");
 }
 
+/// Guards against streams that lose events of their own whose ids repeat or fall.
+#[test_case(ENGINES, draft; "resumable stream from engines")]
+#[test_case(ENGINES, note; "stream from engines")]
+#[test_case(PLAIN, draft; "resumable stream from a plain service")]
+#[test_case(PLAIN, note; "stream from a plain service")]
+fn ids_of_a_stream_may_repeat(service: &str, request: fn() -> TestRequest) {
+    let cluster = start(service);
+    answer_all(&cluster, EVENTS_WITH_REPEATED_IDS);
+    for response in send(&cluster, request) {
+        assert_eq!((response.status, response.complete), (200, true));
+        assert_eq!(response.body, EVENTS_WITH_REPEATED_IDS);
+    }
+}
+
 /// Guards against streams that are measured by the limit on whole answers.
 #[test_case(ENGINES; "from engines")]
 #[test_case(PLAIN; "from a plain service")]
--- a/mimosashift/src/event_stream.rs
+++ b/mimosashift/src/event_stream.rs
@@ -18,7 +18,12 @@
     partial: Vec<u8>,
     /// Length of the part of `partial` that holds no event end.
     searched: usize,
+    /// Id after which the client asked for the stream.
+    start: Option<u64>,
+    /// Id of the last event forwarded.
     last: Option<u64>,
+    /// Id up to which a resumed stream may repeat events that were forwarded before.
+    repeated: Option<u64>,
 }
 
 /// Complete events to forward.
@@ -51,21 +56,22 @@
 }
 
 impl EventSplitter {
-    /// Resumes a stream of which the client has the events up to id `last`.
-    pub const fn after(last: Option<u64>) -> Self {
-        Self { partial: Vec::new(), searched: 0, last }
+    /// Begins a stream that the client has asked for after the event with id `start`.
+    pub const fn after(start: Option<u64>) -> Self {
+        Self { partial: Vec::new(), searched: 0, start, last: None, repeated: None }
     }
 
-    /// Id of the last event forwarded.
-    pub const fn last(&self) -> Option<u64> {
-        self.last
+    /// Id of the last event forwarded, or of that after which the client has asked.
+    pub fn last(&self) -> Option<u64> {
+        self.last.or(self.start)
     }
 
-    /// Discards the incomplete event of an interrupted stream before it is
-    /// resumed.
-    pub fn discard_partial(&mut self) {
+    /// Begins the rest of an interrupted stream at another endpoint, which may repeat events
+    /// that were forwarded. The incomplete event is discarded.
+    pub fn resume(&mut self) {
         self.partial.clear();
         self.searched = 0;
+        self.repeated = self.last;
     }
 
     /// Whether the bytes after the last complete event are the start of another
@@ -84,8 +90,9 @@
         self.partial.capacity()
     }
 
-    /// Appends bytes and returns the events that they complete, without those
-    /// already forwarded. An invalid one fails the call after those before it were returned.
+    /// Appends bytes and returns the events that they complete. The ids of an endpoint's own
+    /// stream may repeat or fall; only after it was resumed, the events up to the last one
+    /// forwarded are left out. An invalid one fails the call after those before it were returned.
     pub fn push(&mut self, bytes: &[u8]) -> Result<CompleteEvents, InvalidStream> {
         self.partial.extend_from_slice(bytes);
         let mut complete = CompleteEvents::default();
@@ -101,11 +108,13 @@
                 return Ok(complete);
             }
             let id = event_id(event);
-            let duplicate = id.is_some() && id <= self.last;
-            if !duplicate {
+            let is_repeated = id.is_some() && id <= self.repeated;
+            if !is_repeated {
                 complete.bytes.extend_from_slice(event);
                 complete.count += 1;
-                self.last = id.or(self.last);
+                if id.is_some() {
+                    (self.last, self.repeated) = (id, None);
+                }
             }
             from += length;
         }
