--- a/mimosafront/src/relay/mod.rs
+++ b/mimosafront/src/relay/mod.rs
@@ -1,12 +1,11 @@
 //! Relays a client's request to an endpoint and returns the response.
 
 use std::cell::Cell;
-use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::header::{
     CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING,
@@ -33,6 +32,7 @@
 
 mod answer;
 mod chain;
+mod collect;
 mod endpoint;
 mod peer;
 mod plain;
@@ -75,9 +75,6 @@
 /// Largest whole answer that is accepted.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 
-/// Largest stream that is buffered for a client of HTTP/1.0.
-const MAX_BUFFERED_STREAM_BYTES: usize = 8 * 1024 * 1024;
-
 /// An accepted request and what is needed to send it to an endpoint.
 pub struct RequestContext {
     state: Rc<RouterState>,
@@ -240,56 +237,10 @@
         (RouteKind::Stream { .. }, _) | (_, Some(_)) => chain::relay(ctx).await?,
         (RouteKind::Safe | RouteKind::Unsafe, None) => plain::relay(ctx).await?,
     };
-    if version < Version::HTTP_11 { buffer_stream(state, response).await } else { Ok(response) }
-}
-
-/// Replaces a streamed body by a buffered one, which is sent with a length.
-/// Without chunks, a client could not tell a truncated stream from a complete
-/// one.
-async fn buffer_stream(
-    state: &RouterState,
-    response: Response<ResponseBody>,
-) -> Result<Response<ResponseBody>, RequestError> {
-    let (head, body) = response.into_parts();
-    let ResponseBody::Stream(_) = body else { return Ok(Response::from_parts(head, body)) };
-    let failed = |reason| RequestError::Failed(StatusCode::BAD_GATEWAY, reason);
-    let body = collect(state, pin!(Limited::new(body, MAX_BUFFERED_STREAM_BYTES))).await;
-    let body = body.map_err(|error| match error {
-        CollectError::Exhausted => failed(EXHAUSTED_REASON),
-        CollectError::Body(_) => failed("stream was not completed"),
-    })?;
-    Ok(Response::from_parts(head, ResponseBody::Full(Some(body))))
-}
-
-/// Why a body was not collected.
-enum CollectError<E> {
-    /// It broke off, or exceeds its limit.
-    Body(E),
-    /// The memory for buffered data is used up.
-    Exhausted,
-}
-
-/// Reads a body to its end, within the memory for buffered data.
-async fn collect<B: Body<Data = Bytes>>(
-    state: &RouterState,
-    mut body: Pin<&mut B>,
-) -> Result<Bytes, CollectError<B::Error>> {
-    let mut buffer = state.budget.buffer();
-    loop {
-        let frame = tokio::select! {
-            biased;
-            frame = body.frame() => frame,
-            () = buffer.revoked() => return Err(CollectError::Exhausted),
-        };
-        match frame {
-            Some(Ok(frame)) => {
-                // Trailers are not used.
-                let Ok(data) = frame.into_data() else { continue };
-                buffer.push(&data).map_err(|_| CollectError::Exhausted)?;
-            }
-            Some(Err(error)) => return Err(CollectError::Body(error)),
-            None => return buffer.finish().map_err(|_| CollectError::Exhausted),
-        }
+    if version < Version::HTTP_11 {
+        collect::buffer_stream(state, response).await
+    } else {
+        Ok(response)
     }
 }
 
@@ -323,7 +274,7 @@
     if body.size_hint().lower() > limit.body_bytes as u64 {
         return Err(RequestError::Denied(StatusCode::PAYLOAD_TOO_LARGE, "body too large"));
     }
-    let body = read_body(state, body, listener, arrived).await?;
+    let body = collect::read_body(state, body, listener, arrived).await?;
     let path = head.uri.path();
     let (deployment, route, team) =
         resolve_route(state, &host, path, info.api_key.as_deref()).await?;
@@ -383,41 +334,6 @@
     path.map_or_else(Uri::default, Uri::from)
 }
 
-/// Reads the body of a request, under the limits in force meanwhile.
-async fn read_body(
-    state: &RouterState,
-    body: Incoming,
-    listener: Listener,
-    arrived: Instant,
-) -> Result<Bytes, RequestError> {
-    let limits = || limits_since(state, listener, arrived);
-    let body = pin!(Limited::new(body, limits().body_bytes));
-    let mut collected = pin!(collect(state, body));
-    loop {
-        let remaining = (arrived + limits().read_timeout).since(clock::now());
-        match tokio::time::timeout(remaining, collected.as_mut()).await {
-            Ok(Ok(body)) => return Ok(body),
-            Ok(Err(CollectError::Body(error)))
-                if error.is::<http_body_util::LengthLimitError>() =>
-            {
-                return Err(RequestError::Denied(StatusCode::PAYLOAD_TOO_LARGE, "body too large"));
-            }
-            Ok(Err(CollectError::Body(_))) => {
-                return Err(RequestError::Denied(StatusCode::BAD_REQUEST, "body broke off"));
-            }
-            Ok(Err(CollectError::Exhausted)) => {
-                let shed = RefusalReason::Shed;
-                return Err(RequestError::Refused(shed, EXHAUSTED_REASON, DEFAULT_RETRY_AFTER));
-            }
-            Err(_) if clock::now() < arrived + limits().read_timeout => {}
-            Err(_) => {
-                let invalid = RefusalReason::Invalid;
-                return Err(RequestError::Refused(invalid, "body too slow", DEFAULT_RETRY_AFTER));
-            }
-        }
-    }
-}
-
 /// Waits until a router that has just started has read the endpoint directory: until then
 /// it does not know whether a request can be served.
 async fn wait_for_directory(state: &RouterState) -> Result<(), RequestError> {
