--- a/mimosafront/tests/answer_kinds.rs
+++ b/mimosafront/tests/answer_kinds.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use http_body_util::BodyExt;
+use serde_json::json;
 use test_case::test_case;
 use tokio::net::TcpStream;
 
@@ -257,6 +258,11 @@
 fn resumable_stream_goes_on_after_a_plain_endpoint(health: Health) {
     let cluster = start(PLAIN);
     first_endpoint(&cluster, &draft()).state().health = health;
+    check_resumed(&cluster);
+}
+
+/// Checks that resumable streams are whole, of which some go on at another endpoint.
+fn check_resumed(cluster: &TestCluster) {
     let mut runs = 0;
     for _ in 0..REQUESTS {
         let request = draft();
@@ -289,6 +295,68 @@
     assert!(cut > 0, "no stream broke off");
 }
 
+/// A cluster in which a service serves the routes, and router 0 sends requests through another.
+fn start_relayed(service: &str) -> TestCluster {
+    let options = ClusterOptions { separate_links: true, ..ClusterOptions::default() };
+    let cluster = start_with(service, options);
+    cluster.set_links(&[0], LinkState::Unreachable);
+    cluster.wait_until("requests are relayed", |cluster| {
+        let response = cluster.runtime.block_on(draft().send(cluster.routers[0].clients));
+        response.is_some_and(|response| response.status == 200)
+            && !cluster.routers[0].log_lines("MS0622").is_empty()
+    });
+    cluster
+}
+
+/// Guards against the same answers read by their service at either of two routers.
+#[test_case(ENGINES, TestRequest::read; "read from engines")]
+#[test_case(ENGINES, TestRequest::post; "posting to engines")]
+#[test_case(ENGINES, read_after_event; "read from engines after an event")]
+#[test_case(PLAIN, TestRequest::read; "read from a plain service")]
+fn whole_answer_is_passed_on_by_another_router(service: &str, request: fn() -> TestRequest) {
+    let cluster = start_relayed(service);
+    answer_all(&cluster, ITEMS);
+    for response in send(&cluster, request) {
+        assert_eq!((response.status, response.complete, &*response.body), (200, true, ITEMS));
+    }
+}
+
+#[test_case(Health::DropsResponses; "that breaks off")]
+#[test_case(Health::Stuck; "that falls silent")]
+fn resumable_stream_goes_on_after_a_plain_endpoint_behind_another_router(health: Health) {
+    let cluster = start_relayed(PLAIN);
+    first_endpoint(&cluster, &draft()).state().health = health;
+    check_resumed(&cluster);
+}
+
+/// Guards against one service's way of reading at the answers of the other in a split.
+#[test]
+fn answers_of_both_services_of_a_split_are_read_by_their_route() {
+    let mut cluster = start(PLAIN);
+    cluster.configure_with(&[(TEAM, &[KEY])], |config| {
+        for route in config["routes"].as_array_mut().unwrap() {
+            route.as_object_mut().unwrap().remove("service");
+            route["traffic_split"] = [ENGINES, PLAIN]
+                .map(|service| json!({"service": service, "weight": 1}))
+                .to_vec()
+                .into();
+        }
+    });
+    cluster.wait_for_configuration();
+    for _ in 0..REQUESTS {
+        let request = draft();
+        let response = cluster.runtime.block_on(request.send(cluster.routers[0].clients)).unwrap();
+        assert!(response.complete && response.protocol_error(&request).is_none(), "{response:?}");
+    }
+    answer_all(&cluster, ITEMS);
+    for response in send(&cluster, TestRequest::read) {
+        assert_eq!((response.status, response.complete, &*response.body), (200, true, ITEMS));
+    }
+    let arrivals = cluster.endpoints.arrivals.lock().unwrap();
+    let engines = arrivals.iter().filter(|(_, at, _)| at.starts_with("engine")).count();
+    assert!(engines > 0 && engines < arrivals.len(), "{engines} of {}", arrivals.len());
+}
+
 /// Guards against streams that lose events of their own whose ids repeat or fall.
 #[test_case(ENGINES, draft; "resumable stream from engines")]
 #[test_case(ENGINES, note; "stream from engines")]
--- a/mimosafront/tests/planned_stops.rs
+++ b/mimosafront/tests/planned_stops.rs
@@ -438,6 +438,7 @@
     stopping_router_begins_no_read_that_takes_longer_than_any_before: [TestRequest::read], TestRequest::slow("/read/x"), 0;
     stopping_router_begins_no_posting_that_takes_longer_than_any_before: [TestRequest::post], TestRequest::slow("/post/x"), 0;
     stopping_router_begins_no_read_of_a_route_without_answers: [TestRequest::post], TestRequest::slow("/read/x"), 0;
+    stopping_router_begins_no_plain_stream_that_takes_longer_than_any_before: [TestRequest::feed], TestRequest::slow("/feed/x"), 0;
     stopping_router_begins_no_posting_of_a_route_without_answers: [TestRequest::read], TestRequest::slow("/post/x"), 0;
 }
 
