Keep requests away from plain endpoints that break off streams

A plain endpoint that breaks off a stream counted as sound, since its head was a success, and went on getting new ones; one that did so with a whole answer was suspect before. Engines are probed when they close a connection.

The check for a crash at the end of a connection is made for successes of plain services only, as for engines: an unframed refusal states by itself that the request has not run, whatever has become of its endpoint.

--- a/mimosafront/src/relay/chain/forward.rs
+++ b/mimosafront/src/relay/chain/forward.rs
@@ -81,6 +81,7 @@
                     continue;
                 }
                 ForwardOutcome::Broken(reason) => {
+                    self.suspect_plain(reason);
                     self.check_crash().await;
                     self.exclude_first_hop();
                     self.release();
@@ -109,6 +110,14 @@
         }
     }
 
+    /// Keeps other requests away from a plain endpoint that broke off a stream; engines are
+    /// probed when they close a connection.
+    fn suspect_plain(&self, reason: &str) {
+        if let (None, Some(claim)) = (&self.engine, &self.claim) {
+            self.state().mark_suspect(&claim.chain[0].id, reason);
+        }
+    }
+
     /// Opens the rest of a stalled stream at another chain, beside the old one: silence is
     /// not an end, and whichever goes on first is used.
     async fn replace_chain(
--- a/mimosafront/src/relay/plain.rs
+++ b/mimosafront/src/relay/plain.rs
@@ -172,10 +172,7 @@
         result = timeout(send_timeout.min(ctx.remaining()), sending.as_mut()).await;
     }
     let outcome = match result {
-        Ok(Ok((exchange, _)))
-            if exchange.framing == Framing::UntilClose
-                && probe::has_crashed(state, hop, &ctx.service.health_path).await =>
-        {
+        Ok(Ok((exchange, _))) if is_cut_short(ctx, hop, &exchange).await => {
             record_loss(ctx, hop, CRASHED_REASON).await;
             return SendOutcome::Lost(CRASHED_REASON);
         }
@@ -214,6 +211,13 @@
     outcome
 }
 
+/// Whether a success that ended with its connection was closed by a crash of its endpoint.
+async fn is_cut_short(ctx: &RequestContext, hop: &Hop, exchange: &Exchange) -> bool {
+    exchange.head.status().is_success()
+        && exchange.framing == Framing::UntilClose
+        && probe::has_crashed(&ctx.state, hop, &ctx.service.health_path).await
+}
+
 /// Records that an endpoint broke off its answer, and whether it crashed under the request.
 async fn record_loss(ctx: &RequestContext, hop: &Hop, reason: &str) {
     let state = &ctx.state;
