--- a/mimosafront/tests/memory_limit.rs
+++ b/mimosafront/tests/memory_limit.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use test_case::test_case;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
@@ -14,7 +15,7 @@
 use cluster::kept::encode;
 use cluster::proxy::{BrokenAnswer, Ending};
 use cluster::router::MEMORY_MB;
-use cluster::{ClusterOptions, TestCluster, TestLimits};
+use cluster::{ClusterOptions, KEY, TEAM, TestCluster, TestLimits};
 
 /// Requests whose answers fill the memory.
 const ENDLESS_REQUESTS: usize = 160;
@@ -146,6 +147,23 @@
         TestRequest::read, |id| (format!("{}\r\n", head(id, 500)), "xxxxxxxx");
 }
 
+/// The same for whole answers of engines, to which a change of the configuration has led a route.
+#[test_case(FAST; "fast")]
+#[test_case(SLOW; "slow")]
+fn endless_whole_answers_of_engines_leave_memory_to_others(interval: Duration) {
+    let _alone = alone();
+    let mut cluster = start(TestLimits::default());
+    cluster.configure_with(&[(TEAM, &[KEY])], |config| {
+        let mut routes = config["routes"].as_array_mut().unwrap().iter_mut();
+        routes.find(|route| route["name"] == "read").unwrap()["service"] = "model".into();
+    });
+    cluster.wait_for_configuration();
+    let answer = |id: &str| (format!("{}\r\n", head(id, 200)), "id: 1\n\n\n");
+    send_without_end(&cluster, "model", interval, answer);
+    let large = send(&cluster, TestRequest::read);
+    assert_others_are_served(&mut cluster, TestRequest::post, ENDLESS_REQUESTS, large);
+}
+
 /// Size of a large body or answer, in bytes.
 const LARGE_BYTES: usize = 3_900_000;
 
