Hold more connections until they are accepted

What callers saw: of more than 129 connections that arrive while the event loop is busy, the others are not established within the second that clients allow, and their requests get no answer.

Cause: the listeners used the library's default of 128 for the queue of connections that wait to be accepted; the system drops the first packet of further ones, and it is sent again after a second.

Why this works: 4,096 places are more than the clients that one router serves at once.

--- a/mimosafront/src/run.rs
+++ b/mimosafront/src/run.rs
@@ -42,11 +42,11 @@
 
 async fn serve(options: StartOptions, signals: Signals) -> io::Result<usize> {
     let StartOptions { file, node, metrics, log, meter } = options;
-    let clients = TcpListener::bind(node.client_address).await?;
+    let clients = server::listen(node.client_address)?;
     let readiness = TcpListener::bind(node.readiness_address).await?;
     let peer_listener = TcpListener::bind(node.peer_address()).await?;
     let peer_socket = UdpSocket::bind(node.peer_address()).await?;
-    let relays = TcpListener::bind(node.relay_address()).await?;
+    let relays = server::listen(node.relay_address())?;
     let state = RouterState::new(node, signals.stop(), log, meter);
     let node = state.node();
     emit!(
--- a/mimosafront/src/server.rs
+++ b/mimosafront/src/server.rs
@@ -1,11 +1,12 @@
 //! Accepts connections of clients, and of routers that relay requests.
 
 use std::cell::Cell;
-use std::io::ErrorKind;
+use std::io::{self, ErrorKind};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 
 use crate::connection;
@@ -15,6 +16,10 @@
 /// file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// Connections that the system holds until they are accepted. Beyond that it drops the first
+/// packet of a connection, which is sent again after a second: clients have left by then.
+const ACCEPT_QUEUE: u32 = 4_096;
+
 /// Who connects.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Listener {
@@ -79,6 +84,18 @@
     }
 }
 
+/// Listens for connections, many of which may arrive at once.
+///
+/// # Errors
+///
+/// If the address cannot be used.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(ACCEPT_QUEUE)
+}
+
 /// Accepts connections until the router closes.
 pub async fn serve(
     state: Rc<RouterState>,
--- a/mimosafront/tests/kept_connections.rs
+++ b/mimosafront/tests/kept_connections.rs
@@ -62,6 +62,19 @@
     received.filter(|received| received.status() != Some(200)).count()
 }
 
+/// Guards against new connections that are dropped while the event loop is busy: their clients
+/// leave before the system tries again.
+#[test]
+fn connections_that_arrive_at_once_are_established() {
+    let cluster = cluster(TestLimits::default());
+    let router = &cluster.routers[0];
+    router.signal(Signal::SIGSTOP);
+    let connect = |_| TcpStream::connect_timeout(&router.clients, Duration::from_secs(1));
+    let connections: Vec<_> = (0..400).map(connect).take_while(Result::is_ok).collect();
+    router.signal(Signal::SIGCONT);
+    assert_eq!(connections.len(), 400);
+}
+
 #[test]
 fn connection_that_is_kept_under_a_longer_idle_limit_is_not_closed_by_the_earlier_one() {
     let mut cluster = cluster(idle_limit(SHORT));
