Divide the link between zones among routers; bound what a request may load

Callers got nothing for 20 s once demand had exceeded the memory of a zone: 11,340 of 26,000 tries ended at a deadline, and what was served stayed at a tenth after the burst. Requests that found no memory in one zone were sent along chains over several zones, up to 3 GB/s by five of 35 routers over a link of 1.4 GB/s. Transfers queued there for seconds, and their streams held the memory of all their engines meanwhile, which drove further chains across.

Each router now uses its share of the link only; without credit a chain stays in one zone, or its request waits and is refused.

Allowance is what further decisions on load set: the part of the memory and the prompts ahead.

--- a/mimosafront/src/relay/chain/admission.rs
+++ b/mimosafront/src/relay/chain/admission.rs
@@ -7,7 +7,7 @@
 use mimosashift::deployment::Engine;
 use mimosashift::emit;
 use mimosashift::event::Event;
-use mimosashift::fleet::{Chain, Demand, Hop, Query, Shortage};
+use mimosashift::fleet::{Allowance, Chain, Demand, Hop, Query, Shortage};
 use mimosashift::meter::RefusalReason;
 use mimosashift::time::Instant;
 use smallvec::SmallVec;
@@ -22,6 +22,10 @@
 /// Interval in which a waiting request checks whether a limit permits it.
 const LIMIT_RECHECK: Duration = Duration::from_millis(25);
 
+/// Part of a route's latency objective for which the prompts ahead of a request may take to
+/// prefill at an endpoint.
+const BACKLOG_SHARE: f64 = 0.5;
+
 /// Counts a request as waiting until dropped.
 struct WaitingGuard<'a>(&'a RouterState);
 
@@ -70,7 +74,12 @@
         if state.pressure.borrow().waiting() == 0 {
             match self.select_chain(engine) {
                 Ok(chain) => return Ok(self.record_admission(chain)),
-                Err(Shortage::Full(_) | Shortage::Limited) => {}
+                Err(
+                    Shortage::Full(_)
+                    | Shortage::Backlogged(_)
+                    | Shortage::LinkFull(_)
+                    | Shortage::Limited,
+                ) => {}
                 Err(lasting) => shortage = Some(lasting),
             }
         }
@@ -145,7 +154,16 @@
         avoid: &'a [Hop],
     ) -> Query<'a> {
         let service = &self.ctx.service.name;
-        Query { service, engine, zone, demand, first, avoid }
+        let allowance = self.allowance(first);
+        Query { service, engine, zone, demand, first, avoid, allowance }
+    }
+
+    /// How far the request may load endpoints. One that has begun keeps what it has, and only
+    /// the memory of further endpoints binds it.
+    fn allowance(&self, first: Option<&Hop>) -> Allowance {
+        let may_wait = first.is_none() && !self.has_begun;
+        let max_backlog = may_wait.then(|| self.ctx.route.objective.mul_f64(BACKLOG_SHARE));
+        Allowance { max_backlog, ..Allowance::default() }
     }
 
     fn log_shortage(&self, engine: &Engine, shortage: &Shortage) {
@@ -167,10 +185,15 @@
         let retry_after = match shortage {
             Shortage::Limited => limited().unwrap_or(retry_after),
             Shortage::Resting => rest_left().unwrap_or(retry_after),
-            Shortage::Full(_) | Shortage::Uncovered(_) => retry_after,
+            Shortage::Full(_)
+            | Shortage::Backlogged(_)
+            | Shortage::LinkFull(_)
+            | Shortage::Uncovered(_) => retry_after,
         };
         let (kind, reason) = match shortage {
             Shortage::Full(_) => (RefusalReason::Shed, "no memory free"),
+            Shortage::Backlogged(_) => (RefusalReason::Shed, "too many prompts ahead"),
+            Shortage::LinkFull(_) => (RefusalReason::Shed, "link between zones is full"),
             Shortage::Uncovered(_) => (RefusalReason::NoEndpoint, "layers without an endpoint"),
             Shortage::Limited => (RefusalReason::OverLimit, LIMITED_REASON),
             Shortage::Resting => (RefusalReason::OverLimit, RESTING_REASON),
--- a/mimosafront/src/relay/chain/send.rs
+++ b/mimosafront/src/relay/chain/send.rs
@@ -29,6 +29,10 @@
         // A plain endpoint knows nothing of chains.
         let hops = if self.engine.is_some() { &chain[..] } else { &[] };
         let request = self.ctx.request(&first, hops, self.events.last());
+        if let Some(engine) = &self.engine {
+            let mut fleet = self.state().fleet.borrow_mut();
+            fleet.charge_link(engine, &chain, &self.demand, clock::now());
+        }
         let claim = self.state().fleet.borrow_mut().claim(chain, &self.demand);
         self.claim = Some(claim);
         let state = self.state().clone();
--- a/mimosashift/src/fleet/chain.rs
+++ b/mimosashift/src/fleet/chain.rs
@@ -7,6 +7,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use smallvec::SmallVec;
 
@@ -17,7 +18,7 @@
 
 /// Share of an endpoint's KV cache that admitted requests may be expected to use;
 /// the rest is headroom for requests that generate more tokens than expected.
-const USABLE_CACHE_SHARE: f64 = 0.95;
+pub const USABLE_CACHE_SHARE: f64 = 0.95;
 
 /// Number of copies of the model in a zone from which a higher fill level adds to the
 /// cost; most layers then have more than one holder.
@@ -48,6 +49,23 @@
     pub output: f64,
 }
 
+/// How far endpoints may be loaded by a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Allowance {
+    /// Share of an endpoint's KV cache that may be in use once the request is there.
+    pub cache_share: f64,
+    /// Longest time for which an endpoint may have to prefill the prompts that are ahead of
+    /// the request; `None` if there is no limit.
+    pub max_backlog: Option<Duration>,
+}
+
+impl Default for Allowance {
+    /// All that admitted requests may use.
+    fn default() -> Self {
+        Self { cache_share: USABLE_CACHE_SHARE, max_backlog: None }
+    }
+}
+
 /// Parameters of the choice of a chain.
 #[derive(Clone, Copy, Debug)]
 pub struct Query<'a> {
@@ -63,6 +81,8 @@
     pub first: Option<&'a Hop>,
     /// Hops whose endpoints are excluded.
     pub avoid: &'a [Hop],
+    /// How far the request may load endpoints.
+    pub allowance: Allowance,
 }
 
 /// Reason why no chain was found.
@@ -73,6 +93,12 @@
     /// The endpoints that hold this layer have no free memory or slot. Also returned,
     /// with layer 0, if the cheapest chain has more than `MAX_HOPS` hops.
     Full(u16),
+    /// The endpoints that hold this layer and have memory have to prefill other prompts for
+    /// longer than the request may wait.
+    Backlogged(u16),
+    /// Endpoints that hold this layer have room, but this router's share of the link between
+    /// zones, which a chain to them would cross, is used up.
+    LinkFull(u16),
     /// The endpoints that could begin the chain have reached the limits that they name.
     Limited,
     /// The endpoints that could begin the chain want no requests from this router now.
@@ -91,6 +117,8 @@
     hop_ms: f64,
     /// Layers for which it has memory for this request.
     free_layers: u16,
+    /// Whether it prefills other prompts for longer than this request may wait.
+    is_backlogged: bool,
     /// Whether it has a free slot, which the first hop of a chain needs.
     has_slot: bool,
     /// Whether its limit, which applies to the first hop, permits a request.
@@ -147,7 +175,9 @@
             let mut candidates: Vec<_> =
                 members.filter_map(|member| Candidate::new(self, member, query, now)).collect();
             penalize_fill(&mut candidates, query.engine);
-            Search { query, candidates, table: Vec::new() }.run()
+            // A request that has begun may go on wherever its layers are.
+            let may_cross = query.first.is_some() || self.link.permits(query.engine, now);
+            Search { query, candidates, may_cross, table: Vec::new() }.run()
         };
         match search(false) {
             // An ejected or slow endpoint is better than none.
@@ -161,7 +191,10 @@
     /// The layer that is uncovered or full, or the first one.
     pub const fn layer(&self) -> u16 {
         match self {
-            Self::Uncovered(layer) | Self::Full(layer) => *layer,
+            Self::Uncovered(layer)
+            | Self::Full(layer)
+            | Self::Backlogged(layer)
+            | Self::LinkFull(layer) => *layer,
             Self::Limited | Self::Resting => 0,
         }
     }
@@ -169,7 +202,7 @@
 
 impl<'a> Candidate<'a> {
     fn new(fleet: &Fleet, member: &'a Member, query: &Query<'_>, now: Instant) -> Option<Self> {
-        let Query { engine, demand, .. } = query;
+        let Query { engine, demand, allowance, .. } = query;
         let layers = member.endpoint.layers?;
         let card = engine.card(&member.endpoint)?;
         let layer_count = f64::from(engine.layers);
@@ -177,7 +210,7 @@
         let usage = fleet.usage(member, now);
         let fill = (f64::from(usage.cache) / capacity.max(1.0)).min(MAX_COST_FILL);
         let is_cache_full = now < member.cache_full_until;
-        let usable = if is_cache_full { 0.0 } else { capacity * USABLE_CACHE_SHARE };
+        let usable = if is_cache_full { 0.0 } else { capacity * allowance.cache_share };
         let free = (usable - f64::from(usage.cache)).max(0.0);
         let prefill_ms_per_token =
             card.prefill_factor / engine.prefill_tokens_per_ms * member.slowdown;
@@ -186,6 +219,8 @@
         let iteration_ms =
             f64::from(engine.tokens_per_event) * step_ms * f64::from(layers.count()) / layer_count;
         let iterations = demand.output / f64::from(engine.tokens_per_event);
+        let backlog_ms = f64::from(usage.prefill) * prefill_ms_per_token / layer_count;
+        let max_backlog_ms = allowance.max_backlog.map(|max| max.as_secs_f64() * 1_000.0);
         Some(Self {
             member,
             layers,
@@ -193,15 +228,20 @@
             layer_ms: work_ms / layer_count / (1.0 - fill),
             // On average a request waits for half an iteration, in which the endpoint
             // generates one event's tokens.
-            hop_ms: iterations * iteration_ms / 2.0
-                + f64::from(usage.prefill) * prefill_ms_per_token / layer_count,
+            hop_ms: iterations * iteration_ms / 2.0 + backlog_ms,
             free_layers: (free / demand.tokens().max(1.0)).min(layer_count) as u16,
+            is_backlogged: max_backlog_ms.is_some_and(|max| backlog_ms > max),
             has_slot: usage.requests < engine.slots,
             has_credit: fleet.has_credit(member, now),
             is_resting: member.is_resting(now),
         })
     }
 
+    /// Whether it has memory for the request and may take its prompt now.
+    const fn has_room(&self) -> bool {
+        self.free_layers > 0 && !self.is_backlogged
+    }
+
     fn holds(&self, layer: u16) -> bool {
         self.layers.start() <= layer && layer < self.layers.end()
     }
@@ -220,6 +260,8 @@
 struct Search<'a> {
     query: &'a Query<'a>,
     candidates: Vec<Candidate<'a>>,
+    /// Whether the chain may use the link between zones.
+    may_cross: bool,
     /// For each layer, the cheapest path to each candidate that holds it.
     table: Vec<SmallVec<[(u16, Path); 8]>>,
 }
@@ -252,6 +294,10 @@
             Shortage::Resting
         } else if layer == 0 && holders().any(|candidate| !candidate.has_credit) {
             Shortage::Limited
+        } else if layer > 0 && !self.may_cross && holders().any(Candidate::has_room) {
+            Shortage::LinkFull(layer)
+        } else if holders().any(|candidate| candidate.is_backlogged && candidate.free_layers > 0) {
+            Shortage::Backlogged(layer)
         } else {
             Shortage::Full(layer)
         }
@@ -274,7 +320,7 @@
     fn paths_to(&self, layer: u16) -> SmallVec<[(u16, Path); 8]> {
         let mut paths = SmallVec::new();
         for (index, candidate) in self.candidates.iter().enumerate() {
-            if !candidate.holds(layer) || candidate.free_layers == 0 {
+            if !candidate.holds(layer) || !candidate.has_room() {
                 continue;
             }
             let index = index as u16;
@@ -309,7 +355,8 @@
                 }
                 Path { cost: path.cost + candidate.layer_ms, ..*path }
             } else {
-                let cost = path.cost + self.change_ms(*previous, candidate) + candidate.layer_ms;
+                let Some(change_ms) = self.change_ms(*previous, candidate) else { continue };
+                let cost = path.cost + change_ms + candidate.layer_ms;
                 Path { cost, start: layer, previous: Some(*previous) }
             };
             let is_cheaper = best.as_ref().is_none_or(|best| next.cost < best.cost);
@@ -341,15 +388,16 @@
         path.expect("a path consists of entries of the table").1
     }
 
-    /// Cost of a change from one endpoint to another.
-    fn change_ms(&self, previous: u16, to: &Candidate<'_>) -> f64 {
+    /// Cost of a change from one endpoint to another; `None` if the chain may not make it.
+    fn change_ms(&self, previous: u16, to: &Candidate<'_>) -> Option<f64> {
         let from = self.candidates.get(usize::from(previous));
         let zones = from.map(|from| (&from.member.endpoint.zone, &to.member.endpoint.zone));
         let transfer_ms = match zones {
+            Some((from, to)) if from != to && !self.may_cross => return None,
             Some((from, to)) if from != to => self.cross_zone_ms(from, to),
             _ => 0.0,
         };
-        to.hop_ms + transfer_ms
+        Some(to.hop_ms + transfer_ms)
     }
 
     /// Cost of the transfer between two zones.
--- a/mimosashift/src/fleet/limit.rs
+++ b/mimosashift/src/fleet/limit.rs
@@ -143,6 +143,7 @@
     /// reports from now on; `routers` is the number of live ones, this one included.
     pub fn update_limits(&mut self, routers: usize, now: Instant) {
         self.limits.routers = routers.max(MIN_ROUTERS);
+        self.divide_link(routers);
         self.limits.known.retain(|_, limit| !limit.is_expired(now));
         for limit in self.limits.known.values_mut() {
             limit.report(self.limits.routers, now);
--- a/mimosashift/src/fleet/mod.rs
+++ b/mimosashift/src/fleet/mod.rs
@@ -21,6 +21,7 @@
 mod claim;
 mod describe;
 mod limit;
+mod link;
 mod liveness;
 mod plain;
 mod rest;
@@ -28,9 +29,10 @@
 mod usage;
 
 use limit::Limits;
+use link::Link;
 use usage::{PeerUsage, UntrackedCache};
 
-pub use chain::{Demand, Query, Shortage};
+pub use chain::{Allowance, Demand, Query, Shortage, USABLE_CACHE_SHARE};
 pub use claim::Claim;
 pub use limit::{Change as LimitChange, Record as LimitRecord};
 pub use usage::Usage;
@@ -146,6 +148,8 @@
     mean_interval: liveness::EventInterval,
     /// Limits that endpoints name.
     limits: Limits,
+    /// This router's share of the link between zones.
+    link: Link,
 }
 
 /// Hash of a directory, the same on every router that relies on equal entries. Heartbeats,
--- a/mimosashift/tests/common/fleet.rs
+++ b/mimosashift/tests/common/fleet.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code)] // Each test program uses only some of the fixtures.
 
 use mimosashift::deployment::{Card, Endpoint, Engine};
-use mimosashift::fleet::{Chain, Demand, Fleet, Query, Shortage};
+use mimosashift::fleet::{Allowance, Chain, Demand, Fleet, Query, Shortage};
 use mimosashift::time::Instant;
 
 use super::deployment::{MODEL, at, endpoint, engine, layers};
@@ -34,7 +34,15 @@
 }
 
 pub fn query<'a>(engine: &'a Engine, demand: &'a Demand) -> Query<'a> {
-    Query { service: MODEL, engine, zone: "a", demand, first: None, avoid: &[] }
+    Query {
+        service: MODEL,
+        engine,
+        zone: "a",
+        demand,
+        first: None,
+        avoid: &[],
+        allowance: Allowance::default(),
+    }
 }
 
 pub fn choose(fleet: &Fleet, demand: &Demand) -> Result<Chain, Shortage> {
