Serve more urgent requests first while engines are short of memory

Callers of every rank were refused alike: a team's or route's priority was decoded, and nothing read it. A waiting line of less urgent requests had more urgent ones refused, refusals of one rank lengthened Retry-After of all, and engines were told no rank.

admit::rank keeps a tenth of the usable memory, in steps by rank, for more urgent requests, on each router's own view of usage; one in ten less urgent requests is judged as the most urgent ones are, so that no rank waits for ever. Waiting requests look for memory by rank, then arrival. Pressure counts by rank. Engines get Request-Priority. All of it only for services whose requests differ in rank; others get the terms that they had.

tests/front.rs names the rank in calls of MemoryPressure, whose checks stay as they are; tests/meter.rs records the new counter.

--- a/mimosafront/src/gossip.rs
+++ b/mimosafront/src/gossip.rs
@@ -161,7 +161,7 @@
     }
     state.apply_leaving(&digest.leaving_endpoints, &digest.node);
     // The digest may show free memory at an endpoint.
-    state.memory_released.notify_one();
+    state.waiting.wake();
     for seen in &digest.observed {
         let changed = state.fleet.borrow_mut().apply_observation(seen, now);
         if let Some(id) = changed {
--- a/mimosafront/src/lib.rs
+++ b/mimosafront/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod settings;
 pub mod shutdown;
 pub mod state;
+pub mod waiting;
 
 /// Commit from which this program was built; `unknown` outside of a repository.
 pub const BUILD: &str = env!("MIMOSASHIFT_BUILD");
--- a/mimosafront/src/reach.rs
+++ b/mimosafront/src/reach.rs
@@ -83,7 +83,7 @@
         Some(Change::Regained(lost_for)) => {
             emit!(state.log, Event::ServiceReachable, "service" => &**service, "reached" => sample.reached, "tried" => sample.tried, "lost_ms" => millis(lost_for));
             state.peers.borrow_mut().expedite(clock::now());
-            state.memory_released.notify_waiters();
+            state.waiting.wake();
         }
         None => {}
     }
--- a/mimosafront/src/relay/chain/admission.rs
+++ b/mimosafront/src/relay/chain/admission.rs
@@ -4,11 +4,12 @@
 
 use hyper::StatusCode;
 use mimosashift::admit::pressure::MAX_WAIT;
+use mimosashift::admit::rank::Terms;
 use mimosashift::deployment::Engine;
 use mimosashift::emit;
 use mimosashift::event::Event;
 use mimosashift::fleet::{Allowance, Chain, Demand, Hop, Query, Shortage};
-use mimosashift::meter::RefusalReason;
+use mimosashift::meter::{Admission, RefusalReason};
 use mimosashift::time::Instant;
 use smallvec::SmallVec;
 use tokio::time::timeout;
@@ -17,24 +18,18 @@
 use crate::clock;
 use crate::relay::endpoint::NOT_EXECUTED_RETRY_AFTER;
 use crate::relay::{LIMITED_REASON, RESTING_REASON, RequestError};
-use crate::state::RouterState;
+use crate::waiting::Place;
 
 /// Interval in which a waiting request checks whether a limit permits it.
 const LIMIT_RECHECK: Duration = Duration::from_millis(25);
 
+/// Reason for refusing a request that a more urgent one would not have been refused for.
+const RESERVED_REASON: &str = "memory kept for more urgent requests";
+
 /// Part of a route's latency objective for which the prompts ahead of a request may take to
 /// prefill at an endpoint.
 const BACKLOG_SHARE: f64 = 0.5;
 
-/// Counts a request as waiting until dropped.
-struct WaitingGuard<'a>(&'a RouterState);
-
-impl Drop for WaitingGuard<'_> {
-    fn drop(&mut self) {
-        self.0.pressure.borrow_mut().end_wait();
-    }
-}
-
 impl ChainRequest {
     /// Selects what the request is sent to: a chain of engines once there is memory for it, or
     /// an endpoint of a plain service.
@@ -71,7 +66,7 @@
         let state = self.state();
         let now = clock::now();
         let mut shortage = None;
-        if state.pressure.borrow().waiting() == 0 {
+        if state.waiting.pressure().ahead_of(self.ctx.terms.waits_as) == 0 {
             match self.select_chain(engine) {
                 Ok(chain) => return Ok(self.record_admission(chain)),
                 Err(
@@ -83,9 +78,10 @@
                 Err(lasting) => shortage = Some(lasting),
             }
         }
-        if shortage.is_none() && state.pressure.borrow_mut().begin_wait(now) {
-            let _waiting_guard = WaitingGuard(state);
-            match self.wait_for_memory(engine, now + MAX_WAIT).await {
+        if shortage.is_none()
+            && let Some(place) = state.waiting.begin(self.ctx.terms.waits_as, now)
+        {
+            match self.wait_for_memory(engine, &place, now + MAX_WAIT).await {
                 Ok(chain) => return Ok(self.record_admission(chain)),
                 Err(found) => shortage = Some(found),
             }
@@ -102,13 +98,21 @@
         Err(self.shortage_error(engine, &shortage.unwrap_or(Shortage::Full(0))))
     }
 
-    async fn wait_for_memory(&self, engine: &Engine, until: Instant) -> Result<Chain, Shortage> {
+    async fn wait_for_memory(
+        &self,
+        engine: &Engine,
+        place: &Place<'_>,
+        until: Instant,
+    ) -> Result<Chain, Shortage> {
+        let mut has_turn = false;
         loop {
-            let released = self.state().memory_released.notified();
             let shortage = match self.select_chain(engine) {
                 Ok(chain) => return Ok(chain),
                 Err(shortage) => shortage,
             };
+            if has_turn {
+                place.pass_on();
+            }
             let left = until.min(self.ctx.deadline).since(clock::now());
             let is_lasting = matches!(shortage, Shortage::Uncovered(_) | Shortage::Resting);
             if is_lasting || left.is_zero() {
@@ -117,15 +121,16 @@
             // The next iteration checks whether memory was released or time ran
             // out. Nothing signals that a limit permits a request again.
             let left = if shortage == Shortage::Limited { left.min(LIMIT_RECHECK) } else { left };
-            drop(timeout(left, released).await);
+            has_turn = timeout(left, place.turn()).await.is_ok();
         }
     }
 
     fn record_admission(&self, chain: Chain) -> Chain {
         let state = self.state();
-        state.pressure.borrow_mut().record_admitted(clock::now());
-        // There may be memory for the next waiting request as well.
-        state.memory_released.notify_one();
+        state.waiting.pressure().record_admitted(self.ctx.rank, clock::now());
+        if self.ctx.priority.is_some() {
+            state.meter.ranked(1, self.ctx.rank, Admission::Admitted);
+        }
         chain
     }
 
@@ -163,23 +168,48 @@
     fn allowance(&self, first: Option<&Hop>) -> Allowance {
         let may_wait = first.is_none() && !self.has_begun;
         let max_backlog = may_wait.then(|| self.ctx.route.objective.mul_f64(BACKLOG_SHARE));
-        Allowance { max_backlog, ..Allowance::default() }
+        let bound = if may_wait { self.ctx.terms } else { Terms::default() };
+        Allowance { cache_share: bound.cache_share, max_backlog }
+    }
+
+    /// Whether a more urgent request would find memory.
+    fn is_reserved(&self, engine: &Engine, shortage: &Shortage) -> bool {
+        if !matches!(shortage, Shortage::Full(_)) || !self.ctx.terms.reserves() {
+            return false;
+        }
+        let zone = self.state().node().zone.clone();
+        let own = self.query(engine, &zone, &self.demand, None, &self.excluded_hops);
+        let cache_share = Terms::default().cache_share;
+        let query = Query { allowance: Allowance { cache_share, ..own.allowance }, ..own };
+        self.state().fleet.borrow().chain(&query, clock::now()).is_ok()
     }
 
-    fn log_shortage(&self, engine: &Engine, shortage: &Shortage) {
+    fn log_shortage(&self, engine: &Engine, shortage: &Shortage, is_reserved: bool) {
         let zone = self.state().node().zone.clone();
         let query = self.query(engine, &zone, &self.demand, None, &self.excluded_hops);
         let layer = shortage.layer();
         let holders = self.state().fleet.borrow().describe_holders(&query, layer, clock::now());
-        let waiting = self.state().pressure.borrow().waiting();
-        emit!(self.state().log, Event::LayerShortage, "request" => &*self.ctx.id, "layer" => layer, "holders" => holders, "waiting" => waiting);
+        let waiting = self.state().waiting.pressure().waiting();
+        let ctx = &self.ctx;
+        emit!(
+            self.state().log, Event::LayerShortage,
+            "request" => &*ctx.id, "layer" => layer, "holders" => holders, "waiting" => waiting,
+            "rank" => ctx.rank.level(), "team" => ctx.team.as_deref(),
+            "share" => format!("{:.3}", query.allowance.cache_share), "kept" => ctx.terms.is_kept,
+            "reserved" => is_reserved,
+        );
     }
 
     fn shortage_error(&self, engine: &Engine, shortage: &Shortage) -> RequestError {
-        self.log_shortage(engine, shortage);
-        let mut pressure = self.state().pressure.borrow_mut();
-        pressure.record_refused(clock::now());
-        let retry_after = pressure.retry_after(self.state().random_fraction());
+        let is_reserved = self.is_reserved(engine, shortage);
+        self.log_shortage(engine, shortage, is_reserved);
+        let rank = self.ctx.rank;
+        let mut pressure = self.state().waiting.pressure();
+        pressure.record_refused(rank, clock::now());
+        let retry_after = pressure.retry_after(rank, self.state().random_fraction());
+        if self.ctx.priority.is_some() {
+            self.state().meter.ranked(1, rank, Admission::Refused);
+        }
         let limited = || self.state().record_limited(&self.ctx.service.name);
         let rest_left = || self.state().time_to_end_of_rest(&self.ctx.service.name);
         let retry_after = match shortage {
@@ -191,6 +221,7 @@
             | Shortage::Uncovered(_) => retry_after,
         };
         let (kind, reason) = match shortage {
+            Shortage::Full(_) if is_reserved => (RefusalReason::Shed, RESERVED_REASON),
             Shortage::Full(_) => (RefusalReason::Shed, "no memory free"),
             Shortage::Backlogged(_) => (RefusalReason::Shed, "too many prompts ahead"),
             Shortage::LinkFull(_) => (RefusalReason::Shed, "link between zones is full"),
--- a/mimosafront/src/relay/chain/mod.rs
+++ b/mimosafront/src/relay/chain/mod.rs
@@ -220,7 +220,7 @@
         self.relay = None;
         if let Some(claim) = self.claim.take() {
             self.state().fleet.borrow_mut().release(&claim);
-            self.state().memory_released.notify_one();
+            self.state().waiting.wake();
         }
     }
 
--- a/mimosafront/src/relay/mod.rs
+++ b/mimosafront/src/relay/mod.rs
@@ -13,7 +13,8 @@
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode, Uri, Version};
 use mimosaplatform::header;
-use mimosashift::deployment::{Denied, Deployment, Route, RouteKind, Service};
+use mimosashift::admit::rank::Terms;
+use mimosashift::deployment::{Denied, Deployment, Rank, Route, RouteKind, Service, Team};
 use mimosashift::emit;
 use mimosashift::event::Event;
 use mimosashift::exchange::{Forward, Tokens};
@@ -86,6 +87,11 @@
     route: Arc<Route>,
     service: Arc<Service>,
     team: Option<String>,
+    rank: Rank,
+    /// How far it may fill engines, given its rank.
+    terms: Terms,
+    /// Priority for engines; `None` if all requests to the service have the same.
+    priority: Option<u8>,
     tokens: Option<Tokens>,
     /// What it may have in common with others that crashes endpoints.
     contents: Contents,
@@ -140,7 +146,7 @@
             team: self.team.as_deref(),
             chain,
             last_event,
-            priority: None,
+            priority: self.priority,
         };
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
@@ -289,6 +295,11 @@
     if origin == Origin::Client {
         state.count_request(&service.name);
     }
+    let ranks = deployment.ranks(&service.name);
+    let rank = Rank::of(&route, team.as_deref());
+    let terms = state.ladder.borrow_mut().terms(&service.name, &ranks, rank);
+    let priority = (service.engine.is_some() && ranks.differ()).then(|| rank.level());
+    let team = team.map(|team| team.name.clone());
     let target = origin_form(&head.uri);
     let (method, path) = (head.method.as_str(), target.to_string());
     let fingerprint = Fingerprint::new(team.as_deref(), method, &host, &path, &body);
@@ -304,6 +315,9 @@
         route,
         service,
         team,
+        rank,
+        terms,
+        priority,
         tokens: info.tokens,
         contents: parts.chain([Content::Request(fingerprint)]).collect(),
         last_event: info.last_event,
@@ -351,8 +365,8 @@
     }
 }
 
-/// A configuration, the route of a request in it, and the name of its team.
-type ResolvedRoute = (Rc<Deployment>, Arc<Route>, Option<String>);
+/// A configuration, the route of a request in it, and its team.
+type ResolvedRoute = (Rc<Deployment>, Arc<Route>, Option<Arc<Team>>);
 
 /// Resolves the route and team of a request against a configuration that is
 /// recent enough to deny the request or accept its key.
@@ -411,7 +425,7 @@
         return Some(Err(Denied::NoRoute));
     };
     let team = match deployment.team(&route, key) {
-        Ok(team) => team.map(|team| team.name.clone()),
+        Ok(team) => team.cloned(),
         Err(denied) => return Some(Err(denied)),
     };
     Some(Ok((deployment, route, team)))
--- a/mimosafront/src/state.rs
+++ b/mimosafront/src/state.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use mimosaplatform::store::{Position, Store};
-use mimosashift::admit::pressure::MemoryPressure;
+use mimosashift::admit::rank::Ladder;
 use mimosashift::connection_pool::{self, Pool};
 use mimosashift::deployment::{Deployment, Endpoint, Node};
 use mimosashift::drain;
@@ -36,6 +36,7 @@
 use crate::reach::SharedCheck;
 use crate::server::Connections;
 use crate::shutdown::StopFlag;
+use crate::waiting::Waiting;
 
 /// Time limit for a call to the store: many times its usual latency.
 const STORE_TIMEOUT: Duration = Duration::from_millis(900);
@@ -73,13 +74,12 @@
     pub quarantine: RefCell<Quarantine>,
     /// Recent liveness probes, by endpoint.
     pub probe_results: RefCell<ProbeResults>,
-    /// Queue of requests that wait for engine memory, and recent admissions and
-    /// refusals.
-    pub pressure: RefCell<MemoryPressure>,
+    /// Requests that wait for engine memory, and recent admissions and refusals.
+    pub waiting: Waiting,
+    /// Gives each request the terms of its rank.
+    pub ladder: RefCell<Ladder>,
     /// Wakes every request when an endpoint is found dead or slow.
     pub faults: Notify,
-    /// Wakes one request that waits for engine memory.
-    pub memory_released: Notify,
     /// Memory for what is buffered for others.
     pub budget: Budget,
     /// Connections to endpoints and the store.
@@ -187,9 +187,9 @@
             relayed: RefCell::default(),
             quarantine: RefCell::default(),
             probe_results: RefCell::default(),
-            pressure: RefCell::default(),
+            waiting: Waiting::default(),
+            ladder: RefCell::default(),
             faults: Notify::new(),
-            memory_released: Notify::new(),
             budget,
             pool,
             store,
@@ -261,6 +261,7 @@
         );
         self.meter.config_revision(deployment.revision);
         self.limits.borrow_mut().replace(deployment.limits, clock::now());
+        self.ladder.borrow_mut().retain(|service| deployment.service(service).is_some());
         let active = ActiveConfig { deployment: Rc::new(deployment), text: text.into() };
         *self.active_config.borrow_mut() = Some(active);
     }
--- a/mimosafront/tests/cluster/endpoints.rs
+++ b/mimosafront/tests/cluster/endpoints.rs
@@ -40,6 +40,8 @@
     pub last_activity: Option<Instant>,
     /// Team named by the router.
     pub team: Option<String>,
+    /// Priority named by the router.
+    pub priority: Option<String>,
     /// Whether the client's key reached an endpoint.
     pub key_leaked: bool,
     /// Method, path and body as received.
--- a/mimosafront/tests/cluster/engine.rs
+++ b/mimosafront/tests/cluster/engine.rs
@@ -202,6 +202,7 @@
             trace.runs += 1;
             trace.last_activity = Some(Instant::now());
             trace.team = header_text(headers, "tenant").map(str::to_owned);
+            trace.priority = header_text(headers, "request-priority").map(str::to_owned);
             trace.key_leaked |= headers.contains_key("authorization");
             trace.call = format!("{path} {}", String::from_utf8_lossy(body));
         });
--- a/mimosashift/src/admit/mod.rs
+++ b/mimosashift/src/admit/mod.rs
@@ -14,6 +14,7 @@
 pub mod limit;
 pub mod pressure;
 pub mod queue;
+pub mod rank;
 pub mod share;
 pub mod slots;
 
--- a/mimosashift/src/deployment/mod.rs
+++ b/mimosashift/src/deployment/mod.rs
@@ -12,9 +12,11 @@
 
 mod engine;
 mod node;
+mod rank;
 
 pub use engine::{Card, Delay, Engine, TypicalRequest};
 pub use node::{Bounds, Node, Store};
+pub use rank::{Rank, Ranks};
 
 use crate::resource::Layers;
 
@@ -27,6 +29,8 @@
     routes: HashMap<String, HashMap<String, Arc<Route>>>,
     /// Services by name.
     services: HashMap<Arc<str>, Arc<Service>>,
+    /// Ranks of the requests to each service.
+    ranks: HashMap<Arc<str>, Ranks>,
     /// Who may send requests.
     access: Access,
     /// Limits on client requests and connections.
@@ -191,6 +195,10 @@
     ) -> Self {
         let mut deployment = Self { revision, access, limits, ..Self::default() };
         for route in routes {
+            for (service, _) in route.targets.iter().filter(|(_, weight)| *weight > 0) {
+                let ranks = deployment.ranks.entry(service.clone()).or_default();
+                ranks.add(&route, &deployment.access);
+            }
             let host = deployment.routes.entry(route.host.clone()).or_default();
             host.insert(route.prefix.clone(), Arc::new(route));
         }
@@ -224,6 +232,11 @@
         self.services.get(name)
     }
 
+    /// The ranks of the requests to a service.
+    pub fn ranks(&self, service: &str) -> Ranks {
+        self.ranks.get(service).cloned().unwrap_or_default()
+    }
+
     /// All services.
     pub fn services(&self) -> impl Iterator<Item = &Arc<Service>> {
         self.services.values()
--- a/mimosashift/src/meter/label.rs
+++ b/mimosashift/src/meter/label.rs
@@ -1,5 +1,7 @@
 //! Labels of metrics and their values.
 
+use crate::deployment::Rank;
+
 /// A metric label with a fixed set of values.
 pub trait Label: Copy + 'static {
     /// Every value, as exported in the metrics.
@@ -9,6 +11,14 @@
     fn as_str(self) -> &'static str;
 }
 
+impl Label for Rank {
+    const VALUES: &'static [&'static str] = &["0", "1", "2", "3", "4", "5", "6", "7", "8", "9"];
+
+    fn as_str(self) -> &'static str {
+        Self::VALUES[usize::from(self.level())]
+    }
+}
+
 /// Declares enums of label values.
 macro_rules! labels {
     ($($(#[$doc:meta])* $name:ident { $($variant:ident $text:literal $help:literal,)* })*) => {$(
@@ -43,6 +53,12 @@
         Cancelled "cancelled" "The caller disconnected.",
     }
 
+    /// Whether engines had room for a request.
+    Admission {
+        Admitted "admitted" "There was room.",
+        Refused "refused" "There was none.",
+    }
+
     /// Why a request was not run.
     RefusalReason {
         Late "late" "Its deadline could not be met.",
--- a/mimosashift/src/meter/mod.rs
+++ b/mimosashift/src/meter/mod.rs
@@ -14,7 +14,7 @@
 mod table;
 
 pub use label::{
-    CallOutcome, DropReason, EndpointState, Label, MemberState, Outcome, PlatformCall,
+    Admission, CallOutcome, DropReason, EndpointState, Label, MemberState, Outcome, PlatformCall,
     PostingOutcome, Recovery, RefusalReason, Transport,
 };
 pub use table::{Kind, METRICS, Meter, Metric};
--- a/mimosashift/src/meter/table.rs
+++ b/mimosashift/src/meter/table.rs
@@ -3,10 +3,11 @@
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
 
 use super::label::{
-    CallOutcome, DropReason, EndpointState, Label, MemberState, Outcome, PlatformCall,
+    Admission, CallOutcome, DropReason, EndpointState, Label, MemberState, Outcome, PlatformCall,
     PostingOutcome, Recovery, RefusalReason, Transport,
 };
 use super::{Error, Exporter, attribute};
+use crate::deployment::Rank;
 
 /// Kind of a metric.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -96,6 +97,7 @@
 metrics! {
     requests "mimosashift_requests" Counter [outcome: Outcome] "Requests that ended, by outcome.";
     refusals "mimosashift_refusals" Counter [reason: RefusalReason] "Requests that were not run, by reason.";
+    ranked "mimosashift_ranked_requests" Counter [rank: Rank, outcome: Admission] "Requests to engines of services with several ranks, by rank and whether there was room.";
     running "mimosashift_running_requests" Gauge [] "Requests dispatched and not yet ended.";
     tokens "mimosashift_tokens" Counter [] "Tokens answered to callers.";
     first_token "mimosashift_first_token_seconds" Histogram [] "Time from a request's arrival to its first token.";
--- a/mimosashift/tests/front.rs
+++ b/mimosashift/tests/front.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use mimosashift::admit::pressure::{MAX_WAIT, MemoryPressure};
-use mimosashift::deployment::{Denied, Deployment, Limits, Route, RouteKind, Service, Team};
+use mimosashift::deployment::{Denied, Deployment, Limits, Rank, Route, RouteKind, Service, Team};
 use mimosashift::event_stream::{EventSplitter, InvalidStream};
 use mimosashift::freshness::{Freshness, PeerConfirmation};
 use mimosashift::pipeline::retry::{Window, WindowLimits};
@@ -261,10 +261,11 @@
 fn only_requests_that_can_be_served_in_time_may_wait() {
     let mut pressure = MemoryPressure::default();
     for ms in 0..2_000 {
-        pressure.record_admitted(at(ms));
+        pressure.record_admitted(Rank::FIRST, at(ms));
     }
     // 1,000 requests per second were admitted, but older ones no longer count.
-    let waiting = (0..1_000).filter(|_| pressure.begin_wait(at(2_000))).count();
+    let waiting =
+        (0..1_000).filter(|_| pressure.begin_wait(Rank::FIRST, at(2_000)).is_some()).count();
     let served = 1_000.0 * MAX_WAIT.as_secs_f64();
     assert!((waiting as f64) < served && (waiting as f64) > served / 2.0, "{waiting}");
 }
@@ -272,26 +273,27 @@
 #[test]
 fn some_requests_may_wait_when_none_was_admitted() {
     let mut pressure = MemoryPressure::default();
-    assert!(pressure.begin_wait(at(0)) && pressure.begin_wait(at(0)));
-    assert!(!pressure.begin_wait(at(0)));
-    pressure.end_wait();
-    assert!(pressure.begin_wait(at(0)));
+    let first = pressure.begin_wait(Rank::FIRST, at(0)).unwrap();
+    assert!(pressure.begin_wait(Rank::FIRST, at(0)).is_some());
+    assert!(pressure.begin_wait(Rank::FIRST, at(0)).is_none());
+    pressure.end_wait(&first);
+    assert!(pressure.begin_wait(Rank::FIRST, at(0)).is_some());
 }
 
 #[test]
 fn retry_delay_grows_with_the_share_of_refused_requests() {
     let mut low = MemoryPressure::default();
-    low.record_refused(at(0));
+    low.record_refused(Rank::FIRST, at(0));
     for _ in 0..99 {
-        low.record_admitted(at(0));
+        low.record_admitted(Rank::FIRST, at(0));
     }
     let mut high = MemoryPressure::default();
     for _ in 0..100 {
-        high.record_refused(at(0));
+        high.record_refused(Rank::FIRST, at(0));
     }
-    assert!(low.retry_after(0.5) < 300 * S / 1_000);
-    assert!(high.retry_after(0.5) > 2 * S);
-    assert!(high.retry_after(0.9) > high.retry_after(0.1));
+    assert!(low.retry_after(Rank::FIRST, 0.5) < 300 * S / 1_000);
+    assert!(high.retry_after(Rank::FIRST, 0.5) > 2 * S);
+    assert!(high.retry_after(Rank::FIRST, 0.9) > high.retry_after(Rank::FIRST, 0.1));
 }
 
 /// Retries in any window stay within the ratio plus the extra retries, even if
--- a/mimosashift/tests/meter.rs
+++ b/mimosashift/tests/meter.rs
@@ -2,9 +2,10 @@
 
 use std::collections::BTreeSet;
 
+use mimosashift::deployment::Rank;
 use mimosashift::meter::{
-    CallOutcome, DropReason, EndpointState, Kind, METRICS, MemberState, Meter, Metric, Outcome,
-    PlatformCall, PostingOutcome, Recovery, RefusalReason, Transport,
+    Admission, CallOutcome, DropReason, EndpointState, Kind, METRICS, MemberState, Meter, Metric,
+    Outcome, PlatformCall, PostingOutcome, Recovery, RefusalReason, Transport,
 };
 
 const METRICS_DOC: &str = include_str!("../../docs/METRICS.md");
@@ -39,6 +40,9 @@
     for call in PlatformCall::ALL {
         CallOutcome::ALL.iter().for_each(|outcome| meter.table_calls(1, *call, *outcome));
     }
+    for level in 0..Rank::COUNT as u8 {
+        Admission::ALL.iter().for_each(|a| meter.ranked(1, Rank::from(level), *a));
+    }
     let counters = [
         Meter::tokens,
         Meter::retries,
