--- a/mimosafront/src/relay/chain/send.rs
+++ b/mimosafront/src/relay/chain/send.rs
@@ -1,5 +1,7 @@
 //! Sends a request to a chain, and checks the chain until the answer arrives.
 
+use std::time::Duration;
+
 use hyper::StatusCode;
 use mimosaplatform::header;
 use mimosashift::connection_pool::{Exchange, Failure};
@@ -23,13 +25,15 @@
         chain: Chain,
         attempt: u32,
     ) -> Result<Exchange, &'static str> {
-        let (to, inputs) = self.describe_send(&chain);
+        let ahead = self.prefill_ahead(&chain);
+        let (to, inputs) = self.describe_send(&chain, ahead);
         self.ctx.log_sent(attempt, &to, &inputs);
         let first = chain[0].clone();
         // A plain endpoint knows nothing of chains.
         let hops = if self.engine.is_some() { &chain[..] } else { &[] };
         let request = self.ctx.request(&first, hops, self.events.last());
         if let Some(engine) = &self.engine {
+            self.state().meter.prefill_ahead(ahead.as_secs_f64());
             let mut fleet = self.state().fleet.borrow_mut();
             fleet.charge_link(engine, &chain, &self.demand, clock::now());
         }
@@ -68,13 +72,21 @@
         }
     }
 
+    /// Time that the busiest endpoint of a chain needs to prefill what is ahead of the request;
+    /// zero in a plain service.
+    fn prefill_ahead(&self, chain: &Chain) -> Duration {
+        let Some(engine) = &self.engine else { return Duration::ZERO };
+        self.state().fleet.borrow().prefill_ahead(engine, chain, clock::now())
+    }
+
     /// The hops of a chain and the inputs of its choice, for logs.
-    fn describe_send(&self, chain: &Chain) -> (String, String) {
+    fn describe_send(&self, chain: &Chain, ahead: Duration) -> (String, String) {
         let Some(engine) = &self.engine else { return (chain[0].id.to_string(), String::new()) };
         let to: Vec<_> = chain.iter().map(|hop| format!("{}:{}", hop.id, hop.layers)).collect();
         let Demand { prompt, output } = self.demand;
         let load = self.state().fleet.borrow().describe_load(engine, chain, clock::now());
-        (to.join(","), format!("prompt={prompt} output={output} {load}"))
+        let ahead_ms = ahead.as_millis();
+        (to.join(","), format!("prompt={prompt} output={output} ahead_ms={ahead_ms} {load}"))
     }
 
     /// Records that the first endpoint of the chain, if there is one, broke off its answer.
--- a/mimosashift/src/fleet/chain.rs
+++ b/mimosashift/src/fleet/chain.rs
@@ -11,7 +11,7 @@
 
 use smallvec::SmallVec;
 
-use super::{Chain, Fleet, Hop, Member};
+use super::{Chain, Fleet, Hop, Member, prefill};
 use crate::deployment::Engine;
 use crate::resource::Layers;
 use crate::time::Instant;
@@ -212,14 +212,13 @@
         let is_cache_full = now < member.cache_full_until;
         let usable = if is_cache_full { 0.0 } else { capacity * allowance.cache_share };
         let free = (usable - f64::from(usage.cache)).max(0.0);
-        let prefill_ms_per_token =
-            card.prefill_factor / engine.prefill_tokens_per_ms * member.slowdown;
+        let prefill_ms_per_token = prefill::ms_per_token(engine, card, member);
         let step_ms = engine.step_ms * card.decode_factor * member.slowdown;
         let work_ms = demand.prompt * prefill_ms_per_token + demand.output * step_ms;
         let iteration_ms =
             f64::from(engine.tokens_per_event) * step_ms * f64::from(layers.count()) / layer_count;
         let iterations = demand.output / f64::from(engine.tokens_per_event);
-        let backlog_ms = f64::from(usage.prefill) * prefill_ms_per_token / layer_count;
+        let backlog_ms = prefill::backlog_ms(engine, &usage, prefill_ms_per_token);
         let max_backlog_ms = allowance.max_backlog.map(|max| max.as_secs_f64() * 1_000.0);
         Some(Self {
             member,
--- a/mimosashift/src/fleet/mod.rs
+++ b/mimosashift/src/fleet/mod.rs
@@ -24,6 +24,7 @@
 mod link;
 mod liveness;
 mod plain;
+mod prefill;
 mod rest;
 mod share;
 mod usage;
--- a/mimosashift/src/meter/table.rs
+++ b/mimosashift/src/meter/table.rs
@@ -99,6 +99,7 @@
     running "mimosashift_running_requests" Gauge [] "Requests dispatched and not yet ended.";
     tokens "mimosashift_tokens" Counter [] "Tokens answered to callers.";
     first_token "mimosashift_first_token_seconds" Histogram [] "Time from a request's arrival to its first token.";
+    prefill_ahead "mimosashift_prefill_ahead_seconds" Histogram [] "Time that the busiest endpoint of a chain needs to prefill what was sent to it before the request.";
     inter_token "mimosashift_inter_token_seconds" Histogram [] "Time between two tokens of an answer.";
     added_latency "mimosashift_added_latency_seconds" Histogram [] "Time that the router itself adds to a request.";
     queue_requests "mimosashift_queue_requests" Gauge [] "Queued requests.";
