--- a/mimosashift/tests/meter.rs
+++ b/mimosashift/tests/meter.rs
@@ -64,6 +64,7 @@
     gauges.iter().for_each(|set| set(&meter, 1));
     let histograms = [
         Meter::first_token,
+        Meter::prefill_ahead,
         Meter::inter_token,
         Meter::added_latency,
         Meter::recovery_time,
