--- a/mimosafront/src/relay/chain/admission.rs
+++ b/mimosafront/src/relay/chain/admission.rs
@@ -26,10 +26,6 @@
 /// Reason for refusing a request that a more urgent one would not have been refused for.
 const RESERVED_REASON: &str = "memory kept for more urgent requests";
 
-/// Part of a route's latency objective for which the prompts ahead of a request may take to
-/// prefill at an endpoint.
-const BACKLOG_SHARE: f64 = 0.5;
-
 impl ChainRequest {
     /// Selects what the request is sent to: a chain of engines once there is memory for it, or
     /// an endpoint of a plain service.
@@ -164,12 +160,15 @@
     }
 
     /// How far the request may load endpoints. One that has begun keeps what it has, and only
-    /// the memory of further endpoints binds it.
+    /// the memory of further endpoints binds it. Any other is not sent where it could not
+    /// begin within its objective.
     fn allowance(&self, first: Option<&Hop>) -> Allowance {
-        let may_wait = first.is_none() && !self.has_begun;
-        let max_backlog = may_wait.then(|| self.ctx.route.objective.mul_f64(BACKLOG_SHARE));
-        let bound = if may_wait { self.ctx.terms } else { Terms::default() };
-        Allowance { cache_share: bound.cache_share, max_backlog }
+        if first.is_some() || self.has_begun {
+            return Allowance { may_exceed_link: true, ..Allowance::default() };
+        }
+        let max_backlog = Some(self.ctx.route.objective);
+        let cache_share = self.ctx.terms.cache_share;
+        Allowance { cache_share, max_backlog, ..Allowance::default() }
     }
 
     /// Whether a more urgent request would find memory.
--- a/mimosashift/src/fleet/chain.rs
+++ b/mimosashift/src/fleet/chain.rs
@@ -57,12 +57,15 @@
     /// Longest time for which an endpoint may have to prefill the prompts that are ahead of
     /// the request; `None` if there is no limit.
     pub max_backlog: Option<Duration>,
+    /// Whether the chain may use more of the link between zones than this router's share,
+    /// since its request is under way.
+    pub may_exceed_link: bool,
 }
 
 impl Default for Allowance {
     /// All that admitted requests may use.
     fn default() -> Self {
-        Self { cache_share: USABLE_CACHE_SHARE, max_backlog: None }
+        Self { cache_share: USABLE_CACHE_SHARE, max_backlog: None, may_exceed_link: false }
     }
 }
 
@@ -175,8 +178,7 @@
             let mut candidates: Vec<_> =
                 members.filter_map(|member| Candidate::new(self, member, query, now)).collect();
             penalize_fill(&mut candidates, query.engine);
-            // A request that has begun may go on wherever its layers are.
-            let may_cross = query.first.is_some() || self.link.permits(query.engine, now);
+            let may_cross = query.allowance.may_exceed_link || self.link.permits(query.engine, now);
             Search { query, candidates, may_cross, table: Vec::new() }.run()
         };
         match search(false) {
--- a/mimosashift/src/fleet/link.rs
+++ b/mimosashift/src/fleet/link.rs
@@ -2,7 +2,8 @@
 //!
 //! All chains with engines in two zones share one link, which sends one transfer after
 //! another. Beyond its bandwidth they queue there, hold the memory of all their engines
-//! meanwhile, and so drive further chains across it. See `docs/design/fleet.md`, "Link".
+//! meanwhile, and so drive further chains across it. See
+//! `docs/design/link.md`.
 
 use std::time::Duration;
 
--- a/mimosashift/tests/link.rs
+++ b/mimosashift/tests/link.rs
@@ -3,11 +3,12 @@
 
 use std::time::Duration;
 
+use mimosashift::fleet::{Allowance, Query, Shortage};
 use rand::RngExt;
 use test_case::test_case;
 
 use common::deployment::{at, endpoint, layers};
-use common::fleet::DEMAND;
+use common::fleet::{DEMAND, fleet, query};
 use common::link_world::{Ended, STEP, World, engine_with, zones};
 
 #[path = "common"]
@@ -49,6 +50,23 @@
     divided
 }
 
+/// Engines of each zone hold one half of the model only.
+#[test_case(false => Err(Shortage::LinkFull(40)); "a new request waits")]
+#[test_case(true => Ok(2); "one under way goes on")]
+fn used_share_holds_up_new_requests_only(is_under_way: bool) -> Result<usize, Shortage> {
+    let halves = [(0, "a", 0, 40), (1, "b", 40, 80)];
+    let entries =
+        halves.map(|(n, zone, from, to)| endpoint(n, zone, "huge", Some(layers(from, to))));
+    let (engine, mut fleet) = (engine_with(1e7, 700_000.0), fleet(entries.to_vec()));
+    let now = at(5_000);
+    let query = query(&engine, &DEMAND);
+    while let Ok(chain) = fleet.chain(&query, now) {
+        fleet.charge_link(&engine, &chain, &DEMAND, now);
+    }
+    let allowance = Allowance { may_exceed_link: is_under_way, ..Allowance::default() };
+    fleet.chain(&Query { allowance, ..query }, now).map(|chain| chain.len())
+}
+
 /// What ended in each second from `from` to `to`: complete answers, and all.
 fn answered(
     world: &World,
