--- a/mimosashift/tests/common/crowd.rs
+++ b/mimosashift/tests/common/crowd.rs
@@ -148,7 +148,7 @@
     /// Routers with `pairs` copies of the model among them.
     pub fn new(routers: usize, pairs: usize, policy: Policy, seed: u64) -> Self {
         let half = |n: u16| {
-            let held = if n % 2 == 0 { layers(0, 40) } else { layers(40, 80) };
+            let held = if n.is_multiple_of(2) { layers(0, 40) } else { layers(40, 80) };
             let mut entry = endpoint(n, "a", "huge", Some(held));
             entry.slots = u32::MAX;
             entry
@@ -267,7 +267,7 @@
 
     /// Lets the waiting requests look for memory, in the order of their lines.
     fn retry(&mut self, now_ms: u64) {
-        if now_ms % RETRY_MS != 0 {
+        if !now_ms.is_multiple_of(RETRY_MS) {
             return;
         }
         for ((router, ticket), request) in std::mem::take(&mut self.waiting) {
--- a/mimosashift/tests/common/link_world.rs
+++ b/mimosashift/tests/common/link_world.rs
@@ -46,7 +46,7 @@
 enum State {
     Arriving,
     Waiting(Instant, Ticket),
-    Running { claim: Claim, first: Instant, has_begun: bool },
+    Running { claim: Box<Claim>, first: Instant, has_begun: bool },
 }
 
 struct Request {
@@ -197,7 +197,7 @@
         }
         let step = (now.as_micros() / STEP.as_micros() as u64) as usize;
         let steps = (DIGEST_INTERVAL.as_micros() / STEP.as_micros()) as usize;
-        for from in (0..count).filter(|index| (step + 7 * index) % steps == 0) {
+        for from in (0..count).filter(|index| (step + 7 * index).is_multiple_of(steps)) {
             let router = &mut self.routers[from];
             router.fleet.update_limits(count, now);
             let usage = router.fleet.digest();
@@ -215,10 +215,10 @@
         match &mut request.state {
             State::Arriving if self.now < request.sent => true,
             State::Arriving => {
-                if self.routers[request.router].pressure.waiting() == 0 {
-                    if let Ok(chain) = self.choose(request.router) {
-                        return self.run(request, chain);
-                    }
+                if self.routers[request.router].pressure.waiting() == 0
+                    && let Ok(chain) = self.choose(request.router)
+                {
+                    return self.run(request, chain);
                 }
                 let pressure = &mut self.routers[request.router].pressure;
                 let Some(ticket) = pressure.begin_wait(Rank::FIRST, self.now) else {
@@ -301,7 +301,7 @@
         chain.iter().for_each(|hop| {
             *self.used.entry(hop.id.clone()).or_default() += needs(hop.layers.count());
         });
-        let claim = fleet.claim(chain, &DEMAND);
+        let claim = Box::new(fleet.claim(chain, &DEMAND));
         self.routers[request.router].pressure.record_admitted(Rank::FIRST, self.now);
         request.state = State::Running { claim, first: ready + PREFILL, has_begun: false };
         true
