--- a/mimosashift/src/fleet/chain.rs
+++ b/mimosashift/src/fleet/chain.rs
@@ -11,7 +11,7 @@
 
 use smallvec::SmallVec;
 
-use super::{Chain, Fleet, Hop, Member};
+use super::{Chain, Fleet, Hop, Member, prefill};
 use crate::deployment::Engine;
 use crate::resource::Layers;
 use crate::time::Instant;
@@ -57,12 +57,15 @@
     /// Longest time for which an endpoint may have to prefill the prompts that are ahead of
     /// the request; `None` if there is no limit.
     pub max_backlog: Option<Duration>,
+    /// Whether the chain may use more of the link between zones than this router's share,
+    /// since its request is under way.
+    pub may_exceed_link: bool,
 }
 
 impl Default for Allowance {
     /// All that admitted requests may use.
     fn default() -> Self {
-        Self { cache_share: USABLE_CACHE_SHARE, max_backlog: None }
+        Self { cache_share: USABLE_CACHE_SHARE, max_backlog: None, may_exceed_link: false }
     }
 }
 
@@ -175,8 +178,7 @@
             let mut candidates: Vec<_> =
                 members.filter_map(|member| Candidate::new(self, member, query, now)).collect();
             penalize_fill(&mut candidates, query.engine);
-            // A request that has begun may go on wherever its layers are.
-            let may_cross = query.first.is_some() || self.link.permits(query.engine, now);
+            let may_cross = query.allowance.may_exceed_link || self.link.permits(query.engine, now);
             Search { query, candidates, may_cross, table: Vec::new() }.run()
         };
         match search(false) {
@@ -212,14 +214,13 @@
         let is_cache_full = now < member.cache_full_until;
         let usable = if is_cache_full { 0.0 } else { capacity * allowance.cache_share };
         let free = (usable - f64::from(usage.cache)).max(0.0);
-        let prefill_ms_per_token =
-            card.prefill_factor / engine.prefill_tokens_per_ms * member.slowdown;
+        let prefill_ms_per_token = prefill::ms_per_token(engine, card, member);
         let step_ms = engine.step_ms * card.decode_factor * member.slowdown;
         let work_ms = demand.prompt * prefill_ms_per_token + demand.output * step_ms;
         let iteration_ms =
             f64::from(engine.tokens_per_event) * step_ms * f64::from(layers.count()) / layer_count;
         let iterations = demand.output / f64::from(engine.tokens_per_event);
-        let backlog_ms = f64::from(usage.prefill) * prefill_ms_per_token / layer_count;
+        let backlog_ms = prefill::backlog_ms(engine, &usage, prefill_ms_per_token);
         let max_backlog_ms = allowance.max_backlog.map(|max| max.as_secs_f64() * 1_000.0);
         Some(Self {
             member,
