Let shares of the link between zones follow demand

Equal shares leave those of routers idle that need none, while others are refused. Digests carry use and unmet demand (part 10), and a router's share is its part of the sum. Reroutes are charged, rejected requests given back.

NOT compiled: mimosafront with the last signatures.

--- a/mimosafront/src/gossip.rs
+++ b/mimosafront/src/gossip.rs
@@ -119,6 +119,7 @@
         unreachable: state.reach.borrow().lost().map(|service| name_key(service)).collect(),
         suspects: state.quarantine.borrow().records(now),
         limits: state.fleet.borrow().limit_records(now),
+        link: Some(state.fleet.borrow().link_record()),
         peers: state.peers.borrow().shared_addresses(now, &mut state.rng.borrow_mut()),
         build: Some(BUILD.into()),
         format: Format::Parts,
@@ -154,6 +155,7 @@
         mimosashift::peer::Event::Renewed => {}
     }
     state.fleet.borrow_mut().merge_digest(&digest.node, &digest.usage, now);
+    state.fleet.borrow_mut().merge_link(&digest.node, digest.link, now);
     let random = state.random_fraction();
     let limited = state.fleet.borrow_mut().merge_limits(&digest.node, &digest.limits, now, random);
     for (id, change) in limited {
--- a/mimosafront/src/metrics.rs
+++ b/mimosafront/src/metrics.rs
@@ -45,6 +45,7 @@
     let usage = state.budget.usage();
     state.meter.buffered_bytes(usage.bytes as u64);
     state.meter.given_up_buffers(usage.given_up);
+    state.meter.link_share(state.fleet.borrow().link_share() as u64);
     let peers = state.peers.borrow().alive(clock::now()).count();
     state.meter.members(peers as u64, MemberState::Alive);
     match state.meter.render() {
--- a/mimosafront/src/relay/chain/admission.rs
+++ b/mimosafront/src/relay/chain/admission.rs
@@ -19,7 +19,7 @@
 use crate::relay::{LIMITED_REASON, RESTING_REASON, RequestError};
 use crate::state::RouterState;
 
-/// Interval in which a waiting request checks whether a limit permits it.
+/// Interval in which a waiting request checks whether a limit or the link permits it.
 const LIMIT_RECHECK: Duration = Duration::from_millis(25);
 
 /// Part of a route's latency objective for which the prompts ahead of a request may take to
@@ -103,6 +103,7 @@
     }
 
     async fn wait_for_memory(&self, engine: &Engine, until: Instant) -> Result<Chain, Shortage> {
+        let mut has_recorded = false;
         loop {
             let released = self.state().memory_released.notified();
             let shortage = match self.select_chain(engine) {
@@ -114,13 +115,24 @@
             if is_lasting || left.is_zero() {
                 return Err(shortage);
             }
+            let is_link_full = matches!(shortage, Shortage::LinkFull(_));
+            if is_link_full && !std::mem::replace(&mut has_recorded, true) {
+                self.record_link_full(engine);
+            }
             // The next iteration checks whether memory was released or time ran
-            // out. Nothing signals that a limit permits a request again.
-            let left = if shortage == Shortage::Limited { left.min(LIMIT_RECHECK) } else { left };
+            // out. Nothing signals that a limit or the link permits a request again.
+            let is_checked = is_link_full || shortage == Shortage::Limited;
+            let left = if is_checked { left.min(LIMIT_RECHECK) } else { left };
             drop(timeout(left, released).await);
         }
     }
 
+    fn record_link_full(&self, engine: &Engine) {
+        let random = self.state().random_fraction();
+        let mut fleet = self.state().fleet.borrow_mut();
+        fleet.record_link_full(engine, &self.demand, random, clock::now());
+    }
+
     fn record_admission(&self, chain: Chain) -> Chain {
         let state = self.state();
         state.pressure.borrow_mut().record_admitted(clock::now());
@@ -172,7 +184,10 @@
         let layer = shortage.layer();
         let holders = self.state().fleet.borrow().describe_holders(&query, layer, clock::now());
         let waiting = self.state().pressure.borrow().waiting();
-        emit!(self.state().log, Event::LayerShortage, "request" => &*self.ctx.id, "layer" => layer, "holders" => holders, "waiting" => waiting);
+        let is_link_full = matches!(shortage, Shortage::LinkFull(_));
+        let describe_link = || self.state().fleet.borrow().describe_link(clock::now());
+        let link = is_link_full.then(describe_link);
+        emit!(self.state().log, Event::LayerShortage, "request" => &*self.ctx.id, "layer" => layer, "holders" => holders, "waiting" => waiting, "link" => link);
     }
 
     fn shortage_error(&self, engine: &Engine, shortage: &Shortage) -> RequestError {
--- a/mimosafront/src/relay/chain/send.rs
+++ b/mimosafront/src/relay/chain/send.rs
@@ -1,6 +1,8 @@
 //! Sends a request to a chain, and checks the chain until the answer arrives.
 
-use hyper::StatusCode;
+use http_body_util::Full;
+use hyper::body::Bytes;
+use hyper::{Request, StatusCode};
 use mimosaplatform::header;
 use mimosashift::connection_pool::{Exchange, Failure};
 use mimosashift::emit;
@@ -29,25 +31,37 @@
         // A plain endpoint knows nothing of chains.
         let hops = if self.engine.is_some() { &chain[..] } else { &[] };
         let request = self.ctx.request(&first, hops, self.events.last());
-        if let Some(engine) = &self.engine {
-            let mut fleet = self.state().fleet.borrow_mut();
-            fleet.charge_link(engine, &chain, &self.demand, clock::now());
-        }
+        let charged = self.charge_link(&chain, &[], &self.demand);
         let claim = self.state().fleet.borrow_mut().claim(chain, &self.demand);
         self.claim = Some(claim);
+        let rejected_sends = self.rejected_sends;
+        let answer = self.open_answer(&first, request).await;
+        if self.rejected_sends > rejected_sends {
+            self.state().fleet.borrow_mut().refund_link(charged, clock::now());
+        }
+        answer
+    }
+
+    /// Sends the request to the first endpoint of its chain, and waits for an answer that
+    /// may be forwarded.
+    async fn open_answer(
+        &mut self,
+        first: &Hop,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Exchange, &'static str> {
         let state = self.state().clone();
-        let sending = state.call(&first, request, false);
+        let sending = state.call(first, request, false);
         // This send may run as well.
         match self.watch_chain(sending, self.possible_executions + 1).await {
-            Ok(exchange) => self.check_response(&first, exchange),
+            Ok(exchange) => self.check_response(first, exchange),
             Err(Some(CallError::Stray)) => {
-                self.excluded_hops.push(first);
+                self.excluded_hops.push(first.clone());
                 self.possible_executions += 1;
                 Err(STRAY_REASON)
             }
             Err(Some(CallError::Failed(Failure::NotSent { reason, .. }))) => {
                 self.state().mark_suspect(&first.id, &reason);
-                self.excluded_hops.push(first);
+                self.excluded_hops.push(first.clone());
                 self.rejected_sends += 1;
                 Err("not sent")
             }
@@ -68,6 +82,17 @@
         }
     }
 
+    /// Charges what the request sends over the link between zones; returns its bytes.
+    pub(super) fn charge_link(&self, chain: &[Hop], kept: &[Hop], demand: &Demand) -> f64 {
+        let Some(engine) = &self.engine else { return 0.0 };
+        let state = self.state();
+        let mut fleet = state.fleet.borrow_mut();
+        let random = state.random_fraction();
+        let bytes = fleet.charge_link(engine, chain, kept, demand, random, clock::now());
+        state.meter.link_bytes(bytes as u64);
+        bytes
+    }
+
     /// The hops of a chain and the inputs of its choice, for logs.
     fn describe_send(&self, chain: &Chain) -> (String, String) {
         let Some(engine) = &self.engine else { return (chain[0].id.to_string(), String::new()) };
--- a/mimosafront/src/relay/chain/stall.rs
+++ b/mimosafront/src/relay/chain/stall.rs
@@ -165,6 +165,8 @@
                 OrderOutcome::Taken => {
                     self.state().meter.recoveries(1, Recovery::Rebuilt);
                     let mut claim = self.claim.take().expect("started request has a chain");
+                    // All tokens so far cross to the new hops again.
+                    self.charge_link(&chain, &claim.chain, &self.remaining_demand());
                     self.state().fleet.borrow_mut().reroute(&mut claim, chain);
                     self.claim = Some(claim);
                     return StallCheck::Rerouted;
--- a/mimosafront/tests/echoed_timestamps.rs
+++ b/mimosafront/tests/echoed_timestamps.rs
@@ -38,6 +38,7 @@
         leaving_endpoints: Vec::new(),
         suspects: Vec::new(),
         limits: Vec::new(),
+        link: None,
         peers: Vec::new(),
         build: None,
         format: Format::Lists,
--- a/mimosashift/src/event/table.rs
+++ b/mimosashift/src/event/table.rs
@@ -118,7 +118,7 @@
     RequestMoved "MS0614" Warning "request moved", "A running request was moved to another chain.";
     RequestDenied "MS0615" Info "request denied", "A request was not allowed or not valid and was answered with a client error.";
     RequestStalled "MS0616" Info "request stalled", "A request made no progress, and the endpoints of its chain were asked for reports.";
-    LayerShortage "MS0617" Info "layer shortage", "No endpoint that holds a layer has memory for a request.";
+    LayerShortage "MS0617" Info "layer shortage", "No endpoint that holds a layer has memory for a request, or none that a chain may reach: `link` is given if this router's share of the link between zones is used up.";
     ContentBlocked "MS0618" Warning "content blocked", "Several endpoints crashed when they began to run requests with the same prompt part, or repeats of one request, and none served one since; such requests are refused for a while.";
     ContentUnblocked "MS0619" Info "content unblocked", "A prompt part or request is no longer blocked: one like it was served, its crashes are forgotten, or another content explains them.";
     ContentTried "MS0620" Info "content tried", "A request with a blocked content is sent to see whether it still crashes endpoints.";
--- a/mimosashift/src/fleet/limit.rs
+++ b/mimosashift/src/fleet/limit.rs
@@ -139,11 +139,11 @@
         limits.map(|limit| limit.time_to_credit(now)).filter(|wait| !wait.is_zero()).min()
     }
 
-    /// Makes this router's demand that which [`limit_records`](Self::limit_records)
-    /// reports from now on; `routers` is the number of live ones, this one included.
+    /// Makes this router's demand that which [`limit_records`](Self::limit_records) and
+    /// [`link_record`](Self::link_record) report from now on; `routers` is the number of live ones, this one included.
     pub fn update_limits(&mut self, routers: usize, now: Instant) {
         self.limits.routers = routers.max(MIN_ROUTERS);
-        self.divide_link(routers);
+        self.update_link(routers, now);
         self.limits.known.retain(|_, limit| !limit.is_expired(now));
         for limit in self.limits.known.values_mut() {
             limit.report(self.limits.routers, now);
--- a/mimosashift/src/fleet/mod.rs
+++ b/mimosashift/src/fleet/mod.rs
@@ -17,6 +17,7 @@
 use crate::resource::Layers;
 use crate::time::Instant;
 
+mod average;
 mod chain;
 mod claim;
 mod describe;
@@ -35,6 +36,7 @@
 pub use chain::{Allowance, Demand, Query, Shortage, USABLE_CACHE_SHARE};
 pub use claim::Claim;
 pub use limit::{Change as LimitChange, Record as LimitRecord};
+pub use link::Record as LinkRecord;
 pub use usage::Usage;
 
 /// Slowdown from which an endpoint gets no new work while others hold its layers,
--- a/mimosashift/src/fleet/share.rs
+++ b/mimosashift/src/fleet/share.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use super::Incarnation;
+use super::average::{Average, decay};
 use super::limit::{Change, Record};
 use crate::exchange::RequestRate;
 use crate::time::Instant;
@@ -98,32 +99,6 @@
     sent: f64,
 }
 
-/// Exponentially decaying average of a number of requests per second.
-#[derive(Clone, Copy, Debug)]
-struct Average {
-    per_second: f64,
-    updated_at: Instant,
-}
-
-impl Average {
-    const fn new(now: Instant) -> Self {
-        Self { per_second: 0.0, updated_at: now }
-    }
-
-    fn add(&mut self, now: Instant) {
-        self.per_second = self.at(now) + 1.0 / DEMAND_TIME.as_secs_f64();
-        self.updated_at = now;
-    }
-
-    fn at(&self, now: Instant) -> f64 {
-        decay(self.per_second, self.updated_at, now)
-    }
-}
-
-fn decay(per_second: f64, since: Instant, now: Instant) -> f64 {
-    per_second * (-now.since(since).as_secs_f64() / DEMAND_TIME.as_secs_f64()).exp()
-}
-
 impl Limit {
     pub(super) fn new(
         rate: RequestRate,
@@ -142,8 +117,8 @@
             credit: idle_bound(rate, routers),
             credited_at: now,
             threshold: 1.0 - random,
-            demand: Average::new(now),
-            sent: Average::new(now),
+            demand: Average::new(DEMAND_TIME, now),
+            sent: Average::new(DEMAND_TIME, now),
             reported_demand: 0.0,
             peers: BTreeMap::new(),
         }
@@ -214,7 +189,7 @@
     /// router was idle; `None` without a limit.
     fn accrual(&self, now: Instant) -> Option<(f64, f64)> {
         let own_rate = self.own_rate(now)?;
-        let idle_from = (self.demand.updated_at + IDLE_AFTER).max(self.credited_at);
+        let idle_from = (self.demand.updated_at() + IDLE_AFTER).max(self.credited_at);
         let idle = own_rate * now.since(idle_from).as_secs_f64();
         let busy = own_rate * now.min(idle_from).since(self.credited_at).as_secs_f64();
         let bound = self.idle_bound.max(own_rate * BURST_TIME.as_secs_f64());
@@ -241,7 +216,8 @@
     /// Time until the requests that all routers have recently sent are few enough.
     fn time_to_quiet(&self, now: Instant) -> Duration {
         let Some(rate) = self.rate_in_force(now) else { return Duration::ZERO };
-        let peers = self.peers.values().map(|peer| decay(peer.sent, peer.reported_at, now));
+        let peers =
+            self.peers.values().map(|peer| decay(peer.sent, DEMAND_TIME, peer.reported_at, now));
         let recent = self.sent.at(now) + peers.sum::<f64>();
         let excess = recent / (rate.per_second().max(MIN_RATE) * MAX_RECENT);
         DEMAND_TIME.mul_f64(excess.max(1.0).ln())
@@ -260,13 +236,13 @@
     pub(super) fn add_demand(&mut self, now: Instant) {
         self.settle(now);
         self.idle_accrued = 0.0;
-        self.demand.add(now);
+        self.demand.add(1.0, now);
     }
 
     /// Records that a request is sent.
     pub(super) fn take(&mut self, now: Instant, random: f64) {
         self.add_demand(now);
-        self.sent.add(now);
+        self.sent.add(1.0, now);
         self.credit -= 1.0;
         self.threshold = 1.0 - random;
     }
--- a/mimosashift/src/meter/table.rs
+++ b/mimosashift/src/meter/table.rs
@@ -126,4 +126,6 @@
     leases "mimosashift_leases" Gauge [] "Leases that this router holds.";
     lost_leases "mimosashift_lost_leases" Counter [] "Leases that this router lost before it gave them back.";
     orders "mimosashift_orders" Counter [] "Orders sent to endpoints.";
+    link_share "mimosashift_link_share_bytes" Gauge [] "Bytes a second that this router may send over the link between zones; 0 until a request would cross it.";
+    link_bytes "mimosashift_link_bytes" Counter [] "Bytes charged for requests whose chains cross the link between zones, rejected ones included.";
 }
--- a/mimosashift/src/peer/mod.rs
+++ b/mimosashift/src/peer/mod.rs
@@ -13,7 +13,7 @@
 use rand::seq::{IteratorRandom, SliceRandom};
 use rand_pcg::Pcg64Mcg;
 
-use crate::fleet::{Incarnation, LimitRecord, Observation, Usage};
+use crate::fleet::{Incarnation, LimitRecord, LinkRecord, Observation, Usage};
 use crate::freshness::PeerConfirmation;
 use crate::quarantine;
 use crate::time::Instant;
@@ -133,6 +133,8 @@
     pub suspects: Vec<quarantine::Record>,
     /// Limits that endpoints name, and the demand of the sender.
     pub limits: Vec<LimitRecord>,
+    /// The sender's use of the link between zones; `None` if its build tells none.
+    pub link: Option<LinkRecord>,
     /// Addresses of other routers.
     pub peers: Vec<SocketAddr>,
     /// Commit from which the sender was built; `None` if it is older than this field.
--- a/mimosashift/src/peer/wire/entry.rs
+++ b/mimosashift/src/peer/wire/entry.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::exchange::{Malformed, PromptPart, RequestRate};
-use crate::fleet::{self, Incarnation, LimitRecord};
+use crate::fleet::{self, Incarnation, LimitRecord, LinkRecord};
 use crate::peer;
 use crate::quarantine::{self, Fingerprint};
 use crate::resource::{self, Layers};
@@ -15,6 +15,9 @@
 /// Unit of usage in parts, tokens x layers: far below the memory of any engine.
 const USAGE_UNIT: f32 = 64.0;
 
+/// Unit of the use of the link, bytes per second: far below what one request sends.
+const LINK_UNIT: f32 = 65_536.0;
+
 #[derive(Clone, Copy, Serialize, Deserialize)]
 pub(super) struct Config {
     revision: u64,
@@ -78,6 +81,13 @@
     sent: f32,
 }
 
+/// Use of the link, in units of [`LINK_UNIT`], rounded up.
+#[derive(Clone, Copy, Serialize, Deserialize)]
+pub(super) struct Link {
+    used: u32,
+    unmet: u32,
+}
+
 impl From<peer::Config> for Config {
     fn from(config: peer::Config) -> Self {
         Self { revision: config.revision, age: config.age }
@@ -201,3 +211,18 @@
         Ok(Self { endpoint, rate, age, demand, sent })
     }
 }
+
+impl From<&LinkRecord> for Link {
+    fn from(record: &LinkRecord) -> Self {
+        // The conversion saturates.
+        let units = |rate: f32| (rate / LINK_UNIT).ceil() as u32;
+        Self { used: units(record.used), unmet: units(record.unmet) }
+    }
+}
+
+impl From<Link> for LinkRecord {
+    fn from(link: Link) -> Self {
+        let rate = |units: u32| units as f32 * LINK_UNIT;
+        Self { used: rate(link.used), unmet: rate(link.unmet) }
+    }
+}
--- a/mimosashift/src/peer/wire/mod.rs
+++ b/mimosashift/src/peer/wire/mod.rs
@@ -14,7 +14,7 @@
 use smallvec::SmallVec;
 
 use super::Digest;
-use crate::fleet::Incarnation;
+use crate::fleet::{Incarnation, LinkRecord};
 use crate::time::Instant;
 
 mod directory;
@@ -82,6 +82,8 @@
     Routers = 8,
     /// Commit from which the sender was built.
     Build = 9,
+    /// The sender's use of the link between zones.
+    Link = 10,
 }
 
 /// A decoded digest.
@@ -197,6 +199,7 @@
             leaving_endpoints: Vec::new(),
             suspects: Vec::new(),
             limits: Vec::new(),
+            link: None,
             peers: Vec::new(),
             build: None,
             format,
@@ -220,6 +223,9 @@
             push_part(&mut bytes, Part::Suspects, &lists.suspects);
             push_part(&mut bytes, Part::Limits, &lists.limits);
             push_part(&mut bytes, Part::Routers, &lists.routers);
+            if let Some(link) = &digest.link {
+                push_body(&mut bytes, Part::Link, &to_bytes(&entry::Link::from(link)));
+            }
         }
         Format::Lists => bytes.extend(to_bytes(&lists)),
         // Such a router would take the lists that it does not know for others.
@@ -318,6 +324,7 @@
             Part::Limits => replace(&mut digest.limits, checked_list::<entry::Limit, _>(body)),
             Part::Routers => replace(&mut digest.peers, list(body)),
             Part::Build => replace(&mut digest.build, build(body).map(Some)),
+            Part::Link => replace(&mut digest.link, link(body).map(Some)),
         };
         if !is_applied {
             self.malformed.push(number);
@@ -340,6 +347,7 @@
             Self::Limits,
             Self::Routers,
             Self::Build,
+            Self::Link,
         ];
         all.into_iter().find(|part| *part as u32 == number).ok_or(number)
     }
@@ -373,6 +381,10 @@
     entries.into_iter().map(|entry| T::try_from(entry).ok()).collect()
 }
 
+fn link(body: &[u8]) -> Option<LinkRecord> {
+    postcard::from_bytes::<entry::Link>(body).ok().map(Into::into)
+}
+
 /// The commit from which the sender was built, as it appears in logs.
 fn build(body: &[u8]) -> Option<Arc<str>> {
     let text = str::from_utf8(body).ok()?;
--- a/mimosashift/tests/meter.rs
+++ b/mimosashift/tests/meter.rs
@@ -48,6 +48,7 @@
         Meter::heartbeats_received,
         Meter::lost_leases,
         Meter::orders,
+        Meter::link_bytes,
     ];
     counters.iter().for_each(|add| add(&meter, 1));
     let gauges = [
@@ -60,6 +61,7 @@
         Meter::active_teams,
         Meter::config_revision,
         Meter::leases,
+        Meter::link_share,
     ];
     gauges.iter().for_each(|set| set(&meter, 1));
     let histograms = [
--- a/mimosashift/tests/peer.rs
+++ b/mimosashift/tests/peer.rs
@@ -61,6 +61,7 @@
         dead: Vec::new(),
         suspects: Vec::new(),
         limits: Vec::new(),
+        link: None,
         peers: Vec::new(),
         build: None,
         format: Format::Parts,
--- a/mimosashift/tests/peer_wire.rs
+++ b/mimosashift/tests/peer_wire.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use mimosashift::exchange::PromptPart;
-use mimosashift::fleet::{LimitRecord, Observation, Usage, name_key};
+use mimosashift::fleet::{LimitRecord, LinkRecord, Observation, Usage, name_key};
 use mimosashift::peer::wire::{self, Error, Part, decode, encode};
 use mimosashift::peer::{Config, Digest, Directory, Event, Format, MAX_DIGEST_BYTES, Peers};
 use mimosashift::platform::{Key, Row};
@@ -85,6 +85,7 @@
             demand: 4.0,
             sent: 2.5,
         }],
+        link: None,
         peers: vec!["10.1.0.40:7340".parse().unwrap(), "10.2.0.29:7340".parse().unwrap()],
         build: None,
         format,
@@ -124,6 +125,22 @@
     assert_eq!(hex::encode(&written[..written.len() - build_part]), recorded);
 }
 
+/// The part of the link, as the first builds that know it write it.
+const LINK_PART: &str = "0a03a00601";
+
+#[test]
+fn use_of_the_link_is_written_and_read_as_by_earlier_builds() {
+    let link = Some(LinkRecord { used: 52_428_800.0, unmet: 65_536.0 });
+    let written = encode(&Digest { link, ..sample_in_parts() }, Format::Parts);
+    assert!(hex::encode(&written).contains(LINK_PART));
+    assert_eq!(decode(&written).unwrap().digest.link, link);
+    // Older builds get no parts.
+    assert_eq!(
+        decode(&encode(&Digest { link, ..sample_in_parts() }, Format::Lists)).unwrap().digest.link,
+        None
+    );
+}
+
 /// The build 4d2b44d reads six lists after the head, where later ones write eight, and
 /// ignores what follows.
 #[test]
@@ -160,6 +177,8 @@
 #[test_case(Part::Observed, &[1, 11, 1, 1, 9, 4, 0, 0, 0, 0, 0, 0]; "layers in reverse order")]
 #[test_case(Part::Limits, &[1, 1, 1, 1, 0, 0, 0, 0, 0, 0, 0xf0, 0xbf, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0]; "negative rate")]
 #[test_case(Part::Build, &[0xff]; "build that is no text")]
+#[test_case(Part::Link, &[4]; "link without unmet demand")]
+#[test_case(Part::Link, &[0xff, 0xff, 0xff, 0xff, 0xff, 1, 0]; "use of the link out of range")]
 fn malformed_part_is_absent_and_named(part: Part, body: &[u8]) {
     let empty = Digest {
         usage: Vec::new(),
