--- a/mimosactl/src/client.rs
+++ b/mimosactl/src/client.rs
@@ -83,8 +83,25 @@
         precondition: Option<(&str, String)>,
         body: Option<&Value>,
     ) -> Result<Value, Error> {
-        let client = Client::new().with_global_timeout(CALL_TIMEOUT);
         let is_read = method == Method::GET;
+        let body = body.map_or_else(String::new, Value::to_string);
+        self.exchange(method, path, precondition, body, is_read)
+    }
+
+    /// Sends text that the router answers a question about, and parses the response as JSON.
+    pub fn query(&self, path: &str, text: String) -> Result<Value, Error> {
+        self.exchange(Method::POST, path, None, text, true)
+    }
+
+    fn exchange(
+        &self,
+        method: Method,
+        path: &str,
+        precondition: Option<(&str, String)>,
+        body: String,
+        is_read: bool,
+    ) -> Result<Value, Error> {
+        let client = Client::new().with_global_timeout(CALL_TIMEOUT);
         let response = self.send(&client, method, path, precondition, body)?;
         let status = response.status();
         let text = response.into_body().to_string().map_err(|e| self.unreachable(&e))?;
@@ -102,7 +119,7 @@
 
     /// Passes each line of a streamed response to `on_line` until the stream ends.
     pub fn stream(&self, path: &str, mut on_line: impl FnMut(Value)) -> Result<(), Error> {
-        let response = self.send(&Client::new(), Method::GET, path, None, None)?;
+        let response = self.send(&Client::new(), Method::GET, path, None, String::new())?;
         let status = response.status();
         if !status.is_success() {
             let text = response.into_body().to_string().map_err(|e| self.unreachable(&e))?;
@@ -128,7 +145,7 @@
         method: Method,
         path: &str,
         precondition: Option<(&str, String)>,
-        body: Option<&Value>,
+        body: String,
     ) -> Result<Response<Body>, Error> {
         let mut request = Request::builder()
             .method(method)
@@ -137,7 +154,6 @@
         if let Some((name, value)) = precondition {
             request = request.header(name, value);
         }
-        let body = body.map_or_else(String::new, Value::to_string);
         let request = request
             .body(Body::from(body))
             .map_err(|e| Error::Usage(format!("--server {:?}: {e}", self.address)))?;
--- a/mimosactl/src/commands.rs
+++ b/mimosactl/src/commands.rs
@@ -45,11 +45,7 @@
                 self.wait(wait.revision, limit)
             }
             MimosactlCmd::Audit(audit) => self.audit(audit),
-            MimosactlCmd::Explain(explain) => {
-                let tokens = explain.prompt_tokens.unwrap_or(100);
-                let model = encode(&explain.model);
-                self.show(&format!("/api/v1/explain?model={model}&prompt_tokens={tokens}"))
-            }
+            MimosactlCmd::Explain(explain) => self.explain(explain),
             MimosactlCmd::Status(_) => self.show("/api/v1/status"),
             MimosactlCmd::Postings(_) => {
                 let answer = self.server.get("/api/v1/postings?state=unknown")?;
@@ -154,6 +150,46 @@
         self.print_items(&answer, &columns)
     }
 
+    fn explain(&self, explain: &flags::Explain) -> Result<(), Error> {
+        let format = if explain.json { Format::Json } else { self.format };
+        let answer = match &explain.model {
+            Some(model) => {
+                let tokens = explain.prompt_tokens.unwrap_or(100);
+                let model = encode(model);
+                self.server.get(&format!("/api/v1/explain?model={model}&prompt_tokens={tokens}"))?
+            }
+            None => self.explain_request(explain)?,
+        };
+        format.print_one(&answer).map_err(print_error)
+    }
+
+    /// Asks about a request by its head, its parameters, or both.
+    fn explain_request(&self, explain: &flags::Explain) -> Result<Value, Error> {
+        let number = |count: Option<u32>| count.map(|count| count.to_string());
+        let parameters = [
+            ("host", explain.host.clone()),
+            ("path", explain.path.clone()),
+            ("method", explain.method.clone()),
+            ("team", explain.team.clone()),
+            ("prompt", number(explain.prompt.or(explain.prompt_tokens))),
+            ("max_output", number(explain.max_output)),
+            ("hint", number(explain.hint)),
+            ("prefix", explain.prefix.clone()),
+        ];
+        let given = parameters.iter().filter_map(|(name, value)| Some((name, value.as_ref()?)));
+        let given: Vec<_> =
+            given.map(|(name, value)| format!("{name}={}", encode(value))).collect();
+        if explain.head.is_none() && (explain.host.is_none() || explain.path.is_none()) {
+            let message = "explain needs a model, --head, or --host and --path";
+            return Err(Error::Usage(message.to_owned()));
+        }
+        let path = format!("/api/v1/explain?{}", given.join("&"));
+        match &explain.head {
+            Some(file) => self.server.query(&path, files::read_text(file)?),
+            None => self.server.get(&path),
+        }
+    }
+
     fn resolve(&self, resolve: &flags::Resolve) -> Result<(), Error> {
         if resolve.ran == resolve.not_run {
             return Err(Error::Usage("resolve needs one of --ran and --not-run".to_owned()));
--- a/mimosactl/src/files.rs
+++ b/mimosactl/src/files.rs
@@ -72,7 +72,7 @@
     Ok(files)
 }
 
-fn read_text(path: &Path) -> Result<String, Error> {
+pub fn read_text(path: &Path) -> Result<String, Error> {
     if path == Path::new("-") {
         let mut text = String::new();
         std::io::stdin().read_to_string(&mut text).map_err(|e| read_error(path, &e))?;
--- a/mimosactl/src/flags.rs
+++ b/mimosactl/src/flags.rs
@@ -71,11 +71,34 @@
             optional --limit count: u32
         }
         /// Shows the chain of endpoints that a request would be routed to, and why.
+        ///
+        /// Takes the model, or for mimosafront, whose metrics address is the server
+        /// then, the head of a request, its sizes, or both.
         cmd explain {
             /// Model name, as in requests of callers.
-            required model: String
-            /// Prompt length in tokens; default: 100.
+            optional model: String
+            /// Prompt length in tokens; default with a model: 100.
             optional --prompt-tokens count: u32
+            /// File with the head of the request, or - for standard input.
+            optional --head path: PathBuf
+            /// Host of the request.
+            optional --host name: String
+            /// Path of the request.
+            optional --path path: String
+            /// Method of the request; default: POST.
+            optional --method name: String
+            /// Team in whose name the request is sent.
+            optional --team name: String
+            /// Prompt length in tokens.
+            optional --prompt count: u32
+            /// Maximum output in tokens.
+            optional --max-output count: u32
+            /// Expected output in tokens.
+            optional --hint count: u32
+            /// Parts of the prompt, as in the request.
+            optional --prefix parts: String
+            /// Prints JSON, as --output json.
+            optional --json
         }
         /// Shows the router's state.
         cmd status {
--- a/mimosactl/tests/cli.rs
+++ b/mimosactl/tests/cli.rs
@@ -136,6 +136,60 @@
     assert_eq!(exit_code(&output), Some(code), "{}", text(&output.stderr));
 }
 
+/// An explanation as a router gives it.
+const EXPLANATION: &str = r#"{"router":{"revision":7},"refusal":null,"services":[{"name":"model","outcome":"sent","chosen":{"cost":12.5}}]}"#;
+
+/// Explains a request at a server that answers [`EXPLANATION`]; returns what the server read
+/// as well.
+fn explain(args: &[&str], head: &str) -> (Output, String) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let server = listener.local_addr().unwrap().to_string();
+    let length = EXPLANATION.len();
+    let serving = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut read = String::new();
+        let is_complete = |read: &str| {
+            let (head, body) = read.split_once("\r\n\r\n")?;
+            let line = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+            Some(body.len() >= line.map_or(0, |length| length.parse::<usize>().unwrap()))
+        };
+        while is_complete(&read) != Some(true) {
+            let mut bytes = [0; 4096];
+            let count = stream.read(&mut bytes).unwrap();
+            read.push_str(std::str::from_utf8(&bytes[..count]).unwrap());
+        }
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n");
+        stream.write_all((head + EXPLANATION).as_bytes()).unwrap();
+        read
+    });
+    (run(&server, args, head), serving.join().unwrap())
+}
+
+#[test]
+fn request_is_explained_by_its_sizes() {
+    let args = ["explain", "--host", "a.example", "--path", "/x/", "--team", "clerks"];
+    let sizes = ["--prompt", "100", "--max-output", "8", "--json"];
+    let (output, read) = explain(&[&args[..], &sizes[..]].concat(), "");
+    assert_eq!(exit_code(&output), Some(0), "{}", text(&output.stderr));
+    assert_eq!(json(&output), serde_json::from_str::<Value>(EXPLANATION).unwrap());
+    let query = "host=a%2Eexample&path=%2Fx%2F&team=clerks&prompt=100&max_output=8";
+    assert!(read.starts_with(&format!("GET /api/v1/explain?{query} ")), "{read}");
+}
+
+#[test]
+fn request_is_explained_by_its_head() {
+    let head = "GET /x/ HTTP/1.1\r\nhost: a.example\r\n\r\n";
+    let (output, read) = explain(&["explain", "--head", "-"], head);
+    assert_eq!(exit_code(&output), Some(0), "{}", text(&output.stderr));
+    assert!(read.starts_with("POST /api/v1/explain? ") && read.ends_with(head), "{read}");
+    let table = text(&output.stdout);
+    let has_row = |name: &str, value: &str| {
+        table.lines().any(|line| line.starts_with(name) && line.ends_with(value))
+    };
+    assert!(has_row("router.revision", " 7") && has_row("services", ""), "{table}");
+    assert!(table.contains("cost=12.5") && !table.contains(['{', '[', '"']), "{table}");
+}
+
 /// Declares one test per command line, with its exit code.
 macro_rules! exit_codes {
     ($($case:ident: $args:expr => $code:literal;)*) => {$(
@@ -153,5 +207,7 @@
     apply_without_file: ["apply"] => 2;
     missing_file: ["apply", "-f", "/nonexistent.json"] => 2;
     resolve_without_outcome: ["resolve", "key"] => 2;
+    explain_without_request: ["explain", "--team", "clerks"] => 2;
+    explain_by_model: ["explain", "model-a", "--prompt-tokens", "5"] => 1;
     completions: ["completions"] => 0;
 }
--- a/mimosafront/src/metrics.rs
+++ b/mimosafront/src/metrics.rs
@@ -1,28 +1,35 @@
-//! Serves the metrics over HTTP.
+//! Serves the metrics and explanations to operators over HTTP.
 
 use std::convert::Infallible;
 use std::rc::Rc;
 
-use hyper::body::Bytes;
+use hyper::body::{Bytes, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Response, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use mimosashift::meter::MemberState;
 use tokio::net::TcpListener;
 
 use crate::body::ResponseBody;
+use crate::relay::explain;
 use crate::state::RouterState;
 use crate::{BUILD, clock};
 
-/// Returns the metrics for every path, until the router exits.
+/// Explains requests at [`explain::PATH`] and returns the metrics for every other path, until
+/// the router exits.
 pub async fn serve(state: Rc<RouterState>, listener: TcpListener) {
     loop {
         let Ok((stream, _)) = listener.accept().await else { continue };
         let state = state.clone();
-        let service = service_fn(move |_| {
+        let service = service_fn(move |request: Request<Incoming>| {
             let state = state.clone();
-            async move { Ok::<_, Infallible>(respond(&state)) }
+            async move {
+                Ok::<_, Infallible>(match request.uri().path() {
+                    explain::PATH => explain::respond(&state, request).await,
+                    _ => respond(&state),
+                })
+            }
         });
         let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
         // A failed scrape is repeated by the scraper.
--- a/mimosafront/src/relay/chain/admission.rs
+++ b/mimosafront/src/relay/chain/admission.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
-use mimosashift::admit::pressure::MAX_WAIT;
+use mimosashift::admit::pressure::{MAX_WAIT, MemoryPressure};
 use mimosashift::deployment::Engine;
 use mimosashift::emit;
 use mimosashift::event::Event;
-use mimosashift::fleet::{Allowance, Chain, Demand, Hop, Query, Shortage};
+use mimosashift::fleet::{Allowance, Chain, Demand, Explanation, Hop, Query, Shortage};
 use mimosashift::meter::RefusalReason;
 use mimosashift::time::Instant;
 use smallvec::SmallVec;
@@ -74,12 +74,7 @@
         if state.pressure.borrow().waiting() == 0 {
             match self.select_chain(engine) {
                 Ok(chain) => return Ok(self.record_admission(chain)),
-                Err(
-                    Shortage::Full(_)
-                    | Shortage::Backlogged(_)
-                    | Shortage::LinkFull(_)
-                    | Shortage::Limited,
-                ) => {}
+                Err(found) if may_pass(&found) => {}
                 Err(lasting) => shortage = Some(lasting),
             }
         }
@@ -110,8 +105,7 @@
                 Err(shortage) => shortage,
             };
             let left = until.min(self.ctx.deadline).since(clock::now());
-            let is_lasting = matches!(shortage, Shortage::Uncovered(_) | Shortage::Resting);
-            if is_lasting || left.is_zero() {
+            if !may_pass(&shortage) || left.is_zero() {
                 return Err(shortage);
             }
             // The next iteration checks whether memory was released or time ran
@@ -158,6 +152,13 @@
         Query { service, engine, zone, demand, first, avoid, allowance }
     }
 
+    /// Explains the choice of the chain that [`select_chain`](Self::select_chain) makes.
+    pub(super) fn explain_choice(&self, engine: &Engine) -> Explanation {
+        let zone = self.state().node().zone.clone();
+        let query = self.query(engine, &zone, &self.demand, None, &self.excluded_hops);
+        self.state().fleet.borrow().explain_chain(&query, clock::now())
+    }
+
     /// How far the request may load endpoints. One that has begun keeps what it has, and only
     /// the memory of further endpoints binds it.
     fn allowance(&self, first: Option<&Hop>) -> Allowance {
@@ -177,30 +178,58 @@
 
     fn shortage_error(&self, engine: &Engine, shortage: &Shortage) -> RequestError {
         self.log_shortage(engine, shortage);
-        let mut pressure = self.state().pressure.borrow_mut();
-        pressure.record_refused(clock::now());
-        let retry_after = pressure.retry_after(self.state().random_fraction());
-        let limited = || self.state().record_limited(&self.ctx.service.name);
-        let rest_left = || self.state().time_to_end_of_rest(&self.ctx.service.name);
-        let retry_after = match shortage {
-            Shortage::Limited => limited().unwrap_or(retry_after),
-            Shortage::Resting => rest_left().unwrap_or(retry_after),
+        self.state().pressure.borrow_mut().record_refused(clock::now());
+        let random = self.state().random_fraction();
+        let retry_after = self.retry_after(shortage, &self.state().pressure.borrow(), random);
+        if *shortage == Shortage::Limited {
+            self.state().record_limited(&self.ctx.service.name);
+        }
+        let (kind, reason) = refusal_reason(shortage);
+        if self.possible_executions > 0 {
+            return RequestError::Failed(StatusCode::BAD_GATEWAY, reason);
+        }
+        RequestError::Refused(kind, reason, retry_after)
+    }
+
+    /// When the client of a request that is refused for a shortage may come back, given a
+    /// random number from `0.0..1.0`.
+    pub(super) fn retry_after(
+        &self,
+        shortage: &Shortage,
+        pressure: &MemoryPressure,
+        random: f64,
+    ) -> Duration {
+        let (state, service) = (self.state(), &self.ctx.service.name);
+        let wait = match shortage {
+            Shortage::Limited => state.time_to_credit(service, random),
+            Shortage::Resting => state.time_to_end_of_rest(service, random),
             Shortage::Full(_)
             | Shortage::Backlogged(_)
             | Shortage::LinkFull(_)
-            | Shortage::Uncovered(_) => retry_after,
-        };
-        let (kind, reason) = match shortage {
-            Shortage::Full(_) => (RefusalReason::Shed, "no memory free"),
-            Shortage::Backlogged(_) => (RefusalReason::Shed, "too many prompts ahead"),
-            Shortage::LinkFull(_) => (RefusalReason::Shed, "link between zones is full"),
-            Shortage::Uncovered(_) => (RefusalReason::NoEndpoint, "layers without an endpoint"),
-            Shortage::Limited => (RefusalReason::OverLimit, LIMITED_REASON),
-            Shortage::Resting => (RefusalReason::OverLimit, RESTING_REASON),
+            | Shortage::Uncovered(_) => None,
         };
-        if self.possible_executions > 0 {
-            return RequestError::Failed(StatusCode::BAD_GATEWAY, reason);
+        wait.unwrap_or_else(|| pressure.retry_after(random))
+    }
+}
+
+/// Whether a request may wait for the end of a shortage.
+pub(super) const fn may_pass(shortage: &Shortage) -> bool {
+    match shortage {
+        Shortage::Full(_) | Shortage::Backlogged(_) | Shortage::LinkFull(_) | Shortage::Limited => {
+            true
         }
-        RequestError::Refused(kind, reason, retry_after)
+        Shortage::Uncovered(_) | Shortage::Resting => false,
+    }
+}
+
+/// Why a request is refused that finds a shortage.
+pub(super) const fn refusal_reason(shortage: &Shortage) -> (RefusalReason, &'static str) {
+    match shortage {
+        Shortage::Full(_) => (RefusalReason::Shed, "no memory free"),
+        Shortage::Backlogged(_) => (RefusalReason::Shed, "too many prompts ahead"),
+        Shortage::LinkFull(_) => (RefusalReason::Shed, "link between zones is full"),
+        Shortage::Uncovered(_) => (RefusalReason::NoEndpoint, "layers without an endpoint"),
+        Shortage::Limited => (RefusalReason::OverLimit, LIMITED_REASON),
+        Shortage::Resting => (RefusalReason::OverLimit, RESTING_REASON),
     }
 }
--- a/mimosafront/src/relay/chain/mod.rs
+++ b/mimosafront/src/relay/chain/mod.rs
@@ -31,6 +31,7 @@
 
 mod admission;
 mod crash;
+pub(super) mod explain;
 mod forward;
 mod recheck;
 mod send;
@@ -227,10 +228,14 @@
     /// Checks that this router does not cut off the answer if the request is sent now. A stream
     /// that has begun ends in any case without this send.
     pub(super) fn check_stop(&self) -> Result<(), RequestError> {
-        if self.has_begun || !stop::outlasts_router(&self.ctx, |left| self.outlasts(left)) {
-            return Ok(());
+        if self.is_stopped() {
+            return Err(stop::error(self.state(), self.possible_executions > 0));
         }
-        Err(stop::error(self.state(), self.possible_executions > 0))
+        Ok(())
+    }
+
+    fn is_stopped(&self) -> bool {
+        !self.has_begun && stop::outlasts_router(&self.ctx, |left| self.outlasts(left))
     }
 
     /// Whether the answer probably takes longer than `left`. As long as the load balancer may
--- a/mimosafront/src/relay/endpoint.rs
+++ b/mimosafront/src/relay/endpoint.rs
@@ -36,12 +36,22 @@
 
     /// Why there is none, if their limits or rests are the cause.
     pub(super) fn find_limit(&self) -> Option<Lack> {
-        let (state, service) = (&self.state, &self.service.name);
-        if let Some(wait) = state.record_limited(service) {
-            return Some((RefusalReason::OverLimit, LIMITED_REASON, wait));
+        let lack = self.known_limit(self.state.random_fraction())?;
+        if lack.1 == LIMITED_REASON {
+            self.state.record_limited(&self.service.name);
         }
-        let wait = state.time_to_end_of_rest(service)?;
-        Some((RefusalReason::OverLimit, RESTING_REASON, wait))
+        Some(lack)
+    }
+
+    /// Why there is none, as [`find_limit`](Self::find_limit) with this random number, without
+    /// a record of it.
+    pub(super) fn known_limit(&self, random: f64) -> Option<Lack> {
+        let (state, service) = (&self.state, &self.service.name);
+        let limited = || state.time_to_credit(service, random).map(|wait| (LIMITED_REASON, wait));
+        let resting =
+            || state.time_to_end_of_rest(service, random).map(|wait| (RESTING_REASON, wait));
+        let (reason, wait) = limited().or_else(resting)?;
+        Some((RefusalReason::OverLimit, reason, wait))
     }
 
     /// Time without an answer after which a request that may be sent elsewhere is.
--- a/mimosafront/src/relay/mod.rs
+++ b/mimosafront/src/relay/mod.rs
@@ -13,10 +13,10 @@
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode, Uri, Version};
 use mimosaplatform::header;
-use mimosashift::deployment::{Denied, Deployment, Route, RouteKind, Service};
+use mimosashift::deployment::{Deployment, Limits, Route, RouteKind, Service};
 use mimosashift::emit;
 use mimosashift::event::Event;
-use mimosashift::exchange::{Forward, Tokens};
+use mimosashift::exchange::{self, Forward, Tokens};
 use mimosashift::fleet::Hop;
 use mimosashift::meter::{Outcome, RefusalReason};
 use mimosashift::quarantine::{Content, Contents, Fingerprint};
@@ -29,14 +29,17 @@
 use crate::state::{RouterState, millis};
 
 use self::peer::Origin;
+use self::resolve::{Caller, ResolvedRoute, resolve_route, wait_for_directory};
 
 mod answer;
 mod chain;
 mod collect;
 mod endpoint;
+pub mod explain;
 mod peer;
 mod plain;
 mod quarantine;
+mod resolve;
 mod stop;
 
 /// Retry-After of refusals that are not caused by load, such as a missing
@@ -44,19 +47,6 @@
 /// times a second.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// Time limit for confirming the configuration before a request is rejected: a
-/// few round trips to the store.
-const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(150);
-
-/// Time for which a request waits until the directory has first been read: several calls
-/// to the store.
-const DIRECTORY_TIMEOUT: Duration = Duration::from_millis(300);
-
-/// Age of the configuration up to which a route or key may be rejected as
-/// unknown if confirming the configuration fails: within the two seconds in which a configuration must
-/// take effect.
-const MAX_DENIAL_CONFIG_AGE: Duration = Duration::from_millis(1_500);
-
 /// Reason for refusing a request if the endpoints have reached their limits.
 const LIMITED_REASON: &str = "endpoints at their limits";
 
@@ -126,6 +116,44 @@
 }
 
 impl RequestContext {
+    #[expect(clippy::too_many_arguments)] // Each is a part of the request's context.
+    fn new(
+        state: &Rc<RouterState>,
+        call: Call,
+        (_, route, team): ResolvedRoute,
+        service: Arc<Service>,
+        origin: Origin,
+        arrived: Instant,
+        is_sent: Rc<Cell<bool>>,
+        in_flight: InFlightGuard,
+    ) -> Self {
+        let Call { head, body, info, host } = call;
+        let target = origin_form(&head.uri);
+        let (method, path) = (head.method.as_str(), target.to_string());
+        let fingerprint = Fingerprint::new(team.as_deref(), method, &host, &path, &body);
+        let parts = info.shared_parts.into_iter().map(Content::Part);
+        let time_limit = info.timeout.map_or(route.timeout, |limit| limit.min(route.timeout));
+        Self {
+            state: state.clone(),
+            id: info.id,
+            method: head.method,
+            uri: target,
+            headers: head.headers,
+            body,
+            route,
+            service,
+            team,
+            tokens: info.tokens,
+            contents: parts.chain([Content::Request(fingerprint)]).collect(),
+            last_event: info.last_event,
+            origin,
+            arrived,
+            deadline: arrived + time_limit,
+            is_sent,
+            _in_flight_guard: in_flight,
+        }
+    }
+
     /// Time until the deadline.
     fn remaining(&self) -> Duration {
         self.deadline.since(clock::now())
@@ -255,6 +283,36 @@
 ) -> Result<RequestContext, RequestError> {
     let in_flight = InFlightGuard::new(state);
     let (head, body) = request.into_parts();
+    let limits = limits_since(state, listener, arrived);
+    let (info, host) = check_head(&head, body.size_hint().lower(), &limits)?;
+    let body = collect::read_body(state, body, listener, arrived).await?;
+    let caller = Caller::Key(info.api_key.as_deref());
+    let resolved = resolve_route(state, &host, head.uri.path(), caller).await?;
+    wait_for_directory(state).await?;
+    let target = resolved.1.target(state.random_fraction());
+    let service = find_service(&resolved.0, target)?;
+    if origin == Origin::Client {
+        state.count_request(&service.name);
+    }
+    let call = Call { head, body, info, host };
+    Ok(RequestContext::new(state, call, resolved, service, origin, arrived, is_sent, in_flight))
+}
+
+/// A request as read from its client.
+#[derive(Clone)]
+struct Call {
+    head: Parts,
+    body: Bytes,
+    info: exchange::Request,
+    host: String,
+}
+
+/// Validates the head of a request; returns what it says and its host.
+fn check_head(
+    head: &Parts,
+    body_bytes: u64,
+    limits: &Limits,
+) -> Result<(exchange::Request, String), RequestError> {
     let headers = &head.headers;
     if headers.contains_key(CONTENT_LENGTH) && headers.contains_key(TRANSFER_ENCODING) {
         return Err(RequestError::Denied(StatusCode::BAD_REQUEST, "two framings"));
@@ -264,55 +322,29 @@
     let host = host(&head.uri, headers)
         .ok_or(RequestError::Denied(StatusCode::BAD_REQUEST, "host is missing"))?
         .to_owned();
-    let limit = limits_since(state, listener, arrived);
-    if head_size(&head) > limit.head_bytes {
+    if head_size(head) > limits.head_bytes {
         return Err(RequestError::Denied(
             StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             "head too large",
         ));
     }
-    if body.size_hint().lower() > limit.body_bytes as u64 {
+    if body_bytes > limits.body_bytes as u64 {
         return Err(RequestError::Denied(StatusCode::PAYLOAD_TOO_LARGE, "body too large"));
     }
-    let body = collect::read_body(state, body, listener, arrived).await?;
-    let path = head.uri.path();
-    let (deployment, route, team) =
-        resolve_route(state, &host, path, info.api_key.as_deref()).await?;
-    wait_for_directory(state).await?;
-    let target = route.target(state.random_fraction());
+    Ok((info, host))
+}
+
+/// The service that a route leads to.
+fn find_service(
+    deployment: &Deployment,
+    target: Option<&Arc<str>>,
+) -> Result<Arc<Service>, RequestError> {
     let service = target.and_then(|service| deployment.service(service)).cloned();
-    let service = service.ok_or(RequestError::Refused(
+    service.ok_or(RequestError::Refused(
         RefusalReason::NoEndpoint,
         "service is not declared",
         DEFAULT_RETRY_AFTER,
-    ))?;
-    if origin == Origin::Client {
-        state.count_request(&service.name);
-    }
-    let target = origin_form(&head.uri);
-    let (method, path) = (head.method.as_str(), target.to_string());
-    let fingerprint = Fingerprint::new(team.as_deref(), method, &host, &path, &body);
-    let parts = info.shared_parts.into_iter().map(Content::Part);
-    let time_limit = info.timeout.map_or(route.timeout, |limit| limit.min(route.timeout));
-    Ok(RequestContext {
-        state: state.clone(),
-        id: info.id,
-        method: head.method,
-        uri: target,
-        headers: head.headers,
-        body,
-        route,
-        service,
-        team,
-        tokens: info.tokens,
-        contents: parts.chain([Content::Request(fingerprint)]).collect(),
-        last_event: info.last_event,
-        origin,
-        arrived,
-        deadline: arrived + time_limit,
-        is_sent,
-        _in_flight_guard: in_flight,
-    })
+    ))
 }
 
 /// Size of the head, in bytes; spaces that carry no meaning do not count.
@@ -334,89 +366,6 @@
     path.map_or_else(Uri::default, Uri::from)
 }
 
-/// Waits until a router that has just started has read the endpoint directory: until then
-/// it does not know whether a request can be served.
-async fn wait_for_directory(state: &RouterState) -> Result<(), RequestError> {
-    if state.directory_read_at().is_none() {
-        // The outcome shows below.
-        drop(tokio::time::timeout(DIRECTORY_TIMEOUT, state.directory_read.notified()).await);
-    }
-    match state.directory_read_at() {
-        Some(_) => Ok(()),
-        None => Err(RequestError::Refused(
-            RefusalReason::NotReady,
-            "endpoints not known",
-            DEFAULT_RETRY_AFTER,
-        )),
-    }
-}
-
-/// A configuration, the route of a request in it, and the name of its team.
-type ResolvedRoute = (Rc<Deployment>, Arc<Route>, Option<String>);
-
-/// Resolves the route and team of a request against a configuration that is
-/// recent enough to deny the request or accept its key.
-async fn resolve_route(
-    state: &RouterState,
-    host: &str,
-    path: &str,
-    key: Option<&str>,
-) -> Result<ResolvedRoute, RequestError> {
-    let not_ready =
-        |reason| Err(RequestError::Refused(RefusalReason::NotReady, reason, DEFAULT_RETRY_AFTER));
-    let resolved = lookup(state, host, path, key);
-    let (resolved, fresh) = match resolved {
-        Some(Ok(resolved)) if resolved.1.public || state.keys_are_current() => return Ok(resolved),
-        resolved => {
-            let now = clock::now();
-            let max_age = state.peers.borrow().fresh_config_age(now);
-            let fresh = state.config_freshness.get().age(now).is_some_and(|age| age < max_age);
-            (resolved, fresh)
-        }
-    };
-    let resolved = if fresh {
-        resolved
-    } else {
-        state.config_refresh.notify_one();
-        // If this times out, the installed configuration is used unless it is
-        // too old.
-        drop(tokio::time::timeout(CONFIRMATION_TIMEOUT, state.config_confirmed.notified()).await);
-        let age = state.config_freshness.get().age(clock::now());
-        if age.is_none_or(|age| age > MAX_DENIAL_CONFIG_AGE)
-            || state.active_config.borrow().is_none()
-        {
-            return not_ready("configuration not confirmed");
-        }
-        lookup(state, host, path, key)
-    };
-    match resolved {
-        Some(Ok(resolved)) if resolved.1.public || state.keys_are_current() => Ok(resolved),
-        Some(Ok(_)) => not_ready("keys not confirmed"),
-        Some(Err(Denied::NoRoute)) => Err(RequestError::Denied(StatusCode::NOT_FOUND, "no route")),
-        Some(Err(Denied::InvalidKey)) => {
-            Err(RequestError::Denied(StatusCode::UNAUTHORIZED, "unknown key"))
-        }
-        None => not_ready("no configuration"),
-    }
-}
-
-fn lookup(
-    state: &RouterState,
-    host: &str,
-    path: &str,
-    key: Option<&str>,
-) -> Option<Result<ResolvedRoute, Denied>> {
-    let deployment = state.deployment()?;
-    let Some(route) = deployment.route(host, path).cloned() else {
-        return Some(Err(Denied::NoRoute));
-    };
-    let team = match deployment.team(&route, key) {
-        Ok(team) => team.map(|team| team.name.clone()),
-        Err(denied) => return Some(Err(denied)),
-    };
-    Some(Ok((deployment, route, team)))
-}
-
 /// A response made by the router itself, without an endpoint's signature.
 fn error_response(
     state: &RouterState,
--- a/mimosafront/src/relay/peer.rs
+++ b/mimosafront/src/relay/peer.rs
@@ -141,6 +141,12 @@
     }
 }
 
+/// When the client of a request that no router can serve may return, given a random number
+/// from `0.0..1.0`.
+pub(super) fn unreachable_after(random: f64) -> Duration {
+    UNREACHABLE_RETRY_AFTER.mul_f64(1.0 + random)
+}
+
 /// Adds to the answer of this router that the request has not run.
 pub(super) fn state_not_run(headers: &mut HeaderMap) {
     headers.insert(OUTCOME, NOT_RUN);
@@ -201,7 +207,7 @@
 
     /// When the client of a request that no router can serve may return.
     pub(super) fn unreachable_retry_after(&self) -> Duration {
-        UNREACHABLE_RETRY_AFTER.mul_f64(1.0 + self.state.random_fraction())
+        unreachable_after(self.state.random_fraction())
     }
 
     /// Whether the request, which may have been executed so often, may be sent once more,
--- a/mimosafront/src/relay/quarantine.rs
+++ b/mimosafront/src/relay/quarantine.rs
@@ -14,6 +14,14 @@
 /// Maximum number of contents in a log line.
 const MAX_LOGGED_CONTENTS: usize = 8;
 
+/// Reason for refusing a request with a content that is blocked.
+pub(super) const fn blocked_reason(content: Content) -> &'static str {
+    match content {
+        Content::Part(_) => "a part of the prompt crashes engines",
+        Content::Request(_) => "a request with this content crashes endpoints",
+    }
+}
+
 impl RequestContext {
     /// The contents, for logs: the request as a whole last.
     pub(super) fn describe_contents(&self) -> String {
@@ -34,10 +42,7 @@
             }
             Verdict::Blocked(content, left) => {
                 emit!(state.log, Event::ContentRefused, "content" => content.to_string(), "request" => &*self.id, "blocked_ms" => millis(left));
-                let reason = match content {
-                    Content::Part(_) => "a part of the prompt crashes engines",
-                    Content::Request(_) => "a request with this content crashes endpoints",
-                };
+                let reason = blocked_reason(content);
                 Err(if may_have_run {
                     RequestError::Failed(StatusCode::BAD_GATEWAY, reason)
                 } else {
--- a/mimosafront/src/relay/stop.rs
+++ b/mimosafront/src/relay/stop.rs
@@ -39,11 +39,16 @@
 
 /// Refuses a request that has not run, since a router that is stopping cannot finish it.
 pub(super) fn refusal(state: &RouterState) -> RequestError {
-    let retry_after = if has_other_router(state) { RETRY_AFTER } else { RESTART_RETRY_AFTER };
-    let retry_after = retry_after.mul_f64(1.0 + state.random_fraction());
+    let retry_after = retry_after(state, state.random_fraction());
     RequestError::Refused(RefusalReason::NotReady, REASON, retry_after)
 }
 
+/// When the client of such a request may return, given a random number from `0.0..1.0`.
+pub(super) fn retry_after(state: &RouterState, random: f64) -> Duration {
+    let least = if has_other_router(state) { RETRY_AFTER } else { RESTART_RETRY_AFTER };
+    least.mul_f64(1.0 + random)
+}
+
 /// Whether this router is stopping and might cut off the answer to a request that is sent now,
 /// first or once more. Where another router serves it, that follows from the time that the
 /// request and this process have left. Until the load balancer has turned away it may lead the
--- a/mimosafront/src/state.rs
+++ b/mimosafront/src/state.rs
@@ -356,6 +356,13 @@
         self.quarantine.borrow_mut().admit(contents, rank, now)
     }
 
+    /// Whether a request with these contents might be sent, without a trial of them.
+    pub fn contents_verdict(&self, contents: &[Content]) -> Verdict {
+        let now = clock::now();
+        let rank = |content| self.trial_rank(content, now);
+        self.quarantine.borrow().verdict(contents, rank, now)
+    }
+
     /// Number of live routers that try a blocked content before this one; rendezvous
     /// hashing orders them differently for each content.
     fn trial_rank(&self, content: Content, now: Instant) -> usize {
@@ -380,20 +387,29 @@
         }
     }
 
-    /// Records a request that is refused because of the limits of a service's endpoints;
-    /// returns when its client may come back. `None` if no endpoint has reached its limit.
-    pub fn record_limited(&self, service: &str) -> Option<Duration> {
-        let (now, random) = (clock::now(), self.random_fraction());
-        let wait = self.fleet.borrow().time_to_credit(service, now)?;
-        self.fleet.borrow_mut().record_limited(service, now);
+    /// Records a request that is refused because of the limits of a service's endpoints, if
+    /// one has reached its limit.
+    pub fn record_limited(&self, service: &str) {
+        let now = clock::now();
+        let mut fleet = self.fleet.borrow_mut();
+        if fleet.time_to_credit(service, now).is_some() {
+            fleet.record_limited(service, now);
+        }
+    }
+
+    /// When the client of a request may come back that is refused because of the limits of a
+    /// service's endpoints, given a random number from `0.0..1.0`; `None` if no endpoint has
+    /// reached its limit.
+    pub fn time_to_credit(&self, service: &str, random: f64) -> Option<Duration> {
+        let wait = self.fleet.borrow().time_to_credit(service, clock::now())?;
         Some(spread_returns(wait, random))
     }
 
     /// When the client of a request may come back that is refused because endpoints of a
-    /// service rest; `None` if none does.
-    pub fn time_to_end_of_rest(&self, service: &str) -> Option<Duration> {
+    /// service rest, given a random number from `0.0..1.0`; `None` if none does.
+    pub fn time_to_end_of_rest(&self, service: &str, random: f64) -> Option<Duration> {
         let wait = self.fleet.borrow().time_to_end_of_rest(service, clock::now())?;
-        Some(spread_returns(wait, self.random_fraction()))
+        Some(spread_returns(wait, random))
     }
 
     /// A random number in `0.0..1.0`.
--- a/mimosafront/tests/cluster/client.rs
+++ b/mimosafront/tests/cluster/client.rs
@@ -108,6 +108,16 @@
         }
     }
 
+    /// Its head and body as text.
+    pub fn to_text(&self) -> String {
+        let request = self.to_http();
+        let mut text = format!("{} {} HTTP/1.1\r\n", self.method, self.path);
+        for (name, value) in request.headers() {
+            text.push_str(&format!("{name}: {}\r\n", value.to_str().unwrap()));
+        }
+        text + "\r\n" + &String::from_utf8_lossy(&self.body)
+    }
+
     fn to_http(&self) -> Request<Full<Bytes>> {
         let mut builder = Request::builder()
             .method(self.method.clone())
--- a/mimosafront/tests/cluster/router.rs
+++ b/mimosafront/tests/cluster/router.rs
@@ -9,6 +9,7 @@
 
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
+use serde_json::Value;
 
 use super::HEARTBEAT_INTERVAL;
 use super::WAIT_TIMEOUT;
@@ -221,6 +222,15 @@
         request.send(self.ready).await.is_some_and(|response| response.status == 200)
     }
 
+    /// What it says that would become of a request, given parameters and a head.
+    pub async fn explain(&self, query: &str, head: &str) -> Value {
+        let path = format!("/api/v1/explain?{query}");
+        let request =
+            TestRequest { body: head.into(), ..TestRequest::new(hyper::Method::POST, &path) };
+        let response = request.send(self.metrics).await.unwrap();
+        serde_json::from_str(&response.body).unwrap()
+    }
+
     pub async fn metrics(&self) -> String {
         let request = TestRequest::new(hyper::Method::GET, "/metrics");
         request.send(self.metrics).await.map(|response| response.body).unwrap_or_default()
--- a/mimosashift/src/deployment/mod.rs
+++ b/mimosashift/src/deployment/mod.rs
@@ -219,6 +219,14 @@
         }
     }
 
+    /// A team by name.
+    pub fn team_named(&self, name: &str) -> Option<&Arc<Team>> {
+        match &self.access {
+            Access::Keys(teams) => teams.values().find(|team| *team.name == *name),
+            Access::Open => None,
+        }
+    }
+
     /// A service by name.
     pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
         self.services.get(name)
--- a/mimosashift/src/fleet/chain.rs
+++ b/mimosashift/src/fleet/chain.rs
@@ -165,6 +165,15 @@
 impl Fleet {
     /// Chooses the chain for a request.
     pub fn chain(&self, query: &Query<'_>, now: Instant) -> Result<Chain, Shortage> {
+        self.priced_chain(query, now).map(|priced| priced.chain)
+    }
+
+    /// Chooses the chain for a request, and tells its costs.
+    pub(super) fn priced_chain(
+        &self,
+        query: &Query<'_>,
+        now: Instant,
+    ) -> Result<PricedChain, Shortage> {
         let search = |include_ejected: bool| {
             let usable = |member: &&Member| {
                 &*member.endpoint.service == query.service
@@ -257,6 +266,13 @@
     }
 }
 
+/// A chain and what it costs.
+pub(super) struct PricedChain {
+    pub(super) chain: Chain,
+    /// For each hop, the cost up to its last layer, in ms.
+    pub(super) costs: SmallVec<[f64; 12]>,
+}
+
 struct Search<'a> {
     query: &'a Query<'a>,
     candidates: Vec<Candidate<'a>>,
@@ -267,7 +283,7 @@
 }
 
 impl Search<'_> {
-    fn run(mut self) -> Result<Chain, Shortage> {
+    fn run(mut self) -> Result<PricedChain, Shortage> {
         let from = match self.query.first {
             None => 0,
             Some(hop) => {
@@ -413,15 +429,16 @@
             + self.query.demand.output * self.query.engine.delay_ms(from, to)
     }
 
-    fn build_chain(&self) -> Result<Chain, Shortage> {
+    fn build_chain(&self) -> Result<PricedChain, Shortage> {
         let last = self.query.engine.layers - 1;
         let paths = &self.table[usize::from(last)];
         let cheapest = paths.iter().min_by(|a, b| a.1.cost.total_cmp(&b.1.cost));
         let (mut at, _) = *cheapest.expect("every layer has a path");
         let (mut layer, mut end) = (last, self.query.engine.layers);
-        let mut chain = Chain::new();
+        let (mut chain, mut costs) = (Chain::new(), SmallVec::new());
         loop {
             let best = self.path(layer, at);
+            costs.push(best.cost);
             match self.candidates.get(usize::from(at)) {
                 Some(candidate) if best.start > 0 || self.query.first.is_none() => {
                     chain.push(candidate.hop(best.start, end));
@@ -433,9 +450,10 @@
             (layer, at) = (best.start - 1, previous);
         }
         chain.reverse();
+        costs.reverse();
         if chain.len() > MAX_HOPS {
             return Err(Shortage::Full(0));
         }
-        Ok(chain)
+        Ok(PricedChain { chain, costs })
     }
 }
--- a/mimosashift/src/fleet/describe.rs
+++ b/mimosashift/src/fleet/describe.rs
@@ -28,39 +28,48 @@
 
     /// Every endpoint that holds a layer, with the share of its KV cache in use and
     /// its state if it is not preferred for new work, as in `i-1 0.97, i-2 0.40 doubted`.
-    /// `doubted` (ejected) and `crowded` (cache full) are the words in the titles of the
-    /// events, `limited` is an endpoint that has reached its limit, `resting` one that wants
-    /// no requests now. An endpoint that is marked dead has no state of its own here.
     pub fn describe_holders(&self, query: &Query<'_>, layer: u16, now: Instant) -> String {
-        let holds = |member: &&Member| {
-            let layers = member.endpoint.layers;
-            &*member.endpoint.service == query.service
-                && layers.is_some_and(|l| l.start() <= layer && layer < l.end())
-        };
         let mut text = String::new();
-        for member in self.members.values().filter(holds) {
+        for member in self.holders(query.service, layer) {
             let endpoint = &member.endpoint;
             let fill = self.fill(query.engine, &endpoint.id, now);
             let fill = fill.map_or_else(|| "card unknown".to_owned(), |fill| format!("{fill:.2}"));
             let separator = if text.is_empty() { "" } else { ", " };
-            let state = if !member.takes_work() {
-                " leaving"
-            } else if now < member.ejected_until {
-                " doubted"
-            } else if now < member.cache_full_until {
-                " crowded"
-            } else if !self.has_credit(member, now) {
-                " limited"
-            } else if member.is_resting(now) {
-                " resting"
-            } else if member.is_slow() {
-                " slow"
-            } else {
-                ""
-            };
-            write!(text, "{separator}{} {fill}{state}", endpoint.id)
+            let (space, state) = self.state(member, now).map_or(("", ""), |state| (" ", state));
+            write!(text, "{separator}{} {fill}{space}{state}", endpoint.id)
                 .expect("writing to a string does not fail");
         }
         text
     }
+
+    /// The endpoints of a service that hold a layer.
+    pub(super) fn holders(&self, service: &str, layer: u16) -> impl Iterator<Item = &Member> {
+        self.members.values().filter(move |member| {
+            let layers = member.endpoint.layers;
+            &*member.endpoint.service == service
+                && layers.is_some_and(|l| l.start() <= layer && layer < l.end())
+        })
+    }
+
+    /// The state of an endpoint that is not preferred for new work. `doubted` (ejected) and
+    /// `crowded` (cache full) are the words in the titles of the events, `limited` is an
+    /// endpoint that has reached its limit, `resting` one that wants no requests now. An
+    /// endpoint that is marked dead has no state of its own here.
+    pub(super) fn state(&self, member: &Member, now: Instant) -> Option<&'static str> {
+        if !member.takes_work() {
+            Some("leaving")
+        } else if now < member.ejected_until {
+            Some("doubted")
+        } else if now < member.cache_full_until {
+            Some("crowded")
+        } else if !self.has_credit(member, now) {
+            Some("limited")
+        } else if member.is_resting(now) {
+            Some("resting")
+        } else if member.is_slow() {
+            Some("slow")
+        } else {
+            None
+        }
+    }
 }
--- a/mimosashift/src/fleet/limit.rs
+++ b/mimosashift/src/fleet/limit.rs
@@ -131,6 +131,13 @@
         self.limits.known.is_empty() || self.limits.permits(member.key(), now)
     }
 
+    /// The limit that an endpoint names, in requests per second, and the time until this
+    /// router may send it a request; `None` without a limit in force.
+    pub(super) fn limit_of(&self, member: &Member, now: Instant) -> Option<(f64, Duration)> {
+        let limit = self.limits.known.get(&member.key())?;
+        Some((limit.per_second(now)?, limit.time_to_credit(now)))
+    }
+
     /// Time until a request may be sent to one of the endpoints of a service that have
     /// reached their limits; `None` if there are none.
     pub fn time_to_credit(&self, service: &str, now: Instant) -> Option<Duration> {
--- a/mimosashift/src/fleet/mod.rs
+++ b/mimosashift/src/fleet/mod.rs
@@ -20,6 +20,7 @@
 mod chain;
 mod claim;
 mod describe;
+mod explain;
 mod limit;
 mod link;
 mod liveness;
@@ -34,7 +35,9 @@
 
 pub use chain::{Allowance, Demand, Query, Shortage, USABLE_CACHE_SHARE};
 pub use claim::Claim;
+pub use explain::{Alternative, Explanation, Holder, Leg, Offer, PlainExplanation};
 pub use limit::{Change as LimitChange, Record as LimitRecord};
+pub use plain::Obstacle;
 pub use usage::Usage;
 
 /// Slowdown from which an endpoint gets no new work while others hold its layers,
--- a/mimosashift/src/fleet/plain.rs
+++ b/mimosashift/src/fleet/plain.rs
@@ -19,6 +19,21 @@
 /// that have no slot.
 const MAX_LOAD: f64 = 2.0;
 
+/// Why a request to a plain service may not be sent to an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Obstacle {
+    /// It takes no new work.
+    Leaving,
+    /// The request has been sent there before.
+    Avoided,
+    /// It queues as many requests as it may.
+    Full,
+    /// It has reached the limit that it names.
+    Limited,
+    /// It wants no requests from this router now.
+    Resting,
+}
+
 impl Fleet {
     /// The endpoint for a request to a plain service, other than those in `avoid`;
     /// `None` if there is none or all are full, rest or have reached their limits.
@@ -29,27 +44,50 @@
         avoid: &[Arc<str>],
         now: Instant,
     ) -> Option<Hop> {
-        let eligible = |m: &&Member| {
-            &*m.endpoint.service == service
-                && m.takes_work()
-                && !avoid.contains(&m.endpoint.id)
-                && f64::from(self.known_usage(m, now).requests)
-                    < MAX_LOAD * f64::from(m.endpoint.slots)
-                && self.has_credit(m, now)
-                && !m.is_resting(now)
-        };
-        let cost = |m: &Member| {
-            let load =
-                f64::from(self.known_usage(m, now).requests) / f64::from(m.endpoint.slots.max(1));
-            let remote = if &*m.endpoint.zone == zone { 0.0 } else { REMOTE_ZONE_COST };
-            // An endpoint that failed recently is better than none.
-            let unusable = if m.is_usable(now) { 0.0 } else { UNUSABLE_COST };
-            load + remote + FAILURE_COST * m.failure_rate + unusable
-        };
-        let eligible = self.members.values().filter(eligible);
+        let eligible = self
+            .members
+            .values()
+            .filter(|m| &*m.endpoint.service == service && self.obstacle(m, avoid, now).is_none());
+        let cost = |m: &Member| self.endpoint_cost(m, zone, now);
         eligible.min_by(|a, b| cost(a).total_cmp(&cost(b))).map(Member::address_hop)
     }
 
+    /// Why a request to a plain service may not be sent to one of its endpoints.
+    pub(super) fn obstacle(
+        &self,
+        member: &Member,
+        avoid: &[Arc<str>],
+        now: Instant,
+    ) -> Option<Obstacle> {
+        let requests = || f64::from(self.known_usage(member, now).requests);
+        if !member.takes_work() {
+            Some(Obstacle::Leaving)
+        } else if avoid.contains(&member.endpoint.id) {
+            Some(Obstacle::Avoided)
+        } else if requests() >= MAX_LOAD * f64::from(member.endpoint.slots) {
+            Some(Obstacle::Full)
+        } else if !self.has_credit(member, now) {
+            Some(Obstacle::Limited)
+        } else if member.is_resting(now) {
+            Some(Obstacle::Resting)
+        } else {
+            None
+        }
+    }
+
+    /// Cost of a request to a plain service at one of its endpoints, in units of load.
+    pub(super) fn endpoint_cost(&self, member: &Member, zone: &str, now: Instant) -> f64 {
+        let remote = if &*member.endpoint.zone == zone { 0.0 } else { REMOTE_ZONE_COST };
+        // An endpoint that failed recently is better than none.
+        let unusable = if member.is_usable(now) { 0.0 } else { UNUSABLE_COST };
+        self.load(member, now) + remote + FAILURE_COST * member.failure_rate + unusable
+    }
+
+    /// Requests at an endpoint of a plain service, in multiples of its slots.
+    pub(super) fn load(&self, member: &Member, now: Instant) -> f64 {
+        f64::from(self.known_usage(member, now).requests) / f64::from(member.endpoint.slots.max(1))
+    }
+
     /// Counts a request at the endpoint of a plain service.
     pub fn add_request(&mut self, hop: &Hop) {
         if let Some(member) = self.members.get_mut(&hop.id) {
--- a/mimosashift/src/fleet/rest.rs
+++ b/mimosashift/src/fleet/rest.rs
@@ -15,6 +15,11 @@
     pub(super) fn is_resting(&self, now: Instant) -> bool {
         now < self.resting_until
     }
+
+    /// Time until it wants requests again, if it wants none now.
+    pub(super) fn rest_left(&self, now: Instant) -> Option<Duration> {
+        self.is_resting(now).then(|| self.resting_until.since(now))
+    }
 }
 
 impl Fleet {
--- a/mimosashift/src/fleet/share.rs
+++ b/mimosashift/src/fleet/share.rs
@@ -204,6 +204,11 @@
         self.rate.filter(|_| now.since(self.observed_at) < LIMIT_TTL)
     }
 
+    /// The limit, in requests per second.
+    pub(super) fn per_second(&self, now: Instant) -> Option<f64> {
+        self.rate_in_force(now).map(RequestRate::per_second)
+    }
+
     /// This router's share of the limit, in requests per second.
     fn own_rate(&self, now: Instant) -> Option<f64> {
         let rate = self.rate_in_force(now)?.per_second().max(MIN_RATE);
--- a/mimosashift/src/quarantine/mod.rs
+++ b/mimosashift/src/quarantine/mod.rs
@@ -136,17 +136,34 @@
         })
     }
 
-    /// Whether a request with these contents may be sent; `rank` gives the number of
-    /// routers that try a blocked content before this one. A trial that is returned
-    /// has begun.
+    /// Whether a request with these contents may be sent, as [`verdict`](Self::verdict). A
+    /// trial that is returned has begun.
     pub fn admit(
         &mut self,
         contents: &[Content],
         rank: impl Fn(Content) -> usize,
         now: Instant,
     ) -> Verdict {
-        let blocked = contents.iter().copied().filter(|content| self.is_blocked(*content));
-        let blocked: BTreeSet<_> = blocked.collect();
+        let verdict = self.verdict(contents, rank, now);
+        if matches!(verdict, Verdict::Trial(_)) {
+            for content in self.blocked_of(contents) {
+                let suspect = self.suspects.get_mut(&content);
+                let suspect = suspect.expect("a blocked content is a suspect");
+                suspect.trial = Some(now + EPOCH_OFFSET);
+            }
+        }
+        verdict
+    }
+
+    /// Whether a request with these contents may be sent; `rank` gives the number of
+    /// routers that try a blocked content before this one.
+    pub fn verdict(
+        &self,
+        contents: &[Content],
+        rank: impl Fn(Content) -> usize,
+        now: Instant,
+    ) -> Verdict {
+        let blocked = self.blocked_of(contents);
         let Some(&first) = blocked.first() else { return Verdict::Admitted };
         if blocked.iter().filter(|content| matches!(content, Content::Part(_))).count() > 1 {
             // A crash would not tell which of the parts caused it.
@@ -156,14 +173,11 @@
         let time_left = |content| self.time_to_trial(content, contents, rank(content), now);
         let (left, content) =
             blocked.iter().map(|content| (time_left(*content), *content)).max().expect("not empty");
-        if !left.is_zero() {
-            return Verdict::Blocked(content, left);
-        }
-        for content in blocked {
-            let suspect = self.suspects.get_mut(&content).expect("a blocked content is a suspect");
-            suspect.trial = Some(now);
-        }
-        Verdict::Trial(content)
+        if left.is_zero() { Verdict::Trial(content) } else { Verdict::Blocked(content, left) }
+    }
+
+    fn blocked_of(&self, contents: &[Content]) -> BTreeSet<Content> {
+        contents.iter().copied().filter(|content| self.is_blocked(*content)).collect()
     }
 
     /// Time until a request with these contents, of which one is blocked, may try it.
