Review: half an answer of a replica that restarted under its id passes as whole

Ruled out: without the freeze or the crash the script passes; an answer whose channel is reset is refused.

--- /dev/null
+++ b/review/stand-2/src/short_answer.rs
@@ -0,0 +1,104 @@
+//! An answer without a length, whose replica crashes in the middle and starts again under its id
+//! while the router is frozen.
+
+use std::thread::sleep;
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
+use serde_json::json;
+
+use crate::endpoint::{self, Endpoint};
+use crate::{KEY, Outcome, Stage, config, http, keep_listed};
+
+/// Number of answers, each from another replica.
+const ANSWERS: u8 = 5;
+
+/// Time for which the router is frozen; the site files have up to 4 s.
+const FREEZE: Duration = Duration::from_millis(2_000);
+
+/// Time of the freeze after which the replica crashes, and for which it is down.
+const CRASH_AFTER: Duration = Duration::from_millis(200);
+const DOWN: Duration = Duration::from_millis(300);
+
+pub fn play(stage: &Stage) -> Result<Outcome, String> {
+    let record = &stage.record;
+    let store = stage.start_store()?;
+    let route = json!({"name": "r-file", "host": "ficu95.example", "prefix": "/file/",
+        "kind": "unsafe", "timeout_ms": 10000, "target_latency_ms": 1000, "priority": 1,
+        "service": "charge-reg", "attempts": 1, "public": false});
+    store.put("op", "config", &config("charge-reg", &[route]));
+    let endpoints: Vec<_> = (1..=2)
+        .map(|number| {
+            let (id, address) = (format!("i-{number}"), stage.endpoint_address(number));
+            Endpoint::new(&id, address, ("charge-reg", "a"), (30, 600), record)
+        })
+        .collect();
+    for endpoint in &endpoints {
+        endpoint.start()?;
+        endpoint.set_listed(&store, true);
+    }
+    let heartbeats = keep_listed(&endpoints, &store);
+    let routers = stage.start_routers(&["a"], &store)?;
+    routers[0].wait_until_ready()?;
+    sleep(Duration::from_secs(2));
+    let mut breaches = Vec::new();
+    for answer in 1..=ANSWERS {
+        let id = format!("f{answer:015x}");
+        let before: Vec<_> = endpoints.iter().map(|e| e.lines("half").len()).collect();
+        let (clients, sent) = (routers[0].clients, id.clone());
+        record.add(format!("client: sends {id}"));
+        let client = std::thread::spawn(move || {
+            let authorization = format!("Bearer {KEY}");
+            let headers = [
+                ("host", "ficu95.example"),
+                ("request-id", &*sent),
+                ("request-deadline", "9000"),
+                ("authorization", &*authorization),
+            ];
+            let request = http::encode("POST /file/1 HTTP/1.1", &headers, b"{}");
+            http::call(clients, &request, Duration::from_secs(12))
+        });
+        let half = |number: usize| endpoints[number].lines("half").len() > before[number];
+        http::wait_for("half of an answer", Duration::from_secs(5), || half(0) || half(1))?;
+        let server = &endpoints[if half(0) { 0 } else { 1 }];
+        if stage.has_trouble {
+            // The router has received the first half by then.
+            sleep(Duration::from_millis(50));
+            record.add("router: frozen");
+            routers[0].signal(Signal::SIGSTOP);
+            sleep(CRASH_AFTER);
+            record.add(format!("{}: killed", server.id));
+            server.kill();
+            sleep(DOWN);
+            server.start()?;
+            server.beat(&store);
+            sleep(FREEZE - CRASH_AFTER - DOWN);
+            record.add("router: goes on");
+            routers[0].signal(Signal::SIGCONT);
+        }
+        let answer = client.join().map_err(|_| "the client failed".to_owned())?;
+        let was_whole = server.lines("whole").iter().any(|(_, whole)| *whole == id);
+        match answer {
+            Ok(answer) => {
+                let (status, length) = (answer.status(), answer.body.len());
+                let is_body = answer.body == endpoint::file(&id);
+                record.add(format!(
+                    "client: {id} has status {status}, {length} bytes, complete {}, signature {:?}; \
+                     the replica had sent all of it: {was_whole}",
+                    answer.is_whole, answer.header("response-signature"),
+                ));
+                if (200..300).contains(&status) && answer.is_whole && !is_body {
+                    breaches
+                        .push(format!("{id}: a success with {length} of 4000 bytes, as complete"));
+                }
+                if !stage.has_trouble && !(status == 200 && is_body) {
+                    return Err(format!("{id} was not answered without trouble"));
+                }
+            }
+            Err(error) => record.add(format!("client: {id} has no answer: {error}")),
+        }
+        sleep(Duration::from_millis(1_500));
+    }
+    heartbeats.store(false, std::sync::atomic::Ordering::Relaxed);
+    Ok(Outcome { breaches })
+}
