--- a/review/stand-2/src/endpoint.rs
+++ b/review/stand-2/src/endpoint.rs
@@ -102,6 +102,8 @@
 pub struct Endpoint {
     pub id: String,
     pub address: SocketAddr,
+    /// The address in its entry, if that is another one.
+    public_address: Mutex<Option<SocketAddr>>,
     service: &'static str,
     zone: &'static str,
     work_ms: u64,
@@ -128,6 +130,7 @@
         Arc::new(Self {
             id: id.to_owned(),
             address,
+            public_address: Mutex::default(),
             service,
             zone,
             work_ms,
@@ -141,6 +144,11 @@
         })
     }
 
+    /// Names another address in its entry, which leads to its own.
+    pub fn set_public_address(&self, address: SocketAddr) {
+        *self.public_address.lock().unwrap() = Some(address);
+    }
+
     /// Starts the process, under the id that it may have had before, and waits until it listens.
     pub fn start(&self) -> Result<(), String> {
         let program = std::env::current_exe().map_err(|error| error.to_string())?;
@@ -203,8 +211,9 @@
     fn entry(&self) -> Value {
         let mut heartbeats = self.heartbeats.lock().unwrap();
         *heartbeats += 1;
+        let address = self.public_address.lock().unwrap().unwrap_or(self.address);
         json!({
-            "service": self.service, "address": self.address.to_string(), "zone": self.zone,
+            "service": self.service, "address": address.to_string(), "zone": self.zone,
             "version": "v1", "slots": 6, "state": "ready", "cold_remaining_ms": 0,
             "sequence": *heartbeats, "born": *self.born.lock().unwrap(),
         })
--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -14,6 +14,7 @@
 
 mod endpoint;
 mod http;
+mod proxy;
 mod record;
 mod restored_entry;
 mod router;
--- a/review/stand-2/src/short_answer.rs
+++ b/review/stand-2/src/short_answer.rs
@@ -1,22 +1,23 @@
-//! An answer without a length, whose replica crashes in the middle and starts again under its id
-//! while the router is frozen.
+//! An answer without a length, whose replica is cut off in the middle, crashes behind the cut and
+//! starts again under its id.
 
+use std::sync::atomic::Ordering;
 use std::thread::sleep;
 use std::time::Duration;
 
-use nix::sys::signal::Signal;
 use serde_json::json;
 
 use crate::endpoint::{self, Endpoint};
+use crate::proxy::Link;
 use crate::{KEY, Outcome, Stage, config, http, keep_listed};
 
-/// Number of answers, each from another replica.
+/// Number of answers.
 const ANSWERS: u8 = 5;
 
-/// Time for which the router is frozen; the site files have up to 4 s.
-const FREEZE: Duration = Duration::from_millis(2_000);
+/// Time for which the replica is cut off from the router.
+const CUT: Duration = Duration::from_millis(2_000);
 
-/// Time of the freeze after which the replica crashes, and for which it is down.
+/// Time of the cut after which the replica crashes, and for which it is down.
 const CRASH_AFTER: Duration = Duration::from_millis(200);
 const DOWN: Duration = Duration::from_millis(300);
 
@@ -27,15 +28,17 @@
         "kind": "unsafe", "timeout_ms": 10000, "target_latency_ms": 1000, "priority": 1,
         "service": "charge-reg", "attempts": 1, "public": false});
     store.put("op", "config", &config("charge-reg", &[route]));
-    let endpoints: Vec<_> = (1..=2)
-        .map(|number| {
-            let (id, address) = (format!("i-{number}"), stage.endpoint_address(number));
-            Endpoint::new(&id, address, ("charge-reg", "a"), (30, 600), record)
-        })
-        .collect();
-    for endpoint in &endpoints {
+    let mut endpoints = Vec::new();
+    let mut links = Vec::new();
+    for number in 1..=2 {
+        let (id, at) = (format!("i-{number}"), stage.endpoint_address(number));
+        let public = stage.endpoint_address(10 + number);
+        links.push(Link::start(public, at).map_err(|error| error.to_string())?);
+        let endpoint = Endpoint::new(&id, at, ("charge-reg", "a"), (30, 600), record);
+        endpoint.set_public_address(public);
         endpoint.start()?;
         endpoint.set_listed(&store, true);
+        endpoints.push(endpoint);
     }
     let heartbeats = keep_listed(&endpoints, &store);
     let routers = stage.start_routers(&["a"], &store)?;
@@ -60,21 +63,22 @@
         });
         let half = |number: usize| endpoints[number].lines("half").len() > before[number];
         http::wait_for("half of an answer", Duration::from_secs(5), || half(0) || half(1))?;
-        let server = &endpoints[if half(0) { 0 } else { 1 }];
+        let number = if half(0) { 0 } else { 1 };
+        let (server, link) = (&endpoints[number], &links[number]);
         if stage.has_trouble {
             // The router has received the first half by then.
             sleep(Duration::from_millis(50));
-            record.add("router: frozen");
-            routers[0].signal(Signal::SIGSTOP);
+            record.add(format!("{}: cut off", server.id));
+            link.set_cut(true);
             sleep(CRASH_AFTER);
             record.add(format!("{}: killed", server.id));
             server.kill();
             sleep(DOWN);
             server.start()?;
             server.beat(&store);
-            sleep(FREEZE - CRASH_AFTER - DOWN);
-            record.add("router: goes on");
-            routers[0].signal(Signal::SIGCONT);
+            sleep(CUT - CRASH_AFTER - DOWN);
+            record.add(format!("{}: reached again", server.id));
+            link.set_cut(false);
         }
         let answer = client.join().map_err(|_| "the client failed".to_owned())?;
         let was_whole = server.lines("whole").iter().any(|(_, whole)| *whole == id);
@@ -83,9 +87,10 @@
                 let (status, length) = (answer.status(), answer.body.len());
                 let is_body = answer.body == endpoint::file(&id);
                 record.add(format!(
-                    "client: {id} has status {status}, {length} bytes, complete {}, signature {:?}; \
-                     the replica had sent all of it: {was_whole}",
-                    answer.is_whole, answer.header("response-signature"),
+                    "client: {id} has status {status}, {length} bytes, complete {}, signature \
+                     {:?}; the replica had sent all of it: {was_whole}",
+                    answer.is_whole,
+                    answer.header("response-signature"),
                 ));
                 if (200..300).contains(&status) && answer.is_whole && !is_body {
                     breaches
@@ -99,6 +104,6 @@
         }
         sleep(Duration::from_millis(1_500));
     }
-    heartbeats.store(false, std::sync::atomic::Ordering::Relaxed);
+    heartbeats.store(false, Ordering::Relaxed);
     Ok(Outcome { breaches })
 }
