--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -14,6 +14,7 @@
 
 mod endpoint;
 mod http;
+mod kept_entry;
 mod proxy;
 mod record;
 mod restored_entry;
@@ -65,13 +66,24 @@
 
     /// Starts a router in each of these zones.
     pub fn start_routers(&self, zones: &[&str], store: &Store) -> Result<Vec<Router>, String> {
+        self.start_routers_at(zones, &vec![store.address; zones.len()])
+    }
+
+    /// Starts a router in each of these zones, which calls the store at its own of these
+    /// addresses.
+    pub fn start_routers_at(
+        &self,
+        zones: &[&str],
+        stores: &[SocketAddr],
+    ) -> Result<Vec<Router>, String> {
         let addresses: Vec<_> = (0..zones.len()).map(|i| self.ip(0, 1 + i as u8)).collect();
-        let start = |(zone, address): (&&str, &Ipv4Addr)| {
-            let name = format!("front-{zone}-1");
-            let ports = self.ports;
-            Router::start(&self.folder, &name, zone, *address, ports, &addresses, store.address)
+        let start = |number: usize| {
+            let (zone, address) = (zones[number], addresses[number]);
+            let name = format!("front-{zone}-{}", number + 1);
+            let (ports, store) = (self.ports, stores[number]);
+            Router::start(&self.folder, &name, zone, address, ports, &addresses, store)
         };
-        let routers: Result<Vec<_>, _> = zones.iter().zip(&addresses).map(start).collect();
+        let routers: Result<Vec<_>, _> = (0..zones.len()).map(start).collect();
         routers.map_err(|error| format!("target/release/mimosafront: {error}"))
     }
 
@@ -132,6 +144,7 @@
     let outcome = match Stage::new(&record) {
         Ok(stage) => match &**case {
             "short-answer" => short_answer::play(&stage),
+            "kept-entry" => kept_entry::play(&stage),
             "restored-entry" => restored_entry::play(&stage),
             _ => Err(format!("no such case: {case}")),
         },
--- a/review/stand-2/src/proxy.rs
+++ b/review/stand-2/src/proxy.rs
@@ -1,5 +1,6 @@
-//! A link to a replica that can be cut: nothing passes meanwhile, and what was under way arrives
-//! once the link is back, as retransmission by the system would have it.
+//! A link that can be cut: nothing passes meanwhile. What was under way either arrives once the
+//! link is back, as retransmission by the system would have it, or is lost: the first packet of a
+//! new channel is dropped meanwhile, and open channels that are used stay silent.
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -8,24 +9,39 @@
 use std::thread;
 use std::time::Duration;
 
+use socket2::{Domain, Socket, Type};
+
 /// Interval in which a held direction checks whether the link is back.
 const CHECK_INTERVAL: Duration = Duration::from_millis(2);
 
 #[derive(Clone)]
 pub struct Link {
     is_cut: Arc<AtomicBool>,
+    /// Whether what is under way in a cut is lost.
+    loses: bool,
+    address: SocketAddr,
 }
 
 impl Link {
-    /// Listens at `address` and passes channels on to the replica at `to`.
-    pub fn start(address: SocketAddr, to: SocketAddr) -> std::io::Result<Self> {
-        let listener = TcpListener::bind(address)?;
-        let link = Self { is_cut: Arc::default() };
+    /// Listens at `address` and passes channels on to `to`.
+    pub fn start(address: SocketAddr, to: SocketAddr, loses: bool) -> std::io::Result<Self> {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+        socket.bind(&address.into())?;
+        socket.listen(if loses { 0 } else { 128 })?;
+        socket.set_nonblocking(true)?;
+        let listener = TcpListener::from(socket);
+        let link = Self { is_cut: Arc::default(), loses, address };
         let server = link.clone();
         thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let link = server.clone();
-                thread::spawn(move || drop(link.pass_channel(stream, to)));
+            loop {
+                if !(server.loses && server.is_cut.load(Ordering::Relaxed))
+                    && let Ok((stream, _)) = listener.accept()
+                {
+                    let link = server.clone();
+                    thread::spawn(move || drop(link.pass_channel(stream, to)));
+                } else {
+                    thread::sleep(CHECK_INTERVAL);
+                }
             }
         });
         Ok(link)
@@ -33,10 +49,23 @@
 
     pub fn set_cut(&self, is_cut: bool) {
         self.is_cut.store(is_cut, Ordering::Relaxed);
+        if self.loses && is_cut {
+            // Once the queue of new channels is full, the system drops their first packets.
+            thread::sleep(5 * CHECK_INTERVAL);
+            for _ in 0..2 {
+                drop(TcpStream::connect_timeout(&self.address, 20 * CHECK_INTERVAL));
+            }
+        }
     }
 
+    /// Waits until bytes pass; for good if they are lost.
     fn wait_until_back(&self) {
         while self.is_cut.load(Ordering::Relaxed) {
+            if self.loses {
+                loop {
+                    thread::park();
+                }
+            }
             thread::sleep(CHECK_INTERVAL);
         }
     }
@@ -45,6 +74,7 @@
         self.wait_until_back();
         // A replica that does not listen refuses the channel.
         let far = TcpStream::connect(to)?;
+        near.set_nonblocking(false)?;
         near.set_nodelay(true)?;
         far.set_nodelay(true)?;
         let (link, from, into) = (self.clone(), near.try_clone()?, far.try_clone()?);
--- a/review/stand-2/src/short_answer.rs
+++ b/review/stand-2/src/short_answer.rs
@@ -33,7 +33,7 @@
     for number in 1..=2 {
         let (id, at) = (format!("i-{number}"), stage.endpoint_address(number));
         let public = stage.endpoint_address(10 + number);
-        links.push(Link::start(public, at).map_err(|error| error.to_string())?);
+        links.push(Link::start(public, at, false).map_err(|error| error.to_string())?);
         let endpoint = Endpoint::new(&id, at, ("charge-reg", "a"), (30, 600), record);
         endpoint.set_public_address(public);
         endpoint.start()?;
