--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -12,7 +12,9 @@
 
 use serde_json::{Value, json};
 
+mod cut_chain;
 mod endpoint;
+mod engine;
 mod http;
 mod kept_entry;
 mod proxy;
@@ -144,6 +146,7 @@
     let outcome = match Stage::new(&record) {
         Ok(stage) => match &**case {
             "short-answer" => short_answer::play(&stage),
+            "cut-chain" => cut_chain::play(&stage),
             "kept-entry" => kept_entry::play(&stage),
             "restored-entry" => restored_entry::play(&stage),
             _ => Err(format!("no such case: {case}")),
