--- a/review/stand-2/src/short_answer.rs
+++ b/review/stand-2/src/short_answer.rs
@@ -11,6 +11,9 @@
 use crate::proxy::Link;
 use crate::{KEY, Outcome, Stage, config, http, keep_listed};
 
+/// Number of replicas, of which one is cut off.
+const REPLICAS: u8 = 6;
+
 /// Number of answers.
 const ANSWERS: u8 = 5;
 
@@ -30,7 +33,7 @@
     store.put("op", "config", &config("charge-reg", &[route]));
     let mut endpoints = Vec::new();
     let mut links = Vec::new();
-    for number in 1..=2 {
+    for number in 1..=REPLICAS {
         let (id, at) = (format!("i-{number}"), stage.endpoint_address(number));
         let public = stage.endpoint_address(10 + number);
         links.push(Link::start(public, at, false).map_err(|error| error.to_string())?);
@@ -61,9 +64,9 @@
             let request = http::encode("POST /file/1 HTTP/1.1", &headers, b"{}");
             http::call(clients, &request, Duration::from_secs(12))
         });
-        let half = |number: usize| endpoints[number].lines("half").len() > before[number];
-        http::wait_for("half of an answer", Duration::from_secs(5), || half(0) || half(1))?;
-        let number = if half(0) { 0 } else { 1 };
+        let half = || (0..endpoints.len()).find(|n| endpoints[*n].lines("half").len() > before[*n]);
+        http::wait_for("half of an answer", Duration::from_secs(5), || half().is_some())?;
+        let number = half().expect("it was waited for");
         let (server, link) = (&endpoints[number], &links[number]);
         if stage.has_trouble {
             // The router has received the first half by then.
