--- a/review/stand-2/src/endpoint.rs
+++ b/review/stand-2/src/endpoint.rs
@@ -114,6 +114,8 @@
     heartbeats: Mutex<u64>,
     /// Whether its entry is in the store.
     is_listed: AtomicBool,
+    /// Whether it does not reach the store.
+    is_cut_off: AtomicBool,
     /// What its processes printed, with times.
     seen: Arc<Mutex<Vec<(u64, String)>>>,
     record: Arc<Record>,
@@ -139,6 +141,7 @@
             born: Mutex::default(),
             heartbeats: Mutex::default(),
             is_listed: AtomicBool::new(false),
+            is_cut_off: AtomicBool::new(false),
             seen: Arc::default(),
             record: record.clone(),
         })
@@ -201,9 +204,15 @@
         }
     }
 
+    /// Cuts it off from the store, or lets it reach the store again.
+    pub fn set_cut_off(&self, is_cut_off: bool) {
+        self.is_cut_off.store(is_cut_off, Ordering::Relaxed);
+    }
+
     /// Writes its entry, as it does at each heartbeat.
     pub fn beat(&self, store: &Store) {
-        if self.is_listed.load(Ordering::Relaxed) && !store.is_away() {
+        let is_cut_off = self.is_cut_off.load(Ordering::Relaxed);
+        if self.is_listed.load(Ordering::Relaxed) && !is_cut_off && !store.is_away() {
             store.put("servers", &self.id, &self.entry());
         }
     }
--- a/review/stand-2/src/kept_entry.rs
+++ b/review/stand-2/src/kept_entry.rs
@@ -21,9 +21,9 @@
 const TRIES: u8 = 6;
 const TRIES_WITHOUT_TROUBLE: u8 = 2;
 
-/// Time for which the zone is cut off from the store; the site files have 5.5 s. Keys are accepted
-/// all the while.
-const CUT: Duration = Duration::from_millis(3_500);
+/// Time for which the zone is cut off from the store; the site files have 5.5 s. Its replicas write
+/// no entries meanwhile, but these do not lapse: that takes three heartbeat intervals of 1.2 s.
+const CUT: Duration = Duration::from_millis(2_300);
 
 /// Time after the cut at which the replica leaves.
 const LEAVES_AFTER: Duration = Duration::from_millis(300);
@@ -35,10 +35,10 @@
 const REST: Duration = Duration::from_millis(3_500);
 
 /// Time that the replicas work on a request.
-const WORK_MS: u64 = 100;
+const WORK_MS: u64 = 400;
 
 /// Clients of the routers, one request each at a time.
-const CLIENTS: usize = 8;
+const CLIENTS: usize = 20;
 
 pub fn play(stage: &Stage) -> Result<Outcome, String> {
     let record = &stage.record;
@@ -72,7 +72,7 @@
         let (to, record) = (routers[router].clients, record.clone());
         let (sent, is_on) = (sent.clone(), is_on.clone());
         clients.push(thread::spawn(move || {
-            sleep(Duration::from_millis(13 * client as u64));
+            sleep(Duration::from_millis(20 * client as u64));
             for request in 0.. {
                 if !is_on.load(Ordering::Relaxed) {
                     return;
@@ -104,11 +104,18 @@
         sleep(REST);
         if stage.has_trouble {
             record.add("zone a: cut off from the store");
-            link.set_cut(true);
+            for endpoint in lasting.iter().chain([&replica]) {
+                endpoint.set_cut_off(true);
+            }
+            link.set_cut(true).map_err(|error| error.to_string())?;
         }
         sleep(CUT);
-        link.set_cut(false);
+        link.set_cut(false).map_err(|error| error.to_string())?;
         let healed = record.now();
+        for endpoint in lasting.iter().chain([&replica]) {
+            endpoint.set_cut_off(false);
+            endpoint.beat(&store);
+        }
         record.add("zone a: reaches the store");
         sleep(LEAVES_AFTER);
         beats.store(false, Ordering::Relaxed);
--- a/review/stand-2/src/short_answer.rs
+++ b/review/stand-2/src/short_answer.rs
@@ -72,7 +72,7 @@
             // The router has received the first half by then.
             sleep(Duration::from_millis(50));
             record.add(format!("{}: cut off", server.id));
-            link.set_cut(true);
+            link.set_cut(true).map_err(|error| error.to_string())?;
             sleep(CRASH_AFTER);
             record.add(format!("{}: killed", server.id));
             server.kill();
@@ -81,7 +81,7 @@
             server.beat(&store);
             sleep(CUT - CRASH_AFTER - DOWN);
             record.add(format!("{}: reached again", server.id));
-            link.set_cut(false);
+            link.set_cut(false).map_err(|error| error.to_string())?;
         }
         let answer = client.join().map_err(|_| "the client failed".to_owned())?;
         let was_whole = server.lines("whole").iter().any(|(_, whole)| *whole == id);
