Log each send's endpoint, address, connection and outcome

MS0627 ends each send whose answer is not passed on, with address, connection and what is known of the run; MS0612, MS0601, MS0604, MS0605 and MS0623 name the connection. MS0628 tells that an answer or report shows a run of a request that this router took for not run, or of which it had told the client so.

No decision changes: the pool numbers its connections and remembers which have carried a request, but does not use it yet.

--- a/mimosafront/src/call.rs
+++ b/mimosafront/src/call.rs
@@ -6,9 +6,10 @@
 use hyper::body::Bytes;
 use hyper::{Request, StatusCode};
 use mimosaplatform::header;
-use mimosashift::connection_pool::{Exchange, Failure};
+use mimosashift::connection_pool::{Exchange, Failure, Reuse};
 use mimosashift::emit;
 use mimosashift::event::Event;
+use mimosashift::exchange::is_promise;
 use mimosashift::fleet::{Hop, Incarnation, LimitChange, name_key};
 use mimosashift::time::Instant;
 
@@ -48,7 +49,7 @@
         &self,
         hop: &Hop,
         request: Request<Full<Bytes>>,
-        new_connection: bool,
+        reuse: Reuse<'_>,
     ) -> Result<Exchange, CallError> {
         let sent = clock::now();
         let id = request.headers().get(header::REQUEST_ID).cloned();
@@ -57,7 +58,7 @@
             let random = self.random_fraction();
             self.fleet.borrow_mut().record_sent(endpoint, sent, random);
         }
-        let exchange = self.pool.send(hop.address, request, new_connection).await?;
+        let exchange = self.pool.send(hop.address, request, reuse).await?;
         self.record_endpoint_answer(&hop.id);
         let request = id.as_ref().and_then(|id| id.to_str().ok());
         let exchange = self.accept_answer(exchange, request, &hop.id)?;
@@ -65,7 +66,7 @@
         if exchange.head.status() != StatusCode::MISDIRECTED_REQUEST {
             self.record_limit(hop, &exchange, sent, id.is_some());
             // Without an id, an earlier rejection may be repeated on a kept connection.
-            if id.is_some() || new_connection {
+            if id.is_some() || matches!(reuse, Reuse::Never) {
                 self.record_rest(hop, &exchange);
             }
             self.record_leaving(hop, &exchange);
@@ -86,12 +87,21 @@
         if info.answers(request) {
             return Ok(exchange);
         }
-        let status = exchange.head.status().as_u16();
+        let status = exchange.head.status();
+        self.meter.stray_answers(1);
         emit!(
             self.log, Event::StrayAnswer,
             "request" => request, "by" => by, "address" => exchange.address().to_string(),
-            "status" => status, "answers" => info.id, "not_run" => info.not_run,
+            "connection" => exchange.connection_id().to_string(), "status" => status.as_u16(),
+            "answers" => info.id.as_deref(), "not_run" => info.not_run,
         );
+        if let Some(id) = info.id.filter(|_| !info.not_run && !is_promise(status.as_u16())) {
+            let (answered, now) = (name_key(&id), clock::now());
+            let held = self.refusals.borrow().contradicted(answered, name_key(by), now);
+            if let Some((basis, age)) = held {
+                self.log_contradiction(&id, by, basis, age, "answer");
+            }
+        }
         Err(CallError::Stray)
     }
 
--- a/mimosafront/src/placement.rs
+++ b/mimosafront/src/placement.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use mimosaplatform::engine as engine_protocol;
+use mimosashift::connection_pool::Reuse;
 use mimosashift::deployment::Engine;
 use mimosashift::emit;
 use mimosashift::event::Event;
@@ -404,7 +405,7 @@
         state.meter.orders(1);
         emit!(state.log, Event::OrderSent, "endpoint" => &*hop.id, "layers" => hop.layers.to_string(), "after" => orders_started, "fencing_token" => token.0);
         let response = async {
-            let mut exchange = state.call(hop, call, false).await.ok()?;
+            let mut exchange = state.call(hop, call, Reuse::Any).await.ok()?;
             let body = exchange.collect(64 * 1024).await.ok()?;
             Some(engine_protocol::order_outcome(exchange.head.status(), &body))
         };
--- a/mimosafront/src/probe.rs
+++ b/mimosafront/src/probe.rs
@@ -7,7 +7,7 @@
 
 use hyper::StatusCode;
 use mimosaplatform::{engine, header};
-use mimosashift::connection_pool::Failure;
+use mimosashift::connection_pool::{Failure, Reuse};
 use mimosashift::emit;
 use mimosashift::event::Event;
 use mimosashift::exchange::Report;
@@ -96,7 +96,7 @@
 
 /// Requests a report from an endpoint and applies it.
 pub async fn fetch_report(state: &Rc<RouterState>, hop: &Hop) -> Result<Report, NoReport> {
-    request_report(state, hop, false, REPORT_TIMEOUT).await
+    request_report(state, hop, Reuse::Any, REPORT_TIMEOUT).await
 }
 
 /// Checks whether an endpoint is alive; callers within [`PROBE_RESULT_TTL`]
@@ -123,7 +123,7 @@
 pub async fn has_crashed(state: &Rc<RouterState>, hop: &Hop, health_path: &str) -> bool {
     let check = async {
         let mut exchange =
-            state.call(hop, engine::health_request(hop.address, health_path), true).await?;
+            state.call(hop, engine::health_request(hop.address, health_path), Reuse::Never).await?;
         exchange.collect(MAX_REPORT_BYTES).await?;
         Ok::<_, NoReport>(header::response(exchange.head.headers()).endpoint)
     };
@@ -138,10 +138,10 @@
 /// Tries a pooled connection and, after a delay, a new one in parallel. The
 /// endpoint is marked dead if the new one fails before either returns a report.
 async fn probe_liveness(state: &Rc<RouterState>, hop: &Hop) -> ProbeResult {
-    let pooled = request_report(state, hop, false, REPORT_TIMEOUT);
+    let pooled = request_report(state, hop, Reuse::Any, REPORT_TIMEOUT);
     let fresh = async {
         sleep(NEW_CONNECTION_DELAY).await;
-        request_report(state, hop, true, FRESH_PROBE_TIMEOUT).await
+        request_report(state, hop, Reuse::Never, FRESH_PROBE_TIMEOUT).await
     };
     let (mut pooled, mut fresh) = (std::pin::pin!(pooled), std::pin::pin!(fresh));
     let outcome = tokio::select! {
@@ -185,12 +185,12 @@
 async fn request_report(
     state: &Rc<RouterState>,
     hop: &Hop,
-    new_connection: bool,
+    reuse: Reuse<'_>,
     time_limit: Duration,
 ) -> Result<Report, NoReport> {
     let call = engine::report_request(hop.address);
     let exchange = async {
-        let mut exchange = state.call(hop, call, new_connection).await?;
+        let mut exchange = state.call(hop, call, reuse).await?;
         let status = exchange.head.status();
         if status != StatusCode::OK {
             // All fields of a report are optional, so that any JSON object decodes as one.
--- a/mimosafront/src/reach.rs
+++ b/mimosafront/src/reach.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use mimosaplatform::engine;
+use mimosashift::connection_pool::Reuse;
 use mimosashift::emit;
 use mimosashift::event::Event;
 use mimosashift::fleet::{Hop, Member, name_key};
@@ -147,7 +148,7 @@
         Some(_) | None => engine::report_request(hop.address),
     };
     let exchange = async {
-        let mut exchange = state.call(hop, request, true).await.ok()?;
+        let mut exchange = state.call(hop, request, Reuse::Never).await.ok()?;
         // A whole answer leaves the connection for later requests.
         exchange.collect(MAX_ANSWER_BYTES).await.ok()
     };
--- a/mimosafront/src/relay/chain/forward.rs
+++ b/mimosafront/src/relay/chain/forward.rs
@@ -204,7 +204,7 @@
         }
         let demand = self.remaining_demand();
         let old_demand = std::mem::replace(&mut self.demand, demand);
-        emit!(self.state().log, Event::StageMoved, "request" => &*self.ctx.id, "reason" => reason, "after_event" => self.events.last());
+        emit!(self.state().log, Event::StageMoved, "request" => &*self.ctx.id, "connection" => self.ctx.connection(), "reason" => reason, "after_event" => self.events.last());
         let opened = self.open().await;
         match opened {
             Ok(Opened::Stream(exchange)) => {
@@ -240,7 +240,8 @@
         let ms = millis(clock::now().since(self.ctx.arrived));
         emit!(
             self.state().log, Event::RequestAnswered,
-            "request" => &*self.ctx.id, "status" => StatusCode::OK.as_u16(), "by" => &*self.server(), "ms" => ms,
+            "request" => &*self.ctx.id, "status" => StatusCode::OK.as_u16(), "by" => &*self.server(),
+            "connection" => self.ctx.connection(), "ms" => ms,
             "events" => self.events_forwarded, "first_ms" => millis(self.timing.time_to_first),
             "pause_ms" => millis(self.timing.longest_gap), "pause_after_event" => self.timing.longest_gap_after,
             "framing" => framing.label(), "partial_bytes" => partial_bytes,
@@ -264,7 +265,7 @@
         self.outcome_recorded = true;
         self.state().meter.requests(1, Outcome::Failed);
         let ms = millis(clock::now().since(self.ctx.arrived));
-        emit!(self.state().log, Event::RequestFailed, "request" => &*self.ctx.id, "reason" => reason, "ms" => ms, "silent_ms" => millis(self.silence()), "events" => self.events_forwarded, "after_event" => self.events.last(), "framing" => framing.label(), "partial_bytes" => self.events.partial_bytes());
+        emit!(self.state().log, Event::RequestFailed, "request" => &*self.ctx.id, "connection" => self.ctx.connection(), "reason" => reason, "ms" => ms, "silent_ms" => millis(self.silence()), "events" => self.events_forwarded, "after_event" => self.events.last(), "framing" => framing.label(), "partial_bytes" => self.events.partial_bytes());
     }
 
     /// Forwards events until the stream ends or fails.
--- a/mimosafront/src/relay/chain/mod.rs
+++ b/mimosafront/src/relay/chain/mod.rs
@@ -24,7 +24,7 @@
 use tokio::sync::mpsc;
 
 use super::peer::{Path, Relay, UNREACHABLE_REASON};
-use super::{EXHAUSTED_REASON, RequestContext, RequestError, forward_response, stop};
+use super::{EXHAUSTED_REASON, RequestContext, RequestError, Run, Target, forward_response, stop};
 use crate::body::ResponseBody;
 use crate::clock;
 use crate::state::{RouterState, millis};
@@ -125,7 +125,7 @@
             let state = &self.ctx.state;
             state.meter.requests(1, Outcome::Cancelled);
             let ms = millis(clock::now().since(self.ctx.arrived));
-            emit!(state.log, Event::RequestCancelled, "request" => &*self.ctx.id, "ms" => ms, "events" => self.events_forwarded);
+            emit!(state.log, Event::RequestCancelled, "request" => &*self.ctx.id, "connection" => self.ctx.connection(), "ms" => ms, "events" => self.events_forwarded);
         }
     }
 }
@@ -286,14 +286,17 @@
                     ));
                 }
             }
-            let sent = match self.ctx.path(&self.tried_relays) {
+            let executions = self.possible_executions;
+            let (target, sent) = match self.ctx.path(&self.tried_relays) {
                 Path::Direct => {
                     let chain = self.admit().await?;
                     // The router may have been stopped while the request waited for memory.
                     self.check_stop()?;
-                    self.send(chain, sends + 1).await
+                    (Target::from(&chain[0]), self.send(chain, sends + 1).await)
+                }
+                Path::Relayed(relay) => {
+                    (Target::from(&relay), self.send_through(relay, sends + 1).await)
                 }
-                Path::Relayed(relay) => self.send_through(relay, sends + 1).await,
                 Path::Lost => {
                     return Err(self.unanswered_error(
                         StatusCode::BAD_GATEWAY,
@@ -315,6 +318,9 @@
                 Ok(opened) => return Ok(opened),
                 Err(reason) => cause = reason,
             }
+            let has_run = self.possible_executions > executions;
+            let run = if has_run { Run::Possible } else { Run::None };
+            self.ctx.record_send_ended(sends + 1, &target, run, cause);
             self.release();
         }
     }
--- a/mimosafront/src/relay/chain/send.rs
+++ b/mimosafront/src/relay/chain/send.rs
@@ -4,7 +4,7 @@
 
 use hyper::StatusCode;
 use mimosaplatform::header;
-use mimosashift::connection_pool::{Exchange, Failure};
+use mimosashift::connection_pool::{Exchange, Failure, Reuse};
 use mimosashift::emit;
 use mimosashift::event::Event;
 use mimosashift::fleet::{Chain, Demand, Hop, Member};
@@ -27,8 +27,8 @@
     ) -> Result<Exchange, &'static str> {
         let ahead = self.prefill_ahead(&chain);
         let (to, inputs) = self.describe_send(&chain, ahead);
-        self.ctx.log_sent(attempt, &to, &inputs);
         let first = chain[0].clone();
+        self.ctx.log_sent(attempt, &first, &to, &inputs);
         // A plain endpoint knows nothing of chains.
         let hops = if self.engine.is_some() { &chain[..] } else { &[] };
         let request = self.ctx.request(&first, hops, self.events.last());
@@ -39,8 +39,8 @@
         }
         let claim = self.state().fleet.borrow_mut().claim(chain, &self.demand);
         self.claim = Some(claim);
-        let state = self.state().clone();
-        let sending = state.call(&first, request, false);
+        let (state, carriers) = (self.state().clone(), self.ctx.carriers.clone());
+        let sending = state.call(&first, request, Reuse::Request(&carriers));
         // This send may run as well.
         match self.watch_chain(sending, self.possible_executions + 1).await {
             Ok(exchange) => self.check_response(&first, exchange),
--- a/mimosafront/src/relay/chain/stall.rs
+++ b/mimosafront/src/relay/chain/stall.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use mimosaplatform::engine as engine_protocol;
+use mimosashift::connection_pool::Reuse;
 use mimosashift::emit;
 use mimosashift::event::Event;
 use mimosashift::exchange::{Order, OrderOutcome};
@@ -186,7 +187,7 @@
         let order = Order::Reroute { id: &self.ctx.id, chain };
         let call = engine_protocol::order_request(first.address, &first.id, &order);
         let response = async {
-            let mut exchange = self.state().call(first, call, false).await.ok()?;
+            let mut exchange = self.state().call(first, call, Reuse::Any).await.ok()?;
             let body = exchange.collect(MAX_ORDER_RESPONSE_BYTES).await.ok()?;
             Some(engine_protocol::order_outcome(exchange.head.status(), &body))
         };
--- a/mimosafront/src/relay/mod.rs
+++ b/mimosafront/src/relay/mod.rs
@@ -1,6 +1,7 @@
 //! Relays a client's request to an endpoint and returns the response.
 
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,13 +15,15 @@
 use hyper::{Method, Request, Response, StatusCode, Uri, Version};
 use mimosaplatform::header;
 use mimosashift::admit::rank::Terms;
+use mimosashift::connection_pool::Carriers;
 use mimosashift::deployment::{Denied, Deployment, Rank, Route, RouteKind, Service, Team};
 use mimosashift::emit;
 use mimosashift::event::Event;
-use mimosashift::exchange::{Forward, Tokens};
-use mimosashift::fleet::Hop;
+use mimosashift::exchange::{self, Forward, Tokens};
+use mimosashift::fleet::{Hop, name_key};
 use mimosashift::meter::{Outcome, RefusalReason};
 use mimosashift::quarantine::{Content, Contents, Fingerprint};
+use mimosashift::refusals::Basis;
 use mimosashift::time::Instant;
 
 use crate::body::ResponseBody;
@@ -29,7 +32,7 @@
 use crate::server::Listener;
 use crate::state::{RouterState, millis};
 
-use self::peer::Origin;
+use self::peer::{Origin, Relay};
 
 mod answer;
 mod chain;
@@ -101,9 +104,50 @@
     deadline: Instant,
     /// Whether an endpoint may have received it.
     is_sent: Rc<Cell<bool>>,
+    /// The connections that have carried it.
+    carriers: Rc<Carriers>,
     _in_flight_guard: InFlightGuard,
 }
 
+/// The endpoint or router that a request is sent to.
+#[derive(Clone, Debug)]
+struct Target {
+    /// Id of the endpoint, or name of the router.
+    name: Arc<str>,
+    address: SocketAddr,
+}
+
+/// What is known of the run of a request where it was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Run {
+    /// It certainly has not run.
+    None,
+    /// It may have run.
+    Possible,
+}
+
+impl From<&Hop> for Target {
+    fn from(hop: &Hop) -> Self {
+        Self { name: hop.id.clone(), address: hop.address }
+    }
+}
+
+impl From<&Relay> for Target {
+    fn from(relay: &Relay) -> Self {
+        Self { name: relay.name.clone(), address: relay.address }
+    }
+}
+
+impl Run {
+    /// Name in logs.
+    const fn label(self) -> &'static str {
+        match self {
+            Self::None => "not run",
+            Self::Possible => "may have run",
+        }
+    }
+}
+
 /// Counts a request as in flight until dropped.
 struct InFlightGuard(Rc<RouterState>);
 
@@ -155,17 +199,43 @@
         request
     }
 
-    fn log_sent(&self, attempt: u32, to: &str, inputs: &str) {
+    /// Logs a send to the first endpoint of a chain.
+    fn log_sent(&self, attempt: u32, first: &Hop, to: &str, inputs: &str) {
         let state = &self.state;
+        self.withdraw_refusal(&first.id);
         emit!(
             state.log, Event::RequestSent,
-            "request" => &*self.id, "attempt" => attempt, "to" => to, "inputs" => inputs,
+            "request" => &*self.id, "attempt" => attempt, "to" => to, "address" => first.address.to_string(), "inputs" => inputs,
             "contents" => self.describe_contents(), "route" => &*self.route.name, "left_ms" => millis(self.remaining()),
             "revision" => state.revision(), "config_age_ms" => state.config_age_ms(),
             "directory_age_ms" => state.directory_age_ms(), "relayed_by" => self.origin.relayed_by(),
         );
     }
 
+    /// Forgets that an endpoint or router refused the request, which it gets once more.
+    fn withdraw_refusal(&self, by: &str) {
+        self.state.refusals.borrow_mut().withdraw(name_key(&self.id), name_key(by));
+    }
+
+    /// Records the end of a send whose answer is not passed on.
+    fn record_send_ended(&self, attempt: u32, to: &Target, run: Run, reason: &str) {
+        emit!(
+            self.state.log, Event::SendEnded,
+            "request" => &*self.id, "attempt" => attempt, "to" => &*to.name,
+            "address" => to.address.to_string(), "connection" => self.connection(),
+            "outcome" => run.label(), "reason" => reason,
+        );
+        if run == Run::None {
+            let basis = Basis::Refusal(name_key(&to.name));
+            self.state.refusals.borrow_mut().record(name_key(&self.id), basis, clock::now());
+        }
+    }
+
+    /// Number of the connection of the last send, for logs.
+    fn connection(&self) -> Option<String> {
+        self.carriers.last().map(|connection| connection.to_string())
+    }
+
     fn log_given_up(&self, by: &str) {
         let usage = self.state.budget.usage();
         emit!(
@@ -185,7 +255,8 @@
         let ms = millis(clock::now().since(self.arrived));
         emit!(
             self.state.log, Event::RequestAnswered,
-            "request" => &*self.id, "status" => status.as_u16(), "by" => by, "ms" => ms,
+            "request" => &*self.id, "status" => status.as_u16(), "by" => by,
+            "connection" => self.connection(), "ms" => ms,
         );
     }
 }
@@ -220,6 +291,13 @@
             response
         }
     };
+    if is_sent.get()
+        && exchange::is_promise(response.status().as_u16())
+        && let Some(id) = id.as_ref().and_then(|id| id.to_str().ok())
+    {
+        let mut refusals = state.refusals.borrow_mut();
+        refusals.record(name_key(id), Basis::Promise, clock::now());
+    }
     if is_chunked || state.stopping.is_set() {
         // Clients leave a router that is stopping with the response. A message with both
         // `Content-Length` and `Transfer-Encoding` may smuggle in a second request; a
@@ -325,6 +403,7 @@
         arrived,
         deadline: arrived + time_limit,
         is_sent,
+        carriers: Rc::default(),
         _in_flight_guard: in_flight,
     })
 }
--- a/mimosafront/src/relay/peer.rs
+++ b/mimosafront/src/relay/peer.rs
@@ -13,7 +13,7 @@
 use hyper::body::Bytes;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use mimosaplatform::header;
-use mimosashift::connection_pool::{Exchange, Failure};
+use mimosashift::connection_pool::{Exchange, Failure, Reuse};
 use mimosashift::emit;
 use mimosashift::event::Event;
 use mimosashift::fleet::name_key;
@@ -225,6 +225,7 @@
     ) -> Result<Exchange, CallError> {
         let state = &self.state;
         state.meter.relayed(1);
+        self.withdraw_refusal(&relay.name);
         emit!(
             state.log, Event::RequestRelayed,
             "request" => &*self.id, "attempt" => attempt, "to" => &*relay.name,
@@ -232,7 +233,7 @@
             "after_event" => last_event,
         );
         let request = self.relayed_request(executions, last_event);
-        let sending = state.pool.send(relay.address, request, false);
+        let sending = state.pool.send(relay.address, request, Reuse::Request(&self.carriers));
         let mut sending = std::pin::pin!(sending);
         loop {
             tokio::select! {
--- a/mimosafront/src/relay/plain.rs
+++ b/mimosafront/src/relay/plain.rs
@@ -5,7 +5,7 @@
 
 use hyper::body::Bytes;
 use hyper::{Response, StatusCode};
-use mimosashift::connection_pool::{Exchange, Failure, Framing};
+use mimosashift::connection_pool::{Exchange, Failure, Framing, Reuse};
 use mimosashift::emit;
 use mimosashift::event::Event;
 use mimosashift::fleet::Hop;
@@ -17,8 +17,8 @@
 use super::endpoint::{NO_ANSWER_REASON, NOT_EXECUTED_RETRY_AFTER};
 use super::peer::{Path, Relay, UNREACHABLE_REASON};
 use super::{
-    CRASHED_REASON, EXHAUSTED_REASON, MAX_RESPONSE_BYTES, RequestContext, RequestError,
-    STRAY_REASON, forward_response, relayed_outcome, stop,
+    CRASHED_REASON, EXHAUSTED_REASON, MAX_RESPONSE_BYTES, RequestContext, RequestError, Run,
+    STRAY_REASON, Target, forward_response, relayed_outcome, stop,
 };
 use crate::body::ResponseBody;
 use crate::call::CallError;
@@ -74,10 +74,12 @@
         if attempt > 1 {
             emit!(ctx.state.log, Event::RequestRetried, "request" => &*ctx.id, "attempt" => attempt, "reason" => cause);
         }
-        let outcome = match ctx.path(&tried) {
+        let (target, outcome) = match ctx.path(&tried) {
             Path::Relayed(relay) => {
                 tried.push(relay.name.clone());
-                send_through(&ctx, &relay, attempt, possible_executions, &tried).await
+                let outcome =
+                    send_through(&ctx, &relay, attempt, possible_executions, &tried).await;
+                (Target::from(&relay), outcome)
             }
             Path::Lost => {
                 (cause, retry_after) = (UNREACHABLE_REASON, ctx.unreachable_retry_after());
@@ -93,7 +95,7 @@
                 tried.push(hop.id.clone());
                 let can_retry =
                     ctx.route.is_idempotent() && possible_executions + 1 < ctx.route.attempts;
-                send(&ctx, &hop, attempt, can_retry, &tried).await
+                (Target::from(&hop), send(&ctx, &hop, attempt, can_retry, &tried).await)
             }
         };
         match outcome {
@@ -101,15 +103,18 @@
             SendOutcome::Answered(response, false) => {
                 possible_executions += 1;
                 cause = "endpoint failed";
+                ctx.record_send_ended(attempt, &target, Run::Possible, cause);
                 last_response = Some(response);
             }
             SendOutcome::NotRun(reason) => {
                 rejected_sends += 1;
                 cause = reason;
+                ctx.record_send_ended(attempt, &target, Run::None, cause);
             }
             SendOutcome::Lost(reason) => {
                 possible_executions += 1;
                 cause = reason;
+                ctx.record_send_ended(attempt, &target, Run::Possible, cause);
             }
         }
         let must_not_repeat = possible_executions > 0 && !ctx.route.is_idempotent();
@@ -160,7 +165,7 @@
     state.fleet.borrow_mut().add_request(hop);
     let _load_guard = LoadGuard(state, hop.clone());
     let send_timeout = if can_retry { ctx.retryable_timeout() } else { ctx.remaining() };
-    ctx.log_sent(attempt, &hop.id, "");
+    ctx.log_sent(attempt, hop, &hop.id, "");
     let mut sending = pin!(send_and_collect(ctx, hop));
     let mut result = timeout(send_timeout.min(ctx.remaining()), sending.as_mut()).await;
     if result.is_err() {
@@ -277,7 +282,7 @@
 
 async fn send_and_collect(ctx: &RequestContext, hop: &Hop) -> Result<(Exchange, Bytes), CallError> {
     let request = ctx.request(hop, &[], ctx.last_event);
-    let mut exchange = ctx.state.call(hop, request, false).await?;
+    let mut exchange = ctx.state.call(hop, request, Reuse::Request(&ctx.carriers)).await?;
     let body = exchange.collect(MAX_RESPONSE_BYTES).await?;
     Ok((exchange, body))
 }
--- a/mimosafront/src/state.rs
+++ b/mimosafront/src/state.rs
@@ -24,6 +24,7 @@
 use mimosashift::platform::Row;
 use mimosashift::quarantine::{Content, Quarantine, Verdict};
 use mimosashift::reach::Reach;
+use mimosashift::refusals::{Basis, Recent};
 use mimosashift::time::Instant;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -48,6 +49,9 @@
 /// Upper bound of that delay: a third of the usual deadline.
 const MAX_LIMITED_RETRY_AFTER: Duration = Duration::from_millis(6_500);
 
+/// Upper bound of the age of what a report says.
+const MAX_REPORT_LAG: Duration = Duration::from_secs(1);
+
 /// State that the tasks of a router share.
 pub struct RouterState {
     /// Settings of this router in force.
@@ -72,6 +76,8 @@
     pub relayed: RefCell<HashMap<Arc<str>, usize>>,
     /// Contents of requests that crash endpoints.
     pub quarantine: RefCell<Quarantine>,
+    /// Requests that were lately taken for not run.
+    pub refusals: RefCell<Recent>,
     /// Recent liveness probes, by endpoint.
     pub probe_results: RefCell<ProbeResults>,
     /// Requests that wait for engine memory, and recent admissions and refusals.
@@ -186,6 +192,7 @@
             reach_checks: RefCell::default(),
             relayed: RefCell::default(),
             quarantine: RefCell::default(),
+            refusals: RefCell::default(),
             probe_results: RefCell::default(),
             waiting: Waiting::default(),
             ladder: RefCell::default(),
@@ -411,6 +418,7 @@
             let peers = self.peers.borrow().alive(clock::now()).count();
             emit!(self.log, Event::EndpointUsageUntracked, "endpoint" => id, "reported" => report.kv_used.round() as u64, "known" => known.round() as u64, "peers" => peers);
         }
+        self.check_running(id, report);
         let change = self.fleet.borrow_mut().apply_report(id, report, clock::now());
         let Some(change) = change else { return };
         if is_slow() && !was_slow {
@@ -422,6 +430,33 @@
         self.log_observed(id, &change, "report");
     }
 
+    /// Checks that an engine runs no request of which a client was told that it has not run.
+    fn check_running(&self, id: &str, report: &Report) {
+        let refusals = self.refusals.borrow();
+        let (by, now) = (name_key(id), clock::now());
+        for (request, _) in &report.stalled {
+            let Some((basis, age)) = refusals.contradicted(name_key(request), by, now) else {
+                continue;
+            };
+            if basis == Basis::Promise && age > MAX_REPORT_LAG {
+                self.log_contradiction(request, id, basis, age, "report");
+            }
+        }
+    }
+
+    /// Logs that a request has run which was taken for not run; `source` is `answer` or `report`.
+    pub fn log_contradiction(
+        &self,
+        request: &str,
+        by: &str,
+        basis: Basis,
+        age: Duration,
+        source: &str,
+    ) {
+        self.meter.contradictions(1);
+        emit!(self.log, Event::OutcomeContradicted, "request" => request, "by" => by, "held" => basis.label(), "held_ms" => millis(age), "source" => source);
+    }
+
     /// Logs an observation of an endpoint and its source.
     pub fn log_observed(&self, id: &str, change: &Observation, source: &str) {
         let layers = change.layers.map(|layers| layers.to_string());
--- a/mimosashift/src/connection_pool/mod.rs
+++ b/mimosashift/src/connection_pool/mod.rs
@@ -5,7 +5,7 @@
 //! whether it may be sent elsewhere. Dropping an exchange closes its
 //! connection, which cancels the request on the server.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
@@ -26,9 +26,11 @@
 use tokio::time::{Instant, timeout};
 
 use self::bounded_stream::{BoundedStream, Undelivered};
+pub use self::carrier::{Carriers, Id, Reuse};
 use crate::memory::{Budget, Exhausted};
 
 mod bounded_stream;
+mod carrier;
 
 /// Idle time after which a connection is not reused, unless the server announces
 /// a shorter timeout; below the idle timeouts that servers commonly have.
@@ -106,6 +108,7 @@
     /// [`Pool::closed_addresses`].
     closed: RefCell<Vec<SocketAddr>>,
     closing: Notify,
+    last_id: Cell<u64>,
 }
 
 struct Idle {
@@ -115,6 +118,7 @@
 }
 
 struct Connection {
+    id: Id,
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
     undelivered: Rc<Undelivered>,
@@ -137,6 +141,7 @@
     /// How the end of the body is marked.
     pub framing: Framing,
     body: Incoming,
+    connection_id: Id,
     connection: Option<Connection>,
     idle_timeout: Option<Duration>,
     pool: Rc<Pool>,
@@ -205,21 +210,22 @@
             idle: RefCell::default(),
             closed: RefCell::default(),
             closing: Notify::new(),
+            last_id: Cell::default(),
         })
     }
 
     /// Sends a request and waits for the head of the response.
     ///
-    /// With `fresh` a new connection is opened. There is no time limit; dropping
-    /// the future closes the connection.
+    /// There is no time limit; dropping the future closes the connection.
     pub async fn send(
         self: &Rc<Self>,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
-        fresh: bool,
+        reuse: Reuse<'_>,
     ) -> Result<Exchange, Failure> {
         let mut request = request;
-        while !fresh && let Some(connection) = self.take_idle(address) {
+        while let Some(connection) = self.take_idle(address, reuse) {
+            reuse.record(connection.id);
             match self.exchange(address, connection, request).await {
                 Err((_, Some(unsent))) => request = unsent,
                 Err((failure, None)) => return Err(failure),
@@ -227,6 +233,7 @@
             }
         }
         let connection = self.open(address).await?;
+        reuse.record(connection.id);
         self.exchange(address, connection, request).await.map_err(|(failure, unsent)| {
             match (failure, unsent) {
                 (Failure::Lost { reason }, Some(_)) => Failure::NotSent { reason, refused: true },
@@ -265,7 +272,10 @@
     }
 
     /// Takes the most recently used idle connection that can be reused.
-    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
+    fn take_idle(&self, address: SocketAddr, reuse: Reuse<'_>) -> Option<Connection> {
+        if let Reuse::Never = reuse {
+            return None;
+        }
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
@@ -305,7 +315,9 @@
                 pool.record_closed(address);
             }
         });
-        Ok(Connection { sender, task: task.abort_handle(), undelivered })
+        let id = Id(self.last_id.get() + 1);
+        self.last_id.set(id.0);
+        Ok(Connection { id, sender, task: task.abort_handle(), undelivered })
     }
 
     fn record_closed(&self, address: SocketAddr) {
@@ -358,6 +370,7 @@
             head,
             framing,
             body,
+            connection_id: connection.id,
             connection: Some(connection),
             idle_timeout,
             pool,
@@ -494,6 +507,11 @@
         self.address
     }
 
+    /// The connection that carried the request.
+    pub const fn connection_id(&self) -> Id {
+        self.connection_id
+    }
+
     fn finish(&mut self) {
         if let (Some(connection), Some(idle_timeout)) = (self.connection.take(), self.idle_timeout)
         {
--- a/mimosashift/src/event/table.rs
+++ b/mimosashift/src/event/table.rs
@@ -128,6 +128,8 @@
     RequestContinued "MS0624" Info "request continued", "A chain that had been silent went on, and the chain that was being opened beside it is not used.";
     AnswerWithheld "MS0625" Warning "answer withheld", "An endpoint or router answered with a status by which routers promise that a request has not run, but did not state that it has not; the status is not passed on.";
     AnswerGivenUp "MS0626" Warning "answer given up", "The memory for buffered data is used up, and the answer to a request was the largest that still grew; `buffered` and `limit` are in bytes.";
+    SendEnded "MS0627" Info "send ended", "A send of a request ended without the answer that its client gets; `outcome` is what is known of its run there.";
+    OutcomeContradicted "MS0628" Error "outcome contradicted", "An answer or report shows that a request has run which this router took for not run, since the endpoint had refused it (`refused`), or of which it had told the client so (`client told`).";
 
     PostingClaimed "MS0701" Debug "posting claimed", "The idempotency key of a posting was claimed.";
     PostingRecorded "MS0702" Debug "posting recorded", "The outcome of a posting was recorded.";
--- a/mimosashift/src/lib.rs
+++ b/mimosashift/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod posting;
 pub mod quarantine;
 pub mod reach;
+pub mod refusals;
 pub mod resource;
 pub mod route;
 pub mod settings;
--- a/mimosashift/tests/connection_pool.rs
+++ b/mimosashift/tests/connection_pool.rs
@@ -8,7 +8,7 @@
 use http_body_util::Full;
 use hyper::Request;
 use hyper::body::Bytes;
-use mimosashift::connection_pool::{Framing, Pool, Settings};
+use mimosashift::connection_pool::{Framing, Pool, Reuse, Settings};
 use mimosashift::memory::Budget;
 use socket2::SockRef;
 use test_case::test_case;
@@ -72,7 +72,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     tokio::task::LocalSet::new().block_on(&runtime, async {
         let request = Request::builder().uri("/").header("host", "x").body(Full::default());
-        let mut exchange = pool.send(address, request.unwrap(), false).await.unwrap();
+        let mut exchange = pool.send(address, request.unwrap(), Reuse::Any).await.unwrap();
         let body = exchange.collect(1 << 20).await.ok();
         (exchange.framing, body)
     })
@@ -100,7 +100,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     let status = tokio::task::LocalSet::new().block_on(&runtime, async {
         let request = Request::post("/").header("host", "x").body(Full::from(body));
-        let exchange = pool.send(address, request.unwrap(), false).await;
+        let exchange = pool.send(address, request.unwrap(), Reuse::Any).await;
         exchange.map(|exchange| exchange.head.status().as_u16())
     });
     assert_eq!(status.map_err(|failure| failure.to_string()), Ok(200));
--- a/mimosashift/tests/meter.rs
+++ b/mimosashift/tests/meter.rs
@@ -48,6 +48,8 @@
         Meter::retries,
         Meter::retry_budget_exhausted,
         Meter::relayed,
+        Meter::stray_answers,
+        Meter::contradictions,
         Meter::heartbeats_sent,
         Meter::heartbeats_received,
         Meter::lost_leases,
