--- a/mimosafront/tests/cluster/endpoints.rs
+++ b/mimosafront/tests/cluster/endpoints.rs
@@ -28,6 +28,12 @@
 /// Time after which an endpoint crashes under such a request.
 const CRASH_DELAY: Duration = Duration::from_millis(35);
 
+/// Time for which nothing listens at the address of an endpoint that is replaced.
+const REPLACEMENT_TIME: Duration = Duration::from_millis(5);
+
+/// Time for which the directory lists a process that has been replaced.
+const FORMER_ENTRY_TIME: Duration = Duration::from_secs(1);
+
 /// Time for which an endpoint is down after a crash.
 const DOWN_TIME: Duration = Duration::from_millis(1_500);
 
@@ -115,12 +121,18 @@
     pub leaving: bool,
     /// It refuses one of this many requests as full; engines name the last of the chain.
     pub refusal_interval: Option<u64>,
+    /// Time until an endpoint of a plain service refuses a request.
+    pub refusal_delay: Duration,
     /// Requests counted for that.
     pub offered: u64,
     /// Time from the begin of a stream until an engine sends its head.
     pub head_delay: Duration,
     /// A field of its directory entry, and what the entry says there instead of the truth.
     pub listed: Option<(&'static str, Value)>,
+    /// Number of processes that had its address before.
+    pub replaced: usize,
+    /// Their ids that are still listed, and until when.
+    pub former: Vec<(String, Instant)>,
 }
 
 pub struct Endpoints {
@@ -160,6 +172,26 @@
         self.proxy.address()
     }
 
+    /// Id of the process that has its address now.
+    pub fn process_id(&self) -> String {
+        process_id(&self.id, self.state().replaced)
+    }
+
+    /// Replaces its process by one with another id at the same address. The entry of the
+    /// former one stays for `FORMER_ENTRY_TIME`.
+    pub async fn replace(&self, link: LinkState) {
+        self.proxy.set(LinkState::Reset);
+        let former = (self.process_id(), Instant::now() + FORMER_ENTRY_TIME);
+        {
+            let mut state = self.state();
+            state.former.push(former);
+            state.replaced += 1;
+            state.incarnation += 1;
+        }
+        tokio::time::sleep(REPLACEMENT_TIME).await;
+        self.proxy.set(link);
+    }
+
     pub fn limit_requests(&self, limit: Option<&'static str>) {
         self.state().request_limit = limit;
     }
@@ -270,9 +302,12 @@
                 failure: None,
                 leaving: false,
                 refusal_interval: None,
+                refusal_delay: Duration::ZERO,
                 offered: 0,
                 head_delay: Duration::ZERO,
                 listed: None,
+                replaced: 0,
+                former: Vec::new(),
             };
             let (state, rejections) = (Mutex::new(state), Mutex::default());
             started.push(Arc::new(Member { id, service, zone, proxy, state, rejections }));
@@ -374,6 +409,10 @@
     }
 }
 
+fn process_id(id: &str, replaced: usize) -> String {
+    if replaced == 0 { id.to_owned() } else { format!("{id}.{replaced}") }
+}
+
 /// Renews the registrations of the endpoints at each heartbeat.
 async fn send_heartbeats(endpoints: Arc<Endpoints>, store: Arc<Store>) {
     loop {
@@ -398,8 +437,12 @@
             if let Some((field, value)) = &state.listed {
                 entry[*field] = value.clone();
             }
+            let id = process_id(&member.id, state.replaced);
+            let expired = |(_, until): &mut (String, Instant)| *until <= Instant::now();
+            let gone: Vec<_> = state.former.extract_if(.., expired).collect();
             drop(state);
-            store.put("servers", &member.id, &entry);
+            store.put("servers", &id, &entry);
+            gone.iter().for_each(|(id, _)| store.remove("servers", id));
         }
         tokio::time::sleep(HEARTBEAT_INTERVAL).await;
     }
--- a/mimosafront/tests/cluster/plain.rs
+++ b/mimosafront/tests/cluster/plain.rs
@@ -63,19 +63,21 @@
         }
         let (head, body) = request.into_parts();
         if head.uri.path() == "/health" {
-            return Ok(reply(200, &[("instance-id", &self.member.id)], ""));
+            return Ok(reply(200, &[("instance-id", &self.member.process_id())], ""));
         }
         let id = header_text(&head.headers, "request-id").unwrap_or_default().to_owned();
         self.endpoints.record_arrival(&self.member, &id);
         let body = body.collect().await.map(|body| body.to_bytes()).unwrap_or_default();
-        if header_text(&head.headers, "target-instance") != Some(&self.member.id) {
+        if header_text(&head.headers, "target-instance") != Some(&self.member.process_id()) {
             let headers = [("not-executed", "1"), ("request-id", &*id)];
+            self.wait_before_refusal().await;
             return Ok(reply(421, &headers, "{}"));
         }
         if let Some(rejection) = self.member.reject(&id) {
             return Ok(rejection);
         }
         if self.member.refuses_in_turn() {
+            self.wait_before_refusal().await;
             return Ok(reply(503, &[("not-executed", "1"), ("request-id", &id)], "{}"));
         }
         self.endpoints.update_trace(&id, |trace| {
@@ -121,6 +123,11 @@
 }
 
 impl Plain {
+    async fn wait_before_refusal(&self) {
+        let delay = self.member.state().refusal_delay;
+        tokio::time::sleep(delay).await;
+    }
+
     /// A stream of the events after the one that the request names, in the usual interval.
     fn stream(&self, id: &str, headers: &HeaderMap) -> Reply {
         let number = |text: &str| text.trim().parse::<u64>().unwrap();
--- a/mimosafront/tests/cluster/proxy.rs
+++ b/mimosafront/tests/cluster/proxy.rs
@@ -34,10 +34,11 @@
     Unreachable,
     /// Sends what the server sends a second time, after this time.
     Repeats(Duration),
-    /// Sends the last refusal once more for one of `REPEAT_INTERVAL` later requests, this
+    /// Sends the last refusal once more for one of this many later requests, this
     /// time after the server has got it: with its id on the connection on which it was sent,
     /// or without one on all connections.
     RepeatsRefusals {
+        interval: usize,
         delay: Duration,
         with_id: bool,
     },
@@ -107,9 +108,6 @@
 /// those that follow until the client closes the connection.
 type Replacement = Arc<dyn Fn(&str) -> (String, &'static str) + Send + Sync>;
 
-/// One of this many requests is answered with a copy of a refusal.
-const REPEAT_INTERVAL: usize = 4;
-
 /// Size of the pieces in which endless bytes are sent.
 const ENDLESS_PIECE_BYTES: usize = 64 * 1024;
 
@@ -296,11 +294,13 @@
     }
 
     fn repeat_refusal(&self, refusal: &LastRefusal, to: &WriteHalf) {
-        let LinkState::RepeatsRefusals { delay, with_id } = *self.state.borrow() else { return };
+        let LinkState::RepeatsRefusals { interval, delay, with_id } = *self.state.borrow() else {
+            return;
+        };
         let refusal = if with_id { refusal } else { &self.last_refusal };
         let Some(copy) = refusal.lock().unwrap().clone() else { return };
         let chances = self.repeat_chances.fetch_add(1, Ordering::Relaxed);
-        if !chances.is_multiple_of(REPEAT_INTERVAL) {
+        if !chances.is_multiple_of(interval) {
             return;
         }
         self.send_copy(copy, delay, to);
