Send a request over each connection at most once

What callers saw: a posting that an endpoint refused ran twice, or was answered as not run and had run.

Cause: an endpoint may write a refusal once more. The id in it names the request and not the send, so that the copy, which can only come on the connection of the refusal, answers a second send of the same request over that connection. The choice of an endpoint excludes ids, and a process that is replaced at its address has another id behind the same connections.

The pool remembers the connections that have carried a request and takes another idle one, or a new one, for its next send: to whatever process and through whatever router, no answer to an earlier send can be read for it. No connection is closed for it.

--- a/mimosashift/src/connection_pool/carrier.rs
+++ b/mimosashift/src/connection_pool/carrier.rs
@@ -1,4 +1,4 @@
-//! Names connections, and remembers which of them have carried a request.
+//! Names connections, and keeps a request from going over one of them twice.
 
 use std::cell::RefCell;
 use std::fmt;
@@ -16,6 +16,10 @@
 }
 
 /// The connections that have carried one request, in order.
+///
+/// An answer names its request and not the send that it belongs to, so that a copy of an earlier
+/// answer cannot be told from the answer to a later send over the same connection; see
+/// `docs/design/http.md`, "Stray answers".
 #[derive(Debug, Default)]
 pub struct Carriers(RefCell<SmallVec<[Id; 4]>>);
 
@@ -37,11 +41,19 @@
     Never,
     /// An idle one, if there is any: for calls that no id tells apart.
     Any,
-    /// An idle one, if there is any, for the request that these have carried.
+    /// An idle one, if there is any, other than those that have carried the request.
     Request(&'a Carriers),
 }
 
 impl Reuse<'_> {
+    pub(super) fn allows(self, connection: Id) -> bool {
+        match self {
+            Self::Never => false,
+            Self::Any => true,
+            Self::Request(carriers) => !carriers.0.borrow().contains(&connection),
+        }
+    }
+
     pub(super) fn record(self, connection: Id) {
         if let Self::Request(carriers) = self {
             carriers.push(connection);
--- a/mimosashift/src/connection_pool/mod.rs
+++ b/mimosashift/src/connection_pool/mod.rs
@@ -271,18 +271,20 @@
         idle.retain(|_, connections| !connections.is_empty());
     }
 
-    /// Takes the most recently used idle connection that can be reused.
+    /// Takes the most recently used idle connection that can carry a request.
     fn take_idle(&self, address: SocketAddr, reuse: Reuse<'_>) -> Option<Connection> {
-        if let Reuse::Never = reuse {
-            return None;
-        }
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
-        while let Some(idle) = connections.pop() {
+        let mut end = connections.len();
+        while let Some(last) =
+            connections[..end].iter().rposition(|c| reuse.allows(c.connection.id))
+        {
+            let idle = connections.remove(last);
             if idle.expires > now && idle.idle_since <= now && idle.connection.sender.is_ready() {
                 return Some(idle.connection);
             }
+            end = last;
         }
         None
     }
--- a/mimosashift/tests/connection_pool.rs
+++ b/mimosashift/tests/connection_pool.rs
@@ -8,7 +8,7 @@
 use http_body_util::Full;
 use hyper::Request;
 use hyper::body::Bytes;
-use mimosashift::connection_pool::{Framing, Pool, Reuse, Settings};
+use mimosashift::connection_pool::{Carriers, Framing, Pool, Reuse, Settings};
 use mimosashift::memory::Budget;
 use socket2::SockRef;
 use test_case::test_case;
@@ -105,3 +105,49 @@
     });
     assert_eq!(status.map_err(|failure| failure.to_string()), Ok(200));
 }
+
+/// Answers all requests, on any number of connections.
+fn serve_kept() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            std::thread::spawn(move || {
+                // Until the client closes the connection.
+                while stream.peek(&mut [0]).is_ok_and(|bytes| bytes > 0) {
+                    read_request(&mut stream);
+                    stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nab").unwrap();
+                }
+            });
+        }
+    });
+    address
+}
+
+#[test]
+fn request_goes_over_a_connection_once() {
+    let address = serve_kept();
+    let pool = Pool::new(Settings::default(), budget());
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let (first, second) = (Carriers::default(), Carriers::default());
+    let send = async |reuse: Reuse<'_>| {
+        let request = Request::builder().uri("/").header("host", "x").body(Full::default());
+        let mut exchange = pool.send(address, request.unwrap(), reuse).await.unwrap();
+        exchange.collect(1 << 20).await.unwrap();
+        exchange.connection_id().to_string()
+    };
+    let used = tokio::task::LocalSet::new().block_on(&runtime, async {
+        [
+            send(Reuse::Request(&first)).await,
+            send(Reuse::Request(&first)).await,
+            send(Reuse::Request(&second)).await,
+            send(Reuse::Request(&second)).await,
+            send(Reuse::Request(&first)).await,
+            send(Reuse::Any).await,
+            send(Reuse::Never).await,
+        ]
+    });
+    assert_eq!(used, ["1", "2", "2", "1", "3", "3", "4"]);
+    assert_eq!(first.last().map(|id| id.to_string()).as_deref(), Some("3"));
+}
