Log answers on idle connections, and what they contradict

The answer of a run that a copy had hidden mostly arrives while its connection is idle.

The pool keeps the first bytes that arrive on an idle connection; MS0623 without a request tells of them, MS0628 if they show a run of a request that was taken for not run. Refusals are remembered by address, since several entries of the directory may have one.

--- a/mimosafront/src/call.rs
+++ b/mimosafront/src/call.rs
@@ -1,15 +1,16 @@
 //! Sends requests to endpoints, and records what their answers say of the endpoints.
 
 use std::fmt;
+use std::net::SocketAddr;
 
 use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::{Request, StatusCode};
 use mimosaplatform::header;
-use mimosashift::connection_pool::{Exchange, Failure, Reuse};
+use mimosashift::connection_pool::{self, Exchange, Failure, Reuse, Unsolicited};
 use mimosashift::emit;
 use mimosashift::event::Event;
-use mimosashift::exchange::is_promise;
+use mimosashift::exchange::{ResponseInfo, is_promise};
 use mimosashift::fleet::{Hop, Incarnation, LimitChange, name_key};
 use mimosashift::time::Instant;
 
@@ -26,6 +27,19 @@
     Stray,
 }
 
+/// An answer that is not known to be to the request in progress on its connection, if there is
+/// one.
+#[derive(Clone, Copy)]
+struct Stray<'a> {
+    request: Option<&'a str>,
+    by: &'a str,
+    address: SocketAddr,
+    connection: connection_pool::Id,
+    /// 0 if it cannot be read.
+    status: u16,
+    info: &'a ResponseInfo,
+}
+
 impl From<Failure> for CallError {
     fn from(failure: Failure) -> Self {
         Self::Failed(failure)
@@ -87,22 +101,46 @@
         if info.answers(request) {
             return Ok(exchange);
         }
-        let status = exchange.head.status();
+        let stray = Stray {
+            request,
+            by,
+            address: exchange.address(),
+            connection: exchange.connection_id(),
+            status: exchange.head.status().as_u16(),
+            info: &info,
+        };
+        self.record_stray(&stray);
+        Err(CallError::Stray)
+    }
+
+    /// Records the answers that endpoints and routers have sent on idle connections.
+    pub fn record_unsolicited(&self) {
+        for unsolicited in self.pool.take_unsolicited() {
+            let Unsolicited { address, connection, bytes } = unsolicited;
+            let member = self.fleet.borrow().member_at(address).map(|m| m.endpoint.id.clone());
+            let (by, answer) = (member.unwrap_or_default(), header::unsolicited(&bytes));
+            let (status, info) = answer.unwrap_or_default();
+            let (request, info) = (None, &info);
+            self.record_stray(&Stray { request, by: &by, address, connection, status, info });
+        }
+    }
+
+    fn record_stray(&self, stray: &Stray<'_>) {
+        let Stray { request, by, address, connection, status, info } = *stray;
         self.meter.stray_answers(1);
         emit!(
             self.log, Event::StrayAnswer,
-            "request" => request, "by" => by, "address" => exchange.address().to_string(),
-            "connection" => exchange.connection_id().to_string(), "status" => status.as_u16(),
+            "request" => request, "by" => by, "address" => address.to_string(),
+            "connection" => connection.to_string(), "status" => status,
             "answers" => info.id.as_deref(), "not_run" => info.not_run,
         );
-        if let Some(id) = info.id.filter(|_| !info.not_run && !is_promise(status.as_u16())) {
-            let (answered, now) = (name_key(&id), clock::now());
-            let held = self.refusals.borrow().contradicted(answered, name_key(by), now);
-            if let Some((basis, age)) = held {
-                self.log_contradiction(&id, by, basis, age, "answer");
-            }
+        let Some(id) = info.id.as_deref().filter(|_| !info.not_run && !is_promise(status)) else {
+            return;
+        };
+        let held = self.refusals.borrow().contradicted(name_key(id), address, clock::now());
+        if let Some((basis, age)) = held {
+            self.log_contradiction(id, by, basis, age, "answer");
         }
-        Err(CallError::Stray)
     }
 
     /// Records the limit that an answer names. Only an answer to a request of a client
--- a/mimosafront/src/probe.rs
+++ b/mimosafront/src/probe.rs
@@ -166,6 +166,7 @@
             () = sleep(STALL_CHECK_INTERVAL) => Vec::new(),
             closed = state.pool.closed_addresses() => closed,
         };
+        state.record_unsolicited();
         let hops = {
             let fleet = state.fleet.borrow();
             let mut hops = fleet.stalled(clock::now());
--- a/mimosafront/src/relay/chain/send.rs
+++ b/mimosafront/src/relay/chain/send.rs
@@ -160,8 +160,8 @@
         match self.ctx.check_head(&exchange, Source::Endpoint(&first.id)) {
             Verdict::Accepted => self.possible_executions += 1,
             Verdict::NotRun => {
-                // Dropping the exchange closes its connection, so that a copy of the refusal
-                // answers no second send of this request to the same endpoint.
+                // Dropping the exchange closes its connection, on which a copy of the refusal
+                // would otherwise cost another request its answer.
                 self.rejected_sends += 1;
                 let info = header::response(exchange.head.headers());
                 self.exclude_at_fault(first, info.at_fault, status);
--- a/mimosafront/src/relay/mod.rs
+++ b/mimosafront/src/relay/mod.rs
@@ -202,7 +202,7 @@
     /// Logs a send to the first endpoint of a chain.
     fn log_sent(&self, attempt: u32, first: &Hop, to: &str, inputs: &str) {
         let state = &self.state;
-        self.withdraw_refusal(&first.id);
+        self.withdraw_refusal(first.address);
         emit!(
             state.log, Event::RequestSent,
             "request" => &*self.id, "attempt" => attempt, "to" => to, "address" => first.address.to_string(), "inputs" => inputs,
@@ -213,8 +213,8 @@
     }
 
     /// Forgets that an endpoint or router refused the request, which it gets once more.
-    fn withdraw_refusal(&self, by: &str) {
-        self.state.refusals.borrow_mut().withdraw(name_key(&self.id), name_key(by));
+    fn withdraw_refusal(&self, by: SocketAddr) {
+        self.state.refusals.borrow_mut().withdraw(name_key(&self.id), by);
     }
 
     /// Records the end of a send whose answer is not passed on.
@@ -226,7 +226,7 @@
             "outcome" => run.label(), "reason" => reason,
         );
         if run == Run::None {
-            let basis = Basis::Refusal(name_key(&to.name));
+            let basis = Basis::Refusal(to.address);
             self.state.refusals.borrow_mut().record(name_key(&self.id), basis, clock::now());
         }
     }
--- a/mimosafront/src/relay/peer.rs
+++ b/mimosafront/src/relay/peer.rs
@@ -225,7 +225,7 @@
     ) -> Result<Exchange, CallError> {
         let state = &self.state;
         state.meter.relayed(1);
-        self.withdraw_refusal(&relay.name);
+        self.withdraw_refusal(relay.address);
         emit!(
             state.log, Event::RequestRelayed,
             "request" => &*self.id, "attempt" => attempt, "to" => &*relay.name,
--- a/mimosafront/src/state.rs
+++ b/mimosafront/src/state.rs
@@ -433,7 +433,10 @@
     /// Checks that an engine runs no request of which a client was told that it has not run.
     fn check_running(&self, id: &str, report: &Report) {
         let refusals = self.refusals.borrow();
-        let (by, now) = (name_key(id), clock::now());
+        let Some(by) = self.fleet.borrow().get(id).map(|member| member.endpoint.address) else {
+            return;
+        };
+        let now = clock::now();
         for (request, _) in &report.stalled {
             let Some((basis, age)) = refusals.contradicted(name_key(request), by, now) else {
                 continue;
--- a/mimosafront/tests/cluster/proxy.rs
+++ b/mimosafront/tests/cluster/proxy.rs
@@ -42,6 +42,8 @@
         delay: Duration,
         with_id: bool,
     },
+    /// Sends a success to the same request some milliseconds after each refusal.
+    ContradictsRefusals,
     /// Answers requests for reports with a refusal, except for the first on a connection.
     RefusesReports,
 }
@@ -78,6 +80,9 @@
 /// Time from such an answer until the end of the connection.
 const ENDING_DELAY: Duration = Duration::from_millis(2);
 
+/// Time from a refusal to the success that contradicts it.
+const CONTRADICTION_DELAY: Duration = Duration::from_millis(5);
+
 /// Interval of the bytes of an answer that trickles.
 const TRICKLE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -266,7 +271,10 @@
             breaker(&String::from_utf8_lossy(request))
         };
         let upstream = self.copy(&mut from_client, &to_server, blocking, breaker, on_request);
-        let keep = |answer: &[u8]| self.keep_refusal(&refusal, answer);
+        let keep = |answer: &[u8]| {
+            self.keep_refusal(&refusal, answer);
+            self.contradict_refusal(answer, &to_client);
+        };
         let blocking = LinkState::BlockedToClient;
         let downstream = self.copy(&mut from_server, &to_client, blocking, |_| None, keep);
         let broken = tokio::select! {
@@ -293,6 +301,15 @@
         }
     }
 
+    fn contradict_refusal(&self, answer: &[u8], to: &WriteHalf) {
+        let text = String::from_utf8_lossy(answer);
+        let Some(rest) = text.strip_prefix("HTTP/1.1 503 Service Unavailable") else { return };
+        if *self.state.borrow() == LinkState::ContradictsRefusals {
+            let success = format!("HTTP/1.1 200 OK{}", rest.replace("not-executed", "x-executed"));
+            self.send_copy(success.into_bytes(), CONTRADICTION_DELAY, to);
+        }
+    }
+
     fn repeat_refusal(&self, refusal: &LastRefusal, to: &WriteHalf) {
         let LinkState::RepeatsRefusals { interval, delay, with_id } = *self.state.borrow() else {
             return;
--- a/mimosafront/tests/repeated_refusals.rs
+++ b/mimosafront/tests/repeated_refusals.rs
@@ -192,6 +192,8 @@
     let counts = count(&cluster, clients);
     let repeated = cluster.routers.iter().flat_map(sends_over_one_connection);
     assert_eq!(repeated.collect::<Vec<_>>(), Vec::<String>::new());
+    let contradicted = cluster.routers.iter().flat_map(|router| router.log_lines("MS0628"));
+    assert_eq!(contradicted.collect::<Vec<_>>(), Vec::<String>::new());
     counts
 }
 
@@ -301,6 +303,22 @@
     assert!(counts.copies == 0 && counts.served >= MIN_SERVED, "{counts:?}");
 }
 
+#[test]
+fn run_of_a_request_that_was_refused_is_logged() {
+    let cluster = TestCluster::start(ClusterOptions { routers: 1, ..ClusterOptions::default() });
+    for member in &cluster.endpoints.members {
+        member.state().refusal_interval = Some(1);
+        member.proxy.set(LinkState::ContradictsRefusals);
+    }
+    let request = TestRequest::post();
+    let response = cluster.runtime.block_on(request.send(cluster.routers[0].clients));
+    assert_eq!(response.expect("the router answers").status, 503);
+    cluster.wait_until("the contradiction is logged", |cluster| {
+        let lines = cluster.routers[0].log_lines("MS0628");
+        lines.iter().any(|line| line.contains(&request.id) && line.contains("client told"))
+    });
+}
+
 #[test]
 fn refusal_instead_of_a_report_is_no_restart() {
     let options = ClusterOptions { routers: 1, engines_per_zone: 4, ..ClusterOptions::default() };
--- a/mimosashift/src/connection_pool/bounded_stream.rs
+++ b/mimosashift/src/connection_pool/bounded_stream.rs
@@ -9,6 +9,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use super::unsolicited::Watch;
 use crate::memory::{Charge, Exhausted};
 
 /// Bytes that have been read and not been delivered, which take memory.
@@ -21,6 +22,7 @@
 pub(super) struct BoundedStream {
     stream: TcpStream,
     undelivered: Rc<Undelivered>,
+    watch: Rc<Watch>,
     limit: usize,
 }
 
@@ -47,8 +49,13 @@
 }
 
 impl BoundedStream {
-    pub(super) const fn new(stream: TcpStream, undelivered: Rc<Undelivered>, limit: usize) -> Self {
-        Self { stream, undelivered, limit }
+    pub(super) const fn new(
+        stream: TcpStream,
+        undelivered: Rc<Undelivered>,
+        watch: Rc<Watch>,
+        limit: usize,
+    ) -> Self {
+        Self { stream, undelivered, watch, limit }
     }
 }
 
@@ -64,7 +71,9 @@
         }
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
-        let added = self.undelivered.add(buffer.filled().len() - before);
+        let read = &buffer.filled()[before..];
+        self.watch.on_read(read);
+        let added = self.undelivered.add(read.len());
         Poll::Ready(added.map_err(io::Error::other))
     }
 }
--- a/mimosashift/src/connection_pool/mod.rs
+++ b/mimosashift/src/connection_pool/mod.rs
@@ -27,10 +27,13 @@
 
 use self::bounded_stream::{BoundedStream, Undelivered};
 pub use self::carrier::{Carriers, Id, Reuse};
+pub use self::unsolicited::Unsolicited;
+use self::unsolicited::Watch;
 use crate::memory::{Budget, Exhausted};
 
 mod bounded_stream;
 mod carrier;
+mod unsolicited;
 
 /// Idle time after which a connection is not reused, unless the server announces
 /// a shorter timeout; below the idle timeouts that servers commonly have.
@@ -47,6 +50,9 @@
 /// Maximum number of pending addresses of servers that closed connections.
 const MAX_CLOSED_ADDRESSES: usize = 256;
 
+/// Maximum number of connections with unsolicited bytes that are pending.
+const MAX_UNSOLICITED: usize = 64;
+
 /// Maximum number of bytes read from a connection for one head or piece of a
 /// body. A server that sends endless bytes which are no response would occupy the
 /// event loop until the deadline of the request.
@@ -108,6 +114,9 @@
     /// [`Pool::closed_addresses`].
     closed: RefCell<Vec<SocketAddr>>,
     closing: Notify,
+    /// What servers sent on idle connections, not yet returned by
+    /// [`Pool::take_unsolicited`].
+    unsolicited: RefCell<Vec<Unsolicited>>,
     last_id: Cell<u64>,
 }
 
@@ -122,6 +131,7 @@
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
     undelivered: Rc<Undelivered>,
+    watch: Rc<Watch>,
 }
 
 /// How the end of a response body is marked.
@@ -210,6 +220,7 @@
             idle: RefCell::default(),
             closed: RefCell::default(),
             closing: Notify::new(),
+            unsolicited: RefCell::default(),
             last_id: Cell::default(),
         })
     }
@@ -255,6 +266,12 @@
         }
     }
 
+    /// Returns what servers have sent on idle connections since the last call. Bytes that
+    /// arrive together with the answer before are not among it.
+    pub fn take_unsolicited(&self) -> Vec<Unsolicited> {
+        self.unsolicited.take()
+    }
+
     /// Closes the idle connections to an address, for example because another
     /// connection as old as these has stopped responding.
     pub fn close_idle(&self, address: SocketAddr) {
@@ -282,6 +299,7 @@
         {
             let idle = connections.remove(last);
             if idle.expires > now && idle.idle_since <= now && idle.connection.sender.is_ready() {
+                idle.connection.watch.set_idle(false);
                 return Some(idle.connection);
             }
             end = last;
@@ -303,23 +321,26 @@
         };
         self.configure(&stream).map_err(|error| not_sent(format!("socket: {error}"), false))?;
         let undelivered = Rc::new(Undelivered::new(self.budget.charge()));
-        let stream = BoundedStream::new(stream, undelivered.clone(), MAX_UNDELIVERED_BYTES);
+        let watch = Rc::new(Watch::default());
+        let stream =
+            BoundedStream::new(stream, undelivered.clone(), watch.clone(), MAX_UNDELIVERED_BYTES);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| not_sent(error_chain(&error), false))?;
-        let pool = Rc::downgrade(self);
+        let id = Id(self.last_id.get() + 1);
+        self.last_id.set(id.0);
+        let (pool, watched) = (Rc::downgrade(self), watch.clone());
         // An error of the connection is reported by the exchange that uses it.
         let task = tokio::task::spawn_local(async move {
             drop(connection.await);
             if let Some(pool) = pool.upgrade() {
+                pool.record_unsolicited(address, id, &watched);
                 pool.record_closed(address);
             }
         });
-        let id = Id(self.last_id.get() + 1);
-        self.last_id.set(id.0);
-        Ok(Connection { id, sender, task: task.abort_handle(), undelivered })
+        Ok(Connection { id, sender, task: task.abort_handle(), undelivered, watch })
     }
 
     fn record_closed(&self, address: SocketAddr) {
@@ -330,6 +351,15 @@
         self.closing.notify_one();
     }
 
+    fn record_unsolicited(&self, address: SocketAddr, connection: Id, watch: &Watch) {
+        let mut unsolicited = self.unsolicited.borrow_mut();
+        if unsolicited.len() < MAX_UNSOLICITED
+            && let Some(bytes) = watch.take()
+        {
+            unsolicited.push(Unsolicited { address, connection, bytes });
+        }
+    }
+
     fn configure(&self, stream: &TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let unacked_timeout = self.settings.unacked_timeout;
@@ -386,6 +416,7 @@
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(address).or_default();
         if connections.len() < MAX_IDLE {
+            connection.watch.set_idle(true);
             connections.push(Idle { connection, expires: now + idle_timeout, idle_since: now });
         }
     }
--- a/mimosashift/src/event/table.rs
+++ b/mimosashift/src/event/table.rs
@@ -124,7 +124,7 @@
     ContentTried "MS0620" Info "content tried", "A request with a blocked content is sent to see whether it still crashes endpoints.";
     ContentRefused "MS0621" Info "content refused", "A request is not sent because of a blocked content.";
     RequestRelayed "MS0622" Info "request relayed", "A request is sent to another router, since this one reaches no endpoint of the service.";
-    StrayAnswer "MS0623" Warning "stray answer", "An endpoint or router sent an answer that is not known to be to the request in progress on its connection; neither is used further.";
+    StrayAnswer "MS0623" Warning "stray answer", "An endpoint or router sent an answer that is not known to be to the request in progress on its connection, or sent one while there was none; neither is used further.";
     RequestContinued "MS0624" Info "request continued", "A chain that had been silent went on, and the chain that was being opened beside it is not used.";
     AnswerWithheld "MS0625" Warning "answer withheld", "An endpoint or router answered with a status by which routers promise that a request has not run, but did not state that it has not; the status is not passed on.";
     AnswerGivenUp "MS0626" Warning "answer given up", "The memory for buffered data is used up, and the answer to a request was the largest that still grew; `buffered` and `limit` are in bytes.";
--- a/mimosashift/src/meter/table.rs
+++ b/mimosashift/src/meter/table.rs
@@ -111,7 +111,7 @@
     retries "mimosashift_retries" Counter [] "Steps and calls that were sent again.";
     retry_budget_exhausted "mimosashift_retry_budget_exhausted" Counter [] "Retries that the budget did not allow.";
     relayed "mimosashift_relayed_requests" Counter [] "Requests sent to another router because no endpoint was reachable.";
-    stray_answers "mimosashift_stray_answers" Counter [] "Answers that are not known to be to the request in progress on their connection.";
+    stray_answers "mimosashift_stray_answers" Counter [] "Answers that are not known to be to a request in progress on their connection.";
     contradictions "mimosashift_contradicted_outcomes" Counter [] "Answers and reports that show that a request has run which was taken for not run.";
     recoveries "mimosashift_recoveries" Counter [kind: Recovery] "Requests that went on after the loss of a stage, by kind.";
     recovery_time "mimosashift_recovery_seconds" Histogram [] "Time from the loss of a stage to the next token.";
--- a/mimosashift/src/refusals.rs
+++ b/mimosashift/src/refusals.rs
@@ -2,6 +2,7 @@
 //! opposite is noticed.
 
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::time::Instant;
@@ -15,8 +16,8 @@
 /// Who took a request for not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Basis {
-    /// This router, since the endpoint or router with this key refused it.
-    Refusal(u64),
+    /// This router, since the endpoint or router at this address refused it.
+    Refusal(SocketAddr),
     /// Its client, whom this router told so.
     Promise,
 }
@@ -54,15 +55,21 @@
         self.entries.push_back(Entry { request, basis, at: now });
     }
 
-    /// Forgets that an endpoint or router refused a request, which is sent there again.
-    pub fn withdraw(&mut self, request: u64, by: u64) {
+    /// Forgets that the endpoint or router at an address refused a request, which is sent there
+    /// again.
+    pub fn withdraw(&mut self, request: u64, by: SocketAddr) {
         let basis = Basis::Refusal(by);
         self.entries.retain(|entry| (entry.request, entry.basis) != (request, basis));
     }
 
-    /// What an answer of `by` to a request contradicts, and since when that has been held;
-    /// preferably what its client was told.
-    pub fn contradicted(&self, request: u64, by: u64, now: Instant) -> Option<(Basis, Duration)> {
+    /// What an answer from an address to a request contradicts, and since when that has been
+    /// held; preferably what its client was told.
+    pub fn contradicted(
+        &self,
+        request: u64,
+        by: SocketAddr,
+        now: Instant,
+    ) -> Option<(Basis, Duration)> {
         let held = self.entries.iter().filter(|entry| entry.request == request);
         let held = held.filter(|entry| now.since(entry.at) < MAX_AGE);
         let held = held.filter(|e| e.basis == Basis::Promise || e.basis == Basis::Refusal(by));
--- a/mimosashift/tests/connection_pool.rs
+++ b/mimosashift/tests/connection_pool.rs
@@ -8,7 +8,7 @@
 use http_body_util::Full;
 use hyper::Request;
 use hyper::body::Bytes;
-use mimosashift::connection_pool::{Carriers, Framing, Pool, Reuse, Settings};
+use mimosashift::connection_pool::{Carriers, Framing, Pool, Reuse, Settings, Unsolicited};
 use mimosashift::memory::Budget;
 use socket2::SockRef;
 use test_case::test_case;
@@ -151,3 +151,30 @@
     assert_eq!(used, ["1", "2", "2", "1", "3", "3", "4"]);
     assert_eq!(first.last().map(|id| id.to_string()).as_deref(), Some("3"));
 }
+
+#[test]
+fn answer_on_an_idle_connection_is_kept() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let second = b"HTTP/1.1 200 OK\r\nx: y\r\n\r\n";
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        read_request(&mut stream);
+        stream.write_all(b"HTTP/1.1 503 Busy\r\ncontent-length: 2\r\n\r\nab").unwrap();
+        std::thread::sleep(Duration::from_millis(50));
+        stream.write_all(second).unwrap();
+    });
+    let pool = Pool::new(Settings::default(), budget());
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let unsolicited = tokio::task::LocalSet::new().block_on(&runtime, async {
+        let request = Request::builder().uri("/").header("host", "x").body(Full::default());
+        let mut exchange = pool.send(address, request.unwrap(), Reuse::Any).await.unwrap();
+        exchange.collect(1 << 20).await.unwrap();
+        assert_eq!(pool.closed_addresses().await, [address]);
+        pool.take_unsolicited()
+    });
+    let [Unsolicited { address: from, bytes, .. }] = &unsolicited[..] else {
+        panic!("{unsolicited:?}");
+    };
+    assert_eq!((*from, &bytes[..]), (address, &second[..]));
+}
--- a/mimosashift/tests/refusals.rs
+++ b/mimosashift/tests/refusals.rs
@@ -1,5 +1,6 @@
 //! Tests of the memory of requests that were taken for not run.
 
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::time::Duration;
 
 use mimosashift::refusals::{Basis, Recent};
@@ -7,16 +8,19 @@
 use test_case::test_case;
 
 const REQUEST: u64 = 7;
-const BY: u64 = 1;
+
+/// Addresses of two endpoints.
+const BY: SocketAddr = SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1));
+const OTHER: SocketAddr = SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 2));
 
 fn at(ms: u64) -> Instant {
     Instant::ZERO + Duration::from_millis(ms)
 }
 
 #[test_case(Basis::Refusal(BY), BY, true; "answer of who refused it")]
-#[test_case(Basis::Refusal(BY), 2, false; "answer of another endpoint")]
-#[test_case(Basis::Promise, 2, true; "answer after a promise")]
-fn answer_contradicts(basis: Basis, by: u64, expected: bool) {
+#[test_case(Basis::Refusal(BY), OTHER, false; "answer of another endpoint")]
+#[test_case(Basis::Promise, OTHER, true; "answer after a promise")]
+fn answer_contradicts(basis: Basis, by: SocketAddr, expected: bool) {
     let mut recent = Recent::default();
     recent.record(REQUEST, basis, at(0));
     recent.record(8, Basis::Promise, at(1));
@@ -29,7 +33,7 @@
     let mut recent = Recent::default();
     recent.record(REQUEST, Basis::Refusal(BY), at(0));
     recent.record(REQUEST, Basis::Promise, at(5));
-    recent.record(REQUEST, Basis::Refusal(2), at(6));
+    recent.record(REQUEST, Basis::Refusal(OTHER), at(6));
     let found = recent.contradicted(REQUEST, BY, at(20));
     assert_eq!(found, Some((Basis::Promise, Duration::from_millis(15))));
 }
