Name no connection for a send that had none

MS0627 of a send whose connection was refused named the connection of the send before, so that two lines of one id with one connection, the evidence for copies of refusals, could stand for a refused connection. Found by review; the test failed: left Some(Id(1)), right Some(Id(1)).

--- a/mimosashift/src/connection_pool/carrier.rs
+++ b/mimosashift/src/connection_pool/carrier.rs
@@ -1,6 +1,6 @@
 //! Names connections, and keeps a request from going over one of them twice.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::fmt;
 
 use smallvec::SmallVec;
@@ -21,16 +21,15 @@
 /// answer cannot be told from the answer to a later send over the same connection; see
 /// `docs/design/http.md`, "Stray answers".
 #[derive(Debug, Default)]
-pub struct Carriers(RefCell<SmallVec<[Id; 4]>>);
+pub struct Carriers {
+    ids: RefCell<SmallVec<[Id; 4]>>,
+    last: Cell<Option<Id>>,
+}
 
 impl Carriers {
-    /// The connection of the last send.
+    /// The connection of the last send; `None` if there was none.
     pub fn last(&self) -> Option<Id> {
-        self.0.borrow().last().copied()
-    }
-
-    pub(super) fn push(&self, connection: Id) {
-        self.0.borrow_mut().push(connection);
+        self.last.get()
     }
 }
 
@@ -39,7 +38,8 @@
 pub enum Reuse<'a> {
     /// A new one.
     Never,
-    /// An idle one, if there is any: for calls that no id tells apart.
+    /// An idle one, if there is any: for calls without an id, whose answers cannot be told from
+    /// copies of earlier ones.
     Any,
     /// An idle one, if there is any, other than those that have carried the request.
     Request(&'a Carriers),
@@ -50,13 +50,21 @@
         match self {
             Self::Never => false,
             Self::Any => true,
-            Self::Request(carriers) => !carriers.0.borrow().contains(&connection),
+            Self::Request(carriers) => !carriers.ids.borrow().contains(&connection),
+        }
+    }
+
+    /// Begins a send, which has no connection yet.
+    pub(super) fn begin(self) {
+        if let Self::Request(carriers) = self {
+            carriers.last.set(None);
         }
     }
 
     pub(super) fn record(self, connection: Id) {
         if let Self::Request(carriers) = self {
-            carriers.push(connection);
+            carriers.ids.borrow_mut().push(connection);
+            carriers.last.set(Some(connection));
         }
     }
 }
--- a/mimosashift/src/connection_pool/mod.rs
+++ b/mimosashift/src/connection_pool/mod.rs
@@ -235,6 +235,7 @@
         reuse: Reuse<'_>,
     ) -> Result<Exchange, Failure> {
         let mut request = request;
+        reuse.begin();
         while let Some(connection) = self.take_idle(address, reuse) {
             reuse.record(connection.id);
             match self.exchange(address, connection, request).await {
--- a/mimosashift/tests/connection_pool.rs
+++ b/mimosashift/tests/connection_pool.rs
@@ -178,3 +178,22 @@
     };
     assert_eq!((*from, &bytes[..]), (address, &second[..]));
 }
+
+#[test]
+fn send_that_was_not_connected_is_not_logged_with_the_connection_before() {
+    let (address, closed) = (serve_kept(), {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        listener.local_addr().unwrap()
+    });
+    let pool = Pool::new(Settings::default(), budget());
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let carriers = Carriers::default();
+    let send = async |address| {
+        let request = Request::builder().uri("/").header("host", "x").body(Full::default());
+        pool.send(address, request.unwrap(), Reuse::Request(&carriers)).await.is_ok()
+    };
+    let (first, used, second) = tokio::task::LocalSet::new()
+        .block_on(&runtime, async { (send(address).await, carriers.last(), send(closed).await) });
+    assert!(first && !second);
+    assert_ne!(carriers.last(), used, "MS0627 names this connection for the second send");
+}
