Do not take a second router's refusal for a promise to the client

A router that refuses a relayed request which may have run before makes no promise: the first router does not pass its refusal on. It was remembered as one, so that a late report of an engine could raise MS0628.

--- a/mimosafront/src/relay/mod.rs
+++ b/mimosafront/src/relay/mod.rs
@@ -274,7 +274,8 @@
     };
     let is_chunked = request.headers().contains_key(TRANSFER_ENCODING);
     let id = request.headers().get(header::REQUEST_ID).cloned();
-    let is_sent = Rc::new(Cell::new(origin.executions() > 0));
+    let was_sent_before = origin.executions() > 0;
+    let is_sent = Rc::new(Cell::new(was_sent_before));
     let result = tokio::select! {
         biased;
         () = stop::deadline(&state) => Err(stop::error(&state, is_sent.get())),
@@ -292,6 +293,7 @@
         }
     };
     if is_sent.get()
+        && !was_sent_before
         && exchange::is_promise(response.status().as_u16())
         && let Some(id) = id.as_ref().and_then(|id| id.to_str().ok())
     {
