Measure by hand what copies of refusals cost

Each of three endpoints of a plain service refuses a quarter of its requests, links write half of the refusals once more, 0 to 6 ms later, and every 0.4 s an endpoint is replaced at its address. 48 clients send postings over kept connections. Reports runs, statuses, the routers' reasons, new connections and times.

--- a/mimosafront/tests/cluster/proxy.rs
+++ b/mimosafront/tests/cluster/proxy.rs
@@ -42,6 +42,9 @@
         delay: Duration,
         with_id: bool,
     },
+    /// Sends every second refusal once more on its connection, up to `MAX_COPY_DELAY_MS`
+    /// later.
+    CopiesRefusals,
     /// Answers requests for reports with a refusal, except for the first on a connection.
     RefusesReports,
 }
@@ -50,6 +53,9 @@
 const REFUSAL: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\nnot-executed: 1\r\ncontent-length: 2\r\n\r\n{}";
 
+/// Longest time from a refusal to its copy.
+const MAX_COPY_DELAY_MS: usize = 6;
+
 /// The last refusal that was sent.
 type LastRefusal = Arc<Mutex<Option<Vec<u8>>>>;
 
@@ -100,6 +106,8 @@
     last_refusal: LastRefusal,
     /// Number of requests for which a refusal might have been sent once more.
     repeat_chances: AtomicUsize,
+    /// Number of connections that it has accepted.
+    accepted: AtomicUsize,
     /// Number of refusals that were sent once more.
     repeated_refusals: Arc<AtomicUsize>,
 }
@@ -123,6 +131,7 @@
             replacing: AtomicUsize::default(),
             last_refusal: LastRefusal::default(),
             repeat_chances: AtomicUsize::default(),
+            accepted: AtomicUsize::default(),
             repeated_refusals: Arc::default(),
         });
         let serving = proxy.clone();
@@ -210,6 +219,10 @@
         self.replacing.load(Ordering::Relaxed)
     }
 
+    pub fn accepted_connections(&self) -> usize {
+        self.accepted.load(Ordering::Relaxed)
+    }
+
     pub fn repeated_refusals(&self) -> usize {
         self.repeated_refusals.load(Ordering::Relaxed)
     }
@@ -239,6 +252,7 @@
         if matches!(*self.state.borrow(), LinkState::Reset | LinkState::RefuseNew) {
             return;
         }
+        self.accepted.fetch_add(1, Ordering::Relaxed);
         let answer = self.replacement.lock().unwrap().clone();
         if let Some((answer, interval)) = answer {
             return self.answer(stream, answer, interval).await;
@@ -266,7 +280,10 @@
             breaker(&String::from_utf8_lossy(request))
         };
         let upstream = self.copy(&mut from_client, &to_server, blocking, breaker, on_request);
-        let keep = |answer: &[u8]| self.keep_refusal(&refusal, answer);
+        let keep = |answer: &[u8]| {
+            self.keep_refusal(&refusal, answer);
+            self.copy_refusal(answer, &to_client);
+        };
         let blocking = LinkState::BlockedToClient;
         let downstream = self.copy(&mut from_server, &to_client, blocking, |_| None, keep);
         let broken = tokio::select! {
@@ -283,8 +300,7 @@
     fn keep_refusal(&self, refusal: &LastRefusal, answer: &[u8]) {
         let LinkState::RepeatsRefusals { with_id, .. } = *self.state.borrow() else { return };
         let text = String::from_utf8_lossy(answer);
-        let is_refusal = ["HTTP/1.1 503", "HTTP/1.1 421"].iter().any(|s| text.starts_with(s));
-        if is_refusal && text.contains("not-executed") {
+        if is_refusal(&text) {
             let lines = text.split_inclusive('\n');
             let copy: String =
                 lines.filter(|line| with_id || !line.starts_with("request-id")).collect();
@@ -306,6 +322,18 @@
         self.send_copy(copy, delay, to);
     }
 
+    fn copy_refusal(&self, answer: &[u8], to: &WriteHalf) {
+        let copies = *self.state.borrow() == LinkState::CopiesRefusals;
+        if !copies || !is_refusal(&String::from_utf8_lossy(answer)) {
+            return;
+        }
+        let chances = self.repeat_chances.fetch_add(1, Ordering::Relaxed);
+        if chances.is_multiple_of(2) {
+            let delay = chances / 2 % (MAX_COPY_DELAY_MS + 1);
+            self.send_copy(answer.to_vec(), Duration::from_millis(delay as u64), to);
+        }
+    }
+
     fn send_copy(&self, copy: Vec<u8>, delay: Duration, to: &WriteHalf) {
         let (to, repeated) = (to.clone(), self.repeated_refusals.clone());
         tokio::spawn(async move {
@@ -365,6 +393,11 @@
     }
 }
 
+fn is_refusal(answer: &str) -> bool {
+    let statuses = ["HTTP/1.1 503", "HTTP/1.1 421"];
+    statuses.iter().any(|status| answer.starts_with(status)) && answer.contains("not-executed")
+}
+
 impl BrokenAnswer {
     async fn send(self, mut from: OwnedReadHalf, mut to: OwnedWriteHalf) {
         // The other side may have closed the connection.
--- a/mimosafront/tests/repeated_refusals.rs
+++ b/mimosafront/tests/repeated_refusals.rs
@@ -2,17 +2,20 @@
 
 mod cluster;
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use nix::sys::signal::Signal;
 use serde_json::Value;
 use test_case::test_case;
+use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
-use cluster::client::{TestRequest, TestResponse};
+use cluster::client::{Connection, TestRequest, TestResponse};
 use cluster::endpoints::Health;
 use cluster::proxy::LinkState;
-use cluster::router::Router;
+use cluster::router::{Build, Router};
 use cluster::{ClusterOptions, TestCluster};
 
 /// Requests of each test, and how many of them are in progress at a time.
@@ -326,3 +329,112 @@
     assert!(copies > 0 && complete >= STREAMS / 2);
     assert_eq!(cut_off, 0);
 }
+
+/// Clients of the measurement by hand, their pause after each posting, and the time between
+/// two replacements.
+const KEPT_CLIENTS: usize = 48;
+const POSTING_PAUSE: Duration = Duration::from_millis(20);
+const REPLACEMENT_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Sends postings over a kept connection until `end`; returns them with the time each took.
+async fn send_postings(
+    to: SocketAddr,
+    end: Instant,
+) -> Vec<(TestRequest, Option<TestResponse>, Duration)> {
+    let (mut sent, mut kept) = (Vec::new(), None);
+    while Instant::now() < end {
+        let (request, begin) = (TestRequest::post(), Instant::now());
+        if kept.is_none() {
+            kept = Connection::new(TcpStream::connect(to).await.unwrap()).await;
+        }
+        let response = kept.as_mut().unwrap().send(&request).await;
+        if response.is_none() {
+            kept = None;
+        }
+        sent.push((request, response, begin.elapsed()));
+        tokio::time::sleep(POSTING_PAUSE).await;
+    }
+    sent
+}
+
+/// Log lines of the routers with these events, by event and reason.
+fn lines_by_reason(cluster: &TestCluster) -> BTreeMap<String, usize> {
+    let mut lines = BTreeMap::new();
+    for line in cluster.routers.iter().flat_map(|router| router.log_lines("MS06")) {
+        let line: Value = serde_json::from_str(&line).unwrap();
+        let event = line["event"].as_str().unwrap_or_default();
+        if ["MS0604", "MS0623", "MS0627", "MS0628"].contains(&event) {
+            *lines.entry(format!("{event} {}", line["reason"])).or_default() += 1;
+        }
+    }
+    lines
+}
+
+/// Measures what copies of refusals cost: `REFUSALS_SECONDS` is the duration, and
+/// `MIMOSAFRONT_OTHER` names another build of the router.
+#[test_case(LinkState::CopiesRefusals, 4, true; "with copies")]
+#[test_case(LinkState::Up, 2, false; "without copies")]
+#[ignore = "a measurement by hand"]
+fn measure_repeated_refusals(link: LinkState, refusal_interval: u64, replaced: bool) {
+    let seconds = std::env::var("REFUSALS_SECONDS").map_or(60, |text| text.parse().unwrap());
+    let options = ClusterOptions { zones: 1, registers_per_zone: 3, ..ClusterOptions::default() };
+    let mut cluster = TestCluster::start(options);
+    for router in &mut cluster.routers {
+        router.stop(Signal::SIGTERM);
+        router.build = Build::Other;
+        router.spawn();
+    }
+    cluster.wait_until("routers are ready", |cluster| {
+        let mut routers = cluster.routers.iter();
+        routers.all(|router| cluster.runtime.block_on(router.is_ready()))
+    });
+    let members = cluster.endpoints.members.iter().filter(|member| member.service == "register");
+    let members: Vec<_> = members.collect();
+    for member in &members {
+        member.state().refusal_interval = Some(refusal_interval);
+        member.proxy.set(link);
+    }
+    let connections =
+        || members.iter().map(|member| member.proxy.accepted_connections()).sum::<usize>();
+    let before = connections();
+    let end = Instant::now() + Duration::from_secs(seconds);
+    let clients: Vec<_> = (0..KEPT_CLIENTS)
+        .map(|client| {
+            let to = cluster.routers[client % cluster.routers.len()].clients;
+            cluster.runtime.spawn(send_postings(to, end))
+        })
+        .collect();
+    for member in members.iter().cycle() {
+        std::thread::sleep(REPLACEMENT_INTERVAL);
+        if Instant::now() >= end {
+            break;
+        }
+        if replaced {
+            cluster.runtime.block_on(member.replace(link));
+        }
+    }
+    let (mut counts, mut statuses, mut times) = (Counts::default(), BTreeMap::new(), Vec::new());
+    for client in clients {
+        for (request, response, time) in cluster.runtime.block_on(client).unwrap() {
+            times.push(time);
+            let status = response.as_ref().map(|response| response.status);
+            *statuses.entry(status).or_insert(0) += 1;
+            if let Some(response) = &response {
+                counts.add(&cluster, &request, response);
+            }
+        }
+    }
+    counts.copies = members.iter().map(|member| member.proxy.repeated_refusals()).sum();
+    times.sort();
+    let quantile = |share: f64| times[((times.len() - 1) as f64 * share) as usize];
+    println!("{} postings, statuses {statuses:?}, {counts:?}", times.len());
+    println!("{} new connections", connections() - before);
+    println!(
+        "median {:?}, 0.9 {:?}, 0.99 {:?}, longest {:?}",
+        quantile(0.5),
+        quantile(0.9),
+        quantile(0.99),
+        quantile(1.0)
+    );
+    println!("{:#?}", lines_by_reason(&cluster));
+}
