Replace endpoints in the soak, behind links that repeat refusals

With every second fault it now replaces one or all endpoints of the plain service; their links repeat refusals, and some refuse requests. It has its own generator, so that the other faults of a seed stay. Streams that may not be resumed are sent as well, and counted if they run twice. A failed recovery names the last request and its answer.

Postings, reads and streams without parts get contents of their own: a replacement cuts the connections of its requests, which counts as a crash under their contents, and a content that all share is then refused for 45 s.

--- a/mimosafront/tests/cluster/client.rs
+++ b/mimosafront/tests/cluster/client.rs
@@ -81,6 +81,16 @@
         self
     }
 
+    /// The same request with contents that no other has, as routers count the crashes of
+    /// endpoints against the contents that they ran.
+    pub fn with_own_contents(mut self) -> Self {
+        match self.method {
+            Method::GET => self.path.push_str(&format!("&own={}", self.id)),
+            _ => self.body.extend(self.id.bytes()),
+        }
+        self
+    }
+
     pub fn post() -> Self {
         Self { body: b"posting".to_vec(), ..Self::new(Method::POST, "/post/x") }
     }
--- a/mimosafront/tests/soak.rs
+++ b/mimosafront/tests/soak.rs
@@ -51,6 +51,12 @@
 /// One in this many faults comes with a change of a router's paths to all endpoints.
 const PATHS_ONE_IN: u32 = 3;
 
+/// One in this many faults comes with a replacement of endpoints of the plain service.
+const REPLACED_ONE_IN: u32 = 2;
+
+/// One in this many replacements is of a single endpoint, and the others are of all.
+const SINGLE_ONE_IN: u32 = 3;
+
 /// One in this many changes of an endpoint's rest makes it leave as well.
 const LEAVING_ONE_IN: u32 = 8;
 
@@ -96,6 +102,7 @@
     // Its own generator keeps the other faults of a seed as they were.
     let mut limit_rng = StdRng::seed_from_u64(!seed);
     let mut paths_rng = StdRng::seed_from_u64(seed.rotate_left(32));
+    let mut replaced_rng = StdRng::seed_from_u64((!seed).rotate_left(32));
     let end = Instant::now() + duration;
     let mut revoked = None;
     let mut pending: Vec<(Instant, Repair)> = Vec::new();
@@ -104,6 +111,7 @@
         pending.push((Instant::now() + repair_after, repair));
         change_limit(&cluster, &mut limit_rng);
         change_paths(&cluster, &mut paths_rng);
+        pending.extend(replace_endpoints(&cluster, &mut replaced_rng));
         let pause = Duration::from_millis(rng.random_range(100..900));
         std::thread::sleep(pause);
         pending = apply_due_repairs(&mut cluster, pending, Instant::now());
@@ -141,7 +149,7 @@
 ) {
     let mut persistent: Option<Connection> = None;
     while !*stop.lock().unwrap() {
-        let mut request = match rng.random_range(0..3) {
+        let mut request = match rng.random_range(0..4) {
             0 => {
                 let events = rng.random_range(1..40);
                 let crashing = rng.random_ratio(1, CRASHING_ONE_IN);
@@ -152,8 +160,10 @@
                 let body = if crashing && !by_part { CRASHING_BODY } else { b"draft" };
                 TestRequest { body: body.to_vec(), ..draft }
             }
-            1 => TestRequest::post(),
-            _ => TestRequest::read(),
+            1 => TestRequest::post().with_own_contents(),
+            2 if rng.random() => TestRequest::note(rng.random_range(1..40)).with_own_contents(),
+            2 => TestRequest::feed().with_own_contents(),
+            _ => TestRequest::read().with_own_contents(),
         };
         request.key = [KEY, OTHER_KEY].choose(&mut rng).unwrap().to_string();
         let sent_at = Instant::now();
@@ -321,6 +331,38 @@
     }
 }
 
+/// Replaces endpoints of the plain service at their addresses, now and then, and lets their
+/// links repeat refusals. Returns the repairs of the links.
+fn replace_endpoints(cluster: &TestCluster, rng: &mut StdRng) -> Vec<(Instant, Repair)> {
+    let members = cluster.endpoints.members.iter().filter(|member| member.service == "register");
+    let mut members: Vec<_> = members.collect();
+    if !rng.random_ratio(1, REPLACED_ONE_IN) {
+        return Vec::new();
+    }
+    if rng.random_ratio(1, SINGLE_ONE_IN) {
+        members = vec![*members.choose(rng).unwrap()];
+    }
+    let mut repairs = Vec::new();
+    for member in members {
+        let delay = Duration::from_millis(rng.random_range(0..6));
+        let (interval, with_id) = (rng.random_range(1..4), rng.random_ratio(3, 4));
+        let link = LinkState::RepeatsRefusals { interval, delay, with_id };
+        let refusal_interval = *[None, None, Some(4), Some(2)].choose(rng).unwrap();
+        let repair_after = Duration::from_millis(rng.random_range(1_000..3_500));
+        println!(
+            "{:?}: {} is replaced, {link:?}, refuses one of {refusal_interval:?}, \
+             for {repair_after:?}",
+            SystemTime::now(),
+            member.process_id()
+        );
+        member.state().refusal_interval = refusal_interval;
+        member.state().refusal_delay = Duration::from_millis(rng.random_range(0..20));
+        cluster.runtime.block_on(member.replace(link));
+        repairs.push((Instant::now() + repair_after, Repair::Endpoint(member.id.clone())));
+    }
+    repairs
+}
+
 /// Applies the repairs that are due and returns the others.
 fn apply_due_repairs(
     cluster: &mut TestCluster,
@@ -355,6 +397,7 @@
             Repair::Endpoint(id) => {
                 let member = cluster.endpoints.get(&id);
                 member.proxy.set(LinkState::Up);
+                member.state().refusal_interval = None;
                 let health = member.state().health;
                 match health {
                     Health::Unresponsive => member.restart(),
@@ -372,19 +415,20 @@
     let mut violations = Vec::new();
     for router in 0..cluster.routers.len() {
         let draft = || TestRequest::draft(5).with_parts(&[SOUND_PART, "d1"]);
-        for make in [draft, TestRequest::post, TestRequest::read] {
-            let mut served = false;
+        let post = || TestRequest::post().with_own_contents();
+        let read = || TestRequest::read().with_own_contents();
+        for make in [draft, post, read] {
+            let (mut served, mut request, mut response) = (false, make(), None);
             while !served && Instant::now() < end {
-                let response =
-                    cluster.runtime.block_on(make().send(cluster.routers[router].clients));
-                served =
-                    response.is_some_and(|response| response.status == 200 && response.complete);
+                request = make();
+                response = cluster.runtime.block_on(request.send(cluster.routers[router].clients));
+                served = response.as_ref().is_some_and(|r| r.status == 200 && r.complete);
                 std::thread::sleep(Duration::from_millis(50));
             }
             if !served {
                 violations.push(format!(
-                    "{} does not serve requests after recovery",
-                    cluster.routers[router].name
+                    "{} {}: {} does not serve it after recovery: {response:?}",
+                    request.id, request.path, cluster.routers[router].name
                 ));
             }
         }
@@ -403,7 +447,8 @@
         let trace = cluster.endpoints.trace(&request.id);
         let mut record =
             |text: String| violations.push(format!("{} {}: {text}", request.id, request.path));
-        if request.path.starts_with("/post/") && trace.runs > 1 {
+        let runs_once = ["/post/", "/note/", "/feed/"];
+        if runs_once.iter().any(|path| request.path.starts_with(path)) && trace.runs > 1 {
             record(format!("executed {} times", trace.runs));
         }
         if trace.key_leaked {
