--- a/mimosafront/tests/leaving_endpoints.rs
+++ b/mimosafront/tests/leaving_endpoints.rs
@@ -6,6 +6,7 @@
 use std::collections::HashSet;
 use std::time::{Duration, Instant};
 
+use nix::sys::signal::Signal;
 use serde_json::Value;
 
 use cluster::client::TestRequest;
@@ -13,6 +14,7 @@
 use cluster::load::{send_requests, served_share};
 use cluster::proxy::LinkState;
 use cluster::router::Router;
+use cluster::store::Copy;
 use cluster::{ClusterOptions, TestCluster};
 
 /// Time after which a leaving endpoint must get no requests.
@@ -119,3 +121,61 @@
         !late_arrivals(cluster, &[register], from).is_empty()
     });
 }
+
+/// Waits until every router has logged an event of an endpoint.
+fn wait_until_logged(cluster: &TestCluster, code: &str, member: &Member) {
+    let is_own = |line: &String| line.contains(&member.id);
+    cluster.wait_until(code, |cluster| {
+        cluster.routers.iter().all(|router| router.log_lines(code).iter().any(is_own))
+    });
+}
+
+/// Lets an endpoint say that it is leaving and removes its entry; returns a copy of the store
+/// from before.
+fn remove(cluster: &TestCluster, member: &Member) -> Copy {
+    let copy = cluster.store.copy();
+    member.state().leaving = true;
+    wait_until_logged(cluster, "MS0503", member);
+    member.state().removed = true;
+    wait_until_logged(cluster, "MS0512", member);
+    copy
+}
+
+#[test]
+fn entry_from_an_old_copy_brings_no_requests_to_a_leaving_endpoint() {
+    let cluster = cluster(2, 1, false);
+    send_requests(&cluster, Duration::from_millis(15), DURATION * 3, TestRequest::mixed);
+    std::thread::sleep(Duration::from_secs(1));
+    let register = cluster.endpoints.get("register-0");
+    let copy = remove(&cluster, register);
+    let from = Instant::now();
+    register.state().removed = false;
+    cluster.store.restore(copy);
+    std::thread::sleep(DURATION);
+    let late = late_arrivals(&cluster, &[register], from);
+    assert_eq!(late, Vec::<String>::new(), "reached the leaving endpoint");
+    let listed = cluster.routers[0].log_lines("MS0511");
+    let listed = listed.iter().filter(|line| line.contains("\"register-0\"")).count();
+    assert_eq!(listed, 2, "the router has read the entry from the copy");
+}
+
+#[test]
+fn router_that_starts_learns_of_an_endpoint_that_left_before_the_store_came_back() {
+    let mut cluster = cluster(2, 1, false);
+    send_requests(&cluster, Duration::from_millis(15), DURATION * 4, TestRequest::mixed);
+    std::thread::sleep(Duration::from_secs(1));
+    let endpoints = cluster.endpoints.clone();
+    let register = endpoints.get("register-0");
+    let copy = remove(&cluster, register);
+    cluster.routers[1].stop(Signal::SIGKILL);
+    // From here on only the first router knows it.
+    register.state().leaving = false;
+    cluster.routers[1].spawn();
+    register.state().removed = false;
+    cluster.store.restore(copy);
+    std::thread::sleep(DRAIN_TIME);
+    let from = Instant::now();
+    std::thread::sleep(DURATION);
+    let late = late_arrivals(&cluster, &[register], from);
+    assert_eq!(late, Vec::<String>::new(), "reached the leaving endpoint");
+}
