Keep what an endpoint has said beyond its directory entry

Callers got 502 as requests were sent to an endpoint that had said that it leaves: its mark was dropped with its entry, and an entry from an old copy of the store made the same process ready. Rests were lost in the same way, as was what answers and peers said of endpoints without an entry.

--- a/mimosafront/src/call.rs
+++ b/mimosafront/src/call.rs
@@ -157,7 +157,7 @@
     /// Applies that endpoints have said that they are leaving; returns whether that is new.
     /// `source` is `answer` or a peer.
     pub fn apply_leaving(&self, endpoints: &[Incarnation], source: &str) -> bool {
-        let leaving = self.fleet.borrow_mut().record_leaving(endpoints);
+        let leaving = self.fleet.borrow_mut().record_leaving(endpoints, clock::now());
         for id in &leaving {
             emit!(self.log, Event::EndpointLeaving, "endpoint" => &**id, "source" => source);
         }
--- a/mimosafront/src/gossip.rs
+++ b/mimosafront/src/gossip.rs
@@ -115,7 +115,7 @@
             .map(|(at, observed)| Observation { age: now.since(*at), ..*observed })
             .collect(),
         dead: dead_endpoints(state),
-        leaving_endpoints: state.fleet.borrow().leaving().map(Member::key).collect(),
+        leaving_endpoints: state.fleet.borrow().leaving(now),
         unreachable: state.reach.borrow().lost().map(|service| name_key(service)).collect(),
         suspects: state.quarantine.borrow().records(now),
         limits: state.fleet.borrow().limit_records(now),
--- a/mimosashift/src/fleet/mod.rs
+++ b/mimosashift/src/fleet/mod.rs
@@ -26,6 +26,7 @@
 mod plain;
 mod prefill;
 mod rest;
+mod said;
 mod share;
 mod usage;
 
@@ -151,6 +152,8 @@
     limits: Limits,
     /// This router's share of the link between zones.
     link: Link,
+    /// What endpoints without an entry have said of themselves.
+    said: said::Memory,
 }
 
 /// Hash of a directory, the same on every router that relies on equal entries. Heartbeats,
@@ -303,23 +306,28 @@
             }
         }
         for id in &change.gone {
-            self.members.remove(id);
+            if let Some(member) = self.members.remove(id) {
+                self.said.keep(&member, now);
+            }
         }
         change
     }
 
     fn apply_entry(&mut self, entry: Endpoint, now: Instant, change: &mut DirectoryChange) {
         let id = entry.id.clone();
-        let Some(member) = self.members.get_mut(&id) else {
-            change.joined.push(id.clone());
-            self.members.insert(id, Member::new(entry, now));
+        let known = self.members.get(&id).map(|member| member.endpoint.incarnation);
+        if known.is_none_or(|known| known < entry.incarnation) {
+            let mut member = Member::new(entry, now);
+            // An old copy of the store may list a process that has been replaced.
+            if !self.said.is_replaced(member.key(), now) {
+                self.said.recall(&mut member, now);
+                change.joined.push(id.clone());
+                self.members.insert(id, member);
+            }
             return;
-        };
+        }
+        let Some(member) = self.members.get_mut(&id) else { return };
         if member.endpoint.incarnation != entry.incarnation {
-            if member.endpoint.incarnation < entry.incarnation {
-                change.joined.push(id);
-                *member = Member::new(entry, now);
-            }
             return;
         }
         if entry.status == EndpointStatus::Draining
@@ -372,23 +380,32 @@
     }
 
     /// Records that endpoints have said that they are leaving; returns those of which that
-    /// is new.
-    pub fn record_leaving(&mut self, endpoints: &[Incarnation]) -> Vec<Arc<str>> {
-        if endpoints.is_empty() {
-            return Vec::new();
+    /// is new. One without an entry has no id here.
+    pub fn record_leaving(&mut self, endpoints: &[Incarnation], now: Instant) -> Vec<Arc<str>> {
+        let mut changed = Vec::new();
+        for endpoint in endpoints {
+            let member = self.members.values_mut().find(|member| member.key() == *endpoint);
+            if let Some(member) = member {
+                if !std::mem::replace(&mut member.said_leaving, true) {
+                    changed.push(member.endpoint.id.clone());
+                }
+            } else if let Some(process) = self.said.entry(*endpoint, now)
+                && !std::mem::replace(&mut process.leaving, true)
+            {
+                changed.push("unknown".into());
+            }
         }
-        let members = self.members.values_mut();
-        let leaving = members.filter(|m| !m.said_leaving && endpoints.contains(&m.key()));
-        let record = |member: &mut Member| {
-            member.said_leaving = true;
-            member.endpoint.id.clone()
-        };
-        leaving.map(record).collect()
+        changed
     }
 
-    /// The endpoints that have said that they are leaving.
-    pub fn leaving(&self) -> impl Iterator<Item = &Member> {
-        self.members.values().filter(|member| member.said_leaving)
+    /// The endpoints that have said that they are leaving, for peers.
+    pub fn leaving(&self, now: Instant) -> Vec<Incarnation> {
+        let listed = self.members.values().filter(|member| member.said_leaving);
+        let mut leaving: Vec<_> = listed.map(Member::key).collect();
+        leaving.extend(self.said.leaving(now));
+        leaving.sort_unstable();
+        leaving.dedup();
+        leaving
     }
 
     /// Applies an endpoint's report; returns an observation to send to peers if
@@ -401,7 +418,11 @@
             layers: report.layers,
             pace: report.slowdown.max(1.0) as f32,
         };
-        self.members.get_mut(id)?.apply(&observation, now).then_some(observation)
+        let member = self.members.get_mut(id)?;
+        if member.endpoint.incarnation < report.incarnation {
+            self.said.entry((observation.endpoint, report.incarnation), now);
+        }
+        member.apply(&observation, now).then_some(observation)
     }
 
     /// Applies a peer's observation; returns the endpoint's id if anything changed.
--- a/mimosashift/src/fleet/rest.rs
+++ b/mimosashift/src/fleet/rest.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use super::{Fleet, Hop, Member};
+use super::{Fleet, Hop, Member, name_key};
 use crate::exchange::Rest;
 use crate::time::Instant;
 
@@ -21,9 +21,12 @@
     /// Records that an endpoint rejected a request and asked for a rest. An earlier one
     /// that ends later stays.
     pub fn record_rest(&mut self, hop: &Hop, rest: Rest, now: Instant) {
+        let until = now + rest.length();
         let member = self.members.get_mut(&hop.id);
         if let Some(member) = member.filter(|m| m.endpoint.incarnation == hop.incarnation) {
-            member.resting_until = member.resting_until.max(now + rest.length());
+            member.resting_until = member.resting_until.max(until);
+        } else if let Some(process) = self.said.entry((name_key(&hop.id), hop.incarnation), now) {
+            process.resting_until = process.resting_until.max(until);
         }
     }
 
--- a/mimosashift/tests/fleet.rs
+++ b/mimosashift/tests/fleet.rs
@@ -5,7 +5,9 @@
 
 use mimosashift::deployment::{Endpoint, EndpointStatus};
 use mimosashift::exchange::Report;
-use mimosashift::fleet::{Chain, Fleet, Observation, Query, Shortage, fingerprint, name_key};
+use mimosashift::fleet::{
+    Chain, Fleet, Incarnation, Observation, Query, Shortage, fingerprint, name_key,
+};
 use mimosashift::time::Instant;
 
 use test_case::test_case;
@@ -401,3 +403,77 @@
     let text = fleet.describe_holders(&query(&huge(), &DEMAND), 7, at(60));
     assert_eq!(text, "e1 0.00 crowded, e3 0.00 doubted");
 }
+
+/// The incarnation of an endpoint of `two_zones`.
+fn incarnation(entry: &Endpoint) -> Incarnation {
+    (name_key(&entry.id), entry.incarnation)
+}
+
+#[test]
+fn leaving_endpoint_gets_no_work_after_its_entry_came_back() {
+    let entries = two_zones();
+    let mut fleet = fleet(entries.clone());
+    let leaving = [incarnation(&entries[0])];
+    assert_eq!(fleet.record_leaving(&leaving, at(10)), ["e1".into()]);
+    fleet.apply_directory(entries[1..].to_vec(), at(20), at(20));
+    assert_eq!(fleet.leaving(at(30)), leaving, "peers are told");
+    fleet.apply_directory(entries, at(40), at(40));
+    assert!(!fleet.get("e1").unwrap().takes_work());
+    assert_eq!(fleet.leaving(at(50)), leaving);
+}
+
+#[test]
+fn endpoint_that_peers_know_to_leave_gets_no_work_once_listed() {
+    let mut entries = two_zones();
+    let mut fleet = fleet(entries[1..].to_vec());
+    let leaving = [incarnation(&entries[0])];
+    assert_eq!(fleet.record_leaving(&leaving, at(10)).len(), 1);
+    assert_eq!(fleet.record_leaving(&leaving, at(11)).len(), 0, "it is no longer new");
+    fleet.apply_directory(entries.clone(), at(20), at(20));
+    assert!(!fleet.get("e1").unwrap().takes_work());
+    entries[0].incarnation += 1;
+    fleet.apply_directory(entries, at(30), at(30));
+    assert!(fleet.get("e1").unwrap().takes_work(), "it has restarted");
+}
+
+#[test]
+fn entry_older_than_a_draining_one_does_not_make_an_endpoint_ready() {
+    let mut entries = two_zones();
+    let mut fleet = fleet(entries.clone());
+    let old = entries.clone();
+    entries[0].status = EndpointStatus::Draining;
+    entries[0].heartbeat += 1;
+    fleet.apply_directory(entries.clone(), at(10), at(10));
+    fleet.apply_directory(entries[1..].to_vec(), at(20), at(20));
+    fleet.apply_directory(old, at(30), at(30));
+    assert!(!fleet.get("e1").unwrap().takes_work());
+}
+
+#[test]
+fn entry_of_a_process_that_has_been_replaced_does_not_return() {
+    let old = two_zones();
+    let mut fleet = fleet(old.clone());
+    // The new process is heard of before its entry is read.
+    let report = Report { incarnation: 2, ..Report::default() };
+    fleet.apply_report("e1", &report, at(10));
+    fleet.apply_directory(old[1..].to_vec(), at(20), at(20));
+    let change = fleet.apply_directory(old.clone(), at(30), at(30));
+    assert!(change.joined.is_empty() && fleet.get("e1").is_none());
+    let mut new = old;
+    new[0].incarnation = 2;
+    fleet.apply_directory(new, at(40), at(40));
+    assert!(fleet.get("e1").unwrap().takes_work());
+}
+
+#[test]
+fn memory_of_endpoints_without_an_entry_is_bounded_and_ends() {
+    let mut fleet = fleet(two_zones());
+    for key in 0..3_000 {
+        fleet.record_leaving(&[(key, 1)], at(key));
+    }
+    assert_eq!(fleet.leaving(at(3_000)).len(), 1_024);
+    assert_eq!(fleet.leaving(at(70_000)).len(), 0, "peers are not told for ever");
+    // Known for some time longer, so that what peers repeat is not new.
+    assert!(fleet.record_leaving(&[(2_999, 1)], at(70_000)).is_empty());
+    assert_eq!(fleet.record_leaving(&[(2_999, 1)], at(130_000)).len(), 1);
+}
