Break off answers of chains that end after a stall

The end was decided by which engines are known to be dead or to have restarted; none was.

Each answer of a chain of several engines now keeps what its arrival shows (ending::Evidence): silences of half of stall_ms and faults that checks of the chain found. An answer that ends after one, or within 0.5 s of data that followed one, is not known to be whole; so is one that the first engine's report after the close lists as stalled. This holds as well if the way to the router was held up, since all that was held up then arrives at once.

--- a/mimosafront/src/relay/chain/forward.rs
+++ b/mimosafront/src/relay/chain/forward.rs
@@ -11,16 +11,14 @@
 use mimosashift::event_stream::InvalidStream;
 use mimosashift::meter::{Outcome, Recovery};
 use tokio::sync::mpsc;
-use tokio::task::JoinSet;
 
 use super::stall::StallCheck;
 use super::stall_timer::{StallTimer, wait_for_fault_or_tick};
 use super::{ChainRequest, MAX_REJECTED_SENDS, Opened};
 use crate::body::Chunk;
 use crate::clock;
-use crate::probe::{self, ProbeResult};
 use crate::relay::peer::Path;
-use crate::relay::{CRASHED_REASON, EXHAUSTED_REASON, RequestError};
+use crate::relay::{EXHAUSTED_REASON, RequestError};
 use crate::state::millis;
 
 /// Reason for which `forward_events` returned.
@@ -131,6 +129,7 @@
             return Replacement::Open;
         }
         let (old_claim, old_relay) = (self.claim.take(), self.relay.take());
+        let old_evidence = self.evidence.clone();
         let old_demand = self.demand;
         let mut if_not_opened = Replacement::Open;
         let opened = {
@@ -174,6 +173,7 @@
         }
         self.release();
         (self.claim, self.relay) = (old_claim, old_relay);
+        self.evidence = old_evidence;
         if_not_opened
     }
 
@@ -340,39 +340,15 @@
         if !self.known_faults().dead.is_empty() {
             return ForwardOutcome::Broken("stream closed while an engine was dead");
         }
-        match self.is_closed_by_crash().await {
-            true => ForwardOutcome::Broken(CRASHED_REASON),
-            false => ForwardOutcome::Complete,
+        match self.find_early_end().await {
+            Some(reason) => ForwardOutcome::Broken(reason),
+            None => ForwardOutcome::Complete,
         }
     }
 
-    /// Checks whether an answer that ended with its connection was closed by a crash: that of
-    /// the first engine closes its connections, and a later one that crashes makes the
-    /// first cut off the answer. Either may have restarted since, if this router was
-    /// delayed.
-    pub(super) async fn is_closed_by_crash(&self) -> bool {
-        // Another router marks the end of its answers.
-        let Some(claim) = &self.claim else { return true };
-        if self.engine.is_none() {
-            let path = &self.ctx.service.health_path;
-            return probe::has_crashed(self.state(), &claim.chain[0], path).await;
-        }
-        let mut probes = JoinSet::new();
-        for (position, hop) in claim.chain.clone().into_iter().enumerate() {
-            let state = self.state().clone();
-            probes.spawn_local(async move {
-                match probe::check_still_alive(&state, &hop).await {
-                    ProbeResult::Alive(report) => report.incarnation != hop.incarnation,
-                    // A later engine may be cut off from this router only.
-                    ProbeResult::Dead(error) => position == 0 || error.closed,
-                }
-            });
-        }
-        probes.join_all().await.contains(&true)
-    }
-
     /// Processes bytes of the stream; returns the events that are complete.
     fn process_bytes(&mut self, data: &Bytes) -> Result<Option<Vec<u8>>, &'static str> {
+        self.evidence.borrow_mut().on_data(clock::now());
         let previous = self.events.last();
         let complete = self.events.push(data).map_err(InvalidStream::label)?;
         let has_memory = self.partial.resize(self.events.capacity()).is_ok();
--- a/mimosafront/src/relay/chain/mod.rs
+++ b/mimosafront/src/relay/chain/mod.rs
@@ -4,6 +4,7 @@
 //! The chains of an engine service run the layers of its model. An endpoint of a plain service
 //! is a chain of its own, which gives no reports and cannot be rerouted.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,6 +15,7 @@
 use mimosashift::deployment::Engine;
 use mimosashift::drain;
 use mimosashift::emit;
+use mimosashift::ending::Evidence;
 use mimosashift::event::Event;
 use mimosashift::event_stream::EventSplitter;
 use mimosashift::fleet::{Claim, Demand, Hop};
@@ -31,6 +33,7 @@
 
 mod admission;
 mod crash;
+mod end;
 mod forward;
 mod recheck;
 mod send;
@@ -90,6 +93,8 @@
     success_recorded: bool,
     /// Number of engines that crashed when they began to run the request.
     crashed_engines: u32,
+    /// What the arrival of the current answer shows of its end.
+    evidence: Rc<RefCell<Evidence>>,
     /// Number of reroutes around dead endpoints before the stream had had events
     /// for some time.
     moves_before_writing: u32,
@@ -172,6 +177,8 @@
         let events = EventSplitter::after(ctx.last_event);
         let partial = ctx.state.budget.charge();
         let possible_executions = ctx.origin.executions();
+        let evidence = Evidence::new(ctx.state.node().bounds.stall_timeout);
+        let evidence = Rc::new(RefCell::new(evidence));
         Self {
             ctx,
             engine,
@@ -186,6 +193,7 @@
             first_event_in_run: None,
             success_recorded: false,
             crashed_engines: 0,
+            evidence,
             moves_before_writing: 0,
             timing: EventTiming::default(),
             possible_executions,
--- a/mimosafront/src/relay/chain/send.rs
+++ b/mimosafront/src/relay/chain/send.rs
@@ -1,11 +1,14 @@
 //! Sends a request to a chain, and checks the chain until the answer arrives.
 
+use std::cell::RefCell;
+use std::rc::Rc;
 use std::time::Duration;
 
 use hyper::StatusCode;
 use mimosaplatform::header;
 use mimosashift::connection_pool::{Exchange, Failure, Reuse};
 use mimosashift::emit;
+use mimosashift::ending::Evidence;
 use mimosashift::event::Event;
 use mimosashift::fleet::{Chain, Demand, Hop, Member};
 
@@ -37,6 +40,8 @@
             let mut fleet = self.state().fleet.borrow_mut();
             fleet.charge_link(engine, &chain, &self.demand, clock::now());
         }
+        let evidence = Evidence::new(self.state().node().bounds.stall_timeout);
+        self.evidence = Rc::new(RefCell::new(evidence));
         let claim = self.state().fleet.borrow_mut().claim(chain, &self.demand);
         self.claim = Some(claim);
         let (state, carriers) = (self.state().clone(), self.ctx.carriers.clone());
--- a/mimosafront/src/relay/chain/stall.rs
+++ b/mimosafront/src/relay/chain/stall.rs
@@ -86,6 +86,9 @@
         let names = |hops: &[Hop]| hops.iter().map(|hop| &*hop.id).collect::<Vec<_>>().join(",");
         let silent_ms = millis(self.silence());
         emit!(self.state().log, Event::RequestStalled, "request" => &*self.ctx.id, "silent_ms" => silent_ms, "silent" => names(&silent), "dead" => names(&dead), "slow" => names(&slow), "after_event" => self.events.last());
+        if !dead.is_empty() {
+            self.evidence.borrow_mut().on_fault();
+        }
         let first = chain[0].clone();
         if dead.iter().any(|hop| hop.id == first.id) {
             self.exclude(dead);
--- a/mimosafront/src/relay/chain/whole.rs
+++ b/mimosafront/src/relay/chain/whole.rs
@@ -12,9 +12,7 @@
 use crate::body::ResponseBody;
 use crate::call::CallError;
 use crate::clock;
-use crate::relay::{
-    CRASHED_REASON, EXHAUSTED_REASON, MAX_RESPONSE_BYTES, forward_response, relayed_outcome,
-};
+use crate::relay::{EXHAUSTED_REASON, MAX_RESPONSE_BYTES, forward_response, relayed_outcome};
 
 /// Time within which the body of an error must arrive if the request may be sent elsewhere.
 const ERROR_BODY_TIMEOUT: Duration = Duration::from_millis(200);
@@ -31,16 +29,25 @@
             fleet.record_progress(&claim.chain, None, clock::now());
             fleet.finish_prefill(claim);
         }
-        let reading = async { Ok(exchange.collect(MAX_RESPONSE_BYTES).await?) };
-        let reason = match self.watch_chain(reading, self.possible_executions).await {
-            Ok(_) if exchange.framing == Framing::UntilClose && self.is_closed_by_crash().await => {
-                self.record_loss(CRASHED_REASON).await;
-                CRASHED_REASON
-            }
-            Ok(body) => {
-                self.record_success(true);
-                return Ok(Opened::Whole(exchange.head, body));
-            }
+        let evidence = self.evidence.clone();
+        let on_data = || evidence.borrow_mut().on_data(clock::now());
+        let reading = async { Ok(exchange.collect_noting(MAX_RESPONSE_BYTES, on_data).await?) };
+        let read = self.watch_chain(reading, self.possible_executions).await;
+        let fault = match (&read, exchange.framing) {
+            (Ok(_), Framing::UntilClose) => self.find_early_end().await,
+            _ => None,
+        };
+        let reason = match read {
+            Ok(body) => match fault {
+                Some(reason) => {
+                    self.record_loss(reason).await;
+                    reason
+                }
+                None => {
+                    self.record_success(true);
+                    return Ok(Opened::Whole(exchange.head, body));
+                }
+            },
             Err(Some(CallError::Failed(Failure::Exhausted))) => {
                 self.give_up_answer();
                 return Err(EXHAUSTED_REASON);
--- a/mimosafront/src/relay/mod.rs
+++ b/mimosafront/src/relay/mod.rs
@@ -73,6 +73,9 @@
 /// Reason for failing a request after an answer that may be another one's.
 const STRAY_REASON: &str = "answer to another request";
 
+/// Reason for giving up an answer that ended with its connection after its chain stalled.
+const STALLED_REASON: &str = "answer closed after a stall";
+
 /// Reason for giving up an answer that ended with its connection, as its endpoint crashed.
 const CRASHED_REASON: &str = "answer closed by a crash";
 
--- a/mimosafront/tests/broken_answers.rs
+++ b/mimosafront/tests/broken_answers.rs
@@ -85,6 +85,24 @@
     assert!(response.events().len() < 60 && !response.complete, "{response:?}");
 }
 
+/// Guards against a stream that ends as complete since all engines of its chain live.
+#[test]
+fn stream_that_its_engine_cuts_off_for_one_that_only_routers_reach_is_not_complete() {
+    // Two engines hold all layers, so that the stream cannot be moved.
+    let options = ClusterOptions { zones: 1, engines_per_zone: 2, ..ClusterOptions::default() };
+    let cluster = TestCluster::start(options);
+    cluster.endpoints.engines().for_each(|engine| engine.state().health = Health::Unframed);
+    let request = TestRequest::note(60);
+    let (sent, to) = (request.clone(), cluster.routers[0].clients);
+    let sending = cluster.runtime.spawn(async move { sent.send(to).await });
+    cluster
+        .wait_until("the stream runs", |cluster| cluster.endpoints.trace(&request.id).events > 3);
+    let (last, ..) = *cluster.endpoints.chains.lock().unwrap()[&request.id].last().unwrap();
+    cluster.endpoints.at(last).unwrap().state().cut_off = true;
+    let response = cluster.runtime.block_on(sending).unwrap().unwrap();
+    assert!(response.events().len() < 60 && !response.complete, "{response:?}");
+}
+
 /// How an endpoint goes on forever.
 #[derive(Clone, Copy)]
 enum Endless {
--- a/mimosafront/tests/cluster/endpoints.rs
+++ b/mimosafront/tests/cluster/endpoints.rs
@@ -119,6 +119,8 @@
     pub failure: Option<(u16, bool)>,
     /// Whether its answers say that it is leaving.
     pub leaving: bool,
+    /// Whether other engines do not reach it, while the routers do.
+    pub cut_off: bool,
     /// It refuses one of this many requests as full; engines name the last of the chain.
     pub refusal_interval: Option<u64>,
     /// Time until an endpoint of a plain service refuses a request.
@@ -301,6 +303,7 @@
                 rest: None,
                 failure: None,
                 leaving: false,
+                cut_off: false,
                 refusal_interval: None,
                 refusal_delay: Duration::ZERO,
                 offered: 0,
--- a/mimosashift/src/connection_pool/mod.rs
+++ b/mimosashift/src/connection_pool/mod.rs
@@ -478,6 +478,15 @@
 
     /// Reads the rest of the body, of at most `limit` bytes.
     pub async fn collect(&mut self, limit: usize) -> Result<Bytes, Failure> {
+        self.collect_noting(limit, || ()).await
+    }
+
+    /// Does so and calls `on_data` whenever bytes arrive.
+    pub async fn collect_noting(
+        &mut self,
+        limit: usize,
+        mut on_data: impl FnMut(),
+    ) -> Result<Bytes, Failure> {
         let mut collected = self.pool.budget.buffer();
         loop {
             let next = tokio::select! {
@@ -493,6 +502,7 @@
                 }
                 None => return collected.finish().map_err(|Exhausted| Failure::Exhausted),
             };
+            on_data();
             if collected.len() + data.len() > limit {
                 self.connection = None;
                 return Err(Failure::Lost { reason: format!("response exceeds {limit} bytes") });
--- a/mimosashift/src/lib.rs
+++ b/mimosashift/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod delay;
 pub mod deployment;
 pub mod drain;
+pub mod ending;
 pub mod engine;
 pub mod event;
 pub mod event_stream;
