--- a/mimosafront/src/call.rs
+++ b/mimosafront/src/call.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use http_body_util::Full;
 use hyper::body::Bytes;
@@ -10,13 +11,17 @@
 use mimosashift::connection_pool::{self, Exchange, Failure, Reuse, Unsolicited};
 use mimosashift::emit;
 use mimosashift::event::Event;
-use mimosashift::exchange::{ResponseInfo, is_promise};
+use mimosashift::exchange::{Report, ResponseInfo, is_promise};
 use mimosashift::fleet::{Hop, Incarnation, LimitChange, name_key};
+use mimosashift::refusals::Basis;
 use mimosashift::time::Instant;
 
 use crate::clock;
 use crate::state::{RouterState, millis};
 
+/// Upper bound of the age of what a report says.
+const MAX_REPORT_LAG: Duration = Duration::from_secs(1);
+
 /// Why a call has no answer.
 #[derive(Debug)]
 pub enum CallError {
@@ -125,6 +130,36 @@
         }
     }
 
+    /// Checks that an engine runs no request of which a client was told that it has not run.
+    pub fn check_running(&self, id: &str, report: &Report) {
+        let refusals = self.refusals.borrow();
+        let Some(by) = self.fleet.borrow().get(id).map(|member| member.endpoint.address) else {
+            return;
+        };
+        let now = clock::now();
+        for (request, _) in &report.stalled {
+            let Some((basis, age)) = refusals.contradicted(name_key(request), by, now) else {
+                continue;
+            };
+            if basis == Basis::Promise && age > MAX_REPORT_LAG {
+                self.log_contradiction(request, id, basis, age, "report");
+            }
+        }
+    }
+
+    /// Logs that a request has run which was taken for not run; `source` is `answer` or `report`.
+    fn log_contradiction(
+        &self,
+        request: &str,
+        by: &str,
+        basis: Basis,
+        age: Duration,
+        source: &str,
+    ) {
+        self.meter.contradictions(1);
+        emit!(self.log, Event::OutcomeContradicted, "request" => request, "by" => by, "held" => basis.label(), "held_ms" => millis(age), "source" => source);
+    }
+
     fn record_stray(&self, stray: &Stray<'_>) {
         let Stray { request, by, address, connection, status, info } = *stray;
         self.meter.stray_answers(1);
--- a/mimosafront/src/relay/mod.rs
+++ b/mimosafront/src/relay/mod.rs
@@ -1,7 +1,6 @@
 //! Relays a client's request to an endpoint and returns the response.
 
 use std::cell::Cell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -32,7 +31,8 @@
 use crate::server::Listener;
 use crate::state::{RouterState, millis};
 
-use self::peer::{Origin, Relay};
+use self::peer::Origin;
+use self::trace::{Run, Target};
 
 mod answer;
 mod chain;
@@ -42,6 +42,7 @@
 mod plain;
 mod quarantine;
 mod stop;
+mod trace;
 
 /// Retry-After of refusals that are not caused by load, such as a missing
 /// configuration or keys that may not be accepted: both are checked several
@@ -112,45 +113,6 @@
     _in_flight_guard: InFlightGuard,
 }
 
-/// The endpoint or router that a request is sent to.
-#[derive(Clone, Debug)]
-struct Target {
-    /// Id of the endpoint, or name of the router.
-    name: Arc<str>,
-    address: SocketAddr,
-}
-
-/// What is known of the run of a request where it was sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Run {
-    /// It certainly has not run.
-    None,
-    /// It may have run.
-    Possible,
-}
-
-impl From<&Hop> for Target {
-    fn from(hop: &Hop) -> Self {
-        Self { name: hop.id.clone(), address: hop.address }
-    }
-}
-
-impl From<&Relay> for Target {
-    fn from(relay: &Relay) -> Self {
-        Self { name: relay.name.clone(), address: relay.address }
-    }
-}
-
-impl Run {
-    /// Name in logs.
-    const fn label(self) -> &'static str {
-        match self {
-            Self::None => "not run",
-            Self::Possible => "may have run",
-        }
-    }
-}
-
 /// Counts a request as in flight until dropped.
 struct InFlightGuard(Rc<RouterState>);
 
@@ -202,66 +164,12 @@
         request
     }
 
-    /// Logs a send to the first endpoint of a chain.
-    fn log_sent(&self, attempt: u32, first: &Hop, to: &str, inputs: &str) {
-        let state = &self.state;
-        self.withdraw_refusal(first.address);
-        emit!(
-            state.log, Event::RequestSent,
-            "request" => &*self.id, "attempt" => attempt, "to" => to, "address" => first.address.to_string(), "inputs" => inputs,
-            "contents" => self.describe_contents(), "route" => &*self.route.name, "left_ms" => millis(self.remaining()),
-            "revision" => state.revision(), "config_age_ms" => state.config_age_ms(),
-            "directory_age_ms" => state.directory_age_ms(), "relayed_by" => self.origin.relayed_by(),
-        );
-    }
-
-    /// Forgets that an endpoint or router refused the request, which it gets once more.
-    fn withdraw_refusal(&self, by: SocketAddr) {
-        self.state.refusals.borrow_mut().withdraw(name_key(&self.id), by);
-    }
-
-    /// Records the end of a send whose answer is not passed on.
-    fn record_send_ended(&self, attempt: u32, to: &Target, run: Run, reason: &str) {
-        emit!(
-            self.state.log, Event::SendEnded,
-            "request" => &*self.id, "attempt" => attempt, "to" => &*to.name,
-            "address" => to.address.to_string(), "connection" => self.connection(),
-            "outcome" => run.label(), "reason" => reason,
-        );
-        if run == Run::None {
-            let basis = Basis::Refusal(to.address);
-            self.state.refusals.borrow_mut().record(name_key(&self.id), basis, clock::now());
-        }
-    }
-
-    /// Number of the connection of the last send, for logs.
-    fn connection(&self) -> Option<String> {
-        self.carriers.last().map(|connection| connection.to_string())
-    }
-
-    fn log_given_up(&self, by: &str) {
-        let usage = self.state.budget.usage();
-        emit!(
-            self.state.log, Event::AnswerGivenUp,
-            "request" => &*self.id, "by" => by, "buffered" => usage.bytes, "limit" => usage.limit,
-        );
-    }
-
     /// Records the time that the answer took, for its route.
     fn record_latency(&self) {
         let mut latencies = self.state.route_latency.borrow_mut();
         let latency = latencies.entry(self.route.name.clone()).or_default();
         latency.record(clock::now().since(self.arrived));
     }
-
-    fn log_answered(&self, status: StatusCode, by: &str) {
-        let ms = millis(clock::now().since(self.arrived));
-        emit!(
-            self.state.log, Event::RequestAnswered,
-            "request" => &*self.id, "status" => status.as_u16(), "by" => by,
-            "connection" => self.connection(), "ms" => ms,
-        );
-    }
 }
 
 /// Handles one request.
--- a/mimosafront/src/state.rs
+++ b/mimosafront/src/state.rs
@@ -24,7 +24,7 @@
 use mimosashift::platform::Row;
 use mimosashift::quarantine::{Content, Quarantine, Verdict};
 use mimosashift::reach::Reach;
-use mimosashift::refusals::{Basis, Recent};
+use mimosashift::refusals::Recent;
 use mimosashift::time::Instant;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -49,9 +49,6 @@
 /// Upper bound of that delay: a third of the usual deadline.
 const MAX_LIMITED_RETRY_AFTER: Duration = Duration::from_millis(6_500);
 
-/// Upper bound of the age of what a report says.
-const MAX_REPORT_LAG: Duration = Duration::from_secs(1);
-
 /// State that the tasks of a router share.
 pub struct RouterState {
     /// Settings of this router in force.
@@ -430,36 +427,6 @@
         self.log_observed(id, &change, "report");
     }
 
-    /// Checks that an engine runs no request of which a client was told that it has not run.
-    fn check_running(&self, id: &str, report: &Report) {
-        let refusals = self.refusals.borrow();
-        let Some(by) = self.fleet.borrow().get(id).map(|member| member.endpoint.address) else {
-            return;
-        };
-        let now = clock::now();
-        for (request, _) in &report.stalled {
-            let Some((basis, age)) = refusals.contradicted(name_key(request), by, now) else {
-                continue;
-            };
-            if basis == Basis::Promise && age > MAX_REPORT_LAG {
-                self.log_contradiction(request, id, basis, age, "report");
-            }
-        }
-    }
-
-    /// Logs that a request has run which was taken for not run; `source` is `answer` or `report`.
-    pub fn log_contradiction(
-        &self,
-        request: &str,
-        by: &str,
-        basis: Basis,
-        age: Duration,
-        source: &str,
-    ) {
-        self.meter.contradictions(1);
-        emit!(self.log, Event::OutcomeContradicted, "request" => request, "by" => by, "held" => basis.label(), "held_ms" => millis(age), "source" => source);
-    }
-
     /// Logs an observation of an endpoint and its source.
     pub fn log_observed(&self, id: &str, change: &Observation, source: &str) {
         let layers = change.layers.map(|layers| layers.to_string());
