Keep only endpoints that no read has listed since an outage

It took each 1.5 s without an answer for an outage of the store, kept all missing endpoints for 2.2 s and dropped them at a read up to 0.9 s later; a silent store was found back up to 1.15 s late. An endpoint that a read has listed since has left when it is missing; a read is due when the time to register again ends; reads begin beside those without an answer.

--- a/mimosafront/src/directory.rs
+++ b/mimosafront/src/directory.rs
@@ -10,12 +10,14 @@
 use mimosashift::deployment::Endpoint;
 use mimosashift::emit;
 use mimosashift::event::Event;
-use mimosashift::fleet;
+use mimosashift::fleet::{self, MIN_OUTAGE, Outage};
 use mimosashift::meter::{CallOutcome, PlatformCall};
 use mimosashift::peer::{Format, MAX_DIRECTORY_AGE};
 use mimosashift::platform::{Outcome, Refusal, Row};
 use mimosashift::time::Instant;
 
+use tokio::task::JoinSet;
+
 use crate::state::{DirectoryRead, RouterState, millis};
 use crate::{clock, gossip};
 
@@ -49,12 +51,6 @@
 /// Minimum time between two reads that requests trigger.
 const MIN_REFRESH_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Time without an answer after which the store counts as unavailable.
-const STORE_OUTAGE_AFTER: Duration = Duration::from_millis(1_500);
-
-/// Time after the store comes back within which endpoints register again.
-const REREGISTRATION_PERIOD: Duration = Duration::from_millis(2_200);
-
 /// Keeps the configuration up to date until the router exits.
 pub async fn watch_config(state: Rc<RouterState>) {
     let mut position = None;
@@ -174,7 +170,8 @@
         let now = clock::now();
         let interval = state.peers.borrow().direct_read_interval(now);
         let is_direct_read_due = now >= watch.last_direct_read + interval;
-        if (is_direct_read_due || !watch.follow(&state, now).await) && now >= watch.next_read {
+        let is_due = is_direct_read_due || watch.is_end_due(&state, now);
+        if (is_due || !watch.follow(&state, now).await) && now >= watch.next_read {
             watch.read(&state).await;
         }
         let now = clock::now();
@@ -182,6 +179,9 @@
         let pause = if until_read.is_zero() { READER_CHECK_INTERVAL } else { until_read };
         tokio::select! {
             () = tokio::time::sleep(pause.min(READER_CHECK_INTERVAL)) => {}
+            Some(Ok((started, read))) = watch.attempts.join_next() => {
+                watch.take(&state, read, started);
+            }
             () = state.directory_refresh.notified() => watch.read(&state).await,
         }
     }
@@ -197,29 +197,62 @@
     /// When the directory was last fetched from a peer.
     last_fetch: Instant,
     unavailable_since: Option<Instant>,
-    reregistration_until: Instant,
+    /// Reads of a store that does not answer.
+    attempts: JoinSet<(Instant, Outcome<Rows>)>,
+    outage: Option<Outage>,
     /// Revisions of invalid entries that have been logged.
     logged_invalid: HashMap<String, u64>,
 }
 
 impl EndpointWatch {
-    /// Reads the directory from the store.
+    /// Reads the directory from the store. While it does not answer, reads begin at each retry
+    /// interval without waiting for earlier ones, so that its return is soon noticed.
     async fn read(&mut self, state: &Rc<RouterState>) {
         let started = clock::now();
-        self.last_direct_read = started;
-        let read = state.store.read(endpoint::TABLE).await;
+        if self.unavailable_since.is_none() {
+            let read = state.store.read(endpoint::TABLE).await;
+            self.take(state, read, started);
+            self.last_direct_read = started;
+        } else if started >= self.next_read {
+            self.last_direct_read = started;
+            self.next_read = started + store_retry_interval(state);
+            let state = state.clone();
+            self.attempts
+                .spawn_local(async move { (started, state.store.read(endpoint::TABLE).await) });
+        }
+    }
+
+    /// Takes the result of a read that began at `started`.
+    fn take(&mut self, state: &RouterState, read: Outcome<Rows>, started: Instant) {
         record_store_call(state, PlatformCall::Scan, &read);
-        let interval = match read {
+        match read {
             Outcome::Done(rows) => {
-                self.apply(state, rows.rows.into(), rows.position, Duration::ZERO, started);
-                DIRECTORY_INTERVAL
+                self.apply(state, rows.rows.into(), rows.position, None, started);
+                self.next_read = clock::now() + DIRECTORY_INTERVAL;
+                if let Some(outage) =
+                    self.outage.filter(|outage| started < outage.registered_until())
+                {
+                    self.next_read = self.next_read.min(outage.registered_until());
+                }
             }
-            Outcome::NotDone(_) | Outcome::Unknown => {
-                self.unavailable_since.get_or_insert(state.directory_read_at().unwrap_or(started));
-                store_retry_interval(state)
+            Outcome::NotDone(_) | Outcome::Unknown if self.unavailable_since.is_none() => {
+                self.unavailable_since = Some(state.directory_read_at().unwrap_or(started));
+                self.next_read = clock::now() + store_retry_interval(state);
             }
+            // The next attempt is due already.
+            Outcome::NotDone(_) | Outcome::Unknown => {}
+        }
+    }
+
+    /// Whether endpoints are kept that are gone unless a new read lists them.
+    fn is_end_due(&self, state: &RouterState, now: Instant) -> bool {
+        let Some(outage) = self.outage else { return false };
+        let directory = state.directory.borrow();
+        let is_unread = |known: &DirectoryRead| {
+            known.read_at < outage.registered_until()
+                && state.fleet.borrow().members().count() > known.entries.len()
         };
-        self.next_read = clock::now() + interval;
+        now >= outage.registered_until() && directory.as_ref().is_some_and(is_unread)
     }
 
     /// Whether a peer that reads the store keeps the directory of this router up to date;
@@ -236,8 +269,9 @@
         if now.since(read_at) >= MAX_DIRECTORY_AGE {
             return false;
         }
-        if take_over_age(state, directory.fingerprint, read_at) {
-            self.end_outage(now);
+        if is_known(state, directory.fingerprint) {
+            self.end_outage(None);
+            take_over_age(state, self.outage, read_at);
             let is_due = now >= self.last_fetch + CONTRADICTED_FETCH_INTERVAL;
             if format == Format::Parts && is_due && is_contradicted(state) {
                 // Without an answer the entries are still those of the last read.
@@ -264,37 +298,40 @@
             return false;
         }
         let read_at = now - fetched.age;
-        self.apply(state, fetched.rows.into(), position, fetched.keep_missing, read_at);
+        let outage = Outage::of_peer(fetched.keep_missing, now);
+        self.apply(state, fetched.rows.into(), position, outage, read_at);
         true
     }
 
-    /// Applies the directory as it was at `read_at`. Endpoints without a row are kept for
-    /// `keep_missing`, and for some time after an outage of the store.
+    /// Applies the directory as it was at `read_at`, by a peer after such an outage if it knows
+    /// of one.
     fn apply(
         &mut self,
         state: &RouterState,
         rows: Rc<[Row]>,
         position: Position,
-        keep_missing: Duration,
+        of_peer: Option<Outage>,
         read_at: Instant,
     ) {
-        let now = clock::now();
-        self.end_outage(now);
-        let keep_missing_until = self.reregistration_until.max(now + keep_missing);
+        self.end_outage(of_peer);
+        let outage = self.outage;
         let entries = self.decode(state, &rows);
-        apply_entries(state, &entries, keep_missing_until);
+        apply_entries(state, &entries, read_at, outage);
         let fingerprint = fleet::fingerprint(&entries);
-        let read =
-            DirectoryRead { position, read_at, rows, entries, fingerprint, keep_missing_until };
+        let read = DirectoryRead { position, read_at, rows, entries, fingerprint, outage };
         *state.directory.borrow_mut() = Some(read);
         state.directory_read.notify_waiters();
     }
 
-    /// Ends an outage of the store, if there is one: after a long one endpoints register again.
-    fn end_outage(&mut self, now: Instant) {
-        let outage = self.unavailable_since.take();
-        if outage.is_some_and(|since| now.since(since) >= STORE_OUTAGE_AFTER) {
-            self.reregistration_until = now + REREGISTRATION_PERIOD;
+    /// Ends an outage of the store, if there is one: after a long one endpoints register
+    /// again. A peer whose read is taken may know better when it ended.
+    fn end_outage(&mut self, of_peer: Option<Outage>) {
+        self.attempts = JoinSet::new();
+        let Some(since) = self.unavailable_since.take() else { return };
+        let now = clock::now();
+        if now.since(since) >= MIN_OUTAGE {
+            // The store may have come back while the read waited for its answer.
+            self.outage = Some(of_peer.unwrap_or_else(|| Outage::ending(now)));
         }
     }
 
@@ -318,18 +355,20 @@
     }
 }
 
-/// Takes over the age of a peer's directory that was read at `read_at`, if its entries have the
-/// hash of the known ones; returns whether they have.
-fn take_over_age(state: &RouterState, fingerprint: u64, read_at: Instant) -> bool {
+/// Whether the known directory has this hash.
+fn is_known(state: &RouterState, fingerprint: u64) -> bool {
+    let directory = state.directory.borrow();
+    directory.as_ref().is_some_and(|known| known.fingerprint == fingerprint)
+}
+
+/// Takes over the age of a peer's directory with the known entries, which was read at `read_at`.
+fn take_over_age(state: &RouterState, outage: Option<Outage>, read_at: Instant) {
     let mut directory = state.directory.borrow_mut();
-    let Some(known) = directory.as_mut().filter(|known| known.fingerprint == fingerprint) else {
-        return false;
-    };
-    if read_at > known.read_at {
+    if let Some(known) = directory.as_mut().filter(|known| known.read_at < read_at) {
         known.read_at = read_at;
-        apply_entries(state, &known.entries, known.keep_missing_until);
+        known.outage = outage;
+        apply_entries(state, &known.entries, read_at, outage);
     }
-    true
 }
 
 /// Whether reports contradict the known directory.
@@ -338,11 +377,16 @@
     directory.as_ref().is_some_and(|known| state.fleet.borrow().contradicts(&known.entries))
 }
 
-/// Applies the entries of the directory; endpoints without one are kept until
-/// `keep_missing_until`.
-fn apply_entries(state: &RouterState, entries: &[Endpoint], keep_missing_until: Instant) {
+/// Applies the entries of the directory as read at `read_at`; those that may have lapsed in an
+/// outage are kept.
+fn apply_entries(
+    state: &RouterState,
+    entries: &[Endpoint],
+    read_at: Instant,
+    outage: Option<Outage>,
+) {
     let (entries, now) = (entries.to_vec(), clock::now());
-    let change = state.fleet.borrow_mut().apply_directory(entries, keep_missing_until, now);
+    let change = state.fleet.borrow_mut().apply_directory(entries, read_at, outage, now);
     let fleet = state.fleet.borrow();
     for id in &change.joined {
         let endpoint = fleet.get(id).map(|member| &member.endpoint);
--- a/mimosashift/src/fleet/mod.rs
+++ b/mimosashift/src/fleet/mod.rs
@@ -23,6 +23,7 @@
 mod limit;
 mod link;
 mod liveness;
+mod outage;
 mod plain;
 mod prefill;
 mod rest;
@@ -36,6 +37,7 @@
 pub use chain::{Allowance, Demand, Query, Shortage, USABLE_CACHE_SHARE};
 pub use claim::Claim;
 pub use limit::{Change as LimitChange, Record as LimitRecord};
+pub use outage::{MIN_OUTAGE, Outage};
 pub use usage::Usage;
 
 /// Slowdown from which an endpoint gets no new work while others hold its layers,
@@ -104,6 +106,8 @@
     failure_rate: f64,
     /// When it joined the directory, if it already held layers then.
     joined_with_layers_at: Option<Instant>,
+    /// When the directory was last read with its entry.
+    listed_at: Instant,
     /// When its directory entry was first missing. Set only while a directory read is
     /// applied.
     missing_since: Option<Instant>,
@@ -197,6 +201,7 @@
             cache_full_pause: Duration::ZERO,
             consecutive_failures: 0,
             failure_rate: 0.0,
+            listed_at: Instant::ZERO,
             missing_since: None,
         }
     }
@@ -276,30 +281,35 @@
 }
 
 impl Fleet {
-    /// Applies the directory as read at `now`.
+    /// Applies the directory as read at `read_at`.
     ///
-    /// Endpoints without an entry are kept until `keep_missing_until`: after an outage
-    /// of the store, endpoints need time to register again.
+    /// Endpoints whose entries may have lapsed in an outage of the store are kept, since they
+    /// need time to register again.
     pub fn apply_directory(
         &mut self,
         entries: Vec<Endpoint>,
-        keep_missing_until: Instant,
+        read_at: Instant,
+        outage: Option<Outage>,
         now: Instant,
     ) -> DirectoryChange {
         let mut change = DirectoryChange::default();
         let mut listed = std::collections::HashSet::new();
         for entry in entries {
-            listed.insert(entry.id.clone());
+            let id = entry.id.clone();
             self.apply_entry(entry, now, &mut change);
+            if let Some(member) = self.members.get_mut(&id) {
+                member.listed_at = read_at;
+            }
+            listed.insert(id);
         }
         let missing = self.members.iter_mut().filter(|(id, _)| !listed.contains(*id));
         for (id, member) in missing {
             member.missing_since.get_or_insert(now);
-            if now >= keep_missing_until {
-                change.gone.push(id.clone());
-            } else {
+            if outage.is_some_and(|outage| outage.may_hide(member.listed_at, read_at)) {
                 // Known from before the outage, so it stays usable.
                 member.missing_since = None;
+            } else {
+                change.gone.push(id.clone());
             }
         }
         for id in &change.gone {
--- a/mimosashift/tests/common/fleet.rs
+++ b/mimosashift/tests/common/fleet.rs
@@ -12,7 +12,7 @@
 
 pub fn fleet(entries: Vec<Endpoint>) -> Fleet {
     let mut fleet = Fleet::default();
-    fleet.apply_directory(entries, Instant::ZERO, at(0));
+    fleet.apply_directory(entries, at(0), None, at(0));
     fleet
 }
 
--- a/mimosashift/tests/endpoint_limits.rs
+++ b/mimosashift/tests/endpoint_limits.rs
@@ -291,7 +291,7 @@
     observe(&mut fleet, Some(1.0), 100);
     let mut restarted = plain(1, "a");
     restarted.incarnation = 2;
-    fleet.apply_directory(vec![restarted], Instant::ZERO, at(200));
+    fleet.apply_directory(vec![restarted], at(200), None, at(200));
     assert_eq!(drain(&mut fleet, 300), 1_000);
 }
 
--- a/mimosashift/tests/fleet.rs
+++ b/mimosashift/tests/fleet.rs
@@ -5,7 +5,9 @@
 
 use mimosashift::deployment::{Endpoint, EndpointStatus};
 use mimosashift::exchange::Report;
-use mimosashift::fleet::{Chain, Fleet, Observation, Query, Shortage, fingerprint, name_key};
+use mimosashift::fleet::{
+    Chain, Fleet, Observation, Outage, Query, Shortage, fingerprint, name_key,
+};
 use mimosashift::time::Instant;
 
 use test_case::test_case;
@@ -142,23 +144,38 @@
 #[test]
 fn missing_entry_is_kept_after_an_outage_of_the_store_and_then_removed() {
     let mut fleet = fleet(two_zones());
-    let kept = fleet.apply_directory(Vec::new(), at(2_000), at(1_000));
+    let outage = Some(Outage::ending(at(2_000)));
+    let kept = fleet.apply_directory(Vec::new(), at(2_000), outage, at(2_000));
     assert!(kept.gone.is_empty());
     assert!(choose(&fleet, &DEMAND).is_ok());
-    let gone = fleet.apply_directory(Vec::new(), at(2_000), at(2_000));
+    let late = fleet.apply_directory(Vec::new(), at(4_199), outage, at(4_250));
+    assert!(late.gone.is_empty(), "this read is from before the time to register again ended");
+    let gone = fleet.apply_directory(Vec::new(), at(4_200), outage, at(4_200));
     assert_eq!(gone.gone.len(), 4);
 }
 
+#[test]
+fn entry_that_was_listed_after_an_outage_is_not_kept() {
+    let mut fleet = fleet(two_zones());
+    let outage = Some(Outage::ending(at(2_000)));
+    let three = || two_zones().into_iter().take(3).collect::<Vec<_>>();
+    // The store answered this read late, at the end of the outage.
+    fleet.apply_directory(three(), at(1_100), outage, at(2_000));
+    assert!(fleet.get("e4").is_some(), "it may have lapsed");
+    let gone = fleet.apply_directory(two_zones()[..2].to_vec(), at(2_900), outage, at(2_900));
+    assert_eq!(gone.gone, ["e3".into()]);
+}
+
 #[test]
 fn entry_older_than_a_report_does_not_restore_its_layers() {
     let mut fleet = fleet(two_zones());
     let report = Report { incarnation: 1, layers: Some(layers(0, 50)), ..Report::default() };
     fleet.apply_report("e1", &report, at(5));
-    fleet.apply_directory(two_zones(), Instant::ZERO, at(10));
+    fleet.apply_directory(two_zones(), at(10), None, at(10));
     assert_eq!(fleet.get("e1").unwrap().endpoint.layers, Some(layers(0, 50)));
     let mut later = two_zones();
     later[0].heartbeat = 2;
-    fleet.apply_directory(later, Instant::ZERO, at(20));
+    fleet.apply_directory(later, at(20), None, at(20));
     assert_eq!(fleet.get("e1").unwrap().endpoint.layers, Some(layers(0, 40)));
 }
 
--- a/mimosashift/tests/prefill.rs
+++ b/mimosashift/tests/prefill.rs
@@ -108,7 +108,7 @@
                 .map(|n| endpoint(n, "a", "slow", Some(layers(0, MODEL_LAYERS))))
                 .collect();
             let mut fleet = Fleet::default();
-            fleet.apply_directory(entries, Instant::ZERO, at(0));
+            fleet.apply_directory(entries, at(0), None, at(0));
             fleets.push(fleet);
         }
         let mean_us = load.long * prefill_us(&engine, LONG_PROMPT)
--- a/mimosashift/tests/rest.rs
+++ b/mimosashift/tests/rest.rs
@@ -83,7 +83,7 @@
     record(&mut fleet, &[("e1", "600")], 50);
     let earlier = fleet.get("e1").unwrap().address_hop();
     entries[0].incarnation += 1;
-    fleet.apply_directory(entries, at(60), at(60));
+    fleet.apply_directory(entries, at(60), None, at(60));
     assert!(!fleet.is_resting("e1", at(61)));
     // An answer of the earlier incarnation arrives late.
     fleet.record_rest(&earlier, Rest::try_from("600").unwrap(), at(62));
--- a/mimosashift/tests/usage.rs
+++ b/mimosashift/tests/usage.rs
@@ -36,7 +36,7 @@
     let mut entries = two_zones();
     let entry = entries.iter_mut().find(|entry| entry.id == first).unwrap();
     entry.incarnation = 2;
-    fleet.apply_directory(entries, Instant::ZERO, at(100));
+    fleet.apply_directory(entries, at(100), None, at(100));
     let next = fleet.claim(choose(&fleet, &DEMAND).unwrap(), &DEMAND);
     fleet.release(&claim);
     fleet.release(&next);
