Ask the process that gave an answer whether it lives at its end

A connection that is open before a request to a plain endpoint is sent now witnesses the process: the health check after the close goes over it, and a process that restarted cannot answer there. Without that answer the end is not known and the answer does not look complete. This holds for whole answers and streams, and for a stopped router as for a cut. A start in the directory that differs from that of the send counts as a crash as well.

--- a/mimosafront/src/probe.rs
+++ b/mimosafront/src/probe.rs
@@ -5,13 +5,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hyper::StatusCode;
+use hyper::{Response, StatusCode};
 use mimosaplatform::{engine, header};
-use mimosashift::connection_pool::{Failure, Reuse};
+use mimosashift::connection_pool::{Failure, Reuse, Witness};
 use mimosashift::emit;
 use mimosashift::event::Event;
 use mimosashift::exchange::Report;
-use mimosashift::fleet::Hop;
+use mimosashift::fleet::{Hop, Member};
 use mimosashift::time::Instant;
 use tokio::sync::OnceCell;
 use tokio::time::{sleep, timeout};
@@ -35,6 +35,9 @@
 /// endpoint counts as dead: a hundred round trips within a zone.
 const FRESH_PROBE_TIMEOUT: Duration = Duration::from_millis(120);
 
+/// Time limit for the health check of an endpoint that ended an answer: a busy one lets it wait.
+const WITNESS_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Extra time for reading a response that has already arrived.
 const LATE_READ_GRACE: Duration = Duration::from_millis(15);
 
@@ -128,13 +131,37 @@
         Ok::<_, NoReport>(header::response(exchange.head.headers()).endpoint)
     };
     match timeout(FRESH_PROBE_TIMEOUT, check).await {
-        Ok(Ok(endpoint)) => endpoint.is_some_and(|id| *id != *hop.id),
+        Ok(Ok(endpoint)) => {
+            let fleet = state.fleet.borrow();
+            let listed = fleet.get(&hop.id).and_then(Member::hop);
+            endpoint.is_some_and(|id| *id != *hop.id)
+                || listed.is_some_and(|listed| listed.incarnation != hop.incarnation)
+        }
         Ok(Err(error)) => error.closed,
         // A silent endpoint may be cut off.
         Err(_) => false,
     }
 }
 
+/// Whether the process of a plain endpoint that held `witness` before a request was sent, and so
+/// answered it, still lives after the end of the answer. Without an answer it is not known.
+pub async fn is_same_process(
+    state: &Rc<RouterState>,
+    hop: &Hop,
+    witness: Option<&Witness>,
+    health_path: &str,
+) -> bool {
+    let Some(witness) = witness else { return false };
+    let is_own = |head: &Response<()>| {
+        let info = header::response(head.headers());
+        let is_named = info.endpoint.map_or(!head.status().is_success(), |id| *id == *hop.id);
+        info.id.is_none() && is_named
+    };
+    let request = engine::health_request(hop.address, health_path);
+    let confirming = witness.confirm(&state.pool, request, is_own);
+    timeout(WITNESS_TIMEOUT, confirming).await.unwrap_or(false)
+}
+
 /// Tries a pooled connection and, after a delay, a new one in parallel. The
 /// endpoint is marked dead if the new one fails before either returns a report.
 async fn probe_liveness(state: &Rc<RouterState>, hop: &Hop) -> ProbeResult {
--- a/mimosafront/src/relay/chain/end.rs
+++ b/mimosafront/src/relay/chain/end.rs
@@ -5,7 +5,7 @@
 use super::ChainRequest;
 use crate::clock;
 use crate::probe::{self, ProbeResult};
-use crate::relay::{CRASHED_REASON, STALLED_REASON};
+use crate::relay::{CRASHED_REASON, STALLED_REASON, UNKNOWN_END_REASON};
 
 impl ChainRequest {
     /// The reason why an answer that ended with its connection is not known to be whole: the
@@ -16,8 +16,9 @@
         let Some(claim) = &self.claim else { return Some(CRASHED_REASON) };
         if self.engine.is_none() {
             let path = &self.ctx.service.health_path;
-            let has_crashed = probe::has_crashed(self.state(), &claim.chain[0], path).await;
-            return has_crashed.then_some(CRASHED_REASON);
+            let (endpoint, witness) = (&claim.chain[0], self.witness.as_deref());
+            let is_same = probe::is_same_process(self.state(), endpoint, witness, path).await;
+            return (!is_same).then_some(UNKNOWN_END_REASON);
         }
         let is_chain = claim.chain.len() > 1;
         if is_chain && !self.evidence.borrow().is_settled(clock::now()) {
--- a/mimosafront/src/relay/chain/forward.rs
+++ b/mimosafront/src/relay/chain/forward.rs
@@ -129,7 +129,7 @@
             return Replacement::Open;
         }
         let (old_claim, old_relay) = (self.claim.take(), self.relay.take());
-        let old_evidence = self.evidence.clone();
+        let (old_evidence, old_witness) = (self.evidence.clone(), self.witness.clone());
         let old_demand = self.demand;
         let mut if_not_opened = Replacement::Open;
         let opened = {
@@ -173,7 +173,7 @@
         }
         self.release();
         (self.claim, self.relay) = (old_claim, old_relay);
-        self.evidence = old_evidence;
+        (self.evidence, self.witness) = (old_evidence, old_witness);
         if_not_opened
     }
 
--- a/mimosafront/src/relay/chain/mod.rs
+++ b/mimosafront/src/relay/chain/mod.rs
@@ -11,7 +11,7 @@
 
 use hyper::body::Bytes;
 use hyper::{Response, StatusCode};
-use mimosashift::connection_pool::Exchange;
+use mimosashift::connection_pool::{Exchange, Witness};
 use mimosashift::deployment::Engine;
 use mimosashift::drain;
 use mimosashift::emit;
@@ -95,6 +95,8 @@
     crashed_engines: u32,
     /// What the arrival of the current answer shows of its end.
     evidence: Rc<RefCell<Evidence>>,
+    /// Shows whether the process of a plain endpoint lives that was sent the request.
+    witness: Option<Rc<Witness>>,
     /// Number of reroutes around dead endpoints before the stream had had events
     /// for some time.
     moves_before_writing: u32,
@@ -194,6 +196,7 @@
             success_recorded: false,
             crashed_engines: 0,
             evidence,
+            witness: None,
             moves_before_writing: 0,
             timing: EventTiming::default(),
             possible_executions,
--- a/mimosafront/src/relay/chain/send.rs
+++ b/mimosafront/src/relay/chain/send.rs
@@ -45,6 +45,10 @@
         let claim = self.state().fleet.borrow_mut().claim(chain, &self.demand);
         self.claim = Some(claim);
         let (state, carriers) = (self.state().clone(), self.ctx.carriers.clone());
+        if self.engine.is_none() {
+            // It must be open before the request is sent.
+            self.witness = state.pool.witness(first.address).await;
+        }
         let sending = state.call(&first, request, Reuse::Request(&carriers));
         // This send may run as well.
         match self.watch_chain(sending, self.possible_executions + 1).await {
--- a/mimosafront/src/relay/mod.rs
+++ b/mimosafront/src/relay/mod.rs
@@ -76,6 +76,10 @@
 /// Reason for giving up an answer that ended with its connection after its chain stalled.
 const STALLED_REASON: &str = "answer closed after a stall";
 
+/// Reason for giving up an answer that ended with its connection, if the process that gave it is
+/// not known to live.
+const UNKNOWN_END_REASON: &str = "answer closed by an unknown process";
+
 /// Reason for giving up an answer that ended with its connection, as its endpoint crashed.
 const CRASHED_REASON: &str = "answer closed by a crash";
 
--- a/mimosafront/src/relay/plain.rs
+++ b/mimosafront/src/relay/plain.rs
@@ -5,7 +5,7 @@
 
 use hyper::body::Bytes;
 use hyper::{Response, StatusCode};
-use mimosashift::connection_pool::{Exchange, Failure, Framing, Reuse};
+use mimosashift::connection_pool::{Exchange, Failure, Framing, Reuse, Witness};
 use mimosashift::emit;
 use mimosashift::event::Event;
 use mimosashift::fleet::Hop;
@@ -17,8 +17,8 @@
 use super::endpoint::{NO_ANSWER_REASON, NOT_EXECUTED_RETRY_AFTER};
 use super::peer::{Path, Relay, UNREACHABLE_REASON};
 use super::{
-    CRASHED_REASON, EXHAUSTED_REASON, MAX_RESPONSE_BYTES, RequestContext, RequestError, Run,
-    STRAY_REASON, Target, forward_response, relayed_outcome, stop,
+    EXHAUSTED_REASON, MAX_RESPONSE_BYTES, RequestContext, RequestError, Run, STRAY_REASON, Target,
+    UNKNOWN_END_REASON, forward_response, relayed_outcome, stop,
 };
 use crate::body::ResponseBody;
 use crate::call::CallError;
@@ -166,6 +166,9 @@
     let _load_guard = LoadGuard(state, hop.clone());
     let send_timeout = if can_retry { ctx.retryable_timeout() } else { ctx.remaining() };
     ctx.log_sent(attempt, hop, &hop.id, "");
+    // It must be open before the request is sent.
+    let witness = state.pool.witness(hop.address).await;
+    let witness = witness.as_deref();
     let mut sending = pin!(send_and_collect(ctx, hop));
     let mut result = timeout(send_timeout.min(ctx.remaining()), sending.as_mut()).await;
     if result.is_err() {
@@ -177,9 +180,9 @@
         result = timeout(send_timeout.min(ctx.remaining()), sending.as_mut()).await;
     }
     let outcome = match result {
-        Ok(Ok((exchange, _))) if is_cut_short(ctx, hop, &exchange).await => {
-            record_loss(ctx, hop, CRASHED_REASON).await;
-            return SendOutcome::Lost(CRASHED_REASON);
+        Ok(Ok((exchange, _))) if may_be_cut_short(ctx, hop, &exchange, witness).await => {
+            record_loss(ctx, hop, UNKNOWN_END_REASON).await;
+            return SendOutcome::Lost(UNKNOWN_END_REASON);
         }
         Ok(Ok((exchange, body))) => check_answer(ctx, hop, exchange, body, can_retry),
         Ok(Err(CallError::Stray)) => SendOutcome::Lost(STRAY_REASON),
@@ -216,11 +219,16 @@
     outcome
 }
 
-/// Whether a success that ended with its connection was closed by a crash of its endpoint.
-async fn is_cut_short(ctx: &RequestContext, hop: &Hop, exchange: &Exchange) -> bool {
+/// Whether a success that ended with its connection is not known to be whole.
+async fn may_be_cut_short(
+    ctx: &RequestContext,
+    hop: &Hop,
+    exchange: &Exchange,
+    witness: Option<&Witness>,
+) -> bool {
     exchange.head.status().is_success()
         && exchange.framing == Framing::UntilClose
-        && probe::has_crashed(&ctx.state, hop, &ctx.service.health_path).await
+        && !probe::is_same_process(&ctx.state, hop, witness, &ctx.service.health_path).await
 }
 
 /// Records that an endpoint broke off its answer, and whether it crashed under the request.
--- a/mimosafront/tests/answer_kinds.rs
+++ b/mimosafront/tests/answer_kinds.rs
@@ -19,6 +19,13 @@
 /// Requests of a case.
 const REQUESTS: usize = 12;
 
+/// Sound answers without a length, and how many are asked for at once.
+const SOUND_ANSWERS: usize = 400;
+const SENT_AT_ONCE: usize = 8;
+
+/// Time for which an endpoint is down that restarts.
+const DOWN_TIME: Duration = Duration::from_millis(40);
+
 /// Size of an answer that exceeds the limit on an event.
 const LARGE_ANSWER_BYTES: usize = 3_200_000;
 
@@ -102,6 +109,15 @@
                 // Its open connections are closed as well, and no new ones are accepted.
                 endpoint.proxy.set(LinkState::Reset);
             }
+            if matches!(framing, Framing::Restart) {
+                // It is there again when the router sees the close.
+                tokio::task::block_in_place(|| {
+                    endpoint.proxy.set(LinkState::Reset);
+                    std::thread::sleep(DOWN_TIME);
+                    endpoint.state().incarnation += 1;
+                    endpoint.proxy.set(LinkState::Up);
+                });
+            }
             framing.answer(request, body)
         }));
     }
@@ -115,6 +131,8 @@
     Chunks,
     /// By the close of the connection, which its crash closes early.
     Crash,
+    /// By the close of the connection, by an endpoint that has restarted under its id since.
+    Restart,
     /// By the close of the connection, after all of the body.
     Close,
 }
@@ -125,7 +143,7 @@
         let half = &body[..body.len() / 2];
         match self {
             Self::Length => signed(request, &length_field(body), half),
-            Self::Crash => signed(request, "", half),
+            Self::Crash | Self::Restart => signed(request, "", half),
             Self::Close => signed(request, "", body),
             Self::Chunks => {
                 let chunk = format!("{:x}\r\n{half}\r\n", half.len());
@@ -139,6 +157,9 @@
     format!("content-length: {}\r\n", body.len())
 }
 
+/// A stream that is cut between its two events.
+const EVENTS_CUT_BETWEEN_TWO: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
 /// Items with lines that look like ids of events, some of them repeated or out of order.
 const ITEMS: &str = "id: 7\nname: a\n\nid: 3\nname: b\n\nid: 9\n{}\n\nid: 9\n\nid: 1\n\nid: 12";
 
@@ -210,6 +231,51 @@
     check_cut_answers(&cluster, request, &cut);
 }
 
+/// Guards against a process that restarted under its id and passes for the one that answered.
+#[test_case(TestRequest::read; "read")]
+#[test_case(TestRequest::post; "posting")]
+fn whole_answer_that_a_restart_under_the_same_id_cuts_short_is_not_passed_on(
+    request: fn() -> TestRequest,
+) {
+    let cluster = start(PLAIN);
+    let cut = cut_answers(&cluster, ITEMS, Framing::Restart);
+    check_cut_answers(&cluster, request, &cut);
+}
+
+/// Guards against the same at streams.
+#[test]
+fn stream_that_a_restart_under_the_same_id_cuts_short_is_not_complete() {
+    let cluster = start(PLAIN);
+    let cut = cut_answers(&cluster, EVENTS_CUT_BETWEEN_TWO, Framing::Restart);
+    let request = note();
+    let response = cluster.runtime.block_on(request.send(cluster.routers[0].clients)).unwrap();
+    assert!(cut.lock().unwrap().contains(&request.id));
+    assert!(response.status != 200 || !response.complete, "{response:?}");
+}
+
+/// Sends many requests for answers without a length, all of them whole, and prints how many are
+/// lost: those of which the router cannot know that they are whole.
+#[test_case(TestRequest::read; "read")]
+#[test_case(TestRequest::post; "posting")]
+fn few_sound_answers_without_a_length_are_lost(request: fn() -> TestRequest) {
+    let cluster = start(PLAIN);
+    cluster.break_answers(&(Arc::new(|request: &str| Framing::Close.answer(request, ITEMS)) as _));
+    let to = cluster.routers[0].clients;
+    let (mut sent, mut lost) = (0, 0);
+    for _ in 0..SOUND_ANSWERS / SENT_AT_ONCE {
+        let sending: Vec<_> = (0..SENT_AT_ONCE)
+            .map(|_| cluster.runtime.spawn(async move { request().send(to).await }))
+            .collect();
+        for response in sending {
+            let response = cluster.runtime.block_on(response).unwrap();
+            let is_whole = response.is_some_and(|r| (r.status, &*r.body) == (200, ITEMS));
+            (sent, lost) = (sent + 1, lost + usize::from(!is_whole));
+        }
+    }
+    println!("{lost} of {sent} sound answers are lost");
+    assert!(lost * 100 <= sent, "{lost} of {sent}");
+}
+
 /// Guards against taking the end of each connection for a crash.
 #[test_case(ENGINES; "from engines")]
 #[test_case(PLAIN; "from a plain service")]
--- a/mimosashift/src/connection_pool/mod.rs
+++ b/mimosashift/src/connection_pool/mod.rs
@@ -27,10 +27,12 @@
 
 use self::bounded_stream::{BoundedStream, Undelivered};
 pub use self::carrier::{Carriers, Id, Reuse};
+pub use self::witness::Witness;
 use crate::memory::{Budget, Exhausted};
 
 mod bounded_stream;
 mod carrier;
+mod witness;
 
 /// Idle time after which a connection is not reused, unless the server announces
 /// a shorter timeout; below the idle timeouts that servers commonly have.
@@ -104,6 +106,7 @@
     settings: Settings,
     budget: Budget,
     idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
+    witnesses: RefCell<HashMap<SocketAddr, Rc<Witness>>>,
     /// Addresses that closed a connection, not yet returned by
     /// [`Pool::closed_addresses`].
     closed: RefCell<Vec<SocketAddr>>,
@@ -208,6 +211,7 @@
             settings,
             budget,
             idle: RefCell::default(),
+            witnesses: RefCell::default(),
             closed: RefCell::default(),
             closing: Notify::new(),
             last_id: Cell::default(),
@@ -259,10 +263,12 @@
     /// connection as old as these has stopped responding.
     pub fn close_idle(&self, address: SocketAddr) {
         self.idle.borrow_mut().remove(&address);
+        self.witnesses.borrow_mut().remove(&address);
     }
 
     /// Closes connections that have exceeded their idle timeout.
     pub fn close_expired(&self) {
+        self.witnesses.borrow_mut().retain(|_, witness| witness.is_fresh());
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         for connections in idle.values_mut() {
