Test that a send without a connection is not logged with the one before, failing

MS0627 of a send whose connection was refused names the connection of the send before it, since Carriers::last is not cleared.

--- a/mimosashift/tests/connection_pool.rs
+++ b/mimosashift/tests/connection_pool.rs
@@ -151,3 +151,22 @@
     assert_eq!(used, ["1", "2", "2", "1", "3", "3", "4"]);
     assert_eq!(first.last().map(|id| id.to_string()).as_deref(), Some("3"));
 }
+
+#[test]
+fn send_that_was_not_connected_is_not_logged_with_the_connection_before() {
+    let (address, closed) = (serve_kept(), {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        listener.local_addr().unwrap()
+    });
+    let pool = Pool::new(Settings::default(), budget());
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let carriers = Carriers::default();
+    let send = async |address| {
+        let request = Request::builder().uri("/").header("host", "x").body(Full::default());
+        pool.send(address, request.unwrap(), Reuse::Request(&carriers)).await.is_ok()
+    };
+    let (first, used, second) = tokio::task::LocalSet::new()
+        .block_on(&runtime, async { (send(address).await, carriers.last(), send(closed).await) });
+    assert!(first && !second);
+    assert_ne!(carriers.last(), used, "MS0627 names this connection for the second send");
+}
