Test that a copy of an engine's refusal does not refuse the next step, failing

engine::http reads a refusal without labels and node::relay passes it to the machine with the label of the step in progress, so that the check of labels in Machine::on_failure, and the new attempt of resend_recovery, have no effect: a copy on a kept connection is 'overloaded', which counts as not run, for a step of another request.

--- a/mimosashift/tests/http.rs
+++ b/mimosashift/tests/http.rs
@@ -64,6 +64,49 @@
     assert!(step_answered_with("connection: close").is_err());
 }
 
+fn step(request: u128) -> Step {
+    let layers = Layers::try_from((0, 1)).unwrap();
+    let pipeline = Name::try_from("p".to_owned()).unwrap();
+    let request = RequestId(request);
+    let label = Label { request, attempt: 0, position: 0, count: 1, layers, pipeline, version: 1 };
+    Step { label, priority: 0, adapter: None, input: Input::Hidden(vec![1, 2]) }
+}
+
+/// Reads the head of a step; false at the end of the connection.
+fn read_step(stream: &mut TcpStream) -> bool {
+    let (mut received, mut buffer) = (Vec::new(), [0; 4096]);
+    while !received.windows(6).any(|bytes| bytes == b"\r\n\r\n\x01\x02") {
+        match stream.read(&mut buffer) {
+            Ok(length @ 1..) => received.extend_from_slice(&buffer[..length]),
+            _ => return false,
+        }
+    }
+    true
+}
+
+#[test]
+fn copy_of_a_refusal_of_an_engine_does_not_refuse_the_next_step() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let body = "{\"code\":\"overloaded\",\"detail\":\"\"}";
+        let length = body.len();
+        let refusal =
+            format!("HTTP/1.1 429 Too Many Requests\r\ncontent-length: {length}\r\n\r\n{body}");
+        // The first is the refusal of the first step, and the second a copy of it: the second
+        // step runs.
+        while read_step(&mut stream) {
+            stream.write_all(refusal.as_bytes()).unwrap();
+        }
+    });
+    let engines = steps::Adapter::new(Arc::new(Client::new(client::Settings::default())));
+    let first = engines.step(address, &step(1), Duration::from_secs(2));
+    assert_eq!(first, Err(Failure::Overloaded));
+    let second = engines.step(address, &step(2), Duration::from_secs(2));
+    assert!(!second.as_ref().is_err_and(Failure::not_run), "{second:?}");
+}
+
 fn json_object() -> impl Strategy<Value = String> {
     let key = prop_oneof![
         Just("model"),
