--- a/mimosafront/tests/cluster/proxy.rs
+++ b/mimosafront/tests/cluster/proxy.rs
@@ -1,5 +1,6 @@
 //! A loopback proxy that injects network faults.
 
+use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -42,6 +43,8 @@
         delay: Duration,
         with_id: bool,
     },
+    /// Sends the refusal of a request once more when it arrives again, on any connection.
+    RepeatsRefusalsById,
     /// Answers requests for reports with a refusal, except for the first on a connection.
     RefusesReports,
 }
@@ -98,6 +101,8 @@
     /// Number of connections on which an endless answer is being sent.
     replacing: AtomicUsize,
     last_refusal: LastRefusal,
+    /// Refusals by the id of their request.
+    refusals: Mutex<HashMap<String, Vec<u8>>>,
     /// Number of requests for which a refusal might have been sent once more.
     repeat_chances: AtomicUsize,
     /// Number of refusals that were sent once more.
@@ -122,6 +127,7 @@
             breaker: Mutex::default(),
             replacing: AtomicUsize::default(),
             last_refusal: LastRefusal::default(),
+            refusals: Mutex::default(),
             repeat_chances: AtomicUsize::default(),
             repeated_refusals: Arc::default(),
         });
@@ -259,6 +265,7 @@
                 self.send_copy(REFUSAL.to_vec(), Duration::ZERO, &to_client);
             }
             self.repeat_refusal(&refusal, &to_client);
+            self.repeat_refusal_by_id(request, &to_client);
         };
         let blocking = LinkState::BlockedToServer;
         let breaker = |request: &[u8]| {
@@ -280,7 +287,23 @@
         }
     }
 
+    fn repeat_refusal_by_id(&self, request: &[u8], to: &WriteHalf) {
+        if *self.state.borrow() != LinkState::RepeatsRefusalsById {
+            return;
+        }
+        let copy = request_id(request).and_then(|id| self.refusals.lock().unwrap().remove(&id));
+        if let Some(copy) = copy {
+            self.send_copy(copy, Duration::from_millis(1), to);
+        }
+    }
+
     fn keep_refusal(&self, refusal: &LastRefusal, answer: &[u8]) {
+        if *self.state.borrow() == LinkState::RepeatsRefusalsById
+            && String::from_utf8_lossy(answer).contains("not-executed")
+            && let Some(id) = request_id(answer)
+        {
+            self.refusals.lock().unwrap().insert(id, answer.to_vec());
+        }
         let LinkState::RepeatsRefusals { with_id, .. } = *self.state.borrow() else { return };
         let text = String::from_utf8_lossy(answer);
         let is_refusal = ["HTTP/1.1 503", "HTTP/1.1 421"].iter().any(|s| text.starts_with(s));
@@ -365,6 +388,11 @@
     }
 }
 
+fn request_id(message: &[u8]) -> Option<String> {
+    let text = String::from_utf8_lossy(message);
+    text.lines().find_map(|line| line.strip_prefix("request-id: ")).map(str::to_owned)
+}
+
 impl BrokenAnswer {
     async fn send(self, mut from: OwnedReadHalf, mut to: OwnedWriteHalf) {
         // The other side may have closed the connection.
--- a/mimosafront/tests/repeated_refusals.rs
+++ b/mimosafront/tests/repeated_refusals.rs
@@ -161,9 +161,18 @@
 /// Sends requests to the first router, while the endpoints of the plain service are replaced
 /// at their addresses again and again. With `relayed` that router reaches no endpoint.
 fn counts_while_replaced(relayed: bool, request: fn() -> TestRequest) -> Counts {
+    counts_while_replaced_with(ALWAYS.link(), relayed, request)
+}
+
+fn counts_while_replaced_with(
+    link: LinkState,
+    relayed: bool,
+    request: fn() -> TestRequest,
+) -> Counts {
     let cluster =
         TestCluster::start(ClusterOptions { separate_links: relayed, ..ClusterOptions::default() });
     repeat_refusals(&cluster, ALWAYS, Health::Healthy);
+    cluster.endpoints.members.iter().for_each(|member| member.proxy.set(link));
     if relayed {
         cluster.set_links(&[0], LinkState::RefuseNew);
         cluster.set_links(&[0], LinkState::Reset);
@@ -183,7 +192,7 @@
             std::thread::sleep(SOUND_INTERVAL);
         }
         for member in &members {
-            cluster.runtime.block_on(member.replace(ALWAYS.link()));
+            cluster.runtime.block_on(member.replace(link));
         }
         std::thread::sleep(LISTING_TIME);
         clients.extend((0..BURST).map(|_| cluster.runtime.spawn(send_one(request, to))));
@@ -255,6 +264,39 @@
     assert_eq!((counts.refused_but_ran, counts.ran_again, counts.wrong), (0, 0, 0), "{counts:?}");
 }
 
+#[test]
+fn copy_of_a_refusal_on_another_connection_does_not_make_a_posting_run_twice() {
+    let counts =
+        counts_while_replaced_with(LinkState::RepeatsRefusalsById, false, TestRequest::post);
+    assert!(counts.copies > 0, "{counts:?}");
+    assert_eq!((counts.refused_but_ran, counts.ran_again, counts.wrong), (0, 0, 0), "{counts:?}");
+}
+
+#[test]
+fn copy_of_a_refusal_is_not_the_answer_to_a_client_that_sends_the_same_id_again() {
+    let cluster =
+        TestCluster::start(ClusterOptions { routers: 1, zones: 1, ..ClusterOptions::default() });
+    let members = cluster.endpoints.members.iter().filter(|member| member.service == "register");
+    let members: Vec<_> = members.collect();
+    members.iter().for_each(|member| member.proxy.set(ALWAYS.link()));
+    members.iter().for_each(|member| member.state().refusal_interval = Some(1));
+    let request = TestRequest::post();
+    let send = || cluster.runtime.block_on(request.send(cluster.routers[0].clients)).unwrap();
+    let first = send();
+    let runs_of_first = cluster.endpoints.trace(&request.id).runs;
+    members.iter().for_each(|member| member.state().refusal_interval = None);
+    let second = send();
+    std::thread::sleep(BURST_TIME);
+    let runs = cluster.endpoints.trace(&request.id).runs;
+    let copies: usize = members.iter().map(|member| member.proxy.repeated_refusals()).sum();
+    println!(
+        "{copies} copies, {} with {runs_of_first} runs, {} with {runs} runs",
+        first.status, second.status
+    );
+    assert_eq!((first.status, runs_of_first), (503, 0));
+    assert_eq!((second.status, runs), (200, 1));
+}
+
 // Their connections are closed by a refusal, so that no copy arrives.
 #[test_case(false; "stream")]
 #[test_case(true; "relayed stream")]
