Log endpoints that are kept without a directory entry

The logs did not tell whether a router did not know of the removal yet or kept the endpoint on purpose. MS0528 names each endpoint that is kept and for how long.

--- a/mimosafront/src/directory.rs
+++ b/mimosafront/src/directory.rs
@@ -361,6 +361,10 @@
     for id in &change.leaving {
         emit!(state.log, Event::EndpointLeaving, "endpoint" => &**id, "source" => "store");
     }
+    for id in &change.kept {
+        let keep_ms = millis(keep_missing_until.since(now));
+        emit!(state.log, Event::EndpointKept, "endpoint" => &**id, "keep_ms" => keep_ms);
+    }
     for id in &change.gone {
         emit!(state.log, Event::EndpointGone, "endpoint" => &**id);
     }
--- a/mimosashift/src/fleet/mod.rs
+++ b/mimosashift/src/fleet/mod.rs
@@ -105,8 +105,7 @@
     failure_rate: f64,
     /// When it joined the directory, if it already held layers then.
     joined_with_layers_at: Option<Instant>,
-    /// When its directory entry was first missing. Set only while a directory read is
-    /// applied.
+    /// When a read of the directory first lacked its entry, if it is kept without one.
     missing_since: Option<Instant>,
 }
 
@@ -119,6 +118,8 @@
     pub leaving: Vec<Arc<str>>,
     /// Endpoints that were removed.
     pub gone: Vec<Arc<str>>,
+    /// Endpoints without an entry that are kept, each once.
+    pub kept: Vec<Arc<str>>,
     /// Endpoints whose layers changed.
     pub layers_changed: Vec<Arc<str>>,
     /// Endpoints of which anything else changed but the status and the heartbeat.
@@ -226,9 +227,7 @@
 
     /// Whether the directory lists it as ready for new work and it has not said otherwise.
     pub fn takes_work(&self) -> bool {
-        self.endpoint.status == EndpointStatus::Ready
-            && !self.said_leaving
-            && self.missing_since.is_none()
+        self.endpoint.status == EndpointStatus::Ready && !self.said_leaving
     }
 
     /// Whether it takes new work and is not marked dead.
@@ -297,12 +296,10 @@
         }
         let missing = self.members.iter_mut().filter(|(id, _)| !listed.contains(*id));
         for (id, member) in missing {
-            member.missing_since.get_or_insert(now);
             if now >= keep_missing_until {
                 change.gone.push(id.clone());
-            } else {
-                // Known from before the outage, so it stays usable.
-                member.missing_since = None;
+            } else if member.missing_since.replace(now).is_none() {
+                change.kept.push(id.clone());
             }
         }
         for id in &change.gone {
