Keep living endpoints that a restored store does not list

After the store came back from a copy, routers dropped endpoints that had joined after the copy was made, until these registered again: the store was away for less than 1.5 s, which did not count as an outage. Callers then had fewer endpoints, or none. A higher era of the store now counts as an outage; how lately an entry was written says nothing then.

living_endpoint_that_a_restored_copy_does_not_list_is_kept failed before (taken for gone by all three routers) and passes now. Found by going through what else is missing for another reason than that it left.

--- a/mimosafront/src/directory.rs
+++ b/mimosafront/src/directory.rs
@@ -248,6 +248,7 @@
             Outcome::Done(rows) => {
                 if self.schedule.succeed(began, now, DIRECTORY_INTERVAL) {
                     self.end_outage(state, now);
+                    self.note_restore(state, rows.position, now);
                     self.apply(state, rows.rows.into(), rows.position, began);
                 }
             }
@@ -305,10 +306,11 @@
         let read_at = now - fetched.age;
         let now = clock::now();
         self.end_outage(state, now);
+        self.note_restore(state, position, now);
         let of_peer = Outage::of_peer(fetched.keep_missing, entry_lifetime(state), now);
         // The peer may have noticed the return of the store earlier than this router.
-        let outages = [self.outage.filter(|o| read_at < o.registered_until()), of_peer];
-        self.outage = outages.into_iter().flatten().min_by_key(|o| o.registered_until());
+        let own = self.outage.filter(|outage| read_at < outage.registered_until());
+        self.outage = own.into_iter().chain(of_peer).reduce(Outage::merge);
         self.apply(state, fetched.rows.into(), position, read_at);
         true
     }
@@ -355,6 +357,15 @@
         }
     }
 
+    /// Takes it for an outage if the store has come back from a copy of itself, in which
+    /// entries may be missing whenever they were written.
+    fn note_restore(&mut self, state: &RouterState, position: Position, now: Instant) {
+        let directory = state.directory.borrow();
+        if directory.as_ref().is_some_and(|known| known.position.era < position.era) {
+            self.outage = Some(Outage::ending(now, Duration::ZERO));
+        }
+    }
+
     /// The endpoints that rows list; each version of a row that lists none is logged once.
     fn decode(&mut self, state: &RouterState, rows: &[Row]) -> Rc<[Endpoint]> {
         let mut entries = Vec::with_capacity(rows.len());
--- a/mimosafront/tests/store_cuts.rs
+++ b/mimosafront/tests/store_cuts.rs
@@ -8,6 +8,7 @@
 use test_case::test_case;
 
 use cluster::proxy::LinkState;
+use cluster::router::Router;
 use cluster::store::StoreMode;
 use cluster::{ClusterOptions, TestCluster};
 
@@ -157,6 +158,30 @@
     assert_eq!(know_it_gone(&cluster), [false; 3], "routers that take it for gone");
 }
 
+// The store loses the entry without an outage that routers notice.
+#[test]
+fn living_endpoint_that_a_restored_copy_does_not_list_is_kept() {
+    let cluster = cluster(1);
+    set_listed(&cluster, false);
+    cluster.wait_until("the endpoint is gone", |cluster| know_it_gone(cluster) == [true; 3]);
+    let copy = cluster.store.copy();
+    set_listed(&cluster, true);
+    std::thread::sleep(DRAIN_TIME);
+    let times_gone = |cluster: &TestCluster| -> usize {
+        let gone = |router: &Router| router.log_lines("MS0512").len();
+        cluster.routers.iter().map(gone).sum()
+    };
+    let before = times_gone(&cluster);
+    cluster.store.set(StoreMode::Busy);
+    set_listed(&cluster, false);
+    cluster.store.restore(copy);
+    cluster.store.set(StoreMode::Up);
+    std::thread::sleep(REREGISTRATION - Duration::from_millis(250));
+    set_listed(&cluster, true);
+    std::thread::sleep(DRAIN_TIME);
+    assert_eq!(times_gone(&cluster), before, "times that a router has taken it for gone");
+}
+
 #[test]
 fn endpoint_is_not_kept_for_good_after_an_outage() {
     let cluster = cluster(1);
--- a/mimosashift/src/fleet/outage.rs
+++ b/mimosashift/src/fleet/outage.rs
@@ -41,6 +41,15 @@
         (!remaining.is_zero()).then(|| Self::ending(ended, entry_lifetime))
     }
 
+    /// What two routers know of one outage: the earlier notice of its end, and the least that
+    /// entries are known to last.
+    pub fn merge(self, other: Self) -> Self {
+        Self {
+            ended: self.ended.min(other.ended),
+            entry_lifetime: self.entry_lifetime.min(other.entry_lifetime),
+        }
+    }
+
     /// Time from which an endpoint without an entry is gone.
     pub fn registered_until(self) -> Instant {
         self.ended + REREGISTRATION_PERIOD
--- a/mimosashift/tests/fleet.rs
+++ b/mimosashift/tests/fleet.rs
@@ -169,6 +169,16 @@
     assert_eq!(fleet.confirm_directory(after(7_200), at(7_300)).gone, ["e1".into()]);
 }
 
+#[test]
+fn outage_ends_when_the_first_of_two_routers_noticed_it() {
+    let lifetime = Duration::from_secs(1);
+    let own = Outage::ending(at(5_000), ENTRY_LIFETIME);
+    let of_peer = Outage::of_peer(Duration::from_millis(2_000), lifetime, at(5_000)).unwrap();
+    let earlier = Outage::ending(at(4_800), lifetime);
+    assert_eq!((own.merge(of_peer), of_peer.merge(own)), (earlier, earlier));
+    assert_eq!(Outage::of_peer(Duration::ZERO, lifetime, at(5_000)), None);
+}
+
 /// The first endpoint is listed with these heartbeats by reads at these times.
 #[test_case(&[(1_000, 1), (4_000, 2)], 4_599, true; "written after the first read, too young to lapse")]
 #[test_case(&[(1_000, 1), (4_000, 2)], 4_600, false; "written after the first read, may have lapsed")]
