--- a/mimosafront/tests/store_cuts.rs
+++ b/mimosafront/tests/store_cuts.rs
@@ -5,6 +5,7 @@
 
 use std::time::{Duration, Instant};
 
+use nix::sys::signal::Signal;
 use test_case::test_case;
 
 use cluster::proxy::LinkState;
@@ -105,6 +106,36 @@
     expect_gone(&cluster, removed, Instant::now());
 }
 
+// A paused router does not read either, and has reads without an answer when it goes on.
+#[test]
+fn endpoint_that_leaves_during_a_pause_of_the_routers_gets_no_late_work() {
+    let cluster = cluster(1);
+    cluster.routers.iter().for_each(|router| router.signal(Signal::SIGSTOP));
+    std::thread::sleep(CUT);
+    set_listed(&cluster, false);
+    let removed = Instant::now();
+    cluster.routers.iter().for_each(|router| router.signal(Signal::SIGCONT));
+    expect_gone(&cluster, removed, Instant::now());
+}
+
+#[test]
+fn endpoint_that_leaves_after_a_cut_gets_no_late_work_though_the_reader_restarts() {
+    let mut cluster = cluster(1);
+    set_links(&cluster, &[0, 1, 2], LinkState::Unreachable);
+    std::thread::sleep(CUT);
+    set_links(&cluster, &[0, 1, 2], LinkState::Up);
+    let healed = Instant::now();
+    std::thread::sleep(Duration::from_millis(300));
+    set_listed(&cluster, false);
+    let removed = Instant::now();
+    cluster.routers[0].stop(Signal::SIGKILL);
+    cluster.routers[0].spawn();
+    let end = (removed + DRAIN_TIME).max(healed + STABILITY_WINDOW);
+    std::thread::sleep(end.saturating_duration_since(Instant::now()));
+    // The first router reads for the others; after its restart it does not know the endpoint.
+    assert_eq!(know_it_gone(&cluster)[1..], [true; 2], "routers that know that it is gone");
+}
+
 /// The order in which a cut of the routers and an outage of the store begin and end.
 #[derive(Clone, Copy)]
 enum Order {
