Follow peers after an outage when the store is not reached

A router that was cut off from the store just after an outage kept reading the store at the end of the time to register again and did not take the directory from the routers of its zone, which had it. It now begins one read for that, and relies on its peers if this one fails.

router_that_is_cut_off_after_an_outage_takes_the_directory_of_its_zone failed before (timed out) and passes now. Tried and dropped: not to read while the last call has failed; that of a router which follows another one may be old, so that it dropped endpoints late (store_cuts, the case of a restarted reader, failed once).

--- a/mimosafront/src/directory.rs
+++ b/mimosafront/src/directory.rs
@@ -216,10 +216,13 @@
     }
 
     /// Whether the time to register again has ended since the last read, and endpoints are
-    /// still kept without an entry. Peers would tell of their reads too late.
+    /// still kept without an entry. Peers would tell of their reads too late, but are relied
+    /// on if this router does not reach the store.
     fn is_outage_over(&self, state: &RouterState, now: Instant) -> bool {
-        let over = self.outage.is_some_and(|outage| now >= outage.registered_until());
-        over && state.fleet.borrow().keeps_missing()
+        let is_over = self.outage.is_some_and(|outage| {
+            now >= outage.registered_until() && self.last_direct_read < outage.registered_until()
+        });
+        is_over && state.fleet.borrow().keeps_missing()
     }
 
     /// Time until the next check whether to read.
--- a/mimosafront/tests/store_cuts.rs
+++ b/mimosafront/tests/store_cuts.rs
@@ -189,6 +189,22 @@
     assert_eq!(know_it_gone(&cluster), [false; 3], "routers that take it for gone");
 }
 
+// The router cannot read the store itself when the time to register again ends.
+#[test]
+fn router_that_is_cut_off_after_an_outage_takes_the_directory_of_its_zone() {
+    let cluster = cluster(1);
+    cluster.store.set(StoreMode::Busy);
+    std::thread::sleep(CUT / 2);
+    set_listed(&cluster, false);
+    std::thread::sleep(CUT / 2);
+    cluster.store.set(StoreMode::Up);
+    std::thread::sleep(REREGISTRATION / 2);
+    set_links(&cluster, &[1], LinkState::Unreachable);
+    cluster.wait_until("all routers know that the endpoint is gone", |cluster| {
+        know_it_gone(cluster) == [true; 3]
+    });
+}
+
 // The store loses the entry without an outage that routers notice.
 #[test]
 fn living_endpoint_that_a_restored_copy_does_not_list_is_kept() {
