--- a/mimosafront/tests/store_cuts.rs
+++ b/mimosafront/tests/store_cuts.rs
@@ -59,6 +59,15 @@
     routers.iter().for_each(|router| cluster.store_proxies[*router].set(state));
 }
 
+/// Keeps the store away for a time, in which the entry of the endpoint lapses.
+fn lose_entry_in_an_outage(cluster: &TestCluster) {
+    cluster.store.set(StoreMode::Busy);
+    std::thread::sleep(CUT / 2);
+    set_listed(cluster, false);
+    std::thread::sleep(CUT / 2);
+    cluster.store.set(StoreMode::Up);
+}
+
 /// Waits until the endpoint must be out of use everywhere, and checks that it is.
 fn expect_gone(cluster: &TestCluster, removed: Instant, healed: Instant) {
     let end = (removed + DRAIN_TIME).max(healed + STABILITY_WINDOW);
@@ -193,11 +202,7 @@
 #[test]
 fn router_that_is_cut_off_after_an_outage_takes_the_directory_of_its_zone() {
     let cluster = cluster(1);
-    cluster.store.set(StoreMode::Busy);
-    std::thread::sleep(CUT / 2);
-    set_listed(&cluster, false);
-    std::thread::sleep(CUT / 2);
-    cluster.store.set(StoreMode::Up);
+    lose_entry_in_an_outage(&cluster);
     std::thread::sleep(REREGISTRATION / 2);
     set_links(&cluster, &[1], LinkState::Unreachable);
     cluster.wait_until("all routers know that the endpoint is gone", |cluster| {
@@ -232,11 +237,7 @@
 #[test]
 fn endpoint_is_not_kept_for_good_after_an_outage() {
     let cluster = cluster(1);
-    cluster.store.set(StoreMode::Busy);
-    std::thread::sleep(CUT / 2);
-    set_listed(&cluster, false);
-    std::thread::sleep(CUT / 2);
-    cluster.store.set(StoreMode::Up);
+    lose_entry_in_an_outage(&cluster);
     let back = Instant::now();
     expect_gone(&cluster, back, back);
 }
--- a/mimosashift/src/fleet/mod.rs
+++ b/mimosashift/src/fleet/mod.rs
@@ -38,7 +38,7 @@
 pub use chain::{Allowance, Demand, Query, Shortage, USABLE_CACHE_SHARE};
 pub use claim::Claim;
 pub use limit::{Change as LimitChange, Record as LimitRecord};
-pub use outage::{Outage, REREGISTRATION_PERIOD, Read};
+pub use outage::{Outage, Read};
 pub use usage::Usage;
 
 /// Slowdown from which an endpoint gets no new work while others hold its layers,
--- a/mimosashift/src/fleet/outage.rs
+++ b/mimosashift/src/fleet/outage.rs
@@ -9,7 +9,7 @@
 use crate::time::Instant;
 
 /// Time after the store comes back within which endpoints register again.
-pub const REREGISTRATION_PERIOD: Duration = Duration::from_millis(2_200);
+const REREGISTRATION_PERIOD: Duration = Duration::from_millis(2_200);
 
 /// A time without reads of the directory that may have been an outage of the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
