--- a/mimosashift/src/connection_pool/bounded_stream.rs
+++ b/mimosashift/src/connection_pool/bounded_stream.rs
@@ -5,9 +5,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
-use std::time::Duration;
 
-use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -23,8 +21,6 @@
 /// Fails if too many bytes are read before they are delivered.
 pub(super) struct BoundedStream {
     stream: TcpStream,
-    /// Whether nothing was read since the last write.
-    is_unanswered: bool,
     undelivered: Rc<Undelivered>,
     watch: Rc<Watch>,
     limit: usize,
@@ -59,18 +55,7 @@
         watch: Rc<Watch>,
         limit: usize,
     ) -> Self {
-        Self { stream, is_unanswered: false, undelivered, watch, limit }
-    }
-}
-
-impl Drop for BoundedStream {
-    /// Resets a connection whose request has no answer: bytes that a partition holds up would
-    /// otherwise be delivered after it, long after the request was given up.
-    fn drop(&mut self) {
-        if self.is_unanswered {
-            // This fails only if the connection is closed already.
-            drop(SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)));
-        }
+        Self { stream, undelivered, watch, limit }
     }
 }
 
@@ -87,7 +72,6 @@
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
         let read = &buffer.filled()[before..];
-        self.is_unanswered &= read.is_empty();
         self.watch.on_read(read);
         let added = self.undelivered.add(read.len());
         Poll::Ready(added.map_err(io::Error::other))
@@ -100,9 +84,7 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let written = ready!(Pin::new(&mut self.stream).poll_write(cx, bytes))?;
-        self.is_unanswered = true;
-        Poll::Ready(Ok(written))
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
     }
 
     fn poll_write_vectored(
@@ -110,9 +92,7 @@
         cx: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, slices))?;
-        self.is_unanswered = true;
-        Poll::Ready(Ok(written))
+        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
     }
 
     fn is_write_vectored(&self) -> bool {
