--- a/mimosafront/src/directory.rs
+++ b/mimosafront/src/directory.rs
@@ -10,11 +10,13 @@
 use mimosashift::deployment::Endpoint;
 use mimosashift::emit;
 use mimosashift::event::Event;
-use mimosashift::fleet;
+use mimosashift::fleet::{self, DirectoryChange, Outage, Read};
 use mimosashift::meter::{CallOutcome, PlatformCall};
 use mimosashift::peer::{Format, MAX_DIRECTORY_AGE};
 use mimosashift::platform::{Outcome, Refusal, Row};
+use mimosashift::poll::Schedule;
 use mimosashift::time::Instant;
+use tokio::task::JoinSet;
 
 use crate::state::{DirectoryRead, RouterState, millis};
 use crate::{clock, gossip};
@@ -52,8 +54,8 @@
 /// Time without an answer after which the store counts as unavailable.
 const STORE_OUTAGE_AFTER: Duration = Duration::from_millis(1_500);
 
-/// Time after the store comes back within which endpoints register again.
-const REREGISTRATION_PERIOD: Duration = Duration::from_millis(2_200);
+/// Number of heartbeats of an endpoint without which its entry lapses.
+const HEARTBEATS_UNTIL_LAPSE: u32 = 3;
 
 /// Keeps the configuration up to date until the router exits.
 pub async fn watch_config(state: Rc<RouterState>) {
@@ -83,7 +85,7 @@
                 Outcome::Unknown => Outcome::Unknown,
             },
         };
-        record_store_call(&state, PlatformCall::Read, &read);
+        record_store_call(&state, PlatformCall::Read, started, &read);
         match read {
             Outcome::Done(Some(rows)) => {
                 position = Some(rows.position);
@@ -172,17 +174,18 @@
     let mut watch = EndpointWatch::default();
     loop {
         let now = clock::now();
-        let interval = state.peers.borrow().direct_read_interval(now);
-        let is_direct_read_due = now >= watch.last_direct_read + interval;
-        if (is_direct_read_due || !watch.follow(&state, now).await) && now >= watch.next_read {
-            watch.read(&state).await;
+        if (watch.must_read(&state, now) || !watch.follow(&state, now).await)
+            && watch.schedule.is_due(clock::now())
+        {
+            watch.begin_read(&state);
         }
-        let now = clock::now();
-        let until_read = watch.next_read.since(now);
-        let pause = if until_read.is_zero() { READER_CHECK_INTERVAL } else { until_read };
         tokio::select! {
-            () = tokio::time::sleep(pause.min(READER_CHECK_INTERVAL)) => {}
-            () = state.directory_refresh.notified() => watch.read(&state).await,
+            () = tokio::time::sleep(watch.pause(clock::now())) => {}
+            Some(read) = watch.reads.join_next() => {
+                let (began, read) = read.expect("reads are not cancelled and do not panic");
+                watch.end_read(&state, began, read);
+            }
+            () = state.directory_refresh.notified() => watch.begin_read(&state),
         }
     }
 }
@@ -192,34 +195,73 @@
 struct EndpointWatch {
     /// When the directory was last read from the store, or should have been.
     last_direct_read: Instant,
-    /// Earliest time of the next read from the store.
-    next_read: Instant,
+    /// Times of the reads from the store.
+    schedule: Schedule,
+    /// Reads from the store that have no answer yet, with their begin.
+    reads: JoinSet<(Instant, Outcome<Rows>)>,
     /// When the directory was last fetched from a peer.
     last_fetch: Instant,
     unavailable_since: Option<Instant>,
-    reregistration_until: Instant,
+    /// The latest outage of the store, or what may have been one.
+    outage: Option<Outage>,
     /// Revisions of invalid entries that have been logged.
     logged_invalid: HashMap<String, u64>,
 }
 
 impl EndpointWatch {
-    /// Reads the directory from the store.
-    async fn read(&mut self, state: &Rc<RouterState>) {
-        let started = clock::now();
-        self.last_direct_read = started;
-        let read = state.store.read(endpoint::TABLE).await;
-        record_store_call(state, PlatformCall::Scan, &read);
-        let interval = match read {
+    /// Whether this router has to read the store itself, whatever its peers have read.
+    fn must_read(&self, state: &RouterState, now: Instant) -> bool {
+        let interval = state.peers.borrow().direct_read_interval(now);
+        now >= self.last_direct_read + interval || self.is_outage_over(state, now)
+    }
+
+    /// Whether the time to register again has ended since the last read, and endpoints are
+    /// still kept without an entry. Peers would tell of their reads too late, but are relied
+    /// on if this router does not reach the store.
+    fn is_outage_over(&self, state: &RouterState, now: Instant) -> bool {
+        let is_over = self.outage.is_some_and(|outage| {
+            now >= outage.registered_until() && self.last_direct_read < outage.registered_until()
+        });
+        is_over && state.fleet.borrow().keeps_missing()
+    }
+
+    /// Time until the next check whether to read.
+    fn pause(&self, now: Instant) -> Duration {
+        let outage_ends = self.outage.map(Outage::registered_until);
+        let times = [Some(self.schedule.next()), outage_ends];
+        let until = |time: Instant| time.since(now);
+        let pauses = times.into_iter().flatten().map(until).filter(|pause| !pause.is_zero());
+        pauses.min().unwrap_or(READER_CHECK_INTERVAL).min(READER_CHECK_INTERVAL)
+    }
+
+    /// Begins to read the directory from the store.
+    fn begin_read(&mut self, state: &Rc<RouterState>) {
+        let began = clock::now();
+        self.last_direct_read = began;
+        self.schedule.begin(began, store_retry_interval(state));
+        let state = state.clone();
+        self.reads.spawn_local(async move { (began, state.store.read(endpoint::TABLE).await) });
+    }
+
+    /// Takes the result of a read that began at `began`.
+    fn end_read(&mut self, state: &RouterState, began: Instant, read: Outcome<Rows>) {
+        record_store_call(state, PlatformCall::Scan, began, &read);
+        let now = clock::now();
+        match read {
             Outcome::Done(rows) => {
-                self.apply(state, rows.rows.into(), rows.position, Duration::ZERO, started);
-                DIRECTORY_INTERVAL
+                if self.schedule.succeed(began, now, DIRECTORY_INTERVAL) {
+                    self.end_outage(state, now);
+                    self.note_restore(state, rows.position, now);
+                    self.apply(state, rows.rows.into(), rows.position, began);
+                }
             }
             Outcome::NotDone(_) | Outcome::Unknown => {
-                self.unavailable_since.get_or_insert(state.directory_read_at().unwrap_or(started));
-                store_retry_interval(state)
+                if self.schedule.fail(began, now, store_retry_interval(state)) {
+                    let known_at = state.directory_read_at().unwrap_or(began);
+                    self.unavailable_since.get_or_insert(known_at);
+                }
             }
-        };
-        self.next_read = clock::now() + interval;
+        }
     }
 
     /// Whether a peer that reads the store keeps the directory of this router up to date;
@@ -236,8 +278,9 @@
         if now.since(read_at) >= MAX_DIRECTORY_AGE {
             return false;
         }
-        if take_over_age(state, directory.fingerprint, read_at) {
-            self.end_outage(now);
+        if has_fingerprint(state, directory.fingerprint) {
+            self.end_outage(state, now);
+            self.confirm(state, read_at);
             let is_due = now >= self.last_fetch + CONTRADICTED_FETCH_INTERVAL;
             if format == Format::Parts && is_due && is_contradicted(state) {
                 // Without an answer the entries are still those of the last read.
@@ -264,37 +307,65 @@
             return false;
         }
         let read_at = now - fetched.age;
-        self.apply(state, fetched.rows.into(), position, fetched.keep_missing, read_at);
+        let now = clock::now();
+        self.end_outage(state, now);
+        self.note_restore(state, position, now);
+        let of_peer = Outage::of_peer(fetched.keep_missing, entry_lifetime(state), now);
+        // The peer may have noticed the return of the store earlier than this router.
+        let own = self.outage.filter(|outage| read_at < outage.registered_until());
+        self.outage = own.into_iter().chain(of_peer).reduce(Outage::merge);
+        self.apply(state, fetched.rows.into(), position, read_at);
         true
     }
 
-    /// Applies the directory as it was at `read_at`. Endpoints without a row are kept for
-    /// `keep_missing`, and for some time after an outage of the store.
+    /// Applies the directory as it was at `read_at`.
     fn apply(
         &mut self,
         state: &RouterState,
         rows: Rc<[Row]>,
         position: Position,
-        keep_missing: Duration,
         read_at: Instant,
     ) {
-        let now = clock::now();
-        self.end_outage(now);
-        let keep_missing_until = self.reregistration_until.max(now + keep_missing);
         let entries = self.decode(state, &rows);
-        apply_entries(state, &entries, keep_missing_until);
+        let outage = self.outage;
+        let (read, now) = (Read { began: read_at, outage }, clock::now());
+        let change = state.fleet.borrow_mut().apply_directory(entries.to_vec(), read, now);
+        log_change(state, &change, outage);
+        if let Some(outage) = outage.filter(|_| state.fleet.borrow().keeps_missing()) {
+            self.schedule.bring_forward(outage.registered_until());
+        }
         let fingerprint = fleet::fingerprint(&entries);
-        let read =
-            DirectoryRead { position, read_at, rows, entries, fingerprint, keep_missing_until };
+        let read = DirectoryRead { position, read_at, rows, entries, fingerprint, outage };
         *state.directory.borrow_mut() = Some(read);
         state.directory_read.notify_waiters();
     }
 
+    /// Applies that a peer's directory that was read at `read_at` has the known entries.
+    fn confirm(&self, state: &RouterState, read_at: Instant) {
+        let mut directory = state.directory.borrow_mut();
+        let Some(known) = directory.as_mut().filter(|known| read_at > known.read_at) else {
+            return;
+        };
+        (known.read_at, known.outage) = (read_at, self.outage);
+        let read = Read { began: read_at, outage: self.outage };
+        let change = state.fleet.borrow_mut().confirm_directory(read, clock::now());
+        log_change(state, &change, self.outage);
+    }
+
     /// Ends an outage of the store, if there is one: after a long one endpoints register again.
-    fn end_outage(&mut self, now: Instant) {
+    fn end_outage(&mut self, state: &RouterState, now: Instant) {
         let outage = self.unavailable_since.take();
         if outage.is_some_and(|since| now.since(since) >= STORE_OUTAGE_AFTER) {
-            self.reregistration_until = now + REREGISTRATION_PERIOD;
+            self.outage = Some(Outage::ending(now, entry_lifetime(state)));
+        }
+    }
+
+    /// Takes it for an outage if the store has come back from a copy of itself, in which
+    /// entries may be missing whenever they were written.
+    fn note_restore(&mut self, state: &RouterState, position: Position, now: Instant) {
+        let directory = state.directory.borrow();
+        if directory.as_ref().is_some_and(|known| known.position.era < position.era) {
+            self.outage = Some(Outage::ending(now, Duration::ZERO));
         }
     }
 
@@ -318,18 +389,15 @@
     }
 }
 
-/// Takes over the age of a peer's directory that was read at `read_at`, if its entries have the
-/// hash of the known ones; returns whether they have.
-fn take_over_age(state: &RouterState, fingerprint: u64, read_at: Instant) -> bool {
-    let mut directory = state.directory.borrow_mut();
-    let Some(known) = directory.as_mut().filter(|known| known.fingerprint == fingerprint) else {
-        return false;
-    };
-    if read_at > known.read_at {
-        known.read_at = read_at;
-        apply_entries(state, &known.entries, known.keep_missing_until);
-    }
-    true
+/// Time without a heartbeat after which the entry of an endpoint lapses.
+fn entry_lifetime(state: &RouterState) -> Duration {
+    state.node().heartbeat * HEARTBEATS_UNTIL_LAPSE
+}
+
+/// Whether the known entries have this hash.
+fn has_fingerprint(state: &RouterState, fingerprint: u64) -> bool {
+    let directory = state.directory.borrow();
+    directory.as_ref().is_some_and(|known| known.fingerprint == fingerprint)
 }
 
 /// Whether reports contradict the known directory.
@@ -338,11 +406,8 @@
     directory.as_ref().is_some_and(|known| state.fleet.borrow().contradicts(&known.entries))
 }
 
-/// Applies the entries of the directory; endpoints without one are kept until
-/// `keep_missing_until`.
-fn apply_entries(state: &RouterState, entries: &[Endpoint], keep_missing_until: Instant) {
-    let (entries, now) = (entries.to_vec(), clock::now());
-    let change = state.fleet.borrow_mut().apply_directory(entries, keep_missing_until, now);
+/// Logs what a read of the directory has changed.
+fn log_change(state: &RouterState, change: &DirectoryChange, outage: Option<Outage>) {
     let fleet = state.fleet.borrow();
     for id in &change.joined {
         let endpoint = fleet.get(id).map(|member| &member.endpoint);
@@ -361,6 +426,11 @@
     for id in &change.leaving {
         emit!(state.log, Event::EndpointLeaving, "endpoint" => &**id, "source" => "store");
     }
+    for id in &change.kept {
+        let until = outage.map(Outage::registered_until);
+        let keep_ms = until.map(|until| millis(until.since(clock::now())));
+        emit!(state.log, Event::EndpointKept, "endpoint" => &**id, "keep_ms" => keep_ms);
+    }
     for id in &change.gone {
         emit!(state.log, Event::EndpointGone, "endpoint" => &**id);
     }
@@ -368,8 +438,13 @@
 
 /// Counts a call to the store and logs when the store becomes unreachable or
 /// reachable again. A call that ends in neither success nor conflict counts as a
-/// failure.
-pub fn record_store_call<T>(state: &RouterState, call: PlatformCall, outcome: &Outcome<T>) {
+/// failure, which tells nothing of a store that has answered since the call began.
+pub fn record_store_call<T>(
+    state: &RouterState,
+    call: PlatformCall,
+    began: Instant,
+    outcome: &Outcome<T>,
+) {
     let now = clock::now();
     let label = match outcome {
         Outcome::Done(_) => CallOutcome::Done,
@@ -388,7 +463,7 @@
             emit!(state.log, Event::StoreAvailable, "away_ms" => outage_ms);
         }
         state.last_store_answer.set(Some(now));
-    } else if !state.store_lost.replace(true) {
+    } else if last_answer.is_none_or(|at| at <= began) && !state.store_lost.replace(true) {
         let reason = match outcome {
             Outcome::NotDone(refusal) => format!("{refusal:?}"),
             _ => "no answer".to_owned(),
--- a/mimosafront/src/gossip.rs
+++ b/mimosafront/src/gossip.rs
@@ -314,7 +314,7 @@
     Some(Vec::from(&wire::Directory {
         position: (era, revision),
         age: now.since(directory.read_at),
-        keep_missing: directory.keep_missing_until.since(now),
+        keep_missing: directory.outage.map_or(Duration::ZERO, |o| o.registered_until().since(now)),
         rows: directory.rows.to_vec(),
     }))
 }
--- a/mimosafront/src/placement.rs
+++ b/mimosafront/src/placement.rs
@@ -205,8 +205,9 @@
     async fn write_lease(&self, lease: &mut Lease, held: bool) {
         let state = &self.state;
         if !held {
+            let started = clock::now();
             let read = state.store.read(TABLE).await;
-            record_store_call(state, PlatformCall::Read, &read);
+            record_store_call(state, PlatformCall::Read, started, &read);
             let Outcome::Done(rows) = read else { return };
             let row = rows.rows.iter().find(|row| row.key == *lease.key());
             lease.observe(row, clock::now());
@@ -219,7 +220,7 @@
         let takeover = holder_is_inactive || lease.is_overdue(now);
         if let Some(transaction) = lease.next_transaction(takeover, now) {
             let outcome = state.store.commit(&transaction).await;
-            record_store_call(state, PlatformCall::Commit, &outcome);
+            record_store_call(state, PlatformCall::Commit, now, &outcome);
             lease.on_write_result(&outcome, clock::now());
         }
     }
--- a/mimosafront/src/state.rs
+++ b/mimosafront/src/state.rs
@@ -15,7 +15,7 @@
 use mimosashift::emit;
 use mimosashift::event::{Event, Logger};
 use mimosashift::exchange::Report;
-use mimosashift::fleet::{Fleet, Member, Observation, name_key};
+use mimosashift::fleet::{Fleet, Member, Observation, Outage, name_key};
 use mimosashift::freshness::Freshness;
 use mimosashift::memory::Budget;
 use mimosashift::meter::Meter;
@@ -163,8 +163,9 @@
     pub entries: Rc<[Endpoint]>,
     /// Hash of the entries.
     pub fingerprint: u64,
-    /// Time up to which endpoints without a row are kept.
-    pub keep_missing_until: Instant,
+    /// The outage of the store in which rows may have lapsed, if endpoints without one are
+    /// kept.
+    pub outage: Option<Outage>,
 }
 
 impl RouterState {
--- a/mimosashift/src/connection_pool/bounded_stream.rs
+++ b/mimosashift/src/connection_pool/bounded_stream.rs
@@ -5,7 +5,9 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -21,6 +23,8 @@
 /// Fails if too many bytes are read before they are delivered.
 pub(super) struct BoundedStream {
     stream: TcpStream,
+    /// Whether nothing was read since the last write.
+    is_unanswered: bool,
     undelivered: Rc<Undelivered>,
     watch: Rc<Watch>,
     limit: usize,
@@ -55,7 +59,18 @@
         watch: Rc<Watch>,
         limit: usize,
     ) -> Self {
-        Self { stream, undelivered, watch, limit }
+        Self { stream, is_unanswered: false, undelivered, watch, limit }
+    }
+}
+
+impl Drop for BoundedStream {
+    /// Resets a connection whose request has no answer: bytes that a partition holds up would
+    /// otherwise be delivered after it, long after the request was given up.
+    fn drop(&mut self) {
+        if self.is_unanswered {
+            // This fails only if the connection is closed already.
+            drop(SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)));
+        }
     }
 }
 
@@ -72,6 +87,7 @@
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
         let read = &buffer.filled()[before..];
+        self.is_unanswered &= read.is_empty();
         self.watch.on_read(read);
         let added = self.undelivered.add(read.len());
         Poll::Ready(added.map_err(io::Error::other))
@@ -84,7 +100,9 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        let written = ready!(Pin::new(&mut self.stream).poll_write(cx, bytes))?;
+        self.is_unanswered = true;
+        Poll::Ready(Ok(written))
     }
 
     fn poll_write_vectored(
@@ -92,7 +110,9 @@
         cx: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
+        let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, slices))?;
+        self.is_unanswered = true;
+        Poll::Ready(Ok(written))
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/mimosashift/src/event/table.rs
+++ b/mimosashift/src/event/table.rs
@@ -104,6 +104,7 @@
     EndpointResting "MS0525" Info "endpoint rests", "An endpoint rejected a request and wants none from this router for a while.";
     EndpointRestInvalid "MS0526" Warning "endpoint rest invalid", "An endpoint rejected a request and named a time to rest that is not a number of seconds; it is ignored.";
     EndpointChanged "MS0527" Info "endpoint entry changed", "The directory lists an endpoint with another address, service, domain, card or number of slots.";
+    EndpointKept "MS0528" Info "endpoint kept without entry", "The directory does not list an endpoint whose entry may have lapsed while the store was away; the endpoint stays in use until the time to register again ends.";
 
     StageMoved "MS0601" Warning "stage moved", "A request lost a stage and continued on another endpoint.";
     RequestRefused "MS0602" Info "request refused", "A request was refused before any of it ran.";
--- a/mimosashift/src/fleet/mod.rs
+++ b/mimosashift/src/fleet/mod.rs
@@ -23,6 +23,7 @@
 mod limit;
 mod link;
 mod liveness;
+mod outage;
 mod plain;
 mod prefill;
 mod rest;
@@ -37,6 +38,7 @@
 pub use chain::{Allowance, Demand, Query, Shortage, USABLE_CACHE_SHARE};
 pub use claim::Claim;
 pub use limit::{Change as LimitChange, Record as LimitRecord};
+pub use outage::{Outage, Read};
 pub use usage::Usage;
 
 /// Slowdown from which an endpoint gets no new work while others hold its layers,
@@ -105,9 +107,12 @@
     failure_rate: f64,
     /// When it joined the directory, if it already held layers then.
     joined_with_layers_at: Option<Instant>,
-    /// When its directory entry was first missing. Set only while a directory read is
-    /// applied.
-    missing_since: Option<Instant>,
+    /// Whether it is kept though the directory does not list it.
+    is_missing: bool,
+    /// Begin of the latest read of its entry.
+    listed_at: Instant,
+    /// A time after which its entry was written: an earlier read showed an older heartbeat.
+    written_after: Instant,
 }
 
 /// Changes found in a read of the directory.
@@ -119,6 +124,8 @@
     pub leaving: Vec<Arc<str>>,
     /// Endpoints that were removed.
     pub gone: Vec<Arc<str>>,
+    /// Endpoints without an entry that are kept, each once.
+    pub kept: Vec<Arc<str>>,
     /// Endpoints whose layers changed.
     pub layers_changed: Vec<Arc<str>>,
     /// Endpoints of which anything else changed but the status and the heartbeat.
@@ -200,7 +207,9 @@
             cache_full_pause: Duration::ZERO,
             consecutive_failures: 0,
             failure_rate: 0.0,
-            missing_since: None,
+            is_missing: false,
+            listed_at: Instant::ZERO,
+            written_after: Instant::ZERO,
         }
     }
 
@@ -226,9 +235,7 @@
 
     /// Whether the directory lists it as ready for new work and it has not said otherwise.
     pub fn takes_work(&self) -> bool {
-        self.endpoint.status == EndpointStatus::Ready
-            && !self.said_leaving
-            && self.missing_since.is_none()
+        self.endpoint.status == EndpointStatus::Ready && !self.said_leaving
     }
 
     /// Whether it takes new work and is not marked dead.
@@ -279,45 +286,69 @@
 }
 
 impl Fleet {
-    /// Applies the directory as read at `now`.
+    /// Applies the directory as given by a read whose answer is known at `now`.
     ///
-    /// Endpoints without an entry are kept until `keep_missing_until`: after an outage
-    /// of the store, endpoints need time to register again.
+    /// Endpoints whose entries may have lapsed in an outage of the store are kept without one,
+    /// since they need time to register again.
     pub fn apply_directory(
         &mut self,
         entries: Vec<Endpoint>,
-        keep_missing_until: Instant,
+        read: Read,
         now: Instant,
     ) -> DirectoryChange {
         let mut change = DirectoryChange::default();
         let mut listed = std::collections::HashSet::new();
         for entry in entries {
             listed.insert(entry.id.clone());
-            self.apply_entry(entry, now, &mut change);
+            self.apply_entry(entry, read.began, now, &mut change);
         }
         let missing = self.members.iter_mut().filter(|(id, _)| !listed.contains(*id));
         for (id, member) in missing {
-            member.missing_since.get_or_insert(now);
-            if now >= keep_missing_until {
+            if !read.may_miss(member, now) {
                 change.gone.push(id.clone());
-            } else {
-                // Known from before the outage, so it stays usable.
-                member.missing_since = None;
+            } else if !std::mem::replace(&mut member.is_missing, true) {
+                change.kept.push(id.clone());
             }
         }
+        self.remove_gone(&change, now);
+        change
+    }
+
+    /// Applies that a later read shows the same entries as the one before.
+    pub fn confirm_directory(&mut self, read: Read, now: Instant) -> DirectoryChange {
+        let mut change = DirectoryChange::default();
+        let missing = self.members.iter().filter(|(_, member)| member.is_missing);
+        let gone = missing.filter(|(_, member)| !read.may_miss(member, now));
+        change.gone.extend(gone.map(|(id, _)| id.clone()));
+        self.remove_gone(&change, now);
+        change
+    }
+
+    /// Whether any endpoint is kept without an entry.
+    pub fn keeps_missing(&self) -> bool {
+        self.members.values().any(|member| member.is_missing)
+    }
+
+    fn remove_gone(&mut self, change: &DirectoryChange, now: Instant) {
         for id in &change.gone {
             if let Some(member) = self.members.remove(id) {
                 self.said.keep(&member, now);
             }
         }
-        change
     }
 
-    fn apply_entry(&mut self, entry: Endpoint, now: Instant, change: &mut DirectoryChange) {
+    fn apply_entry(
+        &mut self,
+        entry: Endpoint,
+        read_at: Instant,
+        now: Instant,
+        change: &mut DirectoryChange,
+    ) {
         let id = entry.id.clone();
         let known = self.members.get(&id).map(|member| member.endpoint.incarnation);
         if known.is_none_or(|known| known < entry.incarnation) {
             let mut member = Member::new(entry, now);
+            member.listed_at = read_at;
             // An old copy of the store may list a process that has been replaced.
             if !self.said.is_replaced(member.key(), now) {
                 self.said.recall(&mut member, now);
@@ -335,10 +366,14 @@
         {
             change.leaving.push(id.clone());
         }
-        member.missing_since = None;
+        member.is_missing = false;
         if entry.heartbeat < member.endpoint.heartbeat {
             return;
         }
+        if entry.heartbeat > member.endpoint.heartbeat {
+            member.written_after = member.listed_at;
+        }
+        member.listed_at = read_at;
         let mut entry = entry;
         if member.heartbeat_at_report == Some(entry.heartbeat) {
             entry.layers = member.endpoint.layers;
--- a/mimosashift/src/lib.rs
+++ b/mimosashift/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod peer;
 pub mod pipeline;
 pub mod platform;
+pub mod poll;
 pub mod posting;
 pub mod quarantine;
 pub mod reach;
--- a/mimosashift/tests/common/fleet.rs
+++ b/mimosashift/tests/common/fleet.rs
@@ -3,16 +3,20 @@
 #![allow(dead_code)] // Each test program uses only some of the fixtures.
 
 use mimosashift::deployment::{Card, Endpoint, Engine};
-use mimosashift::fleet::{Allowance, Chain, Demand, Fleet, Query, Shortage};
-use mimosashift::time::Instant;
+use mimosashift::fleet::{Allowance, Chain, Demand, Fleet, Query, Read, Shortage};
 
 use super::deployment::{MODEL, at, endpoint, engine, layers};
 
 pub const DEMAND: Demand = Demand { prompt: 775.0, output: 220.0 };
 
+/// A read of the directory without an outage before it.
+pub fn read(ms: u64) -> Read {
+    Read { began: at(ms), outage: None }
+}
+
 pub fn fleet(entries: Vec<Endpoint>) -> Fleet {
     let mut fleet = Fleet::default();
-    fleet.apply_directory(entries, Instant::ZERO, at(0));
+    fleet.apply_directory(entries, read(0), at(0));
     fleet
 }
 
--- a/mimosashift/tests/connection_pool.rs
+++ b/mimosashift/tests/connection_pool.rs
@@ -1,7 +1,7 @@
 //! Tests of the connection pool: where the body of a response ends, and servers that
 //! pause.
 
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 
@@ -197,3 +197,26 @@
     assert!(first && !second);
     assert_ne!(carriers.last(), used, "MS0627 names this connection for the second send");
 }
+
+// Bytes that a partition holds up are delivered after a close, but not after a reset.
+#[test]
+fn request_that_is_given_up_without_an_answer_is_not_delivered_later() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        read_request(&mut stream);
+        stream.read(&mut [0]).map_err(|error| error.kind())
+    });
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let pool = Pool::new(Settings::default(), budget());
+        let request = Request::builder().uri("/").header("host", "x").body(Full::default());
+        let request = request.unwrap();
+        let limit = Duration::from_millis(100);
+        let answer = tokio::time::timeout(limit, pool.send(address, request, Reuse::Any)).await;
+        assert!(answer.is_err(), "the server does not answer");
+        tokio::task::yield_now().await;
+    });
+    assert_eq!(server.join().unwrap(), Err(ErrorKind::ConnectionReset));
+}
--- a/mimosashift/tests/endpoint_limits.rs
+++ b/mimosashift/tests/endpoint_limits.rs
@@ -7,13 +7,12 @@
 
 use mimosashift::exchange::RequestRate;
 use mimosashift::fleet::{Fleet, LimitRecord, Shortage, name_key};
-use mimosashift::time::Instant;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use test_case::test_case;
 
 use common::deployment::{PLAIN, at, plain};
-use common::fleet::{DEMAND, choose, fleet, ids, two_zones};
+use common::fleet::{DEMAND, choose, fleet, ids, read, two_zones};
 
 #[path = "common"]
 mod common {
@@ -291,7 +290,7 @@
     observe(&mut fleet, Some(1.0), 100);
     let mut restarted = plain(1, "a");
     restarted.incarnation = 2;
-    fleet.apply_directory(vec![restarted], Instant::ZERO, at(200));
+    fleet.apply_directory(vec![restarted], read(200), at(200));
     assert_eq!(drain(&mut fleet, 300), 1_000);
 }
 
--- a/mimosashift/tests/fleet.rs
+++ b/mimosashift/tests/fleet.rs
@@ -6,14 +6,13 @@
 use mimosashift::deployment::{Endpoint, EndpointStatus};
 use mimosashift::exchange::Report;
 use mimosashift::fleet::{
-    Chain, Fleet, Incarnation, Observation, Query, Shortage, fingerprint, name_key,
+    Chain, Fleet, Incarnation, Observation, Outage, Query, Read, Shortage, fingerprint, name_key,
 };
-use mimosashift::time::Instant;
 
 use test_case::test_case;
 
 use common::deployment::{MODEL, PLAIN, at, endpoint, engine, layers, plain};
-use common::fleet::{DEMAND, choose, fleet, huge, ids, query, two_zones};
+use common::fleet::{DEMAND, choose, fleet, huge, ids, query, read, two_zones};
 
 #[path = "common"]
 mod common {
@@ -21,6 +20,9 @@
     pub mod fleet;
 }
 
+/// Time without a heartbeat after which an entry lapses.
+const ENTRY_LIFETIME: Duration = Duration::from_millis(3_600);
+
 fn covers(chain: &Chain, total: u16) -> bool {
     let mut next = 0;
     for hop in chain {
@@ -144,11 +146,60 @@
 #[test]
 fn missing_entry_is_kept_after_an_outage_of_the_store_and_then_removed() {
     let mut fleet = fleet(two_zones());
-    let kept = fleet.apply_directory(Vec::new(), at(2_000), at(1_000));
-    assert!(kept.gone.is_empty());
+    let outage = Outage::ending(at(5_000), ENTRY_LIFETIME);
+    let after = |ms| Read { began: at(ms), outage: Some(outage) };
+    let first = fleet.apply_directory(Vec::new(), after(4_990), at(5_000));
+    assert_eq!((first.gone.len(), first.kept.len()), (0, 4));
     assert!(choose(&fleet, &DEMAND).is_ok());
-    let gone = fleet.apply_directory(Vec::new(), at(2_000), at(2_000));
-    assert_eq!(gone.gone.len(), 4);
+    // The answer is from before the end of the time to register again.
+    let late = fleet.apply_directory(Vec::new(), after(7_199), at(7_250));
+    assert_eq!((late.gone.len(), late.kept.len()), (0, 0));
+    assert!(fleet.keeps_missing());
+    let end = fleet.apply_directory(Vec::new(), after(7_200), at(7_250));
+    assert_eq!(end.gone.len(), 4);
+}
+
+#[test]
+fn kept_endpoint_is_gone_when_a_peer_confirms_the_entries_after_its_time() {
+    let mut fleet = fleet(two_zones());
+    let outage = Outage::ending(at(5_000), ENTRY_LIFETIME);
+    let after = |ms| Read { began: at(ms), outage: Some(outage) };
+    fleet.apply_directory(two_zones()[1..].to_vec(), after(5_000), at(5_000));
+    assert_eq!(fleet.confirm_directory(after(7_199), at(7_300)).gone.len(), 0);
+    assert_eq!(fleet.confirm_directory(after(7_200), at(7_300)).gone, ["e1".into()]);
+}
+
+#[test]
+fn outage_ends_when_the_first_of_two_routers_noticed_it() {
+    let lifetime = Duration::from_secs(1);
+    let own = Outage::ending(at(5_000), ENTRY_LIFETIME);
+    let of_peer = Outage::of_peer(Duration::from_millis(2_000), lifetime, at(5_000)).unwrap();
+    let earlier = Outage::ending(at(4_800), lifetime);
+    assert_eq!((own.merge(of_peer), of_peer.merge(own)), (earlier, earlier));
+    assert_eq!(Outage::of_peer(Duration::ZERO, lifetime, at(5_000)), None);
+}
+
+/// The first endpoint is listed with these heartbeats by reads at these times.
+#[test_case(&[(1_000, 1), (4_000, 2)], 4_599, true; "written after the first read, too young to lapse")]
+#[test_case(&[(1_000, 1), (4_000, 2)], 4_600, false; "written after the first read, may have lapsed")]
+#[test_case(&[(1_000, 1), (2_000, 2), (4_000, 3)], 5_599, true; "written after the second read, too young to lapse")]
+#[test_case(&[(1_000, 1), (4_000, 1)], 4_100, false; "not seen to be written")]
+fn endpoint_that_was_written_too_lately_to_lapse_is_not_kept(
+    listed: &[(u64, u64)],
+    missing_ms: u64,
+    is_gone: bool,
+) {
+    let mut entries = two_zones();
+    let mut fleet = fleet(entries.clone());
+    let outage = Some(Outage::ending(at(4_000), ENTRY_LIFETIME));
+    for (ms, heartbeat) in listed {
+        entries[0].heartbeat = *heartbeat;
+        fleet.apply_directory(entries.clone(), Read { began: at(*ms), outage }, at(*ms));
+    }
+    let missing = Read { began: at(missing_ms), outage };
+    let change = fleet.apply_directory(entries[1..].to_vec(), missing, at(missing_ms));
+    assert_eq!(change.gone == ["e1".into()], is_gone, "{change:?}");
+    assert_eq!(change.kept == ["e1".into()], !is_gone, "{change:?}");
 }
 
 #[test]
@@ -156,11 +207,11 @@
     let mut fleet = fleet(two_zones());
     let report = Report { incarnation: 1, layers: Some(layers(0, 50)), ..Report::default() };
     fleet.apply_report("e1", &report, at(5));
-    fleet.apply_directory(two_zones(), Instant::ZERO, at(10));
+    fleet.apply_directory(two_zones(), read(10), at(10));
     assert_eq!(fleet.get("e1").unwrap().endpoint.layers, Some(layers(0, 50)));
     let mut later = two_zones();
     later[0].heartbeat = 2;
-    fleet.apply_directory(later, Instant::ZERO, at(20));
+    fleet.apply_directory(later, read(20), at(20));
     assert_eq!(fleet.get("e1").unwrap().endpoint.layers, Some(layers(0, 40)));
 }
 
@@ -415,9 +466,9 @@
     let mut fleet = fleet(entries.clone());
     let leaving = [incarnation(&entries[0])];
     assert_eq!(fleet.record_leaving(&leaving, at(10)), ["e1".into()]);
-    fleet.apply_directory(entries[1..].to_vec(), at(20), at(20));
+    fleet.apply_directory(entries[1..].to_vec(), read(20), at(20));
     assert_eq!(fleet.leaving(at(30)), leaving, "peers are told");
-    fleet.apply_directory(entries, at(40), at(40));
+    fleet.apply_directory(entries, read(40), at(40));
     assert!(!fleet.get("e1").unwrap().takes_work());
     assert_eq!(fleet.leaving(at(50)), leaving);
 }
@@ -429,10 +480,10 @@
     let leaving = [incarnation(&entries[0])];
     assert_eq!(fleet.record_leaving(&leaving, at(10)).len(), 1);
     assert_eq!(fleet.record_leaving(&leaving, at(11)).len(), 0, "it is no longer new");
-    fleet.apply_directory(entries.clone(), at(20), at(20));
+    fleet.apply_directory(entries.clone(), read(20), at(20));
     assert!(!fleet.get("e1").unwrap().takes_work());
     entries[0].incarnation += 1;
-    fleet.apply_directory(entries, at(30), at(30));
+    fleet.apply_directory(entries, read(30), at(30));
     assert!(fleet.get("e1").unwrap().takes_work(), "it has restarted");
 }
 
@@ -443,9 +494,9 @@
     let old = entries.clone();
     entries[0].status = EndpointStatus::Draining;
     entries[0].heartbeat += 1;
-    fleet.apply_directory(entries.clone(), at(10), at(10));
-    fleet.apply_directory(entries[1..].to_vec(), at(20), at(20));
-    fleet.apply_directory(old, at(30), at(30));
+    fleet.apply_directory(entries.clone(), read(10), at(10));
+    fleet.apply_directory(entries[1..].to_vec(), read(20), at(20));
+    fleet.apply_directory(old, read(30), at(30));
     assert!(!fleet.get("e1").unwrap().takes_work());
 }
 
@@ -456,12 +507,12 @@
     // The new process is heard of before its entry is read.
     let report = Report { incarnation: 2, ..Report::default() };
     fleet.apply_report("e1", &report, at(10));
-    fleet.apply_directory(old[1..].to_vec(), at(20), at(20));
-    let change = fleet.apply_directory(old.clone(), at(30), at(30));
+    fleet.apply_directory(old[1..].to_vec(), read(20), at(20));
+    let change = fleet.apply_directory(old.clone(), read(30), at(30));
     assert!(change.joined.is_empty() && fleet.get("e1").is_none());
     let mut new = old;
     new[0].incarnation = 2;
-    fleet.apply_directory(new, at(40), at(40));
+    fleet.apply_directory(new, read(40), at(40));
     assert!(fleet.get("e1").unwrap().takes_work());
 }
 
--- a/mimosashift/tests/prefill.rs
+++ b/mimosashift/tests/prefill.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use mimosashift::deployment::Engine;
-use mimosashift::fleet::{Allowance, Chain, Claim, Demand, Fleet, Query};
+use mimosashift::fleet::{Allowance, Chain, Claim, Demand, Fleet, Query, Read};
 use mimosashift::time::Instant;
 
 use test_case::test_case;
@@ -108,7 +108,7 @@
                 .map(|n| endpoint(n, "a", "slow", Some(layers(0, MODEL_LAYERS))))
                 .collect();
             let mut fleet = Fleet::default();
-            fleet.apply_directory(entries, Instant::ZERO, at(0));
+            fleet.apply_directory(entries, Read { began: at(0), outage: None }, at(0));
             fleets.push(fleet);
         }
         let mean_us = load.long * prefill_us(&engine, LONG_PROMPT)
--- a/mimosashift/tests/rest.rs
+++ b/mimosashift/tests/rest.rs
@@ -7,7 +7,7 @@
 use test_case::test_case;
 
 use common::deployment::at;
-use common::fleet::{DEMAND, choose, fleet, ids, two_zones};
+use common::fleet::{DEMAND, choose, fleet, ids, read, two_zones};
 
 #[path = "common"]
 mod common {
@@ -83,7 +83,7 @@
     record(&mut fleet, &[("e1", "600")], 50);
     let earlier = fleet.get("e1").unwrap().address_hop();
     entries[0].incarnation += 1;
-    fleet.apply_directory(entries, at(60), at(60));
+    fleet.apply_directory(entries, read(60), at(60));
     assert!(!fleet.is_resting("e1", at(61)));
     // An answer of the earlier incarnation arrives late.
     fleet.record_rest(&earlier, Rest::try_from("600").unwrap(), at(62));
@@ -95,8 +95,8 @@
     let entries = two_zones();
     let mut fleet = fleet(entries.clone());
     record(&mut fleet, &[("e1", "600")], 50);
-    fleet.apply_directory(entries[1..].to_vec(), at(60), at(60));
-    fleet.apply_directory(entries, at(500_000), at(500_000));
+    fleet.apply_directory(entries[1..].to_vec(), read(60), at(60));
+    fleet.apply_directory(entries, read(500_000), at(500_000));
     assert!(fleet.is_resting("e1", at(600_049)) && !fleet.is_resting("e1", at(600_050)));
 }
 
@@ -105,8 +105,8 @@
     let entries = two_zones();
     let mut fleet = fleet(entries.clone());
     let hop = fleet.get("e1").unwrap().address_hop();
-    fleet.apply_directory(entries[1..].to_vec(), at(60), at(60));
+    fleet.apply_directory(entries[1..].to_vec(), read(60), at(60));
     fleet.record_rest(&hop, Rest::try_from("3").unwrap(), at(70));
-    fleet.apply_directory(entries, at(80), at(80));
+    fleet.apply_directory(entries, read(80), at(80));
     assert!(fleet.is_resting("e1", at(3_069)) && !fleet.is_resting("e1", at(3_070)));
 }
--- a/mimosashift/tests/usage.rs
+++ b/mimosashift/tests/usage.rs
@@ -4,13 +4,12 @@
 
 use mimosashift::exchange::Report;
 use mimosashift::fleet::{Shortage, Usage, name_key};
-use mimosashift::time::Instant;
 
 use proptest::collection::vec;
 use proptest::prelude::*;
 
 use common::deployment::{at, layers};
-use common::fleet::{DEMAND, choose, fleet, huge, ids, query, two_zones};
+use common::fleet::{DEMAND, choose, fleet, huge, ids, query, read, two_zones};
 
 #[path = "common"]
 mod common {
@@ -36,7 +35,7 @@
     let mut entries = two_zones();
     let entry = entries.iter_mut().find(|entry| entry.id == first).unwrap();
     entry.incarnation = 2;
-    fleet.apply_directory(entries, Instant::ZERO, at(100));
+    fleet.apply_directory(entries, read(100), at(100));
     let next = fleet.claim(choose(&fleet, &DEMAND).unwrap(), &DEMAND);
     fleet.release(&claim);
     fleet.release(&next);
