Check peers' digests no sooner after a read than before

Callers of a router that follows the reader of its zone saw 502 and 503 "not sent" for another second every five seconds of a cut, and followers learned of changes in the directory up to 250 ms later.

Cause: since the answer to a read of the store began the next check at once. The reader's directory is older than what has just been read; it was fetched all the same, refused for its position, and put off the fetch of the reader's next directory by FETCH_INTERVAL (500 ms).

Why it works: answers are taken while the loop waits; the check follows after the same pause as before.

--- a/mimosafront/src/directory.rs
+++ b/mimosafront/src/directory.rs
@@ -179,14 +179,7 @@
         {
             watch.begin_read(&state);
         }
-        tokio::select! {
-            () = tokio::time::sleep(watch.pause(clock::now())) => {}
-            Some(read) = watch.reads.join_next() => {
-                let (began, read) = read.expect("reads are not cancelled and do not panic");
-                watch.end_read(&state, began, read);
-            }
-            () = state.directory_refresh.notified() => watch.begin_read(&state),
-        }
+        watch.wait(&state).await;
     }
 }
 
@@ -225,6 +218,22 @@
         is_over && state.fleet.borrow().keeps_missing()
     }
 
+    /// Takes answers until the next check whether to read. An answer puts the check off: a
+    /// peer's directory is older than what has just been read, and to fetch it now would delay
+    /// the fetch of its next one.
+    async fn wait(&mut self, state: &Rc<RouterState>) {
+        loop {
+            tokio::select! {
+                () = tokio::time::sleep(self.pause(clock::now())) => return,
+                Some(read) = self.reads.join_next() => {
+                    let (began, read) = read.expect("reads are not cancelled and do not panic");
+                    self.end_read(state, began, read);
+                }
+                () = state.directory_refresh.notified() => self.begin_read(state),
+            }
+        }
+    }
+
     /// Time until the next check whether to read.
     fn pause(&self, now: Instant) -> Duration {
         let outage_ends = self.outage.map(Outage::registered_until);
--- a/mimosafront/tests/unreachable_endpoints.rs
+++ b/mimosafront/tests/unreachable_endpoints.rs
@@ -124,6 +124,8 @@
     router_whose_new_connections_are_refused_serves_through_another: 2, [0], RefuseNew;
     router_whose_connections_are_accepted_and_silent_serves_through_another: 2, [0], Silent;
     router_that_gets_no_answers_serves_through_another: 2, [0], BlockedToClient;
+    // Guards also against a fetch of a peer's older directory after each own read, which puts
+    // off the fetch of its next one.
     most_routers_of_a_domain_serve_through_the_others: 5, [0, 2], Unreachable;
     all_routers_of_a_domain_serve_through_another: 5, [0, 2, 4], Unreachable;
 }
