--- a/mimosashift/src/fleet/outage.rs
+++ b/mimosashift/src/fleet/outage.rs
@@ -58,7 +58,7 @@
 
 impl Read {
     /// Whether an endpoint without an entry in this read, which was answered by `now`, may
-    /// live. One that was written so lately that its entry could not have lapsed has left.
+    /// live. One that was written so recently that its entry could not have lapsed has left.
     pub(super) fn may_miss(&self, member: &Member, now: Instant) -> bool {
         self.outage.is_some_and(|outage| {
             self.began < outage.registered_until()
--- a/mimosashift/tests/fleet.rs
+++ b/mimosashift/tests/fleet.rs
@@ -184,7 +184,7 @@
 #[test_case(&[(1_000, 1), (4_000, 2)], 4_600, false; "written after the first read, may have lapsed")]
 #[test_case(&[(1_000, 1), (2_000, 2), (4_000, 3)], 5_599, true; "written after the second read, too young to lapse")]
 #[test_case(&[(1_000, 1), (4_000, 1)], 4_100, false; "not seen to be written")]
-fn endpoint_that_was_written_too_lately_to_lapse_is_not_kept(
+fn endpoint_that_was_written_too_recently_to_lapse_is_not_kept(
     listed: &[(u64, u64)],
     missing_ms: u64,
     is_gone: bool,
