--- a/review/stand-3/scenario.sh
+++ b/review/stand-3/scenario.sh
@@ -19,6 +19,7 @@
 trap 'kill -KILL -- -$group 2> /dev/null; rm -rf "$TMPDIR"' EXIT
 ( sleep 115; kill -KILL -- -$group ) > /dev/null 2>&1 &
 watchdog=$!
+disown $watchdog
 wait $group
 code=$?
 kill -KILL -- -$watchdog 2> /dev/null
--- a/review/stand-3/src/main.rs
+++ b/review/stand-3/src/main.rs
@@ -4,9 +4,7 @@
 mod drill;
 mod engine;
 mod http;
-mod mixed;
 mod models;
-mod replica;
 mod store;
 mod world;
 
@@ -14,12 +12,7 @@
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
     let code = match words[..] {
-        ["replica", address, id] => {
-            replica::run(address, id);
-            0
-        }
         ["models"] => models::run(),
-        ["mixed"] => mixed::run(),
         ["drill"] => drill::run(1),
         ["drill", routers] => drill::run(routers.parse().unwrap_or(1)),
         _ => {
