--- a/review/stand-3/src/main.rs
+++ b/review/stand-3/src/main.rs
@@ -13,8 +13,7 @@
     let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
     let code = match words[..] {
         ["models"] => models::run(),
-        ["drill"] => drill::run(1),
-        ["drill", routers] => drill::run(routers.parse().unwrap_or(1)),
+        ["drill"] => drill::run(),
         _ => {
             eprintln!("usage: stand-3 SCENARIO");
             2
--- a/review/stand-3/src/models.rs
+++ b/review/stand-3/src/models.rs
@@ -34,7 +34,7 @@
 
 pub fn run() -> i32 {
     let record = Arc::new(Record::open());
-    let places = Places::choose();
+    let places = Places::choose(0);
     let store = Store::start(places.at(250, 0));
     let config = |version: u64, count: usize| {
         let models = &MODELS[..count];
--- a/review/stand-3/src/world.rs
+++ b/review/stand-3/src/world.rs
@@ -59,11 +59,12 @@
 }
 
 impl Places {
-    pub fn choose() -> Self {
+    /// Those of one part of the scenario; each part has a network of its own.
+    pub fn choose(part: u8) -> Self {
         let id = std::process::id();
-        let network = [100 + (id % 100) as u8, (id / 100 % 250) as u8];
+        let network = [100 + (id % 70) as u8 + 70 * part, (id / 100 % 250) as u8];
         let first_port = 21_000 + (id % 900) as u16 * 10;
-        let folder = std::env::temp_dir().join(format!("review-3-{id}"));
+        let folder = std::env::temp_dir().join(format!("review-3-{id}-{part}"));
         fs::create_dir_all(&folder).unwrap_or_else(|error| cannot_run(&error.to_string()));
         Self { network, first_port, folder }
     }
@@ -174,6 +175,14 @@
         }
     }
 
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
     /// Whether it answers a readiness check with 200.
     pub fn is_ready(&self) -> bool {
         let request = "GET /api/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
@@ -200,10 +209,7 @@
 
 impl Drop for Router {
     fn drop(&mut self) {
-        if let Some(child) = &mut self.child {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
+        self.kill();
         if let Ok(folder) = std::env::var("KEEP_LOGS") {
             let _ = fs::copy(&self.log, PathBuf::from(folder).join(format!("{}.log", self.name)));
         }
